--- /dev/null
+++ b/crates/core/src/agent.rs
@@ -0,0 +1,504 @@
+//! The agent's state machine: sole authority over its one target.
+//!
+//! Events go in, actions come out. Because nothing else orders the target anything, promises such
+//! as "an adapter in use is never evicted" are local invariants of this module.
+
+pub mod events;
+pub mod loads;
+pub mod queue;
+pub mod residency;
+
+use crate::{
+    agent::{
+        events::{AgentAction, AgentEvent, LoadResult, OfferSummary, WorkId},
+        loads::LoadTable,
+        queue::{QueuedWork, WorkQueue},
+        residency::{EvictionPolicy, ResidentTable},
+    },
+    config::PresetRecord,
+    ids::{AdapterDigest, AdapterKey, BaseName, ConfigRevision, ServiceName, Timestamp},
+    outcome::Refusal,
+    protocol::{Priority, RefusalReason, TargetReport, WorkItem},
+    stats::RunningMean,
+};
+use serde::{Deserialize, Serialize};
+use std::{collections::HashMap, time::Duration};
+
+/// Time after which a reservation that was never released lapses. It only has to outlast the
+/// entry's claim of the idempotency key, a few platform round trips.
+pub const RESERVATION_TTL: Duration = Duration::from_secs(10);
+/// First guess of the time that a request runs, until requests have been seen.
+const SERVICE_TIME_GUESS: Duration = Duration::from_millis(200);
+/// Lowest advice on when to come back.
+const RETRY_AFTER_FLOOR: Duration = Duration::from_millis(100);
+/// Share of the queue that each priority may fill, by rank: the upper priority always finds room
+/// that the lower ones cannot take.
+const QUEUE_SHARES: [f64; 3] = [1.0, 0.8, 0.5];
+
+/// What a target serves.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetKind {
+    /// A model engine with this base model.
+    Engine(BaseName),
+    /// A replica of this plain service.
+    Service(ServiceName),
+}
+
+/// Fixed properties of an agent and its target.
+#[derive(Clone, Debug)]
+pub struct AgentOptions {
+    /// What the target serves.
+    pub kind: TargetKind,
+    /// Adapters that the engine holds at once.
+    pub slots: usize,
+    /// Requests that the target runs at once.
+    pub batch_limit: u32,
+    /// Loads that the engine performs at once.
+    pub load_limit: usize,
+    /// Which adapter to evict.
+    pub eviction: EvictionPolicy,
+    /// Where the resident set's counter starts; higher than any that an earlier process has sent.
+    pub residency_base: u64,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum WorkPhase {
+    /// Accepted, not yet released by the entry; lapses at this time.
+    Reserved(Timestamp),
+    /// Waits for its adapter or a batch place.
+    Queued,
+    /// Handed to the target.
+    Running,
+}
+
+#[derive(Debug)]
+struct WorkRecord {
+    offer: OfferSummary,
+    phase: WorkPhase,
+    accepted: Timestamp,
+    deadline: Timestamp,
+    stall: Option<Duration>,
+}
+
+/// State of one agent.
+#[derive(Debug)]
+pub struct AgentState {
+    options: AgentOptions,
+    queue_limit: u32,
+    revision: ConfigRevision,
+    leaving: bool,
+    leased: bool,
+    target_up: bool,
+    running: u32,
+    works: HashMap<WorkId, WorkRecord>,
+    queue: WorkQueue,
+    residents: ResidentTable,
+    loads: LoadTable,
+    service_time: RunningMean,
+    actions: Vec<AgentAction>,
+}
+
+impl AgentState {
+    /// Starts with nothing resident, and takes no work before the target is known to be up.
+    pub fn new(options: AgentOptions) -> Self {
+        Self {
+            residents: ResidentTable::new(options.slots, options.eviction),
+            options,
+            queue_limit: PresetRecord::new("initial").queue_limit,
+            revision: 0,
+            leaving: false,
+            leased: true,
+            target_up: false,
+            running: 0,
+            works: HashMap::new(),
+            queue: WorkQueue::default(),
+            loads: LoadTable::default(),
+            service_time: RunningMean::new(SERVICE_TIME_GUESS),
+            actions: Vec::new(),
+        }
+    }
+
+    /// Takes in one event and returns what to do about it, in order.
+    pub fn handle(&mut self, event: AgentEvent, now: Timestamp) -> Vec<AgentAction> {
+        match event {
+            AgentEvent::Offered(offer) => self.offered(*offer, now),
+            AgentEvent::Released(work) => self.released(work),
+            AgentEvent::Cancelled(work) => self.cancelled(work),
+            AgentEvent::Finished { work, service_time } => self.finished(work, service_time, now),
+            AgentEvent::AdapterMissing(work) => self.adapter_missing(work, now),
+            AgentEvent::LoadPermitted(key) => self.loads.permit(&key),
+            AgentEvent::LoadEnded { key, result, took } => {
+                self.load_ended(&key, result, took, now);
+            }
+            AgentEvent::EvictEnded { key, evicted } => self.residents.evict_ended(&key, evicted),
+            AgentEvent::Inventory(held) => {
+                self.residents.adopt(held, now);
+                self.want_missing(now);
+            }
+            AgentEvent::TargetRestarted => self.target_restarted(now),
+            AgentEvent::TargetUp(up) => self.target_up = up,
+            AgentEvent::LeaseHeld(held) => self.leased = held,
+            AgentEvent::Configured { revision, queue_limit } => {
+                self.revision = self.revision.max(revision);
+                self.queue_limit = queue_limit;
+            }
+            AgentEvent::Stopping => self.leaving = true,
+            AgentEvent::Tick => self.expire(now),
+        }
+        self.pump(now);
+        std::mem::take(&mut self.actions)
+    }
+
+    /// Whether the agent may exit: it is stopping and holds no accepted work.
+    pub fn is_drained(&self) -> bool {
+        self.leaving && self.works.is_empty()
+    }
+
+    /// Whether the target answers.
+    pub fn is_target_up(&self) -> bool {
+        self.target_up
+    }
+
+    /// Requests handed to the target and not yet ended.
+    pub fn running(&self) -> u32 {
+        self.running
+    }
+
+    /// Requests accepted and waiting.
+    pub fn queued(&self) -> u32 {
+        self.works.len() as u32 - self.running
+    }
+
+    /// The resident set, for invariants and status pages.
+    pub fn residents(&self) -> &ResidentTable {
+        &self.residents
+    }
+
+    /// How many requests of this target hold `key`, queued and reserved ones included.
+    pub fn pins(&self, key: &AdapterKey) -> u32 {
+        self.residents.pins(key)
+    }
+
+    /// The state to send back; residents only if the receiver's counter is not current.
+    pub fn report(&self, known_residency: u64, now: Timestamp) -> TargetReport {
+        let changes = self.residents.counter() + self.loads.counter();
+        let residency = self.options.residency_base + changes;
+        let stale = known_residency != residency;
+        let loading = || self.loads.keys().map(AdapterKey::digest).collect::<Vec<AdapterDigest>>();
+        TargetReport {
+            residency,
+            residents: stale.then(|| self.residents.ready_digests()),
+            loading: if stale { loading() } else { Vec::new() },
+            running: self.running,
+            queued: self.queued(),
+            batch_limit: self.options.batch_limit,
+            load_wait: self.loads.expected_wait(self.options.load_limit, now),
+            service_time: self.service_time.read(),
+            leaving: self.leaving,
+            revision: self.revision,
+        }
+    }
+
+    fn offered(&mut self, offer: OfferSummary, now: Timestamp) {
+        let work = offer.work;
+        match self.judge(&offer, now) {
+            Err(refusal) => self.actions.push(AgentAction::Refuse { work, refusal }),
+            Ok(()) => self.accept(offer, now),
+        }
+    }
+
+    fn judge(&mut self, offer: &OfferSummary, now: Timestamp) -> Result<(), Refusal> {
+        if self.leaving {
+            return Err(Refusal::new(RefusalReason::Leaving));
+        }
+        if !self.leased {
+            return Err(Refusal::new(RefusalReason::NoLease));
+        }
+        if !self.serves(&offer.item) {
+            return Err(Refusal::new(RefusalReason::WrongTarget));
+        }
+        if offer.revision < self.revision {
+            return Err(Refusal::new(RefusalReason::ConfigBehind));
+        }
+        if !self.target_up {
+            return Err(self.refusal(RefusalReason::TargetDown));
+        }
+        let expected = self.expected_start(&offer.item, now);
+        if expected > offer.time_left {
+            return Err(Refusal::new(RefusalReason::TooLate).with_retry_after(expected));
+        }
+        self.make_room(offer.priority)
+    }
+
+    fn serves(&self, item: &WorkItem) -> bool {
+        match (item, &self.options.kind) {
+            (WorkItem::Completion { base, .. }, TargetKind::Engine(served)) => base == served,
+            (WorkItem::Service { name }, TargetKind::Service(served)) => name == served,
+            _ => false,
+        }
+    }
+
+    fn refusal(&self, reason: RefusalReason) -> Refusal {
+        let limit = f64::from(self.options.batch_limit.max(1));
+        let batches = f64::from(self.queued() + self.running) / limit;
+        let delay = self.service_time.read().mul_f64(batches).max(RETRY_AFTER_FLOOR);
+        Refusal::new(reason).with_retry_after(delay)
+    }
+
+    /// Expected time until the target could start such a request.
+    fn expected_start(&self, item: &WorkItem, now: Timestamp) -> Duration {
+        let limit = self.options.batch_limit.max(1);
+        let ahead = (self.queued() + self.running + 1).saturating_sub(limit);
+        let queue = self.service_time.read().mul_f64(f64::from(ahead) / f64::from(limit));
+        let stall = match item {
+            WorkItem::Completion { key, .. } if !self.residents.is_ready(key) => {
+                self.loads.expected_wait_of(key, self.options.load_limit, now)
+            }
+            _ => Duration::ZERO,
+        };
+        queue.max(stall)
+    }
+
+    /// Finds a queue place, taking it from the newest least important work if it must.
+    fn make_room(&mut self, priority: Priority) -> Result<(), Refusal> {
+        let free = self.options.batch_limit.saturating_sub(self.running);
+        let limit = (f64::from(self.queue_limit) * QUEUE_SHARES[priority.rank()]) as u32 + free;
+        if self.queued() < limit {
+            return Ok(());
+        }
+        let Some(shed) = self.queue.newest_below(priority) else {
+            return Err(self.refusal(RefusalReason::QueueFull));
+        };
+        self.refuse_accepted(shed, RefusalReason::QueueFull);
+        Ok(())
+    }
+
+    fn accept(&mut self, offer: OfferSummary, now: Timestamp) {
+        let work = offer.work;
+        if let WorkItem::Completion { key, .. } = &offer.item {
+            self.residents.pin(key, now);
+        }
+        let ready = match &offer.item {
+            WorkItem::Completion { key, .. } => self.residents.is_ready(key),
+            WorkItem::Service { .. } => true,
+        };
+        let phase = if offer.idempotent {
+            self.queue.push(QueuedWork::new(&offer));
+            WorkPhase::Queued
+        } else {
+            WorkPhase::Reserved(now + RESERVATION_TTL)
+        };
+        let record = WorkRecord {
+            phase,
+            accepted: now,
+            deadline: now + offer.time_left,
+            stall: ready.then_some(Duration::ZERO),
+            offer,
+        };
+        self.want_load(&record, now);
+        self.works.insert(work, record);
+        self.actions.push(AgentAction::Accept { work });
+    }
+
+    fn want_load(&mut self, record: &WorkRecord, now: Timestamp) {
+        if let WorkItem::Completion { key, .. } = &record.offer.item
+            && !self.residents.is_present(key)
+        {
+            self.loads.want(key, record.offer.priority, record.deadline, now);
+        }
+    }
+
+    /// Wants a load again for all accepted work whose adapter has gone, as after a restart.
+    fn want_missing(&mut self, now: Timestamp) {
+        let works = std::mem::take(&mut self.works);
+        for record in works.values().filter(|record| record.phase != WorkPhase::Running) {
+            self.want_load(record, now);
+        }
+        self.works = works;
+    }
+
+    fn released(&mut self, work: WorkId) {
+        let Some(record) = self.works.get_mut(&work) else { return };
+        if matches!(record.phase, WorkPhase::Reserved(_)) {
+            record.phase = WorkPhase::Queued;
+            self.queue.push(QueuedWork::new(&record.offer));
+        }
+    }
+
+    fn cancelled(&mut self, work: WorkId) {
+        let Some(record) = self.works.get(&work) else { return };
+        match record.phase {
+            // Work that the target may have begun is its own to end; a non-idempotent request runs
+            // on, because aborting it would leave its effect half done and its result unknown.
+            WorkPhase::Running if record.offer.idempotent => {
+                self.actions.push(AgentAction::Abort { work });
+            }
+            WorkPhase::Running => {}
+            WorkPhase::Queued | WorkPhase::Reserved(_) => self.forget(work),
+        }
+    }
+
+    fn finished(&mut self, work: WorkId, service_time: Duration, now: Timestamp) {
+        let Some(record) = self.works.get(&work) else { return };
+        if record.phase != WorkPhase::Running {
+            return;
+        }
+        if let WorkItem::Completion { key, .. } = &record.offer.item {
+            self.residents.touch(key, now);
+        }
+        self.service_time.record(service_time);
+        self.forget(work);
+    }
+
+    /// The engine refused the request because it does not hold the adapter, so nothing ran: it goes
+    /// back to the queue and the adapter is loaded again.
+    fn adapter_missing(&mut self, work: WorkId, now: Timestamp) {
+        let Some(record) = self.works.get_mut(&work) else { return };
+        if record.phase != WorkPhase::Running {
+            return;
+        }
+        record.phase = WorkPhase::Queued;
+        record.stall = None;
+        self.running -= 1;
+        self.queue.push(QueuedWork::new(&record.offer));
+        if let WorkItem::Completion { key, .. } = &record.offer.item {
+            self.residents.lose(key);
+        }
+        self.want_missing(now);
+    }
+
+    fn load_ended(&mut self, key: &AdapterKey, result: LoadResult, took: Duration, now: Timestamp) {
+        match result {
+            LoadResult::Loaded => {
+                self.residents.load_ended(key, true, now);
+                self.loads.loaded(key, took);
+                self.settle_stalls(key, now);
+            }
+            LoadResult::Failed | LoadResult::StoreBusy => {
+                self.residents.load_ended(key, false, now);
+                if self.loads.failed(key, result, now) {
+                    self.refuse_waiters(key);
+                }
+            }
+        }
+    }
+
+    fn settle_stalls(&mut self, key: &AdapterKey, now: Timestamp) {
+        for record in self.works.values_mut().filter(|record| record.offer.needs(key)) {
+            record.stall.get_or_insert(now.saturating_sub(record.accepted));
+        }
+    }
+
+    fn refuse_waiters(&mut self, key: &AdapterKey) {
+        let waits =
+            |record: &&WorkRecord| record.phase != WorkPhase::Running && record.offer.needs(key);
+        let waiters: Vec<WorkId> =
+            self.works.values().filter(waits).map(|record| record.offer.work).collect();
+        for work in waiters {
+            self.refuse_accepted(work, RefusalReason::LoadFailed);
+        }
+    }
+
+    fn target_restarted(&mut self, now: Timestamp) {
+        self.residents.clear();
+        self.loads.forget_started();
+        self.want_missing(now);
+    }
+
+    /// Refuses accepted work whose time has run out, or whose load cannot end in time. It was never
+    /// handed on, so the refusal is true, and giving it now leaves the caller time to act.
+    fn expire(&mut self, now: Timestamp) {
+        let late: Vec<WorkId> = self
+            .works
+            .values()
+            .filter(|record| Self::is_late(record, now))
+            .map(|record| record.offer.work)
+            .collect();
+        for work in late {
+            self.refuse_accepted(work, RefusalReason::TooLate);
+        }
+    }
+
+    fn is_late(record: &WorkRecord, now: Timestamp) -> bool {
+        match record.phase {
+            WorkPhase::Running => false,
+            WorkPhase::Reserved(lapses) => now >= lapses.min(record.deadline),
+            WorkPhase::Queued => now >= record.deadline,
+        }
+    }
+
+    fn refuse_accepted(&mut self, work: WorkId, reason: RefusalReason) {
+        let refusal = self.refusal(reason);
+        self.forget(work);
+        self.actions.push(AgentAction::Refuse { work, refusal });
+    }
+
+    fn forget(&mut self, work: WorkId) {
+        let Some(record) = self.works.remove(&work) else { return };
+        if record.phase == WorkPhase::Running {
+            self.running -= 1;
+        }
+        self.queue.remove(work);
+        if let WorkItem::Completion { key, .. } = &record.offer.item {
+            self.residents.unpin(key);
+            if self.residents.pins(key) == 0 {
+                self.loads.unwant(key);
+            }
+        }
+    }
+
+    /// Starts what can start and orders the loads that have a permit and a slot.
+    fn pump(&mut self, now: Timestamp) {
+        self.start_ready();
+        if !self.leased || !self.target_up {
+            return;
+        }
+        self.order_loads(now);
+        self.ask_permits(now);
+    }
+
+    fn start_ready(&mut self) {
+        if !self.target_up {
+            return;
+        }
+        while self.running < self.options.batch_limit {
+            let residents = &self.residents;
+            let next = self.queue.pop(|item| match item {
+                WorkItem::Completion { key, .. } => residents.is_ready(key),
+                WorkItem::Service { .. } => true,
+            });
+            let Some(work) = next else { return };
+            let Some(record) = self.works.get_mut(&work) else { continue };
+            record.phase = WorkPhase::Running;
+            self.running += 1;
+            let load_stall = record.stall.unwrap_or_default();
+            self.actions.push(AgentAction::Start { work, load_stall });
+        }
+    }
+
+    fn order_loads(&mut self, now: Timestamp) {
+        while let Some(key) = self.loads.next_permitted() {
+            if self.residents.take_slot(&key, now) {
+                self.loads.start(&key, now);
+                self.actions.push(AgentAction::Load { key });
+                continue;
+            }
+            if self.residents.is_evicting() {
+                return;
+            }
+            let Some(victim) = self.residents.begin_evict(now) else { return };
+            self.actions.push(AgentAction::Evict { key: victim });
+            return;
+        }
+    }
+
+    fn ask_permits(&mut self, now: Timestamp) {
+        let room = self.residents.claimable();
+        while self.loads.outstanding() < self.options.load_limit.min(room) {
+            let Some((key, urgency)) = self.loads.next_unasked(now) else { return };
+            self.loads.ask(&key);
+            self.actions.push(AgentAction::AskPermit { key, urgency });
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/agent/residency.rs
@@ -0,0 +1,297 @@
+//! Which adapters the engine holds, who pins them, and which one to evict next.
+
+use crate::{
+    demand::DecayedCount,
+    ids::{AdapterDigest, AdapterKey, Timestamp},
+};
+use std::{collections::HashMap, time::Duration};
+
+/// Time after a load in which an adapter counts as fresh.
+const FRESH_TIME: Duration = Duration::from_secs(5);
+/// Worth of a fresh adapter over an older one with the same demand: two adapters that want the same
+/// slot must not push each other out in turn.
+const FRESH_FACTOR: f64 = 4.0;
+/// Time within which loading an evicted adapter again counts as thrash.
+const THRASH_TIME: Duration = Duration::from_secs(10);
+/// Adapters whose demand is remembered while they are not resident.
+const MEMORY_LIMIT: usize = 4_096;
+
+/// How a victim is chosen.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum EvictionPolicy {
+    /// The least recently used.
+    Lru,
+    /// The least worth: decayed demand, more for fresh copies.
+    #[default]
+    Worth,
+}
+
+impl EvictionPolicy {
+    /// Parses `lru` or `worth`.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        match text {
+            "lru" => Ok(Self::Lru),
+            "worth" => Ok(Self::Worth),
+            _ => Err(format!("eviction `{text}` is not one of lru, worth")),
+        }
+    }
+
+    /// The policy's name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Lru => "lru",
+            Self::Worth => "worth",
+        }
+    }
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum SlotPhase {
+    Loading,
+    Ready,
+    Evicting,
+}
+
+#[derive(Debug)]
+struct SlotRecord {
+    phase: SlotPhase,
+    loaded: Timestamp,
+}
+
+#[derive(Debug, Default)]
+struct AdapterMemory {
+    pins: u32,
+    demand: DecayedCount,
+    used: Timestamp,
+    evicted: Option<Timestamp>,
+}
+
+/// The engine's slots, as ordered by this agent.
+#[derive(Debug)]
+pub struct ResidentTable {
+    slots: usize,
+    eviction: EvictionPolicy,
+    residents: HashMap<AdapterKey, SlotRecord>,
+    memory: HashMap<AdapterKey, AdapterMemory>,
+    counter: u64,
+    thrash: u64,
+    evictions: u64,
+}
+
+impl ResidentTable {
+    /// An empty table.
+    pub fn new(slots: usize, eviction: EvictionPolicy) -> Self {
+        Self {
+            slots,
+            eviction,
+            residents: HashMap::new(),
+            memory: HashMap::new(),
+            counter: 1,
+            thrash: 0,
+            evictions: 0,
+        }
+    }
+
+    /// Grows with each change of the ready set.
+    pub fn counter(&self) -> u64 {
+        self.counter
+    }
+
+    /// Loads of adapters that had been evicted within the last few seconds.
+    pub fn thrash(&self) -> u64 {
+        self.thrash
+    }
+
+    /// Evictions ordered.
+    pub fn evictions(&self) -> u64 {
+        self.evictions
+    }
+
+    /// Slots taken, by loads and evictions under way too.
+    pub fn occupied(&self) -> usize {
+        self.residents.len()
+    }
+
+    /// Whether requests can run on `key` now.
+    pub fn is_ready(&self, key: &AdapterKey) -> bool {
+        self.residents.get(key).is_some_and(|slot| slot.phase == SlotPhase::Ready)
+    }
+
+    /// Whether `key` is ready or being loaded.
+    pub fn is_present(&self, key: &AdapterKey) -> bool {
+        self.residents.get(key).is_some_and(|slot| slot.phase != SlotPhase::Evicting)
+    }
+
+    /// Whether an eviction is under way.
+    pub fn is_evicting(&self) -> bool {
+        self.residents.values().any(|slot| slot.phase == SlotPhase::Evicting)
+    }
+
+    /// Digests of the ready adapters, sorted.
+    pub fn ready_digests(&self) -> Vec<AdapterDigest> {
+        let ready = self.residents.iter().filter(|(_, slot)| slot.phase == SlotPhase::Ready);
+        let mut digests: Vec<AdapterDigest> = ready.map(|(key, _)| key.digest()).collect();
+        digests.sort_unstable();
+        digests
+    }
+
+    /// The ready adapters, sorted.
+    pub fn ready_keys(&self) -> Vec<AdapterKey> {
+        let ready = self.residents.iter().filter(|(_, slot)| slot.phase == SlotPhase::Ready);
+        let mut keys: Vec<AdapterKey> = ready.map(|(key, _)| key.clone()).collect();
+        keys.sort();
+        keys
+    }
+
+    /// Requests that hold `key`.
+    pub fn pins(&self, key: &AdapterKey) -> u32 {
+        self.memory.get(key).map_or(0, |memory| memory.pins)
+    }
+
+    /// Holds `key` for one accepted request and counts its demand.
+    pub fn pin(&mut self, key: &AdapterKey, now: Timestamp) {
+        let memory = self.memory.entry(key.clone()).or_default();
+        memory.pins += 1;
+        memory.demand.record(now);
+        memory.used = now;
+    }
+
+    /// Lets go of `key` for one request.
+    pub fn unpin(&mut self, key: &AdapterKey) {
+        if let Some(memory) = self.memory.get_mut(key) {
+            memory.pins = memory.pins.saturating_sub(1);
+        }
+    }
+
+    /// Notes that `key` was just used.
+    pub fn touch(&mut self, key: &AdapterKey, now: Timestamp) {
+        if let Some(memory) = self.memory.get_mut(key) {
+            memory.used = now;
+        }
+    }
+
+    /// Slots that loads have taken or could take: all but those of pinned adapters.
+    pub fn claimable(&self) -> usize {
+        let held = |(key, slot): &(&AdapterKey, &SlotRecord)| {
+            slot.phase == SlotPhase::Ready && self.pins(key) > 0
+        };
+        self.slots.saturating_sub(self.residents.iter().filter(held).count())
+    }
+
+    /// Takes a free slot to load `key`; false if none is free.
+    pub fn take_slot(&mut self, key: &AdapterKey, now: Timestamp) -> bool {
+        if self.residents.len() >= self.slots || self.residents.contains_key(key) {
+            return false;
+        }
+        if let Some(evicted) = self.memory.get(key).and_then(|memory| memory.evicted)
+            && now.saturating_sub(evicted) < THRASH_TIME
+        {
+            self.thrash += 1;
+        }
+        let slot = SlotRecord { phase: SlotPhase::Loading, loaded: now };
+        self.residents.insert(key.clone(), slot);
+        true
+    }
+
+    /// Ends a load; a failed one frees its slot.
+    pub fn load_ended(&mut self, key: &AdapterKey, loaded: bool, now: Timestamp) {
+        let Some(slot) = self.residents.get_mut(key) else { return };
+        if slot.phase != SlotPhase::Loading {
+            return;
+        }
+        if loaded {
+            slot.phase = SlotPhase::Ready;
+            slot.loaded = now;
+            self.counter += 1;
+        } else {
+            self.residents.remove(key);
+        }
+    }
+
+    /// Chooses a victim and marks it as going; `None` if all are pinned.
+    pub fn begin_evict(&mut self, now: Timestamp) -> Option<AdapterKey> {
+        let key = self
+            .evictable()
+            .min_by(|a, b| {
+                self.worth(a, now).total_cmp(&self.worth(b, now)).then_with(|| a.cmp(b))
+            })?
+            .clone();
+        self.residents.get_mut(&key)?.phase = SlotPhase::Evicting;
+        self.memory.entry(key.clone()).or_default().evicted = Some(now);
+        self.counter += 1;
+        self.evictions += 1;
+        self.prune_memory(now);
+        Some(key)
+    }
+
+    /// Ends an eviction. If the engine kept the adapter, it is ready again.
+    pub fn evict_ended(&mut self, key: &AdapterKey, evicted: bool) {
+        let Some(slot) = self.residents.get_mut(key) else { return };
+        if slot.phase != SlotPhase::Evicting {
+            return;
+        }
+        if evicted {
+            self.residents.remove(key);
+        } else {
+            slot.phase = SlotPhase::Ready;
+            self.counter += 1;
+        }
+    }
+
+    /// Takes the engine's own list as true for all that this agent has no order under way for.
+    pub fn adopt(&mut self, held: Vec<AdapterKey>, now: Timestamp) {
+        let before = self.ready_keys();
+        self.residents.retain(|key, slot| slot.phase != SlotPhase::Ready || held.contains(key));
+        for key in held {
+            let slot = SlotRecord { phase: SlotPhase::Ready, loaded: now };
+            self.residents.entry(key).or_insert(slot);
+        }
+        if before != self.ready_keys() {
+            self.counter += 1;
+        }
+    }
+
+    /// Forgets that `key` is resident.
+    pub fn lose(&mut self, key: &AdapterKey) {
+        if self.is_ready(key) {
+            self.residents.remove(key);
+            self.counter += 1;
+        }
+    }
+
+    /// Forgets everything resident, as after an engine's restart.
+    pub fn clear(&mut self) {
+        self.residents.clear();
+        self.counter += 1;
+    }
+
+    fn evictable(&self) -> impl Iterator<Item = &AdapterKey> {
+        let idle = |(key, slot): &(&AdapterKey, &SlotRecord)| {
+            slot.phase == SlotPhase::Ready && self.pins(key) == 0
+        };
+        self.residents.iter().filter(idle).map(|(key, _)| key)
+    }
+
+    fn worth(&self, key: &AdapterKey, now: Timestamp) -> f64 {
+        let Some(memory) = self.memory.get(key) else { return 0.0 };
+        match self.eviction {
+            EvictionPolicy::Lru => memory.used.as_secs_f64(),
+            EvictionPolicy::Worth => {
+                let loaded = self.residents.get(key).map_or(Duration::ZERO, |slot| slot.loaded);
+                let fresh = now.saturating_sub(loaded) < FRESH_TIME;
+                memory.demand.read(now) * if fresh { FRESH_FACTOR } else { 1.0 }
+            }
+        }
+    }
+
+    // Without a bound, the demand of every adapter ever seen would stay: 80,000 of them.
+    fn prune_memory(&mut self, now: Timestamp) {
+        if self.memory.len() <= MEMORY_LIMIT {
+            return;
+        }
+        let residents = &self.residents;
+        self.memory.retain(|key, memory| {
+            memory.pins > 0 || residents.contains_key(key) || memory.demand.read(now) > 0.5
+        });
+    }
+}
--- /dev/null
+++ b/crates/core/src/cost.rs
@@ -0,0 +1,56 @@
+//! The cost of a target for one request, in milliseconds of expected wait.
+
+use std::time::Duration;
+
+/// Gain, in milliseconds, of joining a batch that is nearly full instead of an idle one. Measured
+/// by the bench; see docs/design/routing.md.
+const BATCH_GAIN_MS: f64 = 20.0;
+
+/// Weights of the terms, from the preset in force.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct CostWeights {
+    /// Weight of the load stall.
+    pub stall: f64,
+    /// Weight of the batch term.
+    pub batch: f64,
+}
+
+/// What an entry believes of a target at the moment of choice.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct TargetOutlook {
+    /// Expected wait for the adapter.
+    pub load_stall: Duration,
+    /// Requests running or waiting there, own offers in flight included.
+    pub occupied: u32,
+    /// Requests that run at once.
+    pub batch_limit: u32,
+    /// Mean time that a request runs.
+    pub service_time: Duration,
+    /// Round trip to its availability zone.
+    pub zone_trip: Duration,
+}
+
+/// Expected wait for the target in milliseconds, less the gain of filling its batch.
+pub fn target_cost(weights: CostWeights, outlook: &TargetOutlook) -> f64 {
+    let stall = millis(outlook.load_stall) * weights.stall;
+    stall + queue_wait(outlook) - batch_gain(outlook) * weights.batch + millis(outlook.zone_trip)
+}
+
+// A batch that is not full starts a request at once; each batch ahead costs a service time.
+fn queue_wait(outlook: &TargetOutlook) -> f64 {
+    let limit = outlook.batch_limit.max(1);
+    let ahead = f64::from((outlook.occupied + 1).saturating_sub(limit)) / f64::from(limit);
+    ahead * millis(outlook.service_time)
+}
+
+fn batch_gain(outlook: &TargetOutlook) -> f64 {
+    let limit = outlook.batch_limit.max(1);
+    if outlook.occupied >= limit {
+        return 0.0;
+    }
+    f64::from(outlook.occupied) / f64::from(limit) * BATCH_GAIN_MS
+}
+
+fn millis(duration: Duration) -> f64 {
+    duration.as_secs_f64() * 1_000.0
+}
--- /dev/null
+++ b/crates/core/src/entry/targets.rs
@@ -0,0 +1,304 @@
+//! What an entry believes of the targets. All of it may be stale; that costs time, never a promise.
+
+use crate::{
+    agent::TargetKind,
+    cost::TargetOutlook,
+    ids::{AdapterDigest, RegionName, TargetName, Timestamp, ZoneName},
+    protocol::TargetReport,
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    time::Duration,
+};
+
+/// First time that a target is left out after a failure; doubled with each failure in a row.
+const EJECTION: Duration = Duration::from_millis(500);
+/// Longest time that a target is left out.
+const EJECTION_LIMIT: Duration = Duration::from_secs(16);
+/// Longest time that a full target is left out.
+const PAUSE_LIMIT: Duration = Duration::from_secs(1);
+/// Assumed batch size of a target that has not reported.
+const BATCH_LIMIT_GUESS: u32 = 8;
+
+/// A target as its agent announces it on the platform.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetRecord {
+    /// Its name.
+    pub name: TargetName,
+    /// What it serves.
+    pub kind: TargetKind,
+    /// Address of its agent.
+    pub peer: SocketAddr,
+    /// Grows with each process that takes the slot; also the fencing number of its orders.
+    pub epoch: u64,
+    /// Its region.
+    pub region: RegionName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Whether it is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+}
+
+/// The view of one target.
+#[derive(Debug)]
+pub struct TargetView {
+    /// Its announcement.
+    pub record: TargetRecord,
+    report: TargetReport,
+    residents: HashSet<AdapterDigest>,
+    loading: HashSet<AdapterDigest>,
+    in_flight: u32,
+    sent_since_report: u32,
+    leaving: bool,
+    failures: u32,
+    closed_until: Timestamp,
+}
+
+impl TargetView {
+    fn new(record: TargetRecord) -> Self {
+        Self {
+            leaving: record.leaving,
+            record,
+            report: TargetReport::default(),
+            residents: HashSet::new(),
+            loading: HashSet::new(),
+            in_flight: 0,
+            sent_since_report: 0,
+            failures: 0,
+            closed_until: Duration::ZERO,
+        }
+    }
+
+    /// Counter of the last resident set seen.
+    pub fn residency(&self) -> u64 {
+        self.report.residency
+    }
+
+    /// Own requests offered and not yet ended.
+    pub fn in_flight(&self) -> u32 {
+        self.in_flight
+    }
+
+    /// Whether it may be offered to.
+    pub fn is_open(&self, now: Timestamp) -> bool {
+        !self.leaving && now >= self.closed_until
+    }
+
+    /// Whether it is known to hold an adapter.
+    pub fn holds(&self, digest: AdapterDigest) -> bool {
+        self.residents.contains(&digest)
+    }
+
+    /// Time until a target that is left out may be offered to again.
+    pub fn reopens_in(&self, now: Timestamp) -> Option<Duration> {
+        let left = self.closed_until.saturating_sub(now);
+        (!self.leaving && !left.is_zero()).then_some(left)
+    }
+
+    /// Expected wait for a load there, if it has reported.
+    pub(crate) fn load_wait(&self) -> Option<Duration> {
+        (self.report.batch_limit > 0).then_some(self.report.load_wait)
+    }
+
+    /// Whether an adapter is there, or on its way.
+    pub(crate) fn expects(&self, digest: AdapterDigest) -> bool {
+        self.residents.contains(&digest) || self.loading.contains(&digest)
+    }
+
+    /// What to expect of it; a target that has not reported is taken to load in `usual_load` time.
+    pub(crate) fn outlook(
+        &self,
+        digest: Option<AdapterDigest>,
+        trip: Duration,
+        usual_load: Duration,
+    ) -> TargetOutlook {
+        let reported = self.report.batch_limit > 0;
+        let load_wait = self.load_wait().unwrap_or(usual_load);
+        let load_stall = match digest {
+            Some(digest) if self.residents.contains(&digest) => Duration::ZERO,
+            // Half of a load is still to come, on average.
+            Some(digest) if self.loading.contains(&digest) => load_wait / 2,
+            Some(_) => load_wait,
+            None => Duration::ZERO,
+        };
+        // The report counts own requests too, but not those sent after it.
+        let occupied = self.report.running + self.report.queued + self.sent_since_report;
+        TargetOutlook {
+            load_stall,
+            occupied: occupied.max(self.in_flight),
+            batch_limit: if reported { self.report.batch_limit } else { BATCH_LIMIT_GUESS },
+            service_time: self.report.service_time,
+            zone_trip: trip,
+        }
+    }
+
+    pub(crate) fn offer_sent(&mut self, digest: Option<AdapterDigest>) {
+        self.in_flight += 1;
+        self.sent_since_report += 1;
+        if let Some(digest) = digest
+            && !self.residents.contains(&digest)
+        {
+            self.loading.insert(digest);
+        }
+    }
+
+    pub(crate) fn offer_ended(&mut self) {
+        self.in_flight = self.in_flight.saturating_sub(1);
+    }
+
+    fn apply_report(&mut self, mut report: TargetReport) {
+        if report.residents.take().is_some() {
+            self.loading = report.loading.drain(..).collect();
+        } else if report.residency != self.report.residency {
+            // The set changed, but this exchange was begun too early to carry it.
+            report.residency = self.report.residency;
+        }
+        self.sent_since_report = 0;
+        if report.leaving {
+            self.leaving = true;
+        }
+        self.report = report;
+    }
+
+    pub(crate) fn succeeded(&mut self) {
+        self.failures = 0;
+    }
+
+    pub(crate) fn leave(&mut self) {
+        self.leaving = true;
+    }
+
+    fn failed(&mut self, now: Timestamp) {
+        let pause = EJECTION.saturating_mul(1 << self.failures.min(8)).min(EJECTION_LIMIT);
+        self.failures += 1;
+        self.closed_until = now + pause;
+        self.loading.clear();
+        self.report.residency = 0;
+    }
+
+    pub(crate) fn pause(&mut self, advised: Option<Duration>, now: Timestamp) {
+        let pause = advised.unwrap_or(EJECTION).min(PAUSE_LIMIT);
+        self.closed_until = self.closed_until.max(now + pause);
+    }
+}
+
+/// All known targets, indexed.
+#[derive(Debug, Default)]
+pub struct TargetTable {
+    views: Vec<TargetView>,
+    by_name: HashMap<TargetName, usize>,
+    by_kind: HashMap<TargetKind, Vec<usize>>,
+    holders: HashMap<AdapterDigest, Vec<usize>>,
+    generation: u64,
+}
+
+impl TargetTable {
+    /// Grows when the set of targets changes.
+    pub fn generation(&self) -> u64 {
+        self.generation
+    }
+
+    /// All views.
+    pub fn views(&self) -> &[TargetView] {
+        &self.views
+    }
+
+    /// A view by index.
+    pub fn view(&self, index: usize) -> &TargetView {
+        &self.views[index]
+    }
+
+    /// Indices of the targets that serve `kind`.
+    pub fn of_kind(&self, kind: &TargetKind) -> &[usize] {
+        self.by_kind.get(kind).map_or(&[], Vec::as_slice)
+    }
+
+    /// Indices of the targets known to hold an adapter.
+    pub fn holders(&self, digest: AdapterDigest) -> &[usize] {
+        self.holders.get(&digest).map_or(&[], Vec::as_slice)
+    }
+
+    pub(crate) fn view_mut(&mut self, index: usize) -> &mut TargetView {
+        &mut self.views[index]
+    }
+
+    pub(crate) fn by_name_mut(&mut self, name: &TargetName) -> Option<&mut TargetView> {
+        let index = *self.by_name.get(name)?;
+        Some(&mut self.views[index])
+    }
+
+    /// Takes in a report that came with an exchange.
+    pub(crate) fn apply_report(&mut self, name: &TargetName, mut report: TargetReport) {
+        let Some(&index) = self.by_name.get(name) else { return };
+        if let Some(residents) = &mut report.residents {
+            let residents = std::mem::take(residents);
+            self.set_residents(index, residents.into_iter().collect());
+        }
+        self.views[index].apply_report(report);
+    }
+
+    /// Leaves a target out for a while; what it held is unknown when it comes back.
+    pub(crate) fn failed(&mut self, name: &TargetName, now: Timestamp) {
+        let Some(&index) = self.by_name.get(name) else { return };
+        self.set_residents(index, HashSet::new());
+        self.views[index].failed(now);
+    }
+
+    fn set_residents(&mut self, index: usize, residents: HashSet<AdapterDigest>) {
+        let old = std::mem::replace(&mut self.views[index].residents, residents);
+        for digest in old.difference(&self.views[index].residents) {
+            if let Some(holders) = self.holders.get_mut(digest) {
+                holders.retain(|&holder| holder != index);
+                if holders.is_empty() {
+                    self.holders.remove(digest);
+                }
+            }
+        }
+        for &digest in self.views[index].residents.difference(&old) {
+            self.holders.entry(digest).or_default().push(index);
+        }
+    }
+
+    pub(crate) fn replace(&mut self, records: Vec<TargetRecord>) {
+        let unchanged = records.len() == self.views.len()
+            && records.iter().zip(&self.views).all(|(record, view)| *record == view.record);
+        if unchanged {
+            return;
+        }
+        let mut old: HashMap<TargetName, TargetView> =
+            self.views.drain(..).map(|view| (view.record.name.clone(), view)).collect();
+        self.views = records
+            .into_iter()
+            .map(|record| match old.remove(&record.name) {
+                // The same process at the same place: keep what is known of it. A target that was
+                // seen leaving stays so, however late the list learns of it.
+                Some(view) if is_same_process(&view.record, &record) => {
+                    TargetView { leaving: view.leaving || record.leaving, record, ..view }
+                }
+                _ => TargetView::new(record),
+            })
+            .collect();
+        self.index();
+    }
+
+    fn index(&mut self) {
+        self.generation += 1;
+        self.by_name.clear();
+        self.by_kind.clear();
+        self.holders.clear();
+        for (index, view) in self.views.iter().enumerate() {
+            self.by_name.insert(view.record.name.clone(), index);
+            self.by_kind.entry(view.record.kind.clone()).or_default().push(index);
+            for &digest in &view.residents {
+                self.holders.entry(digest).or_default().push(index);
+            }
+        }
+    }
+}
+
+fn is_same_process(known: &TargetRecord, record: &TargetRecord) -> bool {
+    known.peer == record.peer && known.epoch == record.epoch
+}
--- /dev/null
+++ b/crates/core/src/lib.rs
@@ -0,0 +1,16 @@
+//! Decisions of plantainroute as pure state machines: time and randomness come in as arguments.
+
+pub mod agent;
+pub mod config;
+pub mod cost;
+pub mod demand;
+pub mod entry;
+pub mod events;
+pub mod ids;
+pub mod outcome;
+pub mod permits;
+pub mod policy;
+pub mod protocol;
+pub mod rendezvous;
+pub mod retry;
+pub mod stats;
--- /dev/null
+++ b/crates/core/src/permits.rs
@@ -0,0 +1,110 @@
+//! Load permits: a rate and a number at once, the most urgent request first.
+
+use crate::{
+    agent::events::LoadUrgency,
+    ids::{AdapterKey, TargetName, Timestamp},
+};
+use std::time::Duration;
+
+/// Time after which a granted permit counts as given back, whatever became of its holder.
+const PERMIT_TTL: Duration = Duration::from_secs(15);
+
+/// What the weight store allows.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PermitLimits {
+    /// Loads that may begin in a second.
+    pub rate: f64,
+    /// Loads under way at once.
+    pub active: usize,
+}
+
+/// A permit that was asked for or granted.
+#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+pub struct PermitClaim {
+    /// Who loads.
+    pub target: TargetName,
+    /// What.
+    pub key: AdapterKey,
+}
+
+/// Grants permits within limits. Two desks for the same store only slow loads down, so nothing is
+/// kept or agreed on.
+#[derive(Debug)]
+pub struct PermitDesk {
+    limits: PermitLimits,
+    tokens: f64,
+    refilled: Timestamp,
+    waiting: Vec<(PermitClaim, LoadUrgency, Timestamp)>,
+    active: Vec<(PermitClaim, Timestamp)>,
+}
+
+impl PermitDesk {
+    /// Starts with one permit in hand, not a full second's worth: a desk that was just restarted
+    /// must not grant again what its predecessor granted a moment ago.
+    pub fn new(limits: PermitLimits, now: Timestamp) -> Self {
+        Self { limits, tokens: 1.0, refilled: now, waiting: Vec::new(), active: Vec::new() }
+    }
+
+    /// Permits granted and not given back.
+    pub fn active(&self) -> usize {
+        self.active.len()
+    }
+
+    /// Claims that wait.
+    pub fn waiting(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Adds a claim, or updates its urgency.
+    pub fn ask(&mut self, claim: PermitClaim, urgency: LoadUrgency, now: Timestamp) {
+        match self.waiting.iter_mut().find(|(waiting, _, _)| *waiting == claim) {
+            Some(known) => known.1 = urgency,
+            None => self.waiting.push((claim, urgency, now)),
+        }
+    }
+
+    /// Takes back a claim or a permit: the load ended, or is no longer wanted.
+    pub fn end(&mut self, claim: &PermitClaim) {
+        self.waiting.retain(|(waiting, _, _)| waiting != claim);
+        self.active.retain(|(active, _)| active != claim);
+    }
+
+    /// Grants what the limits allow now.
+    pub fn grant(&mut self, now: Timestamp) -> Vec<PermitClaim> {
+        self.refill(now);
+        self.active.retain(|(_, granted)| now.saturating_sub(*granted) < PERMIT_TTL);
+        let mut granted = Vec::new();
+        while self.tokens >= 1.0 && self.active.len() < self.limits.active {
+            let Some(index) = self.most_urgent(now) else { break };
+            let (claim, _, _) = self.waiting.swap_remove(index);
+            self.tokens -= 1.0;
+            self.active.push((claim.clone(), now));
+            granted.push(claim);
+        }
+        granted
+    }
+
+    /// Time until the next permit can be granted, if a claim waits for one.
+    pub fn next_grant(&self, now: Timestamp) -> Option<Duration> {
+        if self.waiting.is_empty() || self.active.len() >= self.limits.active {
+            return None;
+        }
+        let missing = (1.0 - self.tokens).max(0.0) / self.limits.rate;
+        let since = now.saturating_sub(self.refilled);
+        Some(Duration::from_secs_f64(missing).saturating_sub(since))
+    }
+
+    fn refill(&mut self, now: Timestamp) {
+        let earned = now.saturating_sub(self.refilled).as_secs_f64() * self.limits.rate;
+        self.tokens = (self.tokens + earned).min(self.limits.rate.max(1.0));
+        self.refilled = now;
+    }
+
+    fn most_urgent(&self, now: Timestamp) -> Option<usize> {
+        let urgency = |index: usize| {
+            let (_, urgency, asked) = &self.waiting[index];
+            LoadUrgency { waited: urgency.waited + now.saturating_sub(*asked), ..*urgency }
+        };
+        (0..self.waiting.len()).max_by(|&a, &b| urgency(a).cmp(&urgency(b)))
+    }
+}
--- /dev/null
+++ b/crates/core/src/policy.rs
@@ -0,0 +1,93 @@
+//! Policies that pick one of several candidate targets.
+
+use crate::cost::{CostWeights, TargetOutlook, target_cost};
+
+/// Costs within this many milliseconds of the lowest count as equal and are drawn from at random,
+/// so that entries with equal views do not all pick the same target.
+const NEAR_TIE_MS: f64 = 1.0;
+
+/// A target that may take the request. Candidates come in rendezvous order.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct PolicyCandidate {
+    /// Index of the target in the entry's table.
+    pub target: usize,
+    /// What is believed of it.
+    pub outlook: TargetOutlook,
+}
+
+/// Picks a candidate.
+pub trait TargetPolicy {
+    /// Position of the pick among `candidates`, which are not empty; `draw` is a random number.
+    fn pick(&self, candidates: &[PolicyCandidate], weights: CostWeights, draw: u64) -> usize;
+
+    /// Whether the policy is to see only the adapter's preferred targets, not the whole fleet.
+    fn wants_preferred(&self) -> bool;
+}
+
+/// The policies that a setting can name.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum RoutingPolicy {
+    /// Any target, drawn evenly.
+    Random,
+    /// The target with the fewest requests.
+    LeastOutstanding,
+    /// The first choice by rendezvous hashing.
+    Hash,
+    /// The lowest expected wait among preferred targets.
+    #[default]
+    Cost,
+}
+
+impl RoutingPolicy {
+    /// All policies.
+    pub const ALL: [Self; 4] = [Self::Random, Self::LeastOutstanding, Self::Hash, Self::Cost];
+
+    /// Parses a policy's name.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        let found = Self::ALL.into_iter().find(|policy| policy.name() == text);
+        found.ok_or_else(|| {
+            format!("policy `{text}` is not one of random, least-outstanding, hash, cost")
+        })
+    }
+
+    /// The policy's name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Random => "random",
+            Self::LeastOutstanding => "least-outstanding",
+            Self::Hash => "hash",
+            Self::Cost => "cost",
+        }
+    }
+}
+
+impl TargetPolicy for RoutingPolicy {
+    fn pick(&self, candidates: &[PolicyCandidate], weights: CostWeights, draw: u64) -> usize {
+        match self {
+            Self::Random => (draw % candidates.len() as u64) as usize,
+            Self::Hash => 0,
+            Self::LeastOutstanding => {
+                pick_lowest(candidates, draw, 0.0, |c| f64::from(c.outlook.occupied))
+            }
+            Self::Cost => {
+                pick_lowest(candidates, draw, NEAR_TIE_MS, |c| target_cost(weights, &c.outlook))
+            }
+        }
+    }
+
+    fn wants_preferred(&self) -> bool {
+        matches!(self, Self::Hash | Self::Cost)
+    }
+}
+
+fn pick_lowest(
+    candidates: &[PolicyCandidate],
+    draw: u64,
+    tie: f64,
+    cost: impl Fn(&PolicyCandidate) -> f64,
+) -> usize {
+    let costs: Vec<f64> = candidates.iter().map(cost).collect();
+    let lowest = costs.iter().copied().fold(f64::INFINITY, f64::min);
+    let near: Vec<usize> = (0..costs.len()).filter(|&index| costs[index] <= lowest + tie).collect();
+    near[(draw % near.len() as u64) as usize]
+}
--- /dev/null
+++ b/crates/core/src/protocol.rs
@@ -0,0 +1,280 @@
+//! Messages between entry and agent, one QUIC stream per request.
+//!
+//! The entry sends one [`EntryFrame::Offer`]. The agent answers `Accepted` or `Refused`; a
+//! non-idempotent request waits for [`EntryFrame::Run`]. `Head`, any number of `Chunk` and `End`
+//! carry the answer. Every frame names its request, and an answer without `End` is incomplete.
+
+use crate::{
+    ids::{
+        AdapterDigest, AdapterKey, BaseName, CallerName, ConfigRevision, RequestId, ServiceName,
+    },
+    outcome::{Refusal, RunOutcome},
+};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Version of these messages; both ends must agree on it.
+pub const PROTOCOL_VERSION: u16 = 1;
+
+/// Importance of a request, most important first.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(rename_all = "lowercase")]
+pub enum Priority {
+    /// Somebody waits at a gate or on a show floor.
+    Upper,
+    /// The ordinary case.
+    #[default]
+    Normal,
+    /// May wait, and is shed first.
+    Lower,
+}
+
+impl Priority {
+    /// All priorities, most important first.
+    pub const ALL: [Self; 3] = [Self::Upper, Self::Normal, Self::Lower];
+
+    /// Position in [`Priority::ALL`]; also the number that engines sort by, smallest first.
+    pub fn rank(self) -> usize {
+        self as usize
+    }
+
+    /// Parses `upper`, `normal` or `lower`.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        match text {
+            "upper" => Ok(Self::Upper),
+            "normal" => Ok(Self::Normal),
+            "lower" => Ok(Self::Lower),
+            _ => Err(format!("priority `{text}` is not one of upper, normal, lower")),
+        }
+    }
+
+    /// The name that [`Priority::parse`] reads.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Upper => "upper",
+            Self::Normal => "normal",
+            Self::Lower => "lower",
+        }
+    }
+}
+
+/// What a request asks a target for.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum WorkItem {
+    /// A completion by one version of an adapter of a base model.
+    Completion {
+        /// Adapter and version, resolved once at admission.
+        key: AdapterKey,
+        /// Base model that the engine must serve.
+        base: BaseName,
+    },
+    /// A call of a plain service.
+    Service {
+        /// The service.
+        name: ServiceName,
+    },
+}
+
+/// Method, path and headers of a request to hand on.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RequestHead {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// End-to-end headers.
+    pub headers: Vec<(String, Bytes)>,
+}
+
+/// An entry's offer of one request.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct OfferFrame {
+    /// [`PROTOCOL_VERSION`] of the sender.
+    pub protocol: u16,
+    /// The request.
+    pub request: RequestId,
+    /// Configuration revision that the entry resolved the request with.
+    pub revision: ConfigRevision,
+    /// Last [`TargetReport::residency`] that the entry has seen of this target.
+    pub known_residency: u64,
+    /// What to run.
+    pub work: WorkItem,
+    /// Whether running it twice does no harm.
+    pub idempotent: bool,
+    /// Importance.
+    pub priority: Priority,
+    /// Who asks.
+    pub caller: CallerName,
+    /// The caller's weight against other callers.
+    pub share: u32,
+    /// Time until the caller's deadline, counted by the agent from receipt.
+    pub time_left: Duration,
+    /// What to send to the target.
+    pub head: RequestHead,
+    /// Body to send to the target.
+    pub body: Bytes,
+}
+
+/// Frames from entry to agent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum EntryFrame {
+    /// Offers a request; first frame of its stream.
+    Offer(Box<OfferFrame>),
+    /// Releases a reserved non-idempotent request to the target.
+    Run {
+        /// The request.
+        request: RequestId,
+    },
+}
+
+/// Why an agent, or the entry itself, did not run a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// The target or the process is stopping.
+    Leaving,
+    /// No queue place is free at this priority.
+    QueueFull,
+    /// The deadline cannot be met.
+    TooLate,
+    /// The adapter could not be loaded.
+    LoadFailed,
+    /// The sender's configuration is older than the agent's.
+    ConfigBehind,
+    /// The agent does not serve this base model or service.
+    WrongTarget,
+    /// The two ends speak different protocol versions.
+    WrongProtocol,
+    /// The target does not answer.
+    TargetDown,
+    /// No target is known, or none could be reached.
+    Unreachable,
+    /// The preset in force does not admit this priority.
+    PresetClosed,
+    /// The retry budget is used up.
+    RetryBudget,
+    /// The entry has as many requests as it may hold.
+    EntryBusy,
+    /// The agent holds no lease for its target.
+    NoLease,
+}
+
+impl RefusalReason {
+    /// The name used in errors, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::QueueFull => "queue_full",
+            Self::TooLate => "too_late",
+            Self::LoadFailed => "load_failed",
+            Self::ConfigBehind => "config_behind",
+            Self::WrongTarget => "wrong_target",
+            Self::WrongProtocol => "wrong_protocol",
+            Self::TargetDown => "target_down",
+            Self::Unreachable => "unreachable",
+            Self::PresetClosed => "preset_closed",
+            Self::RetryBudget => "retry_budget",
+            Self::EntryBusy => "entry_busy",
+            Self::NoLease => "no_lease",
+        }
+    }
+}
+
+/// An agent's state, sent back on every exchange. Soft: it may be stale on arrival.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetReport {
+    /// Counter that grows with each change of the resident set.
+    pub residency: u64,
+    /// Resident adapters, sent only when the receiver's counter differs.
+    pub residents: Option<Vec<AdapterDigest>>,
+    /// Adapters being loaded or waiting for a load, sent with `residents`.
+    pub loading: Vec<AdapterDigest>,
+    /// Requests running at the target.
+    pub running: u32,
+    /// Requests accepted and waiting.
+    pub queued: u32,
+    /// Requests that the target runs at once.
+    pub batch_limit: u32,
+    /// Expected wait until an adapter asked for now is loaded.
+    pub load_wait: Duration,
+    /// Mean time that a request runs.
+    pub service_time: Duration,
+    /// Whether the target takes no new work.
+    pub leaving: bool,
+    /// Configuration revision of the agent.
+    pub revision: ConfigRevision,
+}
+
+/// Frames from agent to entry.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum AgentFrame {
+    /// The request has a place.
+    Accepted {
+        /// The request.
+        request: RequestId,
+        /// State after accepting it.
+        report: TargetReport,
+    },
+    /// The request was not, and will not be, handed to the target.
+    Refused {
+        /// The request.
+        request: RequestId,
+        /// Reason and hint.
+        refusal: Refusal,
+        /// State after refusing it.
+        report: TargetReport,
+    },
+    /// The target's answer begins.
+    Head {
+        /// The request.
+        request: RequestId,
+        /// HTTP status.
+        status: u16,
+        /// End-to-end headers.
+        headers: Vec<(String, Bytes)>,
+        /// Adapter and version that the answer itself names.
+        ran_on: Option<AdapterKey>,
+        /// Time that the request waited for its adapter.
+        load_stall: Duration,
+    },
+    /// A piece of the body.
+    Chunk {
+        /// The request.
+        request: RequestId,
+        /// The bytes.
+        data: Bytes,
+    },
+    /// The answer is whole.
+    End {
+        /// The request.
+        request: RequestId,
+        /// State after the request.
+        report: TargetReport,
+    },
+    /// The answer cannot be completed.
+    Failed {
+        /// The request.
+        request: RequestId,
+        /// What is known of the request.
+        outcome: RunOutcome,
+        /// What went wrong, with step and peer.
+        message: String,
+    },
+}
+
+impl AgentFrame {
+    /// The request that the frame belongs to.
+    pub fn request(&self) -> RequestId {
+        match self {
+            Self::Accepted { request, .. }
+            | Self::Refused { request, .. }
+            | Self::Head { request, .. }
+            | Self::Chunk { request, .. }
+            | Self::End { request, .. }
+            | Self::Failed { request, .. } => *request,
+        }
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/commands.rs
@@ -0,0 +1,169 @@
+//! What the commands do.
+
+pub mod adapters;
+pub mod callers;
+pub mod presets;
+pub mod services;
+pub mod status;
+
+use crate::{
+    options::{ControlCommand, ControlSettings},
+    output,
+};
+use indicatif::ProgressBar;
+use plantain_core::config::{
+    ConfigDocument, ConfigEdit, ConfigRoot, ConfigSnapshot, diff::describe_changes,
+};
+use plantain_net::{
+    client::HttpClient,
+    config_store::{AcceptedChange, CommitError, ConfigStore},
+    platform::{PlatformClient, PlatformError},
+};
+use serde_json::json;
+use std::{
+    fmt::{self, Write},
+    io::IsTerminal,
+};
+
+/// Differences that are shown to the loser of a race.
+const SHOWN_CHANGES: usize = 10;
+
+/// Why a command failed.
+#[derive(Debug)]
+pub enum CommandError {
+    /// The input or the change makes no sense.
+    Invalid(String),
+    /// Somebody else changed the configuration meanwhile.
+    RaceLost(String),
+    /// Some processes do not have the change yet.
+    Behind(String),
+    /// Something did not work.
+    Failed(String),
+}
+
+impl fmt::Display for CommandError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let (Self::Invalid(text) | Self::RaceLost(text) | Self::Behind(text) | Self::Failed(text)) =
+            self;
+        formatter.write_str(text)
+    }
+}
+
+impl From<PlatformError> for CommandError {
+    fn from(error: PlatformError) -> Self {
+        Self::Failed(error.to_string())
+    }
+}
+
+/// What every command needs.
+pub struct CommandContext<'a> {
+    /// Settings.
+    pub settings: &'a ControlSettings,
+    /// The platform.
+    pub platform: PlatformClient,
+    /// The configuration.
+    pub store: ConfigStore,
+    /// For processes' admin pages.
+    pub http: HttpClient,
+}
+
+/// Carries out one command.
+pub async fn carry_out(
+    settings: &ControlSettings,
+    command: ControlCommand,
+) -> Result<(), CommandError> {
+    let http = HttpClient::new();
+    let platform = PlatformClient::new(settings.platform, http.clone());
+    let store = ConfigStore::new(platform.clone());
+    let context = CommandContext { settings, platform, store, http };
+    match command {
+        ControlCommand::Adapter(command) => adapters::carry_out(&context, command).await,
+        ControlCommand::Caller(command) => callers::carry_out(&context, command).await,
+        ControlCommand::Service(command) => services::carry_out(&context, command).await,
+        ControlCommand::Preset(command) => presets::carry_out(&context, command).await,
+        ControlCommand::Status => status::carry_out(&context).await,
+    }
+}
+
+impl CommandContext<'_> {
+    /// The configuration in force.
+    pub async fn snapshot(&self) -> Result<ConfigSnapshot, CommandError> {
+        Ok(self.store.snapshot(&ConfigSnapshot::empty()).await?)
+    }
+
+    /// Makes a change, says so, and waits for it if that is wanted.
+    pub async fn change(&self, edit: ConfigEdit, summary: &str) -> Result<(), CommandError> {
+        let bar = progress_bar();
+        let progress = |done: usize, all: usize| {
+            bar.set_length(all as u64);
+            bar.set_position(done as u64);
+        };
+        let result = self.store.commit(&[edit], &self.settings.author, summary, progress).await;
+        bar.finish_and_clear();
+        match result {
+            Ok(change) => {
+                self.tell(&change, summary);
+                self.wait(change.root.revision).await
+            }
+            Err(CommitError::Invalid(error)) => Err(CommandError::Invalid(error.to_string())),
+            Err(CommitError::RaceLost(roots)) => {
+                let (theirs, old) = *roots;
+                Err(CommandError::RaceLost(self.explain_race(theirs, old).await))
+            }
+            Err(error) => Err(CommandError::Failed(error.to_string())),
+        }
+    }
+
+    fn tell(&self, change: &AcceptedChange, summary: &str) {
+        let root = &change.root;
+        if self.settings.json {
+            output::print_json(&json!({
+                "revision": root.revision, "operation": root.operation, "preset": root.preset,
+                "summary": summary, "settled": change.settled,
+            }));
+            return;
+        }
+        println!("revision {}: {summary}", root.revision);
+        if change.settled {
+            println!("the platform's answer was lost; reading back shows that the change is made");
+        }
+    }
+
+    async fn wait(&self, revision: u64) -> Result<(), CommandError> {
+        match self.settings.wait {
+            None => Ok(()),
+            Some(limit) => status::wait_in_force(self, revision, limit).await,
+        }
+    }
+
+    /// Tells the loser of a race who won, and what that changed.
+    async fn explain_race(&self, theirs: ConfigRoot, old: ConfigRoot) -> String {
+        let mut text = format!(
+            "not changed: {} came first with revision {} ({}); look at it and try again",
+            theirs.author, theirs.revision, theirs.summary
+        );
+        let documents = (self.document(old).await, self.document(theirs).await);
+        if let (Some(old), Some(new)) = documents {
+            let lines = describe_changes(&old, &new);
+            for line in lines.iter().take(SHOWN_CHANGES) {
+                let _ = write!(text, "\n  {line}");
+            }
+            if lines.len() > SHOWN_CHANGES {
+                let _ = write!(text, "\n  and {} more", lines.len() - SHOWN_CHANGES);
+            }
+        }
+        text
+    }
+
+    async fn document(&self, root: ConfigRoot) -> Option<ConfigDocument> {
+        if root.revision == 0 {
+            return Some(ConfigDocument::default());
+        }
+        let snapshot = self.store.complete(root, &ConfigSnapshot::empty()).await;
+        snapshot.ok().map(|snapshot| snapshot.to_document())
+    }
+}
+
+fn progress_bar() -> ProgressBar {
+    if std::io::stderr().is_terminal() { ProgressBar::new(0) } else { ProgressBar::hidden() }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,7 @@
+//! Entry point of the command-line tool.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    plantainctl::run()
+}
--- /dev/null
+++ b/crates/daemon/src/agent.rs
@@ -0,0 +1,95 @@
+//! The agent role: the only process that sends its one target anything.
+
+pub mod decisions;
+pub mod engine;
+pub mod platform;
+pub mod streams;
+pub mod targets;
+
+use crate::{
+    duty, link, logging,
+    options::{AgentSettings, constants},
+    telemetry::{self, StatusSource},
+};
+use decisions::{AgentCommand, CommandSender};
+use eyre::{Result, WrapErr};
+use plantain_net::server;
+use serde_json::Value;
+use slog::info;
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    net::TcpListener,
+    runtime::Builder,
+    sync::{mpsc, oneshot, watch},
+    task::LocalSet,
+    time::timeout,
+};
+
+/// Time in which the last answers reach their entries after all work has ended.
+const FLUSH_TIME: Duration = Duration::from_secs(5);
+
+/// Runs an agent until it is told to stop and all accepted work has ended.
+pub fn run(settings: AgentSettings) -> Result<()> {
+    let (logger, _flush) = logging::start(&settings.common, "agent");
+    let metrics = telemetry::install()?;
+    let runtime = Builder::new_current_thread().enable_all().build().wrap_err("start runtime")?;
+    let settings = Arc::new(settings);
+    LocalSet::new().block_on(&runtime, async {
+        let admin = server::bind(settings.common.admin, "admin address").await?;
+        let endpoint = link::server_endpoint(settings.listen, &settings.common.keys)?;
+        let mut stopping = duty::stop_signal()?;
+        let (commands, command_ring) = mpsc::channel(constants::RING_DEPTH);
+        let (jobs, job_ring) = mpsc::channel(constants::RING_DEPTH);
+        let (epoch_sender, epoch) = watch::channel(0);
+        let (ended_sender, ended) = watch::channel(false);
+
+        let (own, ring, log) = (settings.clone(), commands.clone(), logger.clone());
+        let taken = epoch.clone();
+        duty::start("targets", move || targets::run(own, job_ring, ring, taken, log))?;
+        let (own, ring, log) = (settings.clone(), commands.clone(), logger.clone());
+        let stop = stopping.clone();
+        duty::start("platform", move || platform::run(own, ring, epoch_sender, stop, log))?;
+        let source = AgentStatus { commands: commands.clone(), epoch: epoch.clone() };
+        let admin = admin.into_std().wrap_err("hand over admin address")?;
+        duty::start("telemetry", move || async move {
+            let admin = TcpListener::from_std(admin).expect("a bound listener");
+            telemetry::run(admin, metrics, source, ended).await;
+        })?;
+        let (own, log, taken) = (settings.clone(), logger.clone(), epoch.clone());
+        duty::start("decisions", move || decisions::run(own, command_ring, jobs, taken, log))?;
+
+        info!(logger, "agent listens"; "step" => "start", "listen" => %settings.listen,
+            "peer" => %settings.target);
+        let streams = streams::StreamServer::new(endpoint, commands.clone(), logger.clone());
+        let serving = streams.clone();
+        tokio::task::spawn_local(async move { serving.run().await });
+
+        let _ = stopping.wait_for(|stop| *stop).await;
+        info!(logger, "agent stops"; "step" => "stop");
+        let (drained, drain) = oneshot::channel();
+        let _ = commands.send(AgentCommand::Stop(drained)).await;
+        let _ = timeout(constants::DRAIN_TIMEOUT, drain).await;
+        let _ = timeout(FLUSH_TIME, streams.wait_idle()).await;
+        info!(logger, "all work ended"; "step" => "stop");
+        ended_sender.send_replace(true);
+        Ok(())
+    })
+}
+
+#[derive(Clone)]
+struct AgentStatus {
+    commands: CommandSender,
+    epoch: watch::Receiver<u64>,
+}
+
+impl StatusSource for AgentStatus {
+    fn is_ready(&self) -> bool {
+        *self.epoch.borrow() > 0
+    }
+
+    async fn status(&self) -> Value {
+        let (sender, receiver) = oneshot::channel();
+        let _ = self.commands.send(AgentCommand::Status(sender)).await;
+        receiver.await.unwrap_or_default()
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/decisions.rs
@@ -0,0 +1,372 @@
+//! The decisions duty of an agent: owns the state machine, one command at a time.
+
+use super::{
+    streams::ReplySender,
+    targets::{RunJob, TargetJob},
+};
+use crate::{options::AgentSettings, telemetry::names};
+use metrics::{counter, gauge, histogram};
+use plantain_core::{
+    agent::{
+        AgentOptions, AgentState, TargetKind,
+        events::{AgentAction, AgentEvent, LoadResult, OfferSummary, WorkId},
+    },
+    ids::{AdapterKey, TargetName, Timestamp},
+    outcome::Refusal,
+    permits::{PermitClaim, PermitDesk, PermitLimits},
+    protocol::{AgentFrame, OfferFrame, PROTOCOL_VERSION, RefusalReason, TargetReport},
+};
+use serde_json::{Value, json};
+use slog::{Logger, debug, info};
+use std::{
+    collections::HashMap,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    time::{MissedTickBehavior, interval},
+};
+
+/// Pause between looks at deadlines and permits.
+const TICK_PAUSE: Duration = Duration::from_millis(20);
+/// Bits that the epoch is shifted by to start the resident set's counter, so that the counters of
+/// two processes that held the slot never meet.
+const EPOCH_SHIFT: u32 = 32;
+
+/// Sends commands to the decisions duty.
+pub type CommandSender = mpsc::Sender<AgentCommand>;
+
+/// Commands.
+#[derive(Debug)]
+pub enum AgentCommand {
+    /// An entry offers a request.
+    Offer {
+        /// The offer.
+        offer: Arc<OfferFrame>,
+        /// Where its answer goes.
+        replies: ReplySender,
+        /// Where its number goes.
+        work: oneshot::Sender<WorkId>,
+    },
+    /// The entry releases a reserved request.
+    Release(WorkId),
+    /// The entry went away.
+    Cancel(WorkId),
+    /// The target's part of a request has ended.
+    Ended {
+        /// The request.
+        work: WorkId,
+        /// Time that it ran.
+        service_time: Duration,
+        /// Where the report for the end of the answer goes.
+        report: oneshot::Sender<TargetReport>,
+    },
+    /// The target could not be reached, so the request was not run.
+    Unsent(WorkId),
+    /// Something that the state machine takes as it is.
+    Event(AgentEvent),
+    /// An order to load ended.
+    LoadEnded {
+        /// The adapter.
+        key: AdapterKey,
+        /// How.
+        result: LoadResult,
+        /// Time that it took.
+        took: Duration,
+    },
+    /// The state, for the status page.
+    Status(oneshot::Sender<Value>),
+    /// Take no more work, and say when all has ended.
+    Stop(oneshot::Sender<()>),
+}
+
+struct WorkChannel {
+    offer: Arc<OfferFrame>,
+    replies: ReplySender,
+    cancel: Option<oneshot::Sender<()>>,
+}
+
+struct DecisionDuty {
+    settings: Arc<AgentSettings>,
+    state: AgentState,
+    desk: PermitDesk,
+    works: HashMap<WorkId, WorkChannel>,
+    jobs: mpsc::Sender<TargetJob>,
+    next_work: WorkId,
+    started: Instant,
+    drained: Option<oneshot::Sender<()>>,
+    thrash: u64,
+    logger: Logger,
+}
+
+/// Runs until all senders are gone.
+pub async fn run(
+    settings: Arc<AgentSettings>,
+    mut commands: mpsc::Receiver<AgentCommand>,
+    jobs: mpsc::Sender<TargetJob>,
+    mut epoch: watch::Receiver<u64>,
+    logger: Logger,
+) {
+    // Nothing is decided before the slot is taken; offers wait in the ring until then.
+    let Ok(taken) = epoch.wait_for(|epoch| *epoch > 0).await.map(|epoch| *epoch) else { return };
+    let mut duty = DecisionDuty::new(settings, jobs, taken, logger);
+    let mut ticks = interval(TICK_PAUSE);
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        tokio::select! {
+            command = commands.recv() => match command {
+                Some(command) => duty.handle(command),
+                None => return,
+            },
+            _ = ticks.tick() => duty.tick(),
+        }
+    }
+}
+
+impl DecisionDuty {
+    fn new(
+        settings: Arc<AgentSettings>,
+        jobs: mpsc::Sender<TargetJob>,
+        epoch: u64,
+        logger: Logger,
+    ) -> Self {
+        let options = AgentOptions {
+            kind: settings.kind.clone(),
+            slots: settings.slots,
+            batch_limit: settings.batch_limit,
+            load_limit: settings.load_limit,
+            eviction: settings.eviction,
+            residency_base: epoch << EPOCH_SHIFT,
+        };
+        let limits = PermitLimits { rate: settings.load_rate, active: settings.load_limit };
+        Self {
+            state: AgentState::new(options),
+            desk: PermitDesk::new(limits, Duration::ZERO),
+            settings,
+            works: HashMap::new(),
+            jobs,
+            next_work: 0,
+            started: Instant::now(),
+            drained: None,
+            thrash: 0,
+            logger,
+        }
+    }
+
+    fn now(&self) -> Timestamp {
+        self.started.elapsed()
+    }
+
+    fn handle(&mut self, command: AgentCommand) {
+        match command {
+            AgentCommand::Offer { offer, replies, work } => self.offer(offer, replies, work),
+            AgentCommand::Release(work) => self.event(AgentEvent::Released(work)),
+            AgentCommand::Cancel(work) => self.cancel(work),
+            AgentCommand::Ended { work, service_time, report } => {
+                self.event(AgentEvent::Finished { work, service_time });
+                let known = self.works.remove(&work).map_or(0, |w| w.offer.known_residency);
+                let _ = report.send(self.state.report(known, self.now()));
+            }
+            AgentCommand::Unsent(work) => self.unsent(work),
+            AgentCommand::Event(event) => self.event(event),
+            AgentCommand::LoadEnded { key, result, took } => self.load_ended(key, result, took),
+            AgentCommand::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+            AgentCommand::Stop(drained) => {
+                self.drained = Some(drained);
+                self.event(AgentEvent::Stopping);
+            }
+        }
+        self.check_drained();
+    }
+
+    fn offer(
+        &mut self,
+        offer: Arc<OfferFrame>,
+        replies: ReplySender,
+        number: oneshot::Sender<WorkId>,
+    ) {
+        let work = self.next_work;
+        self.next_work += 1;
+        if number.send(work).is_err() {
+            return;
+        }
+        let wrong_protocol = offer.protocol != PROTOCOL_VERSION;
+        let summary = OfferSummary {
+            work,
+            item: offer.work.clone(),
+            idempotent: offer.idempotent,
+            priority: offer.priority,
+            caller: offer.caller.clone(),
+            share: offer.share,
+            time_left: offer.time_left,
+            revision: offer.revision,
+        };
+        self.works.insert(work, WorkChannel { offer, replies, cancel: None });
+        if wrong_protocol {
+            return self.refuse(work, Refusal::new(RefusalReason::WrongProtocol));
+        }
+        self.event(AgentEvent::Offered(Box::new(summary)));
+    }
+
+    fn cancel(&mut self, work: WorkId) {
+        self.event(AgentEvent::Cancelled(work));
+        // Work that runs on keeps its channel until the target's part has ended.
+        let runs = self.works.get(&work).is_some_and(|channel| channel.cancel.is_some());
+        if !runs {
+            self.works.remove(&work);
+        }
+    }
+
+    /// The target did not even take the connection. The request was not run, and saying so lets the
+    /// entry try another target.
+    fn unsent(&mut self, work: WorkId) {
+        self.event(AgentEvent::Finished { work, service_time: Duration::ZERO });
+        self.refuse(work, Refusal::new(RefusalReason::TargetDown));
+    }
+
+    fn load_ended(&mut self, key: AdapterKey, result: LoadResult, took: Duration) {
+        let label = match result {
+            LoadResult::Loaded => "loaded",
+            LoadResult::Failed => "failed",
+            LoadResult::StoreBusy => "store_busy",
+        };
+        counter!(names::LOADS, "result" => label).increment(1);
+        if result == LoadResult::Loaded {
+            histogram!(names::LOAD_SECONDS).record(took.as_secs_f64());
+        }
+        info!(self.logger, "load ended"; "step" => "load", "adapter" => %key, "result" => label,
+            "ms" => took.as_millis() as u64);
+        self.desk.end(&self.claim(&key));
+        self.event(AgentEvent::LoadEnded { key, result, took });
+    }
+
+    fn tick(&mut self) {
+        self.event(AgentEvent::Tick);
+        self.grant();
+        self.sample();
+        self.check_drained();
+    }
+
+    fn event(&mut self, event: AgentEvent) {
+        let now = self.now();
+        for action in self.state.handle(event, now) {
+            self.act(action);
+        }
+    }
+
+    fn act(&mut self, action: AgentAction) {
+        match action {
+            AgentAction::Accept { work } => self.accept(work),
+            AgentAction::Refuse { work, refusal } => self.refuse(work, refusal),
+            AgentAction::Start { work, load_stall } => self.start(work, load_stall),
+            AgentAction::Abort { work } => {
+                let channel = self.works.get_mut(&work);
+                if let Some(cancel) = channel.and_then(|channel| channel.cancel.take()) {
+                    let _ = cancel.send(());
+                }
+            }
+            AgentAction::AskPermit { key, urgency } => {
+                let claim = self.claim(&key);
+                self.desk.ask(claim, urgency, self.now());
+                self.grant();
+            }
+            AgentAction::Load { key } => self.order(TargetJob::Load(key)),
+            AgentAction::Evict { key } => {
+                counter!(names::EVICTIONS).increment(1);
+                debug!(self.logger, "evict"; "step" => "evict", "adapter" => %key);
+                self.order(TargetJob::Evict(key));
+            }
+        }
+    }
+
+    fn accept(&mut self, work: WorkId) {
+        let Some(channel) = self.works.get(&work) else { return };
+        let report = self.state.report(channel.offer.known_residency, self.now());
+        let request = channel.offer.request;
+        // The channel is new, so there is room.
+        let _ = channel.replies.try_send(AgentFrame::Accepted { request, report });
+    }
+
+    fn refuse(&mut self, work: WorkId, refusal: Refusal) {
+        let Some(channel) = self.works.remove(&work) else { return };
+        counter!(names::REFUSALS, "reason" => refusal.reason.name()).increment(1);
+        let report = self.state.report(channel.offer.known_residency, self.now());
+        let request = channel.offer.request;
+        let _ = channel.replies.try_send(AgentFrame::Refused { request, refusal, report });
+    }
+
+    fn start(&mut self, work: WorkId, load_stall: Duration) {
+        let Some(channel) = self.works.get_mut(&work) else { return };
+        histogram!(names::LOAD_STALL_SECONDS).record(load_stall.as_secs_f64());
+        let (cancel, cancelled) = oneshot::channel();
+        channel.cancel = Some(cancel);
+        let job = RunJob {
+            work,
+            offer: Arc::clone(&channel.offer),
+            replies: channel.replies.clone(),
+            load_stall,
+            cancelled,
+        };
+        self.order(TargetJob::Run(job));
+    }
+
+    /// The state machine bounds the jobs under way far below the ring's depth: the batch, the loads
+    /// and one eviction.
+    fn order(&mut self, job: TargetJob) {
+        if let Err(error) = self.jobs.try_send(job) {
+            slog::error!(self.logger, "job lost"; "step" => "order", "error" => %error);
+        }
+    }
+
+    fn claim(&self, key: &AdapterKey) -> PermitClaim {
+        let target: TargetName = self.settings.common.name.clone();
+        PermitClaim { target, key: key.clone() }
+    }
+
+    fn grant(&mut self) {
+        for claim in self.desk.grant(self.now()) {
+            self.event(AgentEvent::LoadPermitted(claim.key));
+        }
+    }
+
+    fn sample(&mut self) {
+        let fill = f64::from(self.state.running()) / f64::from(self.settings.batch_limit);
+        gauge!(names::BATCH_FILL).set(fill);
+        if self.state.running() > 0 {
+            histogram!(names::BATCH_FILL_RATIO).record(fill);
+        }
+        gauge!(names::RUNNING).set(f64::from(self.state.running()));
+        gauge!(names::QUEUED).set(f64::from(self.state.queued()));
+        let thrash = self.state.residents().thrash();
+        counter!(names::THRASH).increment(thrash - self.thrash);
+        self.thrash = thrash;
+    }
+
+    fn check_drained(&mut self) {
+        if self.state.is_drained()
+            && let Some(drained) = self.drained.take()
+        {
+            let _ = drained.send(());
+        }
+    }
+
+    fn status(&self) -> Value {
+        let report = self.state.report(0, self.now());
+        let residents = self.state.residents();
+        let keys: Vec<String> = residents.ready_keys().iter().map(ToString::to_string).collect();
+        let is_engine = matches!(self.settings.kind, TargetKind::Engine(_));
+        json!({
+            "role": "agent", "name": self.settings.common.name,
+            "zone": self.settings.common.zone, "region": self.settings.common.region,
+            "serves": self.settings.kind, "revision": report.revision,
+            "target_up": self.state.is_target_up(), "running": report.running, "queued": report.queued,
+            "batch_limit": report.batch_limit, "leaving": report.leaving,
+            "residents": is_engine.then_some(keys), "slots": self.settings.slots,
+            "loads_waiting": self.desk.waiting(), "loads_active": self.desk.active(),
+            "evictions": residents.evictions(), "thrash": residents.thrash(),
+        })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/platform.rs
@@ -0,0 +1,267 @@
+//! The platform duty of an agent: holds the slot, and follows the preset in force.
+
+use super::decisions::{AgentCommand, CommandSender};
+use crate::{
+    options::{AgentSettings, constants},
+    telemetry::names,
+};
+use metrics::{counter, gauge};
+use plantain_core::{agent::events::AgentEvent, entry::targets::TargetRecord};
+use plantain_net::{
+    backoff::{RetryBackoff, jitter},
+    client::HttpClient,
+    config_store::ConfigStore,
+    platform::{
+        PlatformClient, PlatformError, PlatformResult,
+        records::{SLOT_KIND, SlotRecord},
+    },
+};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+use slog::{Logger, error, info, warn};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+/// First pause after a failed platform call.
+const FAILED_PAUSE: Duration = Duration::from_millis(200);
+/// Longest pause after failed platform calls.
+const FAILED_PAUSE_LIMIT: Duration = Duration::from_secs(5);
+/// Pause between looks at the configuration, for an agent that no offer tells of a newer one.
+const CONFIG_PAUSE: Duration = Duration::from_secs(3);
+/// Longest wait for the slot to be marked as leaving; entries learn it from refusals anyway.
+const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Runs the duty for as long as the process lives.
+pub async fn run(
+    settings: Arc<AgentSettings>,
+    commands: CommandSender,
+    epoch: watch::Sender<u64>,
+    mut stopping: watch::Receiver<bool>,
+    logger: Logger,
+) {
+    let platform = PlatformClient::new(settings.common.platform, HttpClient::new());
+    let slot = SlotHolder {
+        settings: Arc::clone(&settings),
+        platform: platform.clone(),
+        holder: format!("{:016x}", rand::random::<u64>()),
+        logger: logger.clone(),
+    };
+    let taken = slot.take().await;
+    epoch.send_replace(taken);
+    let presets = PresetFollower {
+        store: ConfigStore::new(platform),
+        commands: commands.clone(),
+        logger: logger.clone(),
+    };
+    let checks = LeaseChecker { slot: slot.clone(), epoch: taken, commands };
+    let spawned = async {
+        Actor::spawn(None, presets, ()).await?;
+        Actor::spawn(None, checks, ()).await
+    };
+    if let Err(failure) = spawned.await {
+        error!(logger, "platform duty failed"; "step" => "spawn", "error" => %failure);
+        return;
+    }
+    let _ = stopping.wait_for(|stop| *stop).await;
+    if timeout(LEAVE_TIMEOUT, slot.mark_leaving(taken)).await.is_err() {
+        warn!(logger, "slot not marked as leaving"; "step" => "leave slot");
+    }
+    std::future::pending::<()>().await;
+}
+
+/// Takes and keeps the slot of the target.
+#[derive(Clone)]
+struct SlotHolder {
+    settings: Arc<AgentSettings>,
+    platform: PlatformClient,
+    holder: String,
+    logger: Logger,
+}
+
+impl SlotHolder {
+    /// Takes the slot by one conditional update and returns the epoch it was taken with. The epoch
+    /// is the fencing number of this process's orders.
+    async fn take(&self) -> u64 {
+        let mut backoff = RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT);
+        loop {
+            match self.try_take().await {
+                Ok(epoch) => {
+                    info!(self.logger, "slot taken"; "step" => "take slot", "epoch" => epoch);
+                    return epoch;
+                }
+                Err(failure) => {
+                    counter!(names::PLATFORM_FAILURES).increment(1);
+                    warn!(self.logger, "slot not taken"; "step" => "take slot",
+                        "peer" => %self.platform.address(), "error" => %failure);
+                    sleep(backoff.next_pause()).await;
+                }
+            }
+        }
+    }
+
+    async fn try_take(&self) -> PlatformResult<u64> {
+        let (version, known) = self.read().await?;
+        // Our own write whose answer was lost.
+        if let Some(slot) = known.as_ref().filter(|slot| slot.holder == self.holder) {
+            return Ok(slot.target.epoch);
+        }
+        let epoch = known.as_ref().map_or(0, |slot| slot.target.epoch) + 1;
+        let record = self.record(epoch, false);
+        self.platform.put(SLOT_KIND, &self.settings.common.name, version, &record).await?;
+        self.wait_out_predecessor(known.as_ref()).await;
+        Ok(epoch)
+    }
+
+    /// An engine that ignores fencing numbers would still obey a predecessor on another host. That
+    /// one stops ordering when it finds the slot taken, at the latest after a lease's time. On this
+    /// host none can be left: the slot's port is bound, by us.
+    async fn wait_out_predecessor(&self, known: Option<&SlotRecord>) {
+        let elsewhere = known
+            .is_some_and(|slot| slot.target.peer != self.settings.listen && !slot.target.leaving);
+        if elsewhere && !self.settings.engine_checks_fencing {
+            info!(self.logger, "waiting for the predecessor's lease"; "step" => "take slot");
+            sleep(constants::LEASE).await;
+        }
+    }
+
+    async fn read(&self) -> PlatformResult<(u64, Option<SlotRecord>)> {
+        match self.platform.get(SLOT_KIND, &self.settings.common.name).await {
+            Ok(object) => Ok((object.version, object.value)),
+            Err(PlatformError::Missing) => Ok((0, None)),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn record(&self, epoch: u64, leaving: bool) -> SlotRecord {
+        let common = &self.settings.common;
+        SlotRecord {
+            holder: self.holder.clone(),
+            admin: common.admin,
+            target: TargetRecord {
+                name: common.name.clone(),
+                kind: self.settings.kind.clone(),
+                peer: self.settings.listen,
+                epoch,
+                region: common.region.clone(),
+                zone: common.zone.clone(),
+                leaving,
+            },
+        }
+    }
+
+    async fn mark_leaving(&self, epoch: u64) {
+        while let Ok((version, Some(slot))) = self.read().await {
+            if slot.holder != self.holder || slot.target.leaving {
+                return;
+            }
+            let record = self.record(epoch, true);
+            let name = &self.settings.common.name;
+            if self.platform.put(SLOT_KIND, name, version, &record).await.is_ok() {
+                return;
+            }
+        }
+    }
+}
+
+/// Asks for the next look.
+struct LookMessage;
+
+/// Finds out when another process has taken the slot.
+struct LeaseChecker {
+    slot: SlotHolder,
+    epoch: u64,
+    commands: CommandSender,
+}
+
+impl Actor for LeaseChecker {
+    type Msg = LookMessage;
+    type State = ();
+    type Arguments = ();
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<LookMessage>,
+        (): (),
+    ) -> Result<(), ActorProcessingErr> {
+        myself.cast(LookMessage)?;
+        Ok(())
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<LookMessage>,
+        _message: LookMessage,
+        _state: &mut (),
+    ) -> Result<(), ActorProcessingErr> {
+        // A platform outage takes nothing away: a successor could not have taken the slot in it.
+        if let Ok((_, Some(slot))) = self.slot.read().await
+            && slot.target.epoch > self.epoch
+        {
+            warn!(self.slot.logger, "slot lost"; "step" => "check slot",
+                "epoch" => slot.target.epoch);
+            let lost = AgentCommand::Event(AgentEvent::LeaseHeld(false));
+            let _ = self.commands.send(lost).await;
+            return Ok(());
+        }
+        myself.send_after(jitter(constants::LEASE / 3), || LookMessage);
+        Ok(())
+    }
+}
+
+/// Follows the revision and the preset in force.
+struct PresetFollower {
+    store: ConfigStore,
+    commands: CommandSender,
+    logger: Logger,
+}
+
+impl Actor for PresetFollower {
+    type Msg = LookMessage;
+    type State = u64;
+    type Arguments = ();
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<LookMessage>,
+        (): (),
+    ) -> Result<u64, ActorProcessingErr> {
+        myself.cast(LookMessage)?;
+        Ok(0)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<LookMessage>,
+        _message: LookMessage,
+        revision: &mut u64,
+    ) -> Result<(), ActorProcessingErr> {
+        if let Err(failure) = self.look(revision).await {
+            counter!(names::PLATFORM_FAILURES).increment(1);
+            warn!(self.logger, "preset not read"; "step" => "follow preset", "error" => %failure);
+        }
+        myself.send_after(jitter(CONFIG_PAUSE), || LookMessage);
+        Ok(())
+    }
+}
+
+impl PresetFollower {
+    async fn look(&self, revision: &mut u64) -> PlatformResult<()> {
+        let Some(root) = self.store.root().await?.and_then(|object| object.value) else {
+            return Ok(());
+        };
+        if root.revision <= *revision {
+            return Ok(());
+        }
+        let preset = self.store.preset(&root).await?;
+        *revision = root.revision;
+        gauge!(names::CONFIG_REVISION).set(root.revision as f64);
+        info!(self.logger, "preset in force"; "step" => "preset", "revision" => root.revision,
+            "preset" => &*preset.name);
+        let event =
+            AgentEvent::Configured { revision: root.revision, queue_limit: preset.queue_limit };
+        let _ = self.commands.send(AgentCommand::Event(event)).await;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/agent/streams.rs
@@ -0,0 +1,183 @@
+//! The peers duty of an agent: entries' connections, one stream for each offer.
+
+use super::decisions::{AgentCommand, CommandSender};
+use crate::link::{frames, pulse};
+use eyre::{Result, ensure, eyre};
+use plantain_core::{
+    agent::events::WorkId,
+    ids::RequestId,
+    protocol::{AgentFrame, EntryFrame, OfferFrame},
+};
+use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
+use slog::{Logger, debug, warn};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+/// Frames of an answer that wait for the stream.
+pub const REPLY_DEPTH: usize = 32;
+/// Time in which an entry must send its offer once it has opened a stream.
+const OFFER_TIMEOUT: Duration = Duration::from_secs(5);
+/// Connections held at once.
+const CONNECTION_LIMIT: usize = 2_048;
+/// Code with which an agent gives up a stream.
+const FAILED_CODE: VarInt = VarInt::from_u32(3);
+
+/// Sends frames of an answer.
+pub type ReplySender = mpsc::Sender<AgentFrame>;
+
+/// Takes entries' connections.
+#[derive(Clone)]
+pub struct StreamServer {
+    endpoint: Endpoint,
+    commands: CommandSender,
+    logger: Logger,
+    open: Arc<AtomicUsize>,
+}
+
+impl StreamServer {
+    /// Serves on a bound endpoint.
+    pub fn new(endpoint: Endpoint, commands: CommandSender, logger: Logger) -> Self {
+        Self { endpoint, commands, logger, open: Arc::default() }
+    }
+
+    /// Accepts connections for as long as the endpoint lives.
+    pub async fn run(&self) {
+        while let Some(incoming) = self.endpoint.accept().await {
+            if self.endpoint.open_connections() >= CONNECTION_LIMIT {
+                incoming.refuse();
+                continue;
+            }
+            let server = self.clone();
+            spawn_local(async move { server.connection(incoming).await });
+        }
+    }
+
+    /// Waits until no stream is open.
+    pub async fn wait_idle(&self) {
+        while self.open.load(Ordering::Acquire) > 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        // Lets the last acknowledgements go out.
+        self.endpoint.close(VarInt::from_u32(0), b"stopped");
+        self.endpoint.wait_idle().await;
+    }
+
+    async fn connection(&self, incoming: Incoming) {
+        let peer = incoming.remote_address();
+        let connection = match incoming.await {
+            Ok(connection) => connection,
+            Err(error) => {
+                warn!(self.logger, "peer refused"; "step" => "handshake", "peer" => %peer,
+                    "error" => %error);
+                return;
+            }
+        };
+        let in_flight = Arc::new(AtomicUsize::new(0));
+        let (pulsed, count) = (connection.clone(), Arc::clone(&in_flight));
+        spawn_local(async move { pulse::answer_pulses(&pulsed, &count).await });
+        self.streams(&connection, &in_flight, peer).await;
+    }
+
+    async fn streams(
+        &self,
+        connection: &Connection,
+        in_flight: &Arc<AtomicUsize>,
+        peer: SocketAddr,
+    ) {
+        while let Ok((send, receive)) = connection.accept_bi().await {
+            let counts = [Arc::clone(in_flight), Arc::clone(&self.open)];
+            let server = self.clone();
+            spawn_local(async move {
+                for count in &counts {
+                    count.fetch_add(1, Ordering::AcqRel);
+                }
+                if let Err(error) = server.stream(send, receive).await {
+                    debug!(server.logger, "offer ended early"; "step" => "stream",
+                        "peer" => %peer, "error" => format!("{error:#}"));
+                }
+                for count in &counts {
+                    count.fetch_sub(1, Ordering::AcqRel);
+                }
+            });
+        }
+    }
+
+    async fn stream(&self, mut send: SendStream, mut receive: RecvStream) -> Result<()> {
+        let first = timeout(OFFER_TIMEOUT, frames::read::<EntryFrame>(&mut receive)).await??;
+        let Some(EntryFrame::Offer(offer)) = first else {
+            let _ = send.reset(FAILED_CODE);
+            return Err(eyre!("the stream does not begin with an offer"));
+        };
+        let request = offer.request;
+        let (replies, mut frames_to_send) = mpsc::channel(REPLY_DEPTH);
+        let work = self.announce(*offer, replies).await?;
+        let answering = send_frames(&mut send, &mut frames_to_send);
+        let listening = self.listen(&mut receive, request, work);
+        let result = tokio::select! {
+            result = answering => result,
+            result = listening => result,
+        };
+        if result.is_err() {
+            let _ = self.commands.send(AgentCommand::Cancel(work)).await;
+            let _ = send.reset(FAILED_CODE);
+        } else {
+            let _ = send.finish();
+            // Keeps the stream until the entry has all of it.
+            let _ = send.stopped().await;
+        }
+        result
+    }
+
+    async fn announce(&self, offer: OfferFrame, replies: ReplySender) -> Result<WorkId> {
+        let (sender, receiver) = oneshot::channel();
+        let command = AgentCommand::Offer { offer: Arc::new(offer), replies, work: sender };
+        self.commands.send(command).await.map_err(|_| eyre!("the decisions duty ended"))?;
+        receiver.await.map_err(|_| eyre!("the decisions duty ended"))
+    }
+
+    /// Follows what the entry says after its offer. It only returns with an error: the entry keeps
+    /// its side open until it has the answer, so an end means that it gave up.
+    async fn listen(
+        &self,
+        receive: &mut RecvStream,
+        request: RequestId,
+        work: WorkId,
+    ) -> Result<()> {
+        while let Some(frame) = frames::read::<EntryFrame>(receive).await? {
+            let EntryFrame::Run { request: named } = frame else {
+                return Err(eyre!("a second offer on one stream"));
+            };
+            ensure!(named == request, "release of request {named}");
+            let _ = self.commands.send(AgentCommand::Release(work)).await;
+        }
+        Err(eyre!("the entry gave up"))
+    }
+}
+
+async fn send_frames(
+    send: &mut SendStream,
+    waiting: &mut mpsc::Receiver<AgentFrame>,
+) -> Result<()> {
+    while let Some(frame) = waiting.recv().await {
+        frames::write(send, &frame).await?;
+        let is_last = matches!(
+            frame,
+            AgentFrame::Refused { .. } | AgentFrame::End { .. } | AgentFrame::Failed { .. }
+        );
+        if is_last {
+            return Ok(());
+        }
+    }
+    Err(eyre!("the answer broke off"))
+}
--- /dev/null
+++ b/crates/daemon/src/agent/targets.rs
@@ -0,0 +1,305 @@
+//! The targets duty of an agent: requests and orders to the one target.
+
+use super::{
+    decisions::{AgentCommand, CommandSender},
+    engine,
+    streams::ReplySender,
+};
+use crate::options::AgentSettings;
+use bytes::Bytes;
+use eyre::{Result, WrapErr, ensure, eyre};
+use http_body_util::{BodyExt, Full};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HOST},
+};
+use plantain_core::{
+    agent::{
+        TargetKind,
+        events::{AgentEvent, WorkId},
+    },
+    events::{EventScanner, check_answer},
+    ids::AdapterKey,
+    outcome::RunOutcome,
+    protocol::{AgentFrame, OfferFrame, WorkItem},
+};
+use plantain_net::client::{HttpClient, url};
+use slog::{Logger, warn};
+use std::{
+    sync::{Arc, atomic::AtomicU64},
+    time::{Duration, Instant},
+};
+use tokio::{
+    sync::{mpsc, oneshot, watch},
+    task::spawn_local,
+};
+
+/// Largest answer that is read whole to be checked.
+const ANSWER_LIMIT: usize = 16 << 20;
+/// Headers of a target's answer that end at this hop.
+const DROPPED_HEADERS: [&str; 7] = [
+    "connection",
+    "keep-alive",
+    "transfer-encoding",
+    "content-length",
+    "trailer",
+    "upgrade",
+    "proxy-authenticate",
+];
+
+/// Work for the target.
+#[derive(Debug)]
+pub enum TargetJob {
+    /// Run a request.
+    Run(RunJob),
+    /// Load an adapter.
+    Load(AdapterKey),
+    /// Evict an adapter.
+    Evict(AdapterKey),
+}
+
+/// A request to run.
+#[derive(Debug)]
+pub struct RunJob {
+    /// Its number.
+    pub work: WorkId,
+    /// What to send.
+    pub offer: Arc<OfferFrame>,
+    /// Where its answer goes.
+    pub replies: ReplySender,
+    /// Time that it waited for its adapter.
+    pub load_stall: Duration,
+    /// Resolves when the request is to be cancelled.
+    pub cancelled: oneshot::Receiver<()>,
+}
+
+/// How a request at the target ended.
+enum RunEnd {
+    /// The whole answer was passed on; `End` is still to be sent.
+    Answered,
+    /// No connection came about, so nothing was run.
+    Unsent,
+    /// The engine does not hold the adapter, so nothing was run.
+    AdapterMissing,
+    /// It failed after it may have begun.
+    Failed(String),
+    /// The entry went away.
+    Cancelled,
+}
+
+/// What the jobs share.
+#[derive(Clone)]
+pub(super) struct TargetContext {
+    pub(super) settings: Arc<AgentSettings>,
+    pub(super) commands: CommandSender,
+    pub(super) epoch: watch::Receiver<u64>,
+    pub(super) http: HttpClient,
+    pub(super) orders: Arc<AtomicU64>,
+    pub(super) logger: Logger,
+}
+
+/// Runs until all senders are gone.
+pub async fn run(
+    settings: Arc<AgentSettings>,
+    mut jobs: mpsc::Receiver<TargetJob>,
+    commands: CommandSender,
+    epoch: watch::Receiver<u64>,
+    logger: Logger,
+) {
+    let http = HttpClient::new();
+    let context = TargetContext { settings, commands, epoch, http, orders: Arc::default(), logger };
+    let watcher = context.clone();
+    match context.settings.kind {
+        TargetKind::Engine(_) => spawn_local(async move { engine::watch(watcher).await }),
+        TargetKind::Service(_) => spawn_local(async move { watch_service(watcher).await }),
+    };
+    while let Some(job) = jobs.recv().await {
+        let context = context.clone();
+        match job {
+            TargetJob::Run(job) => spawn_local(async move { run_request(context, job).await }),
+            TargetJob::Load(key) => spawn_local(async move { engine::load(context, key).await }),
+            TargetJob::Evict(key) => spawn_local(async move { engine::evict(context, key).await }),
+        };
+    }
+}
+
+/// A plain service has no health call that all share, so that it takes connections has to do.
+async fn watch_service(context: TargetContext) {
+    let mut up = false;
+    loop {
+        let connected = tokio::net::TcpStream::connect(context.settings.target).await.is_ok();
+        if connected != up {
+            up = connected;
+            let event = AgentEvent::TargetUp(up);
+            let _ = context.commands.send(AgentCommand::Event(event)).await;
+        }
+        tokio::time::sleep(crate::options::constants::POLL_PAUSE).await;
+    }
+}
+
+async fn run_request(context: TargetContext, job: RunJob) {
+    let RunJob { work, offer, replies, load_stall, cancelled } = job;
+    let request = offer.request;
+    let started = Instant::now();
+    let carrier = AnswerCarrier { context: &context, offer: &offer, replies: &replies, load_stall };
+    let end = tokio::select! {
+        end = carrier.carry() => end,
+        Ok(()) = cancelled => RunEnd::Cancelled,
+    };
+    match end {
+        RunEnd::Unsent => return drop(context.commands.send(AgentCommand::Unsent(work)).await),
+        RunEnd::AdapterMissing => {
+            let event = AgentEvent::AdapterMissing(work);
+            return drop(context.commands.send(AgentCommand::Event(event)).await);
+        }
+        _ => {}
+    }
+    let (sender, report) = oneshot::channel();
+    let service_time = started.elapsed();
+    let ended = AgentCommand::Ended { work, service_time, report: sender };
+    let _ = context.commands.send(ended).await;
+    let frame = match end {
+        RunEnd::Answered => match report.await {
+            Ok(report) => AgentFrame::End { request, report },
+            Err(_) => return,
+        },
+        RunEnd::Failed(message) => {
+            warn!(context.logger, "request failed"; "step" => "run", "peer" => %context.settings.target,
+                "request" => request, "error" => &message);
+            AgentFrame::Failed { request, outcome: RunOutcome::Unknown, message }
+        }
+        _ => return,
+    };
+    let _ = replies.send(frame).await;
+}
+
+/// Passes one answer on.
+struct AnswerCarrier<'a> {
+    context: &'a TargetContext,
+    offer: &'a OfferFrame,
+    replies: &'a ReplySender,
+    load_stall: Duration,
+}
+
+impl AnswerCarrier<'_> {
+    async fn carry(&self) -> RunEnd {
+        let request = match self.build() {
+            Ok(request) => request,
+            Err(error) => return RunEnd::Failed(format!("{error:#}")),
+        };
+        let reply = match self.context.http.send(request).await {
+            Ok(reply) => reply,
+            Err(error) if error.unsent => return RunEnd::Unsent,
+            Err(error) => return RunEnd::Failed(error.message),
+        };
+        let result = match &self.offer.work {
+            WorkItem::Service { .. } => self.pass(reply, None).await,
+            WorkItem::Completion { key, .. } => match reply.status() {
+                StatusCode::NOT_FOUND => return RunEnd::AdapterMissing,
+                status if !status.is_success() => self.pass(reply, None).await,
+                _ if is_event_stream(&reply) => self.pass_events(reply, key).await,
+                _ => self.pass_checked(reply, key).await,
+            },
+        };
+        match result {
+            Ok(()) => RunEnd::Answered,
+            Err(error) => RunEnd::Failed(format!("{error:#}")),
+        }
+    }
+
+    fn build(&self) -> Result<Request<Full<Bytes>>> {
+        let head = &self.offer.head;
+        let uri = url(self.context.settings.target, &head.path);
+        let mut request = Request::builder().method(head.method.as_str()).uri(uri);
+        for (name, value) in &head.headers {
+            request = request.header(name.as_str(), value.as_ref());
+        }
+        let request = request.header(HOST, self.context.settings.target.to_string());
+        request.body(Full::new(self.offer.body.clone())).wrap_err("build request")
+    }
+
+    /// Passes an answer on as it comes.
+    async fn pass(&self, reply: Response<Incoming>, ran_on: Option<&AdapterKey>) -> Result<()> {
+        self.send_head(&reply, ran_on).await?;
+        let mut body = reply.into_body();
+        while let Some(data) = next_piece(&mut body).await? {
+            self.send_chunk(data).await?;
+        }
+        Ok(())
+    }
+
+    /// Passes events on, whole ones only, each checked for its model.
+    async fn pass_events(&self, reply: Response<Incoming>, key: &AdapterKey) -> Result<()> {
+        let mut scanner = EventScanner::new(key.to_string());
+        let (parts, mut body) = reply.into_parts();
+        let reply = Response::from_parts(parts, ());
+        let mut has_head = false;
+        while let Some(data) = next_piece(&mut body).await? {
+            let lines = scanner.push(&data).wrap_err("check answer")?;
+            if lines.is_empty() {
+                continue;
+            }
+            if !has_head {
+                self.send_head(&reply, Some(key)).await?;
+                has_head = true;
+            }
+            self.send_chunk(lines).await?;
+        }
+        ensure!(scanner.has_ended(), "the engine's answer stopped before its end marker");
+        Ok(())
+    }
+
+    /// Reads an answer whole, checks its model and passes it on.
+    async fn pass_checked(&self, reply: Response<Incoming>, key: &AdapterKey) -> Result<()> {
+        let (parts, body) = reply.into_parts();
+        let limited = http_body_util::Limited::new(body, ANSWER_LIMIT);
+        let body = limited.collect().await.map_err(|error| eyre!("read answer: {error}"))?;
+        let body = body.to_bytes();
+        check_answer(&key.to_string(), &body).wrap_err("check answer")?;
+        self.send_head(&Response::from_parts(parts, ()), Some(key)).await?;
+        self.send_chunk(body).await
+    }
+
+    async fn send_head<B>(&self, reply: &Response<B>, ran_on: Option<&AdapterKey>) -> Result<()> {
+        let kept = reply.headers().iter().filter(|(n, _)| !DROPPED_HEADERS.contains(&n.as_str()));
+        let headers =
+            kept.map(|(name, value)| (name.to_string(), Bytes::copy_from_slice(value.as_bytes())));
+        self.send(AgentFrame::Head {
+            request: self.offer.request,
+            status: reply.status().as_u16(),
+            headers: headers.collect(),
+            ran_on: ran_on.cloned(),
+            load_stall: self.load_stall,
+        })
+        .await
+    }
+
+    async fn send_chunk(&self, data: Bytes) -> Result<()> {
+        self.send(AgentFrame::Chunk { request: self.offer.request, data }).await
+    }
+
+    /// A non-idempotent request runs on when its entry has gone, so that its effect is whole; only
+    /// its answer is lost.
+    async fn send(&self, frame: AgentFrame) -> Result<()> {
+        match self.replies.send(frame).await {
+            Ok(()) => Ok(()),
+            Err(_) if !self.offer.idempotent => Ok(()),
+            Err(_) => Err(eyre!("the entry went away")),
+        }
+    }
+}
+
+async fn next_piece(body: &mut Incoming) -> Result<Option<Bytes>> {
+    while let Some(frame) = body.frame().await {
+        if let Ok(data) = frame.wrap_err("read answer")?.into_data() {
+            return Ok(Some(data));
+        }
+    }
+    Ok(None)
+}
+
+fn is_event_stream(reply: &Response<Incoming>) -> bool {
+    let content_type = reply.headers().get(CONTENT_TYPE).and_then(|value| value.to_str().ok());
+    content_type.is_some_and(|value| value.starts_with("text/event-stream"))
+}
--- /dev/null
+++ b/crates/daemon/src/duty.rs
@@ -0,0 +1,44 @@
+//! A thread for each duty, each with a runtime of its own.
+
+use eyre::{Result, WrapErr};
+use std::{
+    future::Future,
+    thread::{self, JoinHandle},
+};
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+    task::LocalSet,
+};
+
+/// Starts a named thread that runs `duty` to its end on a single-threaded runtime.
+pub fn start<F, T>(name: &str, duty: F) -> Result<JoinHandle<()>>
+where
+    F: FnOnce() -> T + Send + 'static,
+    T: Future<Output = ()>,
+{
+    let runtime = Builder::new_current_thread().enable_all().build().wrap_err("start runtime")?;
+    let body = move || LocalSet::new().block_on(&runtime, duty());
+    thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(body)
+        .wrap_err_with(|| format!("start thread {name}"))
+}
+
+/// Turns true on SIGTERM or SIGINT. Call on a runtime.
+pub fn stop_signal() -> Result<watch::Receiver<bool>> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("listen for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("listen for SIGINT")?;
+    let (sender, receiver) = watch::channel(false);
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        sender.send_replace(true);
+        // Held so that receivers never see a closed channel in place of a stop.
+        std::future::pending::<()>().await;
+    });
+    Ok(receiver)
+}
--- /dev/null
+++ b/crates/daemon/src/entry.rs
@@ -0,0 +1,75 @@
+//! The entry role: takes callers' requests, chooses a target, offers, streams the answer back.
+
+pub mod callers;
+pub mod decisions;
+pub mod exchange;
+pub mod offers;
+pub mod platform;
+pub mod reply;
+pub mod request;
+pub mod status;
+
+use crate::{
+    duty, logging,
+    options::{EntrySettings, constants},
+    telemetry,
+};
+use callers::CallerContext;
+use eyre::{Result, WrapErr};
+use plantain_core::config::ConfigSnapshot;
+use plantain_net::server;
+use slog::info;
+use status::{EntrySignals, EntryStatus};
+use std::sync::Arc;
+use tokio::{
+    runtime::Builder,
+    sync::{mpsc, watch},
+    task::LocalSet,
+};
+
+/// Runs an entry until it is told to stop and all requests in flight have ended.
+pub fn run(settings: EntrySettings) -> Result<()> {
+    let (logger, _flush) = logging::start(&settings.common, "entry");
+    let metrics = telemetry::install()?;
+    let runtime = Builder::new_current_thread().enable_all().build().wrap_err("start runtime")?;
+    let settings = Arc::new(settings);
+    LocalSet::new().block_on(&runtime, async {
+        let callers = server::bind(settings.listen, "callers' address").await?;
+        let admin = server::bind(settings.common.admin, "admin address").await?;
+        let stopping = duty::stop_signal()?;
+        let (decisions, decision_ring) = mpsc::channel(constants::RING_DEPTH);
+        let (offers, offer_ring) = mpsc::channel(constants::RING_DEPTH);
+        let (config_sender, config) = watch::channel(Arc::new(ConfigSnapshot::empty()));
+        let (ended_sender, ended) = watch::channel(false);
+
+        let policy = settings.clone();
+        duty::start("decisions", move || decisions::run(policy, decision_ring))?;
+        let (link, log) = (settings.clone(), logger.clone());
+        duty::start("peers", move || offers::run(link, offer_ring, log))?;
+        let signals = Arc::new(EntrySignals::default());
+        let (own, ring, log) = (settings.clone(), decisions.clone(), logger.clone());
+        let marks = Arc::clone(&signals);
+        duty::start("platform", move || platform::run(own, config_sender, ring, marks, log))?;
+        let status = EntryStatus::new(
+            settings.clone(),
+            config.clone(),
+            decisions.clone(),
+            stopping.clone(),
+            signals,
+        );
+        let admin = admin.into_std().wrap_err("hand over admin address")?;
+        let source = status.clone();
+        duty::start("telemetry", move || async move {
+            let admin = tokio::net::TcpListener::from_std(admin).expect("a bound listener");
+            telemetry::run(admin, metrics, source, ended).await;
+        })?;
+
+        info!(logger, "entry listens"; "step" => "start", "listen" => %settings.listen);
+        let context =
+            CallerContext::new(settings, config, decisions, offers, status, logger.clone());
+        callers::run(callers, context, stopping).await;
+        info!(logger, "all requests ended"; "step" => "stop");
+        ended_sender.send_replace(true);
+        Ok(())
+    })
+}
--- /dev/null
+++ b/crates/daemon/src/entry/callers.rs
@@ -0,0 +1,235 @@
+//! The callers duty of an entry: HTTP in, HTTP out.
+
+use super::{
+    decisions::DecisionSender,
+    exchange::{Exchange, ExchangeEnd},
+    offers::OfferSender,
+    reply::RequestError,
+    request::{self, ID_HEADER, RequestPath},
+    status::EntryStatus,
+};
+use crate::{
+    options::{EntrySettings, constants},
+    telemetry::{StatusSource, names},
+};
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    HeaderMap, Request, StatusCode,
+    body::{Body, Incoming},
+    header::{CONNECTION, HeaderValue},
+    http::request::Parts,
+};
+use metrics::{counter, gauge};
+use plantain_core::{config::ConfigSnapshot, ids::RequestId, outcome::RunOutcome};
+use plantain_net::server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply};
+use serde_json::json;
+use slog::{Logger, info, o};
+use std::{
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::{Duration, Instant},
+};
+use tokio::{
+    net::TcpListener,
+    sync::{Semaphore, watch},
+    time::{sleep, timeout},
+};
+
+/// Advice to callers that an entry has no room for.
+const BUSY_PAUSE: Duration = Duration::from_secs(1);
+/// Time for which an entry that was told to stop still takes connections, so that the balancer sees
+/// that it is not ready before a caller meets a closed port.
+const LINGER_TIME: Duration = Duration::from_secs(1);
+/// Longest wait for a configuration that an agent already has.
+const CATCH_UP_TIME: Duration = Duration::from_secs(1);
+/// Times that a request is resolved again because an agent had a newer configuration.
+const RESOLVE_LIMIT: usize = 3;
+
+/// What every caller's request needs.
+#[derive(Clone, Debug)]
+pub struct CallerContext {
+    pub(crate) settings: Arc<EntrySettings>,
+    pub(crate) config: watch::Receiver<Arc<ConfigSnapshot>>,
+    pub(crate) decisions: DecisionSender,
+    pub(crate) offers: OfferSender,
+    pub(crate) logger: Logger,
+    status: EntryStatus,
+    places: Arc<Semaphore>,
+    next_id: Arc<AtomicU64>,
+}
+
+impl CallerContext {
+    /// Joins the callers duty to the others.
+    pub fn new(
+        settings: Arc<EntrySettings>,
+        config: watch::Receiver<Arc<ConfigSnapshot>>,
+        decisions: DecisionSender,
+        offers: OfferSender,
+        status: EntryStatus,
+        logger: Logger,
+    ) -> Self {
+        let places = Arc::new(Semaphore::new(settings.requests));
+        // Ids start at random, so that those of a restarted entry do not meet its earlier ones.
+        let next_id = Arc::new(AtomicU64::new(rand::random::<u64>() >> 1));
+        Self { settings, config, decisions, offers, logger, status, places, next_id }
+    }
+}
+
+/// Serves callers until the process is told to stop and all requests in flight have ended.
+pub async fn run(
+    listener: TcpListener,
+    context: CallerContext,
+    mut stopping: watch::Receiver<bool>,
+) {
+    let (closing, closed) = watch::channel(false);
+    let options = ServerOptions { connections: context.settings.connections };
+    let serving = server::serve(listener, context, options, closed);
+    let stop = async {
+        let _ = stopping.wait_for(|stop| *stop).await;
+        sleep(LINGER_TIME).await;
+        closing.send_replace(true);
+        sleep(constants::DRAIN_TIMEOUT).await;
+    };
+    tokio::select! {
+        () = serving => {}
+        () = stop => {}
+    }
+}
+
+impl HttpHandler for CallerContext {
+    async fn handle(&self, request: Request<Incoming>, peer: SocketAddr) -> HttpReply {
+        let mut reply = self.answer(request, peer).await;
+        if self.status.is_stopping() {
+            reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+        }
+        reply
+    }
+}
+
+impl CallerContext {
+    async fn answer(&self, request: Request<Incoming>, peer: SocketAddr) -> HttpReply {
+        match request.uri().path() {
+            "/healthz" => return text_reply(StatusCode::OK, "ok\n"),
+            "/readyz" if self.status.is_ready() => return text_reply(StatusCode::OK, "ready\n"),
+            "/readyz" => return text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            _ => {}
+        }
+        let Ok(_place) = self.places.try_acquire() else {
+            counter!(names::REFUSALS, "reason" => "entry_busy").increment(1);
+            return RequestError::entry_busy(BUSY_PAUSE).reply();
+        };
+        let started = Instant::now();
+        let id: RequestId = self.next_id.fetch_add(1, Ordering::Relaxed);
+        let name = request_name(request.headers(), id);
+        gauge!(names::IN_FLIGHT).increment(1.0);
+        let result = self.serve(request, id, &name).await;
+        gauge!(names::IN_FLIGHT).decrement(1.0);
+        self.finish(result, &name, peer, started)
+    }
+
+    async fn serve(
+        &self,
+        request: Request<Incoming>,
+        id: RequestId,
+        name: &str,
+    ) -> Result<HttpReply, RequestError> {
+        let path = RequestPath::new(request.method(), request.uri())?;
+        let (parts, body) = request.into_parts();
+        if path == RequestPath::Models {
+            return self.models(&parts);
+        }
+        let body = self.read_body(body).await?;
+        let received = Instant::now();
+        let logger = self.logger.new(o!("request" => name.to_owned()));
+        for _ in 0..RESOLVE_LIMIT {
+            let snapshot = Arc::clone(&self.config.borrow());
+            let mut admitted = request::admit(path.clone(), &parts, body.clone(), &snapshot)?;
+            admitted.time_left = admitted.time_left.saturating_sub(received.elapsed());
+            let exchange = Exchange::new(self, admitted, snapshot.revision(), id, name, &logger);
+            match exchange.run().await {
+                ExchangeEnd::Reply(reply) => return Ok(reply),
+                ExchangeEnd::Error(error) => return Err(error),
+                ExchangeEnd::ConfigBehind(revision) => self.catch_up(revision).await,
+            }
+        }
+        Err(RequestError::entry_busy(BUSY_PAUSE))
+    }
+
+    /// Waits for a configuration that an agent has seen, so that no request meets an older one than
+    /// it has already passed.
+    async fn catch_up(&self, revision: u64) {
+        self.status.ask_refresh();
+        let mut config = self.config.clone();
+        let newer = config.wait_for(|snapshot| snapshot.revision() >= revision);
+        let _ = timeout(CATCH_UP_TIME, newer).await;
+    }
+
+    async fn read_body(&self, body: Incoming) -> Result<Bytes, RequestError> {
+        let limit = self.settings.body_limit;
+        if body.size_hint().lower() > limit as u64 {
+            return Err(RequestError::body_too_large(limit));
+        }
+        let collected = timeout(constants::BODY_TIMEOUT, Limited::new(body, limit).collect());
+        match collected.await {
+            Ok(Ok(body)) => Ok(body.to_bytes()),
+            Ok(Err(error)) if error.is::<LengthLimitError>() => {
+                Err(RequestError::body_too_large(limit))
+            }
+            Ok(Err(error)) => Err(RequestError::body_incomplete(&error.to_string())),
+            Err(_) => Err(RequestError::body_incomplete("it took too long")),
+        }
+    }
+
+    fn models(&self, parts: &Parts) -> Result<HttpReply, RequestError> {
+        let config = self.config.borrow();
+        request::find_caller(&parts.headers, &config)?;
+        let models: Vec<_> = config
+            .adapters()
+            .map(|record| {
+                json!({"id": record.name, "object": "model", "parent": record.base,
+                    "versions": record.versions, "current": record.current})
+            })
+            .collect();
+        Ok(json_reply(StatusCode::OK, &json!({"object": "list", "data": models})))
+    }
+
+    fn finish(
+        &self,
+        result: Result<HttpReply, RequestError>,
+        name: &str,
+        peer: SocketAddr,
+        started: Instant,
+    ) -> HttpReply {
+        let (mut reply, outcome, kind) = match result {
+            Ok(reply) => (reply, "answered", ""),
+            Err(error) => (error.reply(), outcome_name(error.outcome), error.kind),
+        };
+        counter!(names::REQUESTS, "outcome" => outcome).increment(1);
+        if !kind.is_empty() {
+            counter!(names::REFUSALS, "reason" => kind).increment(1);
+        }
+        info!(self.logger, "request"; "step" => "answer", "request" => name, "peer" => %peer,
+            "status" => reply.status().as_u16(), "outcome" => outcome, "error" => kind,
+            "ms" => started.elapsed().as_millis() as u64);
+        if let Ok(value) = HeaderValue::from_str(name) {
+            reply.headers_mut().insert(ID_HEADER, value);
+        }
+        reply
+    }
+}
+
+fn request_name(headers: &HeaderMap, id: RequestId) -> String {
+    let given = headers.get(ID_HEADER).and_then(|value| value.to_str().ok());
+    given.map_or_else(|| format!("{id:016x}"), str::to_owned)
+}
+
+fn outcome_name(outcome: RunOutcome) -> &'static str {
+    match outcome {
+        RunOutcome::NotRun => "not_run",
+        RunOutcome::Unknown => "unknown",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/decisions.rs
@@ -0,0 +1,149 @@
+//! The decisions duty of an entry: owns the routing state, one command at a time.
+
+use crate::{options::EntrySettings, telemetry::names};
+use metrics::{counter, gauge};
+use plantain_core::{
+    config::PresetRecord,
+    entry::{EntryOptions, EntryState, RouteChoice, RouteQuery, ZoneTrips, targets::TargetRecord},
+    ids::TargetName,
+    outcome::{NotRunProof, Refusal},
+    policy::RoutingPolicy,
+    protocol::{RefusalReason, TargetReport, WorkItem},
+};
+use serde_json::{Value, json};
+use std::{sync::Arc, time::Instant};
+use tokio::sync::{mpsc, oneshot};
+
+/// Sends commands to the decisions duty.
+pub type DecisionSender = mpsc::Sender<DecisionCommand>;
+
+/// How an offer ended, for the view of its target.
+#[derive(Debug)]
+pub enum OfferEnd {
+    /// With the target's answer.
+    Answered,
+    /// With a refusal.
+    Refused(Refusal),
+    /// The agent or its target failed, or could not be reached.
+    Failed,
+    /// The caller went away.
+    Dropped,
+}
+
+/// Commands.
+#[derive(Debug)]
+pub enum DecisionCommand {
+    /// Choose a target.
+    Choose {
+        /// What to run.
+        work: WorkItem,
+        /// Targets that refused or failed already.
+        excluded: Vec<TargetName>,
+        /// Where the choice goes.
+        reply: oneshot::Sender<Result<RouteChoice, NotRunProof>>,
+    },
+    /// A report came with an exchange.
+    Report {
+        /// From this target.
+        target: TargetName,
+        /// What it says.
+        report: TargetReport,
+    },
+    /// An offer ended.
+    Ended {
+        /// To this target.
+        target: TargetName,
+        /// How.
+        end: OfferEnd,
+    },
+    /// The platform's targets.
+    Targets(Vec<TargetRecord>),
+    /// The preset in force.
+    Preset(PresetRecord),
+    /// The routing state, for the status page.
+    Status(oneshot::Sender<Value>),
+}
+
+/// Runs until all senders are gone.
+pub async fn run(settings: Arc<EntrySettings>, mut commands: mpsc::Receiver<DecisionCommand>) {
+    let options = EntryOptions {
+        region: settings.common.region.clone(),
+        zone: settings.common.zone.clone(),
+        trips: ZoneTrips::default(),
+        policy: settings.policy,
+    };
+    let mut duty = DecisionDuty { state: EntryState::new(options), started: Instant::now() };
+    while let Some(command) = commands.recv().await {
+        duty.handle(command);
+    }
+}
+
+struct DecisionDuty {
+    state: EntryState<RoutingPolicy>,
+    started: Instant,
+}
+
+impl DecisionDuty {
+    fn handle(&mut self, command: DecisionCommand) {
+        match command {
+            DecisionCommand::Choose { work, excluded, reply } => {
+                let _ = reply.send(self.choose(&work, &excluded));
+            }
+            DecisionCommand::Report { target, report } => self.state.apply_report(&target, report),
+            DecisionCommand::Ended { target, end } => self.ended(&target, &end),
+            DecisionCommand::Targets(records) => {
+                gauge!(names::TARGETS).set(records.len() as f64);
+                self.state.set_targets(records);
+            }
+            DecisionCommand::Preset(preset) => self.state.apply_preset(&preset),
+            DecisionCommand::Status(reply) => {
+                let _ = reply.send(self.status());
+            }
+        }
+    }
+
+    fn choose(
+        &mut self,
+        work: &WorkItem,
+        excluded: &[TargetName],
+    ) -> Result<RouteChoice, NotRunProof> {
+        if !excluded.is_empty() {
+            // Every offer after the first is a retry, and retries must never become the load.
+            if !self.state.budget().try_spend() {
+                return Err(NotRunProof::never_offered(RefusalReason::RetryBudget, None));
+            }
+            counter!(names::RETRIES).increment(1);
+        }
+        let query = RouteQuery { work, excluded, draw: rand::random() };
+        self.state.choose(&query, self.started.elapsed())
+    }
+
+    fn ended(&mut self, target: &TargetName, end: &OfferEnd) {
+        let now = self.started.elapsed();
+        match end {
+            OfferEnd::Answered => self.state.offer_answered(target),
+            OfferEnd::Refused(refusal) => self.state.offer_refused(target, refusal, now),
+            OfferEnd::Failed => self.state.offer_failed(target, now),
+            OfferEnd::Dropped => self.state.offer_dropped(target),
+        }
+    }
+
+    fn status(&self) -> Value {
+        let now = self.started.elapsed();
+        let targets: Vec<Value> = self
+            .state
+            .targets()
+            .views()
+            .iter()
+            .map(|view| {
+                json!({
+                    "target": view.record.name, "kind": view.record.kind,
+                    "zone": view.record.zone, "region": view.record.region,
+                    "peer": view.record.peer, "epoch": view.record.epoch,
+                    "open": view.is_open(now), "in_flight": view.in_flight(),
+                })
+            })
+            .collect();
+        json!({ "targets": targets })
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/exchange.rs
@@ -0,0 +1,471 @@
+//! One request's way through offers to agents, up to its answer.
+
+use super::{
+    callers::CallerContext,
+    decisions::{DecisionCommand, DecisionSender, OfferEnd},
+    offers::{OfferEvent, OfferHandle, OfferJob},
+    reply::RequestError,
+    request::AdmittedRequest,
+};
+use crate::{options::constants, telemetry::names};
+use bytes::{Bytes, BytesMut};
+use hyper::{
+    Response, StatusCode,
+    header::{HeaderName, HeaderValue},
+};
+use metrics::{counter, histogram};
+use plantain_core::{
+    entry::RouteChoice,
+    ids::{AdapterKey, ConfigRevision, RequestId, TargetName},
+    outcome::NotRunProof,
+    protocol::{AgentFrame, OfferFrame, PROTOCOL_VERSION, RefusalReason, TargetReport, WorkItem},
+};
+use plantain_net::{
+    body::{BodyAbort, BodySender, ReplyBody},
+    server::HttpReply,
+};
+use slog::{Logger, info, warn};
+use std::time::{Duration, Instant};
+use tokio::{
+    sync::{mpsc, oneshot},
+    time::{sleep_until, timeout},
+};
+
+/// Offers of one request, the first included.
+const OFFER_LIMIT: usize = 4;
+/// Time past the deadline in which an agent's own refusal may arrive: it proves that the request
+/// was not run, which the entry's clock cannot.
+const DEADLINE_GRACE: Duration = Duration::from_millis(150);
+/// Largest answer that is held until it is whole, so that one cut short can be asked for again.
+const HOLD_LIMIT: usize = 1 << 20;
+
+/// How an exchange ended.
+#[derive(Debug)]
+pub enum ExchangeEnd {
+    /// With an answer.
+    Reply(HttpReply),
+    /// Without one.
+    Error(RequestError),
+    /// An agent has this newer configuration; resolve again.
+    ConfigBehind(ConfigRevision),
+}
+
+/// How one offer ended.
+enum OfferResult {
+    Reply(HttpReply),
+    /// Provably not run; another target may be tried.
+    NotRun(NotRunProof),
+    /// It may have run.
+    Lost(String),
+    ConfigBehind(ConfigRevision),
+}
+
+/// The head of an answer.
+struct AnswerHead {
+    status: StatusCode,
+    headers: Vec<(String, Bytes)>,
+    ran_on: Option<AdapterKey>,
+    load_stall: Duration,
+}
+
+/// One request.
+pub struct Exchange<'a> {
+    context: &'a CallerContext,
+    request: AdmittedRequest,
+    revision: ConfigRevision,
+    id: RequestId,
+    name: &'a str,
+    logger: &'a Logger,
+    started: Instant,
+    excluded: Vec<TargetName>,
+    may_have_run: Option<String>,
+}
+
+impl<'a> Exchange<'a> {
+    /// A request that has been admitted.
+    pub fn new(
+        context: &'a CallerContext,
+        request: AdmittedRequest,
+        revision: ConfigRevision,
+        id: RequestId,
+        name: &'a str,
+        logger: &'a Logger,
+    ) -> Self {
+        Self {
+            context,
+            request,
+            revision,
+            id,
+            name,
+            logger,
+            started: Instant::now(),
+            excluded: Vec::new(),
+            may_have_run: None,
+        }
+    }
+
+    /// Offers the request until it is answered or given up on.
+    pub async fn run(mut self) -> ExchangeEnd {
+        let mut last = None;
+        for _ in 0..OFFER_LIMIT {
+            let choice = match self.choose().await {
+                Ok(choice) => choice,
+                Err(proof) => return ExchangeEnd::Error(self.give_up(&last.unwrap_or(proof))),
+            };
+            let target = choice.target.clone();
+            match self.offer(choice).await {
+                OfferResult::Reply(reply) => return ExchangeEnd::Reply(reply),
+                OfferResult::ConfigBehind(revision) => return ExchangeEnd::ConfigBehind(revision),
+                OfferResult::NotRun(proof) => {
+                    info!(self.logger, "offer not run"; "step" => "offer", "peer" => &*target,
+                        "reason" => proof.reason().name());
+                    if proof.reason() == RefusalReason::TooLate && self.time_left().is_zero() {
+                        return ExchangeEnd::Error(self.give_up(&proof));
+                    }
+                    last = Some(proof);
+                }
+                OfferResult::Lost(problem) => {
+                    warn!(self.logger, "offer lost"; "step" => "offer", "peer" => &*target,
+                        "error" => &problem);
+                    self.may_have_run = Some(problem.clone());
+                    if self.time_left().is_zero() {
+                        return ExchangeEnd::Error(RequestError::deadline_passed());
+                    }
+                    // Running it again could do it twice.
+                    if !self.request.idempotent {
+                        return ExchangeEnd::Error(RequestError::unknown(&problem));
+                    }
+                }
+            }
+            self.excluded.push(target);
+        }
+        let proof = last.unwrap_or_else(NotRunProof::never_released);
+        ExchangeEnd::Error(self.give_up(&proof))
+    }
+
+    /// The final error. Once any offer may have run, a later refusal proves nothing.
+    fn give_up(&self, proof: &NotRunProof) -> RequestError {
+        match &self.may_have_run {
+            Some(problem) => RequestError::unknown(problem),
+            None => RequestError::not_run(proof),
+        }
+    }
+
+    fn time_left(&self) -> Duration {
+        self.request.time_left.saturating_sub(self.started.elapsed())
+    }
+
+    async fn choose(&self) -> Result<RouteChoice, NotRunProof> {
+        let (reply, choice) = oneshot::channel();
+        let command = DecisionCommand::Choose {
+            work: self.request.work.clone(),
+            excluded: self.excluded.clone(),
+            reply,
+        };
+        let busy = || NotRunProof::never_offered(RefusalReason::EntryBusy, None);
+        self.context.decisions.try_send(command).map_err(|_| busy())?;
+        choice.await.map_err(|_| busy())?
+    }
+
+    async fn offer(&mut self, choice: RouteChoice) -> OfferResult {
+        let guard = OfferGuard::new(self.context.decisions.clone(), choice.target.clone());
+        let (job, handle) = OfferJob::new(choice.peer, self.frame(choice.known_residency));
+        if self.context.offers.try_send(job).is_err() {
+            let busy = NotRunProof::never_offered(RefusalReason::EntryBusy, None);
+            return OfferResult::NotRun(busy);
+        }
+        let limit = self.time_left() + DEADLINE_GRACE;
+        let mut follower = OfferFollower { handle, guard, released: false };
+        let head = match timeout(limit, self.await_head(&mut follower)).await {
+            Ok(Ok(head)) => head,
+            Ok(Err(result)) => return result,
+            Err(_) => return self.overdue(&follower),
+        };
+        self.deliver(head, follower, choice.target).await
+    }
+
+    fn overdue(&self, follower: &OfferFollower) -> OfferResult {
+        if !self.request.idempotent && !follower.released {
+            return OfferResult::NotRun(NotRunProof::never_released());
+        }
+        OfferResult::Lost("the deadline passed".into())
+    }
+
+    fn frame(&self, known_residency: u64) -> OfferFrame {
+        let mut head = self.request.head.clone();
+        let id = Bytes::copy_from_slice(self.name.as_bytes());
+        head.headers.retain(|(name, _)| name != "x-request-id");
+        head.headers.push(("x-request-id".into(), id));
+        OfferFrame {
+            protocol: PROTOCOL_VERSION,
+            request: self.id,
+            revision: self.revision,
+            known_residency,
+            work: self.request.work.clone(),
+            idempotent: self.request.idempotent,
+            priority: self.request.priority,
+            caller: self.request.caller.clone(),
+            share: self.request.share,
+            time_left: self.time_left(),
+            head,
+            body: self.request.body.clone(),
+        }
+    }
+
+    /// Follows an offer up to the head of its answer.
+    async fn await_head(&self, follower: &mut OfferFollower) -> Result<AnswerHead, OfferResult> {
+        loop {
+            let frame = match follower.handle.events.recv().await {
+                Some(OfferEvent::Frame(frame)) => frame,
+                Some(OfferEvent::Unsent(_)) => {
+                    follower.guard.end(OfferEnd::Failed);
+                    let proof = NotRunProof::never_offered(RefusalReason::Unreachable, None);
+                    return Err(OfferResult::NotRun(proof));
+                }
+                Some(OfferEvent::Lost(problem)) => return Err(self.lost(follower, problem)),
+                None => return Err(self.lost(follower, "the peers duty ended".into())),
+            };
+            match frame {
+                AgentFrame::Accepted { report, .. } => {
+                    follower.guard.report(report);
+                    if !self.request.idempotent
+                        && let Some(release) = follower.handle.release.take()
+                    {
+                        follower.released = true;
+                        let _ = release.send(());
+                    }
+                }
+                AgentFrame::Refused { refusal, report, .. } => {
+                    let revision = report.revision;
+                    follower.guard.report(report);
+                    counter!(names::REFUSALS, "reason" => refusal.reason.name()).increment(1);
+                    let result = match refusal.reason {
+                        RefusalReason::ConfigBehind => OfferResult::ConfigBehind(revision),
+                        _ => OfferResult::NotRun(NotRunProof::from_refusal(&refusal)),
+                    };
+                    follower.guard.end(OfferEnd::Refused(refusal));
+                    return Err(result);
+                }
+                AgentFrame::Head { status, headers, ran_on, load_stall, .. } => {
+                    let status = StatusCode::from_u16(status).unwrap_or(StatusCode::BAD_GATEWAY);
+                    return Ok(AnswerHead { status, headers, ran_on, load_stall });
+                }
+                AgentFrame::Failed { message, .. } => return Err(self.lost(follower, message)),
+                AgentFrame::Chunk { .. } | AgentFrame::End { .. } => {
+                    return Err(self.lost(follower, "the answer has no head".into()));
+                }
+            }
+        }
+    }
+
+    /// An offer that broke off. A non-idempotent one that was never released only holds a
+    /// reservation, which lapses, so it was not run.
+    fn lost(&self, follower: &mut OfferFollower, problem: String) -> OfferResult {
+        follower.guard.end(OfferEnd::Failed);
+        if !self.request.idempotent && !follower.released {
+            return OfferResult::NotRun(NotRunProof::never_released());
+        }
+        OfferResult::Lost(problem)
+    }
+
+    async fn deliver(
+        &self,
+        head: AnswerHead,
+        mut follower: OfferFollower,
+        target: TargetName,
+    ) -> OfferResult {
+        if let Err(problem) = self.check_ran_on(&head) {
+            return self.lost(&mut follower, problem);
+        }
+        histogram!(names::LOAD_STALL_SECONDS).record(head.load_stall.as_secs_f64());
+        let mut body = BytesMut::new();
+        let holds = self.holds_answer(&head);
+        let deadline = tokio::time::Instant::now() + self.time_left() + DEADLINE_GRACE;
+        loop {
+            let event = tokio::select! {
+                event = follower.handle.events.recv() => event,
+                () = sleep_until(deadline) => return self.overdue(&follower),
+            };
+            match event {
+                Some(OfferEvent::Frame(AgentFrame::Chunk { data, .. })) => {
+                    body.extend_from_slice(&data);
+                    if holds && body.len() <= HOLD_LIMIT {
+                        continue;
+                    }
+                    self.record_first_byte();
+                    let (sender, stream) = ReplyBody::channel();
+                    let forward = Forward {
+                        sender,
+                        follower,
+                        started: self.started,
+                        first: body.freeze(),
+                        events: self.request.streamed,
+                        logger: self.logger.clone(),
+                    };
+                    tokio::spawn(forward.run());
+                    return OfferResult::Reply(reply(&head, &target, stream));
+                }
+                Some(OfferEvent::Frame(AgentFrame::End { report, .. })) => {
+                    self.record_first_byte();
+                    histogram!(names::REQUEST_SECONDS).record(self.started.elapsed().as_secs_f64());
+                    follower.guard.report(report);
+                    follower.guard.end(OfferEnd::Answered);
+                    let body = ReplyBody::new(body.freeze());
+                    return OfferResult::Reply(reply(&head, &target, body));
+                }
+                Some(OfferEvent::Frame(AgentFrame::Failed { message, .. })) => {
+                    return self.lost(&mut follower, message);
+                }
+                Some(OfferEvent::Lost(problem)) => return self.lost(&mut follower, problem),
+                _ => return self.lost(&mut follower, "the answer broke off".into()),
+            }
+        }
+    }
+
+    /// An answer that names another adapter or version is never delivered, whatever the agent
+    /// already checked.
+    fn check_ran_on(&self, head: &AnswerHead) -> Result<(), String> {
+        let WorkItem::Completion { key, .. } = &self.request.work else { return Ok(()) };
+        if !head.status.is_success() || head.ran_on.as_ref() == Some(key) {
+            return Ok(());
+        }
+        let ran_on = head.ran_on.as_ref().map_or("nothing".to_owned(), ToString::to_string);
+        Err(format!("the answer ran on {ran_on}, not on {key}"))
+    }
+
+    fn holds_answer(&self, head: &AnswerHead) -> bool {
+        let is_stream = head
+            .headers
+            .iter()
+            .any(|(name, value)| name == "content-type" && value.starts_with(b"text/event-stream"));
+        !self.request.streamed && !is_stream
+    }
+
+    fn record_first_byte(&self) {
+        histogram!(names::FIRST_BYTE_SECONDS).record(self.started.elapsed().as_secs_f64());
+    }
+}
+
+fn reply(head: &AnswerHead, target: &TargetName, body: ReplyBody) -> HttpReply {
+    let mut reply = Response::new(body);
+    *reply.status_mut() = head.status;
+    for (name, value) in &head.headers {
+        let name = HeaderName::from_bytes(name.as_bytes());
+        let value = HeaderValue::from_maybe_shared(value.clone());
+        if let (Ok(name), Ok(value)) = (name, value) {
+            reply.headers_mut().append(name, value);
+        }
+    }
+    let stall = head.load_stall.as_millis().to_string();
+    let ran_on = head.ran_on.as_ref().map(ToString::to_string);
+    let own = [
+        ("x-plantain-target", Some(target.to_string())),
+        ("x-plantain-adapter", ran_on),
+        ("x-plantain-load-stall-ms", Some(stall)),
+    ];
+    for (name, value) in own {
+        if let Some(value) = value.and_then(|value| HeaderValue::from_str(&value).ok()) {
+            reply.headers_mut().insert(name, value);
+        }
+    }
+    reply
+}
+
+struct OfferFollower {
+    handle: OfferHandle,
+    guard: OfferGuard,
+    released: bool,
+}
+
+/// Tells the decisions duty how an offer ended, also when the caller went away and the exchange was
+/// dropped in the middle: otherwise the target would seem busier with each caller that leaves.
+struct OfferGuard {
+    decisions: DecisionSender,
+    target: TargetName,
+    ended: bool,
+}
+
+impl OfferGuard {
+    fn new(decisions: DecisionSender, target: TargetName) -> Self {
+        Self { decisions, target, ended: false }
+    }
+
+    fn report(&self, report: TargetReport) {
+        self.send(DecisionCommand::Report { target: self.target.clone(), report });
+    }
+
+    fn end(&mut self, end: OfferEnd) {
+        if !std::mem::replace(&mut self.ended, true) {
+            self.send(DecisionCommand::Ended { target: self.target.clone(), end });
+        }
+    }
+
+    fn send(&self, command: DecisionCommand) {
+        if let Err(mpsc::error::TrySendError::Full(command)) = self.decisions.try_send(command) {
+            let decisions = self.decisions.clone();
+            tokio::spawn(async move {
+                let _ = decisions.send(command).await;
+            });
+        }
+    }
+}
+
+impl Drop for OfferGuard {
+    fn drop(&mut self) {
+        self.end(OfferEnd::Dropped);
+    }
+}
+
+/// Passes an answer on to the caller as it comes.
+struct Forward {
+    sender: BodySender,
+    follower: OfferFollower,
+    started: Instant,
+    first: Bytes,
+    events: bool,
+    logger: Logger,
+}
+
+impl Forward {
+    async fn run(mut self) {
+        let mut piece = std::mem::take(&mut self.first);
+        let problem = loop {
+            match timeout(constants::WRITE_TIMEOUT, self.sender.send(Ok(piece))).await {
+                Ok(Ok(())) => {}
+                // The caller is gone, or does not read: its place is worth more than its answer.
+                Ok(Err(_)) | Err(_) => return self.follower.guard.end(OfferEnd::Dropped),
+            }
+            let event = tokio::select! {
+                event = self.follower.handle.events.recv() => event,
+                () = self.sender.closed() => return self.follower.guard.end(OfferEnd::Dropped),
+            };
+            match event {
+                Some(OfferEvent::Frame(AgentFrame::Chunk { data, .. })) => piece = data,
+                Some(OfferEvent::Frame(AgentFrame::End { report, .. })) => {
+                    histogram!(names::REQUEST_SECONDS).record(self.started.elapsed().as_secs_f64());
+                    self.follower.guard.report(report);
+                    return self.follower.guard.end(OfferEnd::Answered);
+                }
+                Some(OfferEvent::Frame(AgentFrame::Failed { message, .. })) => break message,
+                Some(OfferEvent::Lost(problem)) => break problem,
+                _ => break "the answer broke off".to_owned(),
+            }
+        };
+        self.break_off(problem).await;
+    }
+
+    /// Tells the caller that the answer is not whole, then cuts the connection, so that not even a
+    /// caller that ignores the event can take it for a short answer.
+    async fn break_off(mut self, problem: String) {
+        warn!(self.logger, "answer broken off"; "step" => "stream",
+            "peer" => &*self.follower.guard.target, "error" => &problem);
+        self.follower.guard.end(OfferEnd::Failed);
+        counter!(names::REQUESTS, "outcome" => "broken_off").increment(1);
+        if self.events {
+            let error = RequestError::unknown(&problem).body();
+            let event = format!("event: error\ndata: {error}\n\n");
+            let _ = self.sender.send(Ok(event.into())).await;
+        }
+        let _ = self.sender.send(Err(BodyAbort(problem))).await;
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/entry/offers.rs
@@ -0,0 +1,228 @@
+//! The peers duty of an entry: connections to agents, one stream for each offer.
+
+use crate::{
+    link::{self, PEER_NAME, frames, pulse},
+    options::{EntrySettings, constants},
+};
+use eyre::{Result, WrapErr, ensure, eyre};
+use plantain_core::{
+    ids::RequestId,
+    protocol::{AgentFrame, EntryFrame, OfferFrame},
+};
+use quinn::{Connection, Endpoint, RecvStream, SendStream, VarInt};
+use slog::{Logger, debug, error};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    sync::{Mutex, mpsc, oneshot},
+    task::spawn_local,
+    time::timeout,
+};
+
+/// Longest wait for a connection to an agent.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Events of an offer that wait for the caller.
+const EVENT_DEPTH: usize = 32;
+/// Code with which an entry gives up a stream.
+const DROPPED_CODE: VarInt = VarInt::from_u32(2);
+
+/// Sends offers to the peers duty.
+pub type OfferSender = mpsc::Sender<OfferJob>;
+
+/// What becomes of an offer.
+#[derive(Debug)]
+pub enum OfferEvent {
+    /// The agent could not be reached: the offer was never sent.
+    Unsent(String),
+    /// A frame from the agent.
+    Frame(AgentFrame),
+    /// The stream broke off after the offer was sent.
+    Lost(String),
+}
+
+/// An offer to make.
+#[derive(Debug)]
+pub struct OfferJob {
+    peer: SocketAddr,
+    offer: OfferFrame,
+    events: mpsc::Sender<OfferEvent>,
+    release: oneshot::Receiver<()>,
+}
+
+/// The caller's end of an offer. Dropping it cancels the offer.
+#[derive(Debug)]
+pub struct OfferHandle {
+    /// What becomes of it.
+    pub events: mpsc::Receiver<OfferEvent>,
+    /// Releases a reserved request to the target.
+    pub release: Option<oneshot::Sender<()>>,
+}
+
+impl OfferJob {
+    /// An offer to the agent at `peer`, and the handle to follow it.
+    pub fn new(peer: SocketAddr, offer: OfferFrame) -> (Self, OfferHandle) {
+        let (events, receiver) = mpsc::channel(EVENT_DEPTH);
+        let (sender, release) = oneshot::channel();
+        let handle = OfferHandle { events: receiver, release: Some(sender) };
+        (Self { peer, offer, events, release }, handle)
+    }
+}
+
+struct PeerConnection {
+    connection: Connection,
+    in_flight: Arc<AtomicUsize>,
+}
+
+type PeerSlot = Rc<Mutex<Option<PeerConnection>>>;
+
+struct OfferDuty {
+    endpoint: Endpoint,
+    peers: RefCell<HashMap<SocketAddr, PeerSlot>>,
+    logger: Logger,
+}
+
+/// Runs until all senders are gone.
+pub async fn run(settings: Arc<EntrySettings>, mut jobs: mpsc::Receiver<OfferJob>, log: Logger) {
+    let endpoint = match link::client_endpoint(settings.listen.ip(), &settings.common.keys) {
+        Ok(endpoint) => endpoint,
+        Err(error) => {
+            error!(log, "no link to agents"; "step" => "bind", "error" => format!("{error:#}"));
+            return;
+        }
+    };
+    let duty = Rc::new(OfferDuty { endpoint, peers: RefCell::default(), logger: log });
+    while let Some(job) = jobs.recv().await {
+        spawn_local(make_offer(Rc::clone(&duty), job));
+    }
+}
+
+async fn make_offer(duty: Rc<OfferDuty>, job: OfferJob) {
+    let OfferJob { peer, offer, events, release } = job;
+    let opened = tokio::select! {
+        opened = duty.open(peer) => opened,
+        () = events.closed() => return,
+    };
+    let (send, receive, in_flight) = match opened {
+        Ok(opened) => opened,
+        Err(error) => {
+            let text = format!("connect to agent {peer}: {error:#}");
+            debug!(duty.logger, "offer not sent"; "step" => "connect", "peer" => %peer,
+                "request" => offer.request, "error" => &text);
+            let _ = events.send(OfferEvent::Unsent(text)).await;
+            return;
+        }
+    };
+    let _guard = InFlight::new(in_flight);
+    if let Err(error) = carry(send, receive, offer, &events, release).await {
+        let text = format!("agent {peer}: {error:#}");
+        let _ = events.send(OfferEvent::Lost(text)).await;
+    }
+}
+
+async fn carry(
+    mut send: SendStream,
+    mut receive: RecvStream,
+    offer: OfferFrame,
+    events: &mpsc::Sender<OfferEvent>,
+    release: oneshot::Receiver<()>,
+) -> Result<()> {
+    let request = offer.request;
+    frames::write(&mut send, &EntryFrame::Offer(Box::new(offer))).await?;
+    let reading = read_frames(&mut receive, request, events);
+    let releasing = async {
+        if release.await.is_ok() {
+            frames::write(&mut send, &EntryFrame::Run { request }).await?;
+        }
+        // Nothing more to say, but the stream stays open: closing it would read as a cancellation.
+        std::future::pending::<Result<()>>().await
+    };
+    let result = tokio::select! {
+        result = reading => result,
+        result = releasing => result,
+        () = events.closed() => {
+            let _ = send.reset(DROPPED_CODE);
+            let _ = receive.stop(DROPPED_CODE);
+            return Ok(());
+        }
+    };
+    if result.is_ok() {
+        let _ = send.finish();
+    }
+    result
+}
+
+async fn read_frames(
+    receive: &mut RecvStream,
+    request: RequestId,
+    events: &mpsc::Sender<OfferEvent>,
+) -> Result<()> {
+    // A frozen agent answers no offer, and its connection may still look alive.
+    let first = timeout(constants::OFFER_TIMEOUT, frames::read::<AgentFrame>(receive)).await;
+    let mut next = first.wrap_err("no answer to the offer")??;
+    loop {
+        let frame = next.ok_or_else(|| eyre!("answer broke off"))?;
+        // A frame of another request must never reach this caller.
+        ensure!(frame.request() == request, "frame of request {}", frame.request());
+        let is_last = matches!(
+            frame,
+            AgentFrame::Refused { .. } | AgentFrame::End { .. } | AgentFrame::Failed { .. }
+        );
+        if events.send(OfferEvent::Frame(frame)).await.is_err() || is_last {
+            return Ok(());
+        }
+        next = frames::read(receive).await?;
+    }
+}
+
+impl OfferDuty {
+    async fn open(&self, peer: SocketAddr) -> Result<(SendStream, RecvStream, Arc<AtomicUsize>)> {
+        let (connection, in_flight) = self.connection(peer).await?;
+        let (send, receive) = connection.open_bi().await.wrap_err("open stream")?;
+        Ok((send, receive, in_flight))
+    }
+
+    async fn connection(&self, peer: SocketAddr) -> Result<(Connection, Arc<AtomicUsize>)> {
+        let slot = Rc::clone(self.peers.borrow_mut().entry(peer).or_default());
+        let mut slot = slot.lock().await;
+        if let Some(known) = &*slot
+            && known.connection.close_reason().is_none()
+        {
+            return Ok((known.connection.clone(), Arc::clone(&known.in_flight)));
+        }
+        let connecting = self.endpoint.connect(peer, PEER_NAME).wrap_err("begin to connect")?;
+        let connection = timeout(CONNECT_TIMEOUT, connecting)
+            .await
+            .wrap_err("no answer")?
+            .wrap_err("handshake")?;
+        let in_flight = Arc::new(AtomicUsize::new(0));
+        let (pulsed, count) = (connection.clone(), Arc::clone(&in_flight));
+        spawn_local(async move { pulse::send_pulses(&pulsed, &count).await });
+        *slot =
+            Some(PeerConnection { connection: connection.clone(), in_flight: in_flight.clone() });
+        Ok((connection, in_flight))
+    }
+}
+
+struct InFlight(Arc<AtomicUsize>);
+
+impl InFlight {
+    fn new(count: Arc<AtomicUsize>) -> Self {
+        count.fetch_add(1, Ordering::AcqRel);
+        Self(count)
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,46 @@
+//! The daemon of plantainroute: `entry` takes callers' requests, `agent` speaks for one target.
+
+pub mod agent;
+pub mod duty;
+pub mod entry;
+pub mod link;
+pub mod logging;
+pub mod options;
+pub mod telemetry;
+
+use options::{DaemonArguments, DaemonSettings};
+use std::process::ExitCode;
+
+/// Exit status of a daemon whose arguments or settings are wrong.
+const USAGE_STATUS: u8 = 2;
+
+/// Reads arguments, checks settings and runs the role until it is told to stop.
+pub fn run() -> ExitCode {
+    let arguments = match DaemonArguments::read() {
+        Ok(arguments) => arguments,
+        Err(code) => return code,
+    };
+    let is_check = arguments.is_check();
+    let settings = match DaemonSettings::new(arguments) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("plantaind: {error}");
+            return ExitCode::from(USAGE_STATUS);
+        }
+    };
+    if is_check {
+        println!("{}", settings.describe());
+        return ExitCode::SUCCESS;
+    }
+    let result = match settings {
+        DaemonSettings::Entry(settings) => entry::run(settings),
+        DaemonSettings::Agent(settings) => agent::run(settings),
+    };
+    match result {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("plantaind: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/link.rs
@@ -0,0 +1,61 @@
+//! The links between processes: QUIC, one stream per request, both ends known by their keys.
+
+pub mod frames;
+pub mod keys;
+pub mod pulse;
+
+use eyre::{Result, WrapErr};
+use keys::PeerKeys;
+use quinn::{ClientConfig, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt};
+use std::{
+    net::{IpAddr, SocketAddr},
+    sync::Arc,
+    time::Duration,
+};
+
+/// Name that the TLS handshake carries; identity rests on the key alone.
+pub const PEER_NAME: &str = "plantain-peer";
+/// Requests in flight on one connection.
+const STREAM_LIMIT: u32 = 4_096;
+/// Time after which an unused connection is dropped, so that an entry holds connections to the
+/// agents that it uses and not to the whole fleet.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Bytes of one stream that a receiver lets the sender have under way. Bounds the memory that a
+/// slow caller can take.
+const STREAM_WINDOW: u32 = 256 << 10;
+/// Bytes under way on a connection.
+const CONNECTION_WINDOW: u32 = 32 << 20;
+/// First guess of the round trip, until it is measured; far below the default for the internet.
+const INITIAL_ROUND_TRIP: Duration = Duration::from_millis(10);
+
+/// An endpoint that connects to agents.
+pub fn client_endpoint(bind: IpAddr, keys: &PeerKeys) -> Result<Endpoint> {
+    let mut endpoint = Endpoint::client(SocketAddr::new(bind, 0)).wrap_err("bind QUIC client")?;
+    let crypto = quinn::crypto::rustls::QuicClientConfig::try_from(keys.client_config()?)
+        .wrap_err("set up QUIC client keys")?;
+    let mut config = ClientConfig::new(Arc::new(crypto));
+    config.transport_config(transport()?);
+    endpoint.set_default_client_config(config);
+    Ok(endpoint)
+}
+
+/// An endpoint that takes entries' connections.
+pub fn server_endpoint(listen: SocketAddr, keys: &PeerKeys) -> Result<Endpoint> {
+    let crypto = quinn::crypto::rustls::QuicServerConfig::try_from(keys.server_config()?)
+        .wrap_err("set up QUIC server keys")?;
+    let mut config = ServerConfig::with_crypto(Arc::new(crypto));
+    config.transport_config(transport()?);
+    Endpoint::server(config, listen).wrap_err_with(|| format!("bind QUIC on {listen}"))
+}
+
+fn transport() -> Result<Arc<TransportConfig>> {
+    let mut transport = TransportConfig::default();
+    transport
+        .max_concurrent_bidi_streams(VarInt::from_u32(STREAM_LIMIT))
+        .max_concurrent_uni_streams(VarInt::from_u32(0))
+        .max_idle_timeout(Some(IdleTimeout::try_from(IDLE_TIMEOUT).wrap_err("idle timeout")?))
+        .stream_receive_window(VarInt::from_u32(STREAM_WINDOW))
+        .receive_window(VarInt::from_u32(CONNECTION_WINDOW))
+        .initial_rtt(INITIAL_ROUND_TRIP);
+    Ok(Arc::new(transport))
+}
--- /dev/null
+++ b/crates/daemon/src/options.rs
@@ -0,0 +1,8 @@
+//! Arguments, and the checked settings made from them.
+
+pub mod arguments;
+pub mod constants;
+pub mod settings;
+
+pub use arguments::DaemonArguments;
+pub use settings::{AgentSettings, CommonSettings, DaemonSettings, EntrySettings};
--- /dev/null
+++ b/crates/daemon/src/options/arguments.rs
@@ -0,0 +1,150 @@
+//! Arguments and environment variables, as written.
+
+use bpaf::{Args, Bpaf, ParseFailure};
+use std::{net::SocketAddr, process::ExitCode};
+
+/// Width of help texts.
+const HELP_WIDTH: usize = 100;
+
+/// Serves LoRA adapters: `entry` takes callers' requests, `agent` speaks for one target.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(options, version, generate(daemon_arguments))]
+pub enum DaemonArguments {
+    /// Takes callers' HTTP requests and offers them to agents
+    #[bpaf(command("entry"))]
+    Entry(#[bpaf(external(entry_arguments))] EntryArguments),
+    /// Speaks for the one target beside it: an engine or a plain service
+    #[bpaf(command("agent"))]
+    Agent(#[bpaf(external(agent_arguments))] AgentArguments),
+}
+
+/// What both roles are told.
+#[derive(Clone, Debug, Bpaf)]
+pub struct CommonArguments {
+    /// Name of this process; for an agent, of its target and host
+    #[bpaf(long, argument("NAME"), env("PLANTAIN_NAME"))]
+    pub name: String,
+    /// Region of this host
+    #[bpaf(long, argument("REGION"), env("PLANTAIN_REGION"))]
+    pub region: String,
+    /// Availability zone of this host
+    #[bpaf(long, argument("ZONE"), env("PLANTAIN_ZONE"))]
+    pub zone: String,
+    /// Address of the platform's object API
+    #[bpaf(long, argument("ADDR"), env("PLANTAIN_PLATFORM"))]
+    pub platform: SocketAddr,
+    /// Address for /metrics, /status, /healthz and /readyz
+    #[bpaf(long, argument("ADDR"), env("PLANTAIN_ADMIN"))]
+    pub admin: SocketAddr,
+    /// Key of the links between processes: 64 hexadecimal digits; better set by
+    /// environment variable, where other users of the host cannot read it
+    #[bpaf(long("peer-key"), argument("HEX"), env("PLANTAIN_PEER_KEY"))]
+    pub peer_key: String,
+    /// A further key that peers may use, while keys are being changed
+    #[bpaf(long("accept-key"), argument("HEX"), env("PLANTAIN_ACCEPT_KEY"))]
+    pub accept_key: Option<String>,
+    /// Least important log lines to write: error, warning, info or debug (default: info)
+    #[bpaf(
+        long("log-level"),
+        argument("LEVEL"),
+        env("PLANTAIN_LOG_LEVEL"),
+        fallback("info".into())
+    )]
+    pub log_level: String,
+    /// Prints the settings in force, with secrets hidden, and exits
+    #[bpaf(long, switch)]
+    pub check: bool,
+}
+
+/// What an entry is told.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(entry_arguments))]
+pub struct EntryArguments {
+    /// What both roles are told.
+    #[bpaf(external(common_arguments))]
+    pub common: CommonArguments,
+    /// Address for callers
+    #[bpaf(long, argument("ADDR"), env("PLANTAIN_LISTEN"))]
+    pub listen: SocketAddr,
+    /// How targets are chosen: random, least-outstanding, hash or cost (default: cost)
+    #[bpaf(long, argument("POLICY"), env("PLANTAIN_POLICY"), fallback("cost".into()))]
+    pub policy: String,
+    /// Largest body of a request in bytes (default: 8388608)
+    #[bpaf(long("body-limit"), argument("BYTES"), env("PLANTAIN_BODY_LIMIT"))]
+    pub body_limit: Option<usize>,
+    /// Connections held at once (default: 4096)
+    #[bpaf(long, argument("COUNT"), env("PLANTAIN_CONNECTIONS"))]
+    pub connections: Option<usize>,
+    /// Requests worked on at once (default: 2048)
+    #[bpaf(long, argument("COUNT"), env("PLANTAIN_REQUESTS"))]
+    pub requests: Option<usize>,
+}
+
+/// What an agent is told.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(agent_arguments))]
+pub struct AgentArguments {
+    /// What both roles are told.
+    #[bpaf(external(common_arguments))]
+    pub common: CommonArguments,
+    /// Address for entries (UDP); the slot's fixed port
+    #[bpaf(long, argument("ADDR"), env("PLANTAIN_LISTEN"))]
+    pub listen: SocketAddr,
+    /// Address of the target's HTTP API
+    #[bpaf(long, argument("ADDR"), env("PLANTAIN_TARGET"))]
+    pub target: SocketAddr,
+    /// Base model, if the target is an engine
+    #[bpaf(long, argument("NAME"), env("PLANTAIN_BASE"))]
+    pub base: Option<String>,
+    /// Service name, if the target is a plain service
+    #[bpaf(long, argument("NAME"), env("PLANTAIN_SERVICE"))]
+    pub service: Option<String>,
+    /// Address of the weight store; needed for an engine
+    #[bpaf(long("weight-store"), argument("ADDR"), env("PLANTAIN_WEIGHT_STORE"))]
+    pub weight_store: Option<SocketAddr>,
+    /// Adapters that the engine holds at once (default: 8)
+    #[bpaf(long, argument("COUNT"), env("PLANTAIN_SLOTS"))]
+    pub slots: Option<usize>,
+    /// Requests that the target runs at once (default: 16)
+    #[bpaf(long("batch-limit"), argument("COUNT"), env("PLANTAIN_BATCH_LIMIT"))]
+    pub batch_limit: Option<u32>,
+    /// Loads that the engine performs at once (default: 2)
+    #[bpaf(long("load-limit"), argument("COUNT"), env("PLANTAIN_LOAD_LIMIT"))]
+    pub load_limit: Option<usize>,
+    /// Loads a second that this agent may order by itself (default: 1)
+    #[bpaf(long("load-rate"), argument("RATE"), env("PLANTAIN_LOAD_RATE"))]
+    pub load_rate: Option<f64>,
+    /// Which adapter goes when slots are full: lru or worth (default: worth)
+    #[bpaf(long, argument("POLICY"), env("PLANTAIN_EVICTION"), fallback("worth".into()))]
+    pub eviction: String,
+    /// The engine refuses orders with an old fencing number; without this flag, the agent lets a
+    /// lease's time pass before its first order
+    #[bpaf(long("engine-checks-fencing"), switch)]
+    pub engine_checks_fencing: bool,
+}
+
+impl DaemonArguments {
+    /// Reads the command line. On an error, one line goes to stderr and the exit status is 2.
+    pub fn read() -> Result<Self, ExitCode> {
+        daemon_arguments().run_inner(Args::current_args()).map_err(|failure| match failure {
+            ParseFailure::Stderr(text) => {
+                let text = text.monochrome(true);
+                let line = text.split_whitespace().collect::<Vec<_>>().join(" ");
+                eprintln!("plantaind: {line}");
+                ExitCode::from(crate::USAGE_STATUS)
+            }
+            other => {
+                other.print_message(HELP_WIDTH);
+                ExitCode::SUCCESS
+            }
+        })
+    }
+
+    /// Whether only a check of the settings is wanted.
+    pub fn is_check(&self) -> bool {
+        match self {
+            Self::Entry(arguments) => arguments.common.check,
+            Self::Agent(arguments) => arguments.common.check,
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/options/settings.rs
@@ -0,0 +1,246 @@
+//! Checked settings.
+
+use super::{
+    arguments::{AgentArguments, CommonArguments, DaemonArguments, EntryArguments},
+    constants,
+};
+use crate::link::keys::PeerKeys;
+use plantain_core::{
+    agent::{TargetKind, residency::EvictionPolicy},
+    ids::check_name,
+    policy::RoutingPolicy,
+};
+use serde_json::json;
+use slog::Level;
+use std::{net::SocketAddr, sync::Arc};
+
+/// Settings of either role.
+#[derive(Clone, Debug)]
+pub enum DaemonSettings {
+    /// Of an entry.
+    Entry(EntrySettings),
+    /// Of an agent.
+    Agent(AgentSettings),
+}
+
+/// Settings that both roles have.
+#[derive(Clone, Debug)]
+pub struct CommonSettings {
+    /// Name of this process.
+    pub name: Arc<str>,
+    /// Region of this host.
+    pub region: Arc<str>,
+    /// Availability zone of this host.
+    pub zone: Arc<str>,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Address of the admin server.
+    pub admin: SocketAddr,
+    /// Keys of the links between processes.
+    pub keys: PeerKeys,
+    /// Least important log lines to write.
+    pub log_level: Level,
+}
+
+/// Settings of an entry.
+#[derive(Clone, Debug)]
+pub struct EntrySettings {
+    /// What both roles have.
+    pub common: CommonSettings,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// How targets are chosen.
+    pub policy: RoutingPolicy,
+    /// Largest body of a request, in bytes.
+    pub body_limit: usize,
+    /// Connections held at once.
+    pub connections: usize,
+    /// Requests worked on at once.
+    pub requests: usize,
+}
+
+/// Settings of an agent.
+#[derive(Clone, Debug)]
+pub struct AgentSettings {
+    /// What both roles have.
+    pub common: CommonSettings,
+    /// Address for entries.
+    pub listen: SocketAddr,
+    /// Address of the target.
+    pub target: SocketAddr,
+    /// What the target serves.
+    pub kind: TargetKind,
+    /// Address of the weight store; the listen address of a service's agent is never asked for it.
+    pub weight_store: Option<SocketAddr>,
+    /// Adapters that the engine holds at once.
+    pub slots: usize,
+    /// Requests that the target runs at once.
+    pub batch_limit: u32,
+    /// Loads that the engine performs at once.
+    pub load_limit: usize,
+    /// Loads a second that this agent may order by itself.
+    pub load_rate: f64,
+    /// Which adapter goes when slots are full.
+    pub eviction: EvictionPolicy,
+    /// Whether the engine refuses orders with an old fencing number.
+    pub engine_checks_fencing: bool,
+}
+
+impl DaemonSettings {
+    /// Checks arguments; the error names the flag and what it expects.
+    pub fn new(arguments: DaemonArguments) -> Result<Self, String> {
+        match arguments {
+            DaemonArguments::Entry(arguments) => EntrySettings::new(&arguments).map(Self::Entry),
+            DaemonArguments::Agent(arguments) => AgentSettings::new(&arguments).map(Self::Agent),
+        }
+    }
+
+    /// The settings as JSON, with secrets hidden.
+    pub fn describe(&self) -> String {
+        let value = match self {
+            Self::Entry(settings) => settings.describe(),
+            Self::Agent(settings) => settings.describe(),
+        };
+        serde_json::to_string_pretty(&value).unwrap_or_default()
+    }
+}
+
+impl CommonSettings {
+    fn new(arguments: &CommonArguments) -> Result<Self, String> {
+        check_name("--name", &arguments.name)?;
+        check_name("--region", &arguments.region)?;
+        check_name("--zone", &arguments.zone)?;
+        let keys = PeerKeys::new(&arguments.peer_key, arguments.accept_key.as_deref())?;
+        Ok(Self {
+            name: arguments.name.as_str().into(),
+            region: arguments.region.as_str().into(),
+            zone: arguments.zone.as_str().into(),
+            platform: arguments.platform,
+            admin: arguments.admin,
+            keys,
+            log_level: parse_level(&arguments.log_level)?,
+        })
+    }
+
+    fn describe(&self) -> serde_json::Value {
+        json!({
+            "name": self.name, "region": self.region, "zone": self.zone,
+            "platform": self.platform, "admin": self.admin, "peer_key": "hidden",
+            "accept_key": self.keys.has_second().then_some("hidden"),
+            "log_level": self.log_level.as_str().to_lowercase(),
+        })
+    }
+}
+
+impl EntrySettings {
+    fn new(arguments: &EntryArguments) -> Result<Self, String> {
+        let common = CommonSettings::new(&arguments.common)?;
+        check_distinct(&[("--admin", common.admin), ("--listen", arguments.listen)])?;
+        let body_limit = arguments.body_limit.unwrap_or(constants::BODY_LIMIT);
+        let (floor, ceiling) = (constants::BODY_LIMIT_FLOOR, constants::BODY_LIMIT_CEILING);
+        if !(floor..=ceiling).contains(&body_limit) {
+            return Err(format!("--body-limit: expected from {floor} to {ceiling} bytes"));
+        }
+        Ok(Self {
+            common,
+            listen: arguments.listen,
+            policy: RoutingPolicy::parse(&arguments.policy)
+                .map_err(|e| format!("--policy: {e}"))?,
+            body_limit,
+            connections: positive("--connections", arguments.connections, constants::CONNECTIONS)?,
+            requests: positive("--requests", arguments.requests, constants::REQUESTS)?,
+        })
+    }
+
+    fn describe(&self) -> serde_json::Value {
+        json!({
+            "role": "entry", "common": self.common.describe(), "listen": self.listen,
+            "policy": self.policy.name(), "body_limit": self.body_limit,
+            "connections": self.connections, "requests": self.requests,
+        })
+    }
+}
+
+impl AgentSettings {
+    fn new(arguments: &AgentArguments) -> Result<Self, String> {
+        let common = CommonSettings::new(&arguments.common)?;
+        let kind = target_kind(arguments)?;
+        let is_engine = matches!(kind, TargetKind::Engine(_));
+        if is_engine && arguments.weight_store.is_none() {
+            return Err("--weight-store: needed with --base".into());
+        }
+        check_distinct(&[("--admin", common.admin), ("--target", arguments.target)])?;
+        let load_rate = arguments.load_rate.unwrap_or(constants::LOAD_RATE);
+        if !(load_rate > 0.0 && load_rate.is_finite()) {
+            return Err("--load-rate: expected a number above 0".into());
+        }
+        Ok(Self {
+            common,
+            listen: arguments.listen,
+            target: arguments.target,
+            kind,
+            weight_store: arguments.weight_store,
+            slots: positive("--slots", arguments.slots, constants::SLOTS)?,
+            batch_limit: positive("--batch-limit", arguments.batch_limit, constants::BATCH_LIMIT)?,
+            load_limit: positive("--load-limit", arguments.load_limit, constants::LOAD_LIMIT)?,
+            load_rate,
+            eviction: EvictionPolicy::parse(&arguments.eviction)
+                .map_err(|error| format!("--eviction: {error}"))?,
+            engine_checks_fencing: arguments.engine_checks_fencing,
+        })
+    }
+
+    fn describe(&self) -> serde_json::Value {
+        json!({
+            "role": "agent", "common": self.common.describe(), "listen": self.listen,
+            "target": self.target, "serves": self.kind, "weight_store": self.weight_store,
+            "slots": self.slots, "batch_limit": self.batch_limit, "load_limit": self.load_limit,
+            "load_rate": self.load_rate, "eviction": self.eviction.name(),
+            "engine_checks_fencing": self.engine_checks_fencing,
+        })
+    }
+}
+
+fn target_kind(arguments: &AgentArguments) -> Result<TargetKind, String> {
+    match (&arguments.base, &arguments.service) {
+        (Some(base), None) => {
+            check_name("--base", base)?;
+            Ok(TargetKind::Engine(base.as_str().into()))
+        }
+        (None, Some(service)) => {
+            check_name("--service", service)?;
+            Ok(TargetKind::Service(service.as_str().into()))
+        }
+        (Some(_), Some(_)) => Err("--base and --service: give only one of them".into()),
+        (None, None) => Err("--base or --service: give one of them".into()),
+    }
+}
+
+fn positive<T: Default + PartialEq>(flag: &str, given: Option<T>, default: T) -> Result<T, String> {
+    match given {
+        Some(value) if value == T::default() => Err(format!("{flag}: expected at least 1")),
+        Some(value) => Ok(value),
+        None => Ok(default),
+    }
+}
+
+fn check_distinct(addresses: &[(&str, SocketAddr)]) -> Result<(), String> {
+    for (index, (flag, address)) in addresses.iter().enumerate() {
+        for (other_flag, other) in &addresses[index + 1..] {
+            if address == other {
+                return Err(format!("{flag} and {other_flag}: both are {address}"));
+            }
+        }
+    }
+    Ok(())
+}
+
+fn parse_level(text: &str) -> Result<Level, String> {
+    match text {
+        "error" => Ok(Level::Error),
+        "warning" => Ok(Level::Warning),
+        "info" => Ok(Level::Info),
+        "debug" => Ok(Level::Debug),
+        _ => Err(format!("--log-level: `{text}` is not one of error, warning, info, debug")),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry.rs
@@ -0,0 +1,90 @@
+//! Metrics in Prometheus text, and the admin server.
+
+pub mod names;
+
+use eyre::{Result, WrapErr};
+use hyper::{Method, Request, StatusCode, body::Incoming};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
+use plantain_net::server::{
+    HttpHandler, HttpReply, ServerOptions, json_reply, serve, text_reply, typed_reply,
+};
+use serde_json::Value;
+use std::{future::Future, net::SocketAddr, time::Duration};
+use tokio::{net::TcpListener, sync::watch, time::interval};
+
+/// Connections that the admin server holds.
+const ADMIN_CONNECTIONS: usize = 64;
+/// Pause between upkeeps of the histograms.
+const UPKEEP_PAUSE: Duration = Duration::from_secs(5);
+/// Bounds of histograms of seconds.
+const SECOND_BOUNDS: [f64; 16] =
+    [0.001, 0.0025, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 0.8, 1.2, 1.9, 3.0, 5.0, 10.0, 30.0];
+/// Bounds of histograms of shares.
+const RATIO_BOUNDS: [f64; 10] = [0.1, 0.2, 0.3, 0.4, 0.5, 0.6, 0.7, 0.8, 0.9, 1.0];
+
+/// What the admin server shows of a role.
+pub trait StatusSource: Clone + Send + Sync + 'static {
+    /// Whether the balancer may send work.
+    fn is_ready(&self) -> bool;
+
+    /// The status page.
+    fn status(&self) -> impl Future<Output = Value> + Send;
+}
+
+/// Installs the recorder of all metrics.
+pub fn install() -> Result<PrometheusHandle> {
+    PrometheusBuilder::new()
+        .set_buckets_for_metric(Matcher::Suffix("_seconds".into()), &SECOND_BOUNDS)
+        .wrap_err("set histogram bounds")?
+        .set_buckets_for_metric(Matcher::Suffix("_ratio".into()), &RATIO_BOUNDS)
+        .wrap_err("set histogram bounds")?
+        .install_recorder()
+        .wrap_err("install metrics recorder")
+}
+
+#[derive(Clone)]
+struct AdminHandler<S> {
+    metrics: PrometheusHandle,
+    source: S,
+}
+
+impl<S: StatusSource> HttpHandler for AdminHandler<S> {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> HttpReply {
+        if request.method() != Method::GET {
+            return text_reply(StatusCode::METHOD_NOT_ALLOWED, "only GET\n");
+        }
+        match request.uri().path() {
+            "/metrics" => {
+                let text = self.metrics.render().into_bytes();
+                typed_reply(StatusCode::OK, "text/plain; version=0.0.4", text)
+            }
+            "/status" => json_reply(StatusCode::OK, &self.source.status().await),
+            "/healthz" => text_reply(StatusCode::OK, "ok\n"),
+            "/readyz" if self.source.is_ready() => text_reply(StatusCode::OK, "ready\n"),
+            "/readyz" => text_reply(StatusCode::SERVICE_UNAVAILABLE, "not ready\n"),
+            _ => text_reply(
+                StatusCode::NOT_FOUND,
+                "there are /metrics, /status, /healthz and /readyz\n",
+            ),
+        }
+    }
+}
+
+/// Serves the admin pages until `stopping`.
+pub async fn run<S: StatusSource>(
+    listener: TcpListener,
+    metrics: PrometheusHandle,
+    source: S,
+    stopping: watch::Receiver<bool>,
+) {
+    let upkeep = metrics.clone();
+    tokio::spawn(async move {
+        let mut ticks = interval(UPKEEP_PAUSE);
+        loop {
+            ticks.tick().await;
+            upkeep.run_upkeep();
+        }
+    });
+    let handler = AdminHandler { metrics, source };
+    serve(listener, handler, ServerOptions { connections: ADMIN_CONNECTIONS }, stopping).await;
+}
--- /dev/null
+++ b/crates/daemon/src/telemetry/names.rs
@@ -0,0 +1,38 @@
+//! Names of the metrics; docs/OPERATING.md describes each.
+
+/// Requests ended, by kind and outcome.
+pub const REQUESTS: &str = "plantain_requests_total";
+/// Time from a request's head to the end of its answer.
+pub const REQUEST_SECONDS: &str = "plantain_request_seconds";
+/// Time from a request's head to the first byte of its answer.
+pub const FIRST_BYTE_SECONDS: &str = "plantain_first_byte_seconds";
+/// Time that requests waited for their adapter.
+pub const LOAD_STALL_SECONDS: &str = "plantain_load_stall_seconds";
+/// Requests in flight at an entry.
+pub const IN_FLIGHT: &str = "plantain_in_flight";
+/// Refusals by reason.
+pub const REFUSALS: &str = "plantain_refusals_total";
+/// Offers after the first.
+pub const RETRIES: &str = "plantain_retries_total";
+/// Share of the batch in use, sampled while the target runs anything.
+pub const BATCH_FILL_RATIO: &str = "plantain_batch_fill_ratio";
+/// Share of the batch in use now.
+pub const BATCH_FILL: &str = "plantain_batch_fill";
+/// Requests running at the target.
+pub const RUNNING: &str = "plantain_running";
+/// Requests accepted and waiting.
+pub const QUEUED: &str = "plantain_queued";
+/// Loads ended, by result.
+pub const LOADS: &str = "plantain_loads_total";
+/// Time that loads took.
+pub const LOAD_SECONDS: &str = "plantain_load_seconds";
+/// Evictions ordered.
+pub const EVICTIONS: &str = "plantain_evictions_total";
+/// Loads of adapters evicted within the last seconds.
+pub const THRASH: &str = "plantain_thrash_total";
+/// Revision of the configuration in force.
+pub const CONFIG_REVISION: &str = "plantain_config_revision";
+/// Targets known to an entry.
+pub const TARGETS: &str = "plantain_targets";
+/// Platform calls that failed.
+pub const PLATFORM_FAILURES: &str = "plantain_platform_failures_total";
--- /dev/null
+++ b/crates/net/src/body.rs
@@ -0,0 +1,78 @@
+//! Bodies of HTTP answers: whole, or streamed through a bounded channel.
+
+use bytes::Bytes;
+use hyper::body::{Body, Frame, SizeHint};
+use std::{
+    fmt,
+    pin::Pin,
+    task::{Context, Poll},
+};
+use tokio::sync::mpsc;
+
+/// Pieces that a streamed body holds before its producer must wait.
+pub const STREAM_DEPTH: usize = 32;
+
+/// Breaks off a body. The receiver sees a cut connection, never a short but well-formed answer.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct BodyAbort(pub String);
+
+impl fmt::Display for BodyAbort {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "answer broken off: {}", self.0)
+    }
+}
+
+impl std::error::Error for BodyAbort {}
+
+/// Sends the pieces of a streamed body.
+pub type BodySender = mpsc::Sender<Result<Bytes, BodyAbort>>;
+
+/// The body of an answer.
+#[derive(Debug)]
+pub enum ReplyBody {
+    /// All of it.
+    Whole(Option<Bytes>),
+    /// As it comes.
+    Streamed(mpsc::Receiver<Result<Bytes, BodyAbort>>),
+}
+
+impl ReplyBody {
+    /// A whole body.
+    pub fn new(bytes: impl Into<Bytes>) -> Self {
+        Self::Whole(Some(bytes.into()))
+    }
+
+    /// A streamed body and its sender.
+    pub fn channel() -> (BodySender, Self) {
+        let (sender, receiver) = mpsc::channel(STREAM_DEPTH);
+        (sender, Self::Streamed(receiver))
+    }
+}
+
+impl Body for ReplyBody {
+    type Data = Bytes;
+    type Error = BodyAbort;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAbort>>> {
+        match &mut *self {
+            Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Streamed(receiver) => {
+                receiver.poll_recv(context).map(|piece| piece.map(|piece| piece.map(Frame::data)))
+            }
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        matches!(self, Self::Whole(None))
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Whole(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Streamed(_) => SizeHint::default(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/net/src/lib.rs
@@ -0,0 +1,8 @@
+//! HTTP, the platform's object API and the configuration store, shared by the programs.
+
+pub mod backoff;
+pub mod body;
+pub mod client;
+pub mod config_store;
+pub mod platform;
+pub mod server;
--- /dev/null
+++ b/crates/net/src/platform.rs
@@ -0,0 +1,157 @@
+//! Client of the platform's object API: versioned objects, conditional updates, watches, hosts.
+
+pub mod records;
+
+use crate::client::{HttpAnswer, HttpClient, url};
+use bytes::Bytes;
+use hyper::{Method, StatusCode};
+use records::{HostRecord, ObjectList, ObjectRecord, PutAnswer};
+use serde::{Serialize, de::DeserializeOwned};
+use std::{fmt, net::SocketAddr, time::Duration};
+
+/// Longest wait for an answer other than a watch's.
+pub const CALL_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time that a watch waits for a change.
+pub const WATCH_TIME: Duration = Duration::from_secs(20);
+
+/// Why a platform call failed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum PlatformError {
+    /// The platform refused a conditional update: the object is at another version.
+    Conflict(u64),
+    /// There is no such object.
+    Missing,
+    /// The platform has had too many calls.
+    Busy(String),
+    /// No answer: a write may have taken effect all the same.
+    Unanswered(String),
+    /// The answer makes no sense.
+    Malformed(String),
+}
+
+impl fmt::Display for PlatformError {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Conflict(version) => write!(formatter, "platform: object is at {version}"),
+            Self::Missing => formatter.write_str("platform: no such object"),
+            Self::Busy(step) => write!(formatter, "platform: too many calls: {step}"),
+            Self::Unanswered(step) => write!(formatter, "platform: no answer: {step}"),
+            Self::Malformed(step) => write!(formatter, "platform: malformed answer: {step}"),
+        }
+    }
+}
+
+impl std::error::Error for PlatformError {}
+
+/// Result of a platform call.
+pub type PlatformResult<T> = Result<T, PlatformError>;
+
+/// A client of the platform.
+#[derive(Clone, Debug)]
+pub struct PlatformClient {
+    address: SocketAddr,
+    http: HttpClient,
+}
+
+impl PlatformClient {
+    /// A client of the platform at `address`.
+    pub fn new(address: SocketAddr, http: HttpClient) -> Self {
+        Self { address, http }
+    }
+
+    /// The platform's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Gets an object.
+    pub async fn get<T: DeserializeOwned>(
+        &self,
+        kind: &str,
+        name: &str,
+    ) -> PlatformResult<ObjectRecord<T>> {
+        let path = format!("/v1/objects/{kind}/{name}");
+        parse(&self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?)
+    }
+
+    /// Lists the objects of a kind.
+    pub async fn list<T: DeserializeOwned>(&self, kind: &str) -> PlatformResult<ObjectList<T>> {
+        let path = format!("/v1/objects/{kind}");
+        parse(&self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?)
+    }
+
+    /// Writes an object if it is at `version`; 0 means that it must not exist. Returns its new
+    /// version.
+    pub async fn put<T: Serialize + Sync>(
+        &self,
+        kind: &str,
+        name: &str,
+        version: u64,
+        value: &T,
+    ) -> PlatformResult<u64> {
+        let path = format!("/v1/objects/{kind}/{name}?version={version}");
+        let body =
+            serde_json::to_vec(value).map_err(|e| PlatformError::Malformed(e.to_string()))?;
+        let answer = self.call(Method::PUT, &path, body.into(), CALL_TIMEOUT).await?;
+        Ok(parse::<PutAnswer>(&answer)?.version)
+    }
+
+    /// Deletes an object, whatever its version.
+    pub async fn delete(&self, kind: &str, name: &str) -> PlatformResult<()> {
+        let path = format!("/v1/objects/{kind}/{name}");
+        self.call(Method::DELETE, &path, Bytes::new(), CALL_TIMEOUT).await.map(drop)
+    }
+
+    /// Objects of a kind that have changed since `revision`, without waiting for a change.
+    pub async fn changes<T: DeserializeOwned>(
+        &self,
+        kind: &str,
+        revision: u64,
+    ) -> PlatformResult<ObjectList<T>> {
+        let path = format!("/v1/watch/{kind}?after={revision}&wait_ms=0");
+        parse(&self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?)
+    }
+
+    /// Waits until objects of a kind have changed since `revision`, or until [`WATCH_TIME`] is up.
+    pub async fn watch<T: DeserializeOwned>(
+        &self,
+        kind: &str,
+        revision: u64,
+    ) -> PlatformResult<ObjectList<T>> {
+        let wait = WATCH_TIME.as_millis();
+        let path = format!("/v1/watch/{kind}?after={revision}&wait_ms={wait}");
+        parse(&self.call(Method::GET, &path, Bytes::new(), WATCH_TIME + CALL_TIMEOUT).await?)
+    }
+
+    /// The platform's list of hosts, which lags.
+    pub async fn hosts(&self) -> PlatformResult<Vec<HostRecord>> {
+        parse(&self.call(Method::GET, "/v1/hosts", Bytes::new(), CALL_TIMEOUT).await?)
+    }
+
+    async fn call(
+        &self,
+        method: Method,
+        path: &str,
+        body: Bytes,
+        limit: Duration,
+    ) -> PlatformResult<HttpAnswer> {
+        let step = format!("{method} {path}");
+        let answer = self.http.call(method, &url(self.address, path), body, limit).await;
+        let answer = answer.map_err(|error| PlatformError::Unanswered(format!("{error:#}")))?;
+        match answer.status {
+            status if status.is_success() => Ok(answer),
+            StatusCode::NOT_FOUND => Err(PlatformError::Missing),
+            StatusCode::CONFLICT => {
+                Err(PlatformError::Conflict(parse::<PutAnswer>(&answer)?.version))
+            }
+            StatusCode::TOO_MANY_REQUESTS => Err(PlatformError::Busy(step)),
+            status => {
+                Err(PlatformError::Unanswered(format!("{step}: {status}: {}", answer.text())))
+            }
+        }
+    }
+}
+
+fn parse<T: DeserializeOwned>(answer: &HttpAnswer) -> PlatformResult<T> {
+    answer.json().map_err(|error| PlatformError::Malformed(format!("{error:#}")))
+}
--- /dev/null
+++ b/crates/net/src/server.rs
@@ -0,0 +1,157 @@
+//! An HTTP server over hyper: time limits against slow callers, a connection limit, and a graceful
+//! stop that lets requests in flight end.
+
+use crate::body::ReplyBody;
+use eyre::{Result, WrapErr};
+use hyper::{
+    Request, Response, StatusCode,
+    body::Incoming,
+    header::{CONTENT_TYPE, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use serde::Serialize;
+use std::{
+    convert::Infallible,
+    future::Future,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, watch},
+    time::sleep,
+};
+
+/// Time in which a caller must send the head of a request; a half-open one is closed after it.
+const HEAD_TIMEOUT: Duration = Duration::from_secs(10);
+/// Largest head of a request.
+const HEAD_LIMIT: usize = 64 << 10;
+/// Pause after the listener failed, as when the process has no file descriptors left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// An answer to a request.
+pub type HttpReply = Response<ReplyBody>;
+
+/// Answers requests.
+pub trait HttpHandler: Clone + Send + Sync + 'static {
+    /// Answers one request of the connection from `peer`.
+    fn handle(
+        &self,
+        request: Request<Incoming>,
+        peer: SocketAddr,
+    ) -> impl Future<Output = HttpReply> + Send;
+}
+
+/// Limits of a server.
+#[derive(Clone, Debug)]
+pub struct ServerOptions {
+    /// Connections held at once; further ones wait in the listen queue.
+    pub connections: usize,
+}
+
+/// Binds a listener.
+pub async fn bind(address: SocketAddr, purpose: &str) -> Result<TcpListener> {
+    TcpListener::bind(address).await.wrap_err_with(|| format!("bind {purpose} on {address}"))
+}
+
+/// Serves until `stopping` turns true, then until the requests in flight have ended.
+pub async fn serve<H: HttpHandler>(
+    listener: TcpListener,
+    handler: H,
+    options: ServerOptions,
+    mut stopping: watch::Receiver<bool>,
+) {
+    let places = Arc::new(Semaphore::new(options.connections));
+    let open = Arc::new(AtomicUsize::new(0));
+    loop {
+        let place = tokio::select! {
+            place = Arc::clone(&places).acquire_owned() => place.expect("never closed"),
+            _ = stopping.wait_for(|stop| *stop) => break,
+        };
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            _ = stopping.wait_for(|stop| *stop) => break,
+        };
+        let Ok((stream, peer)) = accepted else {
+            sleep(ACCEPT_PAUSE).await;
+            continue;
+        };
+        let guard = ConnectionGuard::new(Arc::clone(&open));
+        let (handler, stopping) = (handler.clone(), stopping.clone());
+        tokio::spawn(async move {
+            serve_connection(stream, peer, handler, stopping).await;
+            drop((place, guard));
+        });
+    }
+    drop(listener);
+    while open.load(Ordering::Acquire) > 0 {
+        sleep(Duration::from_millis(5)).await;
+    }
+}
+
+async fn serve_connection<H: HttpHandler>(
+    stream: TcpStream,
+    peer: SocketAddr,
+    handler: H,
+    mut stopping: watch::Receiver<bool>,
+) {
+    // Small writes of a stream must not wait for the acknowledgement of the last.
+    let _ = stream.set_nodelay(true);
+    let service = service_fn(move |request| {
+        let handler = handler.clone();
+        async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEAD_TIMEOUT)
+        .max_buf_size(HEAD_LIMIT)
+        .half_close(false)
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    tokio::select! {
+        _ = connection.as_mut() => return,
+        _ = stopping.wait_for(|stop| *stop) => {}
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+struct ConnectionGuard(Arc<AtomicUsize>);
+
+impl ConnectionGuard {
+    fn new(open: Arc<AtomicUsize>) -> Self {
+        open.fetch_add(1, Ordering::AcqRel);
+        Self(open)
+    }
+}
+
+impl Drop for ConnectionGuard {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// An answer with a JSON body.
+pub fn json_reply<T: Serialize>(status: StatusCode, value: &T) -> HttpReply {
+    let body = serde_json::to_vec(value).unwrap_or_default();
+    typed_reply(status, "application/json", body)
+}
+
+/// An answer with a text body.
+pub fn text_reply(status: StatusCode, text: impl Into<String>) -> HttpReply {
+    typed_reply(status, "text/plain; charset=utf-8", text.into().into_bytes())
+}
+
+/// An answer with a body of the given type.
+pub fn typed_reply(status: StatusCode, content_type: &'static str, body: Vec<u8>) -> HttpReply {
+    let mut reply = Response::new(ReplyBody::new(body));
+    *reply.status_mut() = status;
+    reply.headers_mut().insert(CONTENT_TYPE, HeaderValue::from_static(content_type));
+    reply
+}
