--- /dev/null
+++ b/crates/standin/src/demo.rs
@@ -0,0 +1,131 @@
+//! The demo: a small complete system on loopback, real requests, and lines to try by hand.
+
+use crate::{
+    call::ChatCall,
+    cluster::{Cluster, plan::ClusterPlan},
+    options::DemoArguments,
+};
+use eyre::{Result, WrapErr, ensure};
+use std::{env, fmt::Write, fs, process::Command};
+use tokio::sync::watch;
+
+/// Adapters of the demo.
+const ADAPTERS: usize = 200;
+/// Requests of the demo: every so many adapters.
+const ADAPTER_STEP: usize = 17;
+/// Tokens of each answer.
+const TOKENS: u32 = 12;
+
+/// Runs the demo.
+pub async fn run(arguments: DemoArguments, mut stopping: watch::Receiver<bool>) -> Result<()> {
+    build_programs()?;
+    let plan = ClusterPlan::new(2, 3, &["kandy", "nuwara", "hatton"]);
+    println!("starting 2 entries, 3 engines with agents, 1 plain service");
+    let cluster = Cluster::start(plan).await?;
+    configure(&cluster).await?;
+    let wrong = send_requests(&cluster).await?;
+    if arguments.once {
+        ensure!(cluster.shut_down().await?, "a process did not stop in order");
+        ensure!(wrong == 0, "{wrong} answers were not whole and right");
+        println!("all answers whole and right; stopped gracefully");
+        return Ok(());
+    }
+    print_hints(&cluster);
+    let _ = stopping.wait_for(|stop| *stop).await;
+    cluster.shut_down().await.map(drop)
+}
+
+/// Under `cargo run` only this program is built; the demo needs the others too.
+fn build_programs() -> Result<()> {
+    let Some(cargo) = env::var_os("CARGO") else { return Ok(()) };
+    let mut command = Command::new(cargo);
+    command.args(["build", "--quiet", "--locked", "--workspace", "--bins"]);
+    if !cfg!(debug_assertions) {
+        command.arg("--release");
+    }
+    let status = command.status().wrap_err("run cargo build")?;
+    ensure!(status.success(), "cargo build failed");
+    Ok(())
+}
+
+async fn configure(cluster: &Cluster) -> Result<()> {
+    let mut lines = String::new();
+    for index in 0..ADAPTERS {
+        let name = adapter_name(index);
+        let current = 1 + index % 3;
+        writeln!(
+            lines,
+            r#"{{"name":"{name}","base":"scribe","versions":[1,2,3],"current":{current}}}"#
+        )?;
+    }
+    let file = cluster.directory().join("adapters.jsonl");
+    fs::write(&file, lines).wrap_err("write adapters")?;
+    let file = file.to_string_lossy().into_owned();
+    print!("{}", cluster.control_ok(&["adapter", "import", &file]).await?);
+    let service = ["service", "put", "desk", "--route", "POST /stamps once"];
+    print!("{}", cluster.control_ok(&service).await?);
+    let switched = ["--wait", "10", "preset", "put", "peak", "--batch-weight", "3"];
+    print!("{}", cluster.control_ok(&switched).await?);
+    Ok(())
+}
+
+fn adapter_name(index: usize) -> String {
+    format!("house-{index:04}")
+}
+
+/// Returns how many answers were wrong.
+async fn send_requests(cluster: &Cluster) -> Result<usize> {
+    let mut wrong = 0;
+    println!(
+        "\n{:<14} {:<16} {:<10} {:>9} {:>9}  answer",
+        "asked", "ran on", "target", "stall", "time"
+    );
+    for (round, index) in (0..ADAPTERS).step_by(ADAPTER_STEP).enumerate() {
+        let name = adapter_name(index);
+        let current = 1 + index % 3;
+        // Every other request names its version.
+        let (model, version) = match round % 2 {
+            0 => (name.clone(), current),
+            _ => (format!("{name}@3"), 3),
+        };
+        let mut call = ChatCall::new(&model, &format!("Is gate {round} open?"), TOKENS);
+        if round % 3 == 0 {
+            call = call.with_whole_answer();
+        }
+        let answer = call.send(cluster.http(), cluster.entry(round % 2)).await?;
+        let verdict = call.check(&answer, &format!("{name}@{version}"));
+        println!(
+            "{model:<14} {:<16} {:<10} {:>6} ms {:>6} ms  {}",
+            answer.header("x-plantain-adapter").unwrap_or("-"),
+            answer.header("x-plantain-target").unwrap_or("-"),
+            answer.header("x-plantain-load-stall-ms").unwrap_or("-"),
+            answer.last.as_millis(),
+            match &verdict {
+                Ok(()) => "whole and right".to_owned(),
+                Err(error) => format!("WRONG: {error:#}"),
+            }
+        );
+        wrong += usize::from(verdict.is_err());
+    }
+    Ok(wrong)
+}
+
+fn print_hints(cluster: &Cluster) {
+    let (entry, platform) = (cluster.entry(0), cluster.platform());
+    let folder =
+        env::current_exe().ok().and_then(|path| path.parent().map(|p| p.display().to_string()));
+    let control = format!("{}/plantainctl --platform {platform}", folder.unwrap_or_default());
+    println!(
+        r#"
+The system is up; Ctrl-C stops it. Try:
+
+  curl -N http://{entry}/v1/chat/completions -d '{{"model":"house-0042@3","stream":true,"max_tokens":8,"messages":[{{"role":"user","content":"Is the east gate open?"}}]}}'
+  curl http://{entry}/v1/models
+  curl http://{entry}/services/desk/stamps -d 'gate 7' -H 'idempotency-key: stamp-1'
+  curl http://{}/metrics
+  {control} status
+  {control} adapter roll-out house-0042 2
+  {control} --wait 5 preset switch peak"#,
+        cluster.entry_admin(0)
+    );
+}
--- /dev/null
+++ b/crates/standin/src/fault.rs
@@ -0,0 +1,280 @@
+//! A proxy that injects faults into TCP connections or UDP flows.
+
+use eyre::{Result, WrapErr};
+use http_body_util::BodyExt;
+use hyper::{Request, StatusCode, body::Incoming};
+use plantain_net::server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply};
+use rand::RngExt;
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicU64, Ordering},
+    },
+    time::Duration,
+};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::{TcpListener, TcpStream, UdpSocket},
+    sync::watch,
+    time::sleep,
+};
+
+/// Largest datagram.
+const DATAGRAM_LIMIT: usize = 65_536;
+
+/// Which transport a proxy carries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ProxyTransport {
+    /// Connections.
+    Tcp,
+    /// Datagrams.
+    Udp,
+}
+
+/// Settings of a proxy.
+#[derive(Clone, Debug)]
+pub struct ProxyOptions {
+    /// What it carries.
+    pub transport: ProxyTransport,
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Where it sends on.
+    pub upstream: SocketAddr,
+    /// Where it takes `POST /standin/faults`.
+    pub control: SocketAddr,
+}
+
+/// Faults of one direction.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct DirectionFaults {
+    /// Nothing passes, and nothing is closed.
+    pub stall: bool,
+    /// Everything is held back for this long.
+    pub delay_ms: u64,
+    /// Share of datagrams that are dropped.
+    pub drop: f64,
+    /// TCP: connections are closed once so many more bytes have passed; 0 means never.
+    pub cut_after: u64,
+}
+
+/// Faults of a proxy.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct ProxyFaults {
+    /// Connections are closed and refused; datagrams are dropped.
+    pub cut: bool,
+    /// Towards the upstream.
+    pub up: DirectionFaults,
+    /// Towards the client.
+    pub down: DirectionFaults,
+}
+
+#[derive(Clone, Copy)]
+enum ProxyDirection {
+    Up,
+    Down,
+}
+
+#[derive(Clone)]
+struct ProxyState {
+    faults: watch::Receiver<ProxyFaults>,
+    passed_up: Arc<AtomicU64>,
+    passed_down: Arc<AtomicU64>,
+}
+
+impl ProxyState {
+    fn direction(&self, direction: ProxyDirection) -> DirectionFaults {
+        let faults = self.faults.borrow();
+        match direction {
+            ProxyDirection::Up => faults.up,
+            ProxyDirection::Down => faults.down,
+        }
+    }
+
+    fn passed(&self, direction: ProxyDirection) -> &AtomicU64 {
+        match direction {
+            ProxyDirection::Up => &self.passed_up,
+            ProxyDirection::Down => &self.passed_down,
+        }
+    }
+
+    /// Waits out stalls and delays; false if the connection is to be cut.
+    async fn pass(&self, direction: ProxyDirection, bytes: usize) -> bool {
+        let mut faults = self.faults.clone();
+        let stalled = |faults: &ProxyFaults| match direction {
+            ProxyDirection::Up => faults.up.stall && !faults.cut,
+            ProxyDirection::Down => faults.down.stall && !faults.cut,
+        };
+        let _ = faults.wait_for(|faults| !stalled(faults)).await;
+        if self.faults.borrow().cut {
+            return false;
+        }
+        let set = self.direction(direction);
+        if set.delay_ms > 0 {
+            sleep(Duration::from_millis(set.delay_ms)).await;
+        }
+        let passed = self.passed(direction).fetch_add(bytes as u64, Ordering::AcqRel);
+        set.cut_after == 0 || passed < set.cut_after
+    }
+}
+
+#[derive(Clone)]
+struct ControlHandler {
+    faults: watch::Sender<ProxyFaults>,
+    state: ProxyState,
+}
+
+impl HttpHandler for ControlHandler {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> HttpReply {
+        let Ok(body) = request.into_body().collect().await else {
+            return text_reply(StatusCode::BAD_REQUEST, "body broken off");
+        };
+        let body = body.to_bytes();
+        if body.is_empty() {
+            return json_reply(StatusCode::OK, &*self.faults.borrow());
+        }
+        match serde_json::from_slice::<ProxyFaults>(&body) {
+            Ok(faults) => {
+                self.state.passed_up.store(0, Ordering::Release);
+                self.state.passed_down.store(0, Ordering::Release);
+                self.faults.send_replace(faults);
+                text_reply(StatusCode::OK, "set")
+            }
+            Err(error) => text_reply(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+}
+
+/// Runs the proxy until `stopping`.
+pub async fn run(options: ProxyOptions, stopping: watch::Receiver<bool>) -> Result<()> {
+    let (sender, receiver) = watch::channel(ProxyFaults::default());
+    let state =
+        ProxyState { faults: receiver, passed_up: Arc::default(), passed_down: Arc::default() };
+    let control = server::bind(options.control, "proxy control").await?;
+    let handler = ControlHandler { faults: sender, state: state.clone() };
+    let serving = server::serve(control, handler, ServerOptions { connections: 64 }, stopping);
+    match options.transport {
+        ProxyTransport::Tcp => {
+            let listener = server::bind(options.listen, "proxy").await?;
+            tokio::select! {
+                () = serving => {}
+                () = carry_tcp(listener, options.upstream, state) => {}
+            }
+        }
+        ProxyTransport::Udp => {
+            let socket = UdpSocket::bind(options.listen).await;
+            let socket = socket.wrap_err_with(|| format!("bind proxy on {}", options.listen))?;
+            tokio::select! {
+                () = serving => {}
+                () = carry_udp(socket, options.upstream, state) => {}
+            }
+        }
+    }
+    Ok(())
+}
+
+async fn carry_tcp(listener: TcpListener, upstream: SocketAddr, state: ProxyState) {
+    while let Ok((client, _)) = listener.accept().await {
+        if state.faults.borrow().cut {
+            continue;
+        }
+        let state = state.clone();
+        tokio::spawn(async move {
+            let Ok(server) = TcpStream::connect(upstream).await else { return };
+            let _ = (client.set_nodelay(true), server.set_nodelay(true));
+            let (client_read, client_write) = client.into_split();
+            let (server_read, server_write) = server.into_split();
+            let up = carry_stream(client_read, server_write, &state, ProxyDirection::Up);
+            let down = carry_stream(server_read, client_write, &state, ProxyDirection::Down);
+            let mut faults = state.faults.clone();
+            tokio::select! {
+                // A half-closed connection stays open in the other direction.
+                _ = async { tokio::join!(up, down) } => {}
+                _ = faults.wait_for(|faults| faults.cut) => {}
+            }
+        });
+    }
+}
+
+async fn carry_stream(
+    mut from: impl AsyncReadExt + Unpin,
+    mut to: impl AsyncWriteExt + Unpin,
+    state: &ProxyState,
+    direction: ProxyDirection,
+) {
+    let mut buffer = vec![0; 16 << 10];
+    while let Ok(count) = from.read(&mut buffer).await {
+        if count == 0 || !state.pass(direction, count).await {
+            break;
+        }
+        if to.write_all(&buffer[..count]).await.is_err() {
+            break;
+        }
+    }
+    let _ = to.shutdown().await;
+}
+
+async fn carry_udp(socket: UdpSocket, upstream: SocketAddr, state: ProxyState) {
+    let socket = Arc::new(socket);
+    let flows: Arc<Mutex<HashMap<SocketAddr, Arc<UdpSocket>>>> = Arc::default();
+    let mut buffer = vec![0; DATAGRAM_LIMIT];
+    while let Ok((count, client)) = socket.recv_from(&mut buffer).await {
+        let known = flows.lock().expect("no panic while locked").get(&client).cloned();
+        let flow = match known {
+            Some(flow) => flow,
+            None => match open_flow(&socket, client, upstream, &state).await {
+                Some(flow) => {
+                    flows.lock().expect("no panic while locked").insert(client, Arc::clone(&flow));
+                    flow
+                }
+                None => continue,
+            },
+        };
+        let datagram = buffer[..count].to_vec();
+        let state = state.clone();
+        tokio::spawn(async move {
+            if pass_datagram(&state, ProxyDirection::Up, count).await {
+                let _ = flow.send(&datagram).await;
+            }
+        });
+    }
+}
+
+async fn open_flow(
+    socket: &Arc<UdpSocket>,
+    client: SocketAddr,
+    upstream: SocketAddr,
+    state: &ProxyState,
+) -> Option<Arc<UdpSocket>> {
+    let flow = Arc::new(UdpSocket::bind((upstream.ip(), 0)).await.ok()?);
+    flow.connect(upstream).await.ok()?;
+    let (back, reader, state) = (Arc::clone(socket), Arc::clone(&flow), state.clone());
+    tokio::spawn(async move {
+        let mut buffer = vec![0; DATAGRAM_LIMIT];
+        loop {
+            // A refused datagram shows as an error here; the upstream may come back.
+            let Ok(count) = reader.recv(&mut buffer).await else {
+                sleep(Duration::from_millis(5)).await;
+                continue;
+            };
+            let (datagram, back, state) = (buffer[..count].to_vec(), back.clone(), state.clone());
+            tokio::spawn(async move {
+                if pass_datagram(&state, ProxyDirection::Down, count).await {
+                    let _ = back.send_to(&datagram, client).await;
+                }
+            });
+        }
+    });
+    Some(flow)
+}
+
+/// Datagrams of a stalled direction are lost, as on a real network.
+async fn pass_datagram(state: &ProxyState, direction: ProxyDirection, count: usize) -> bool {
+    let set = state.direction(direction);
+    let dropped = set.drop > 0.0 && rand::rng().random_bool(set.drop.min(1.0));
+    !dropped && !set.stall && state.pass(direction, count).await
+}
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,81 @@
+//! Stand-ins for the systems that plantainroute serves, with the demo and the benchmarks.
+
+pub mod answer;
+pub mod call;
+pub mod cluster;
+pub mod demo;
+pub mod engine;
+pub mod fault;
+pub mod options;
+pub mod overhead;
+pub mod platform;
+pub mod service;
+pub mod weights;
+
+use eyre::{Result, WrapErr};
+use options::StandinCommand;
+use std::process::ExitCode;
+use tokio::{
+    runtime::Builder,
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+};
+
+/// Exit status of a wrong command line.
+const USAGE_STATUS: u8 = 2;
+
+/// Reads the command line and runs one stand-in or tool.
+pub fn run() -> ExitCode {
+    let command = match options::read() {
+        Ok(command) => command,
+        Err(code) => return code,
+    };
+    match run_command(command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("plantain-standin: {error:#}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn run_command(command: StandinCommand) -> Result<()> {
+    let runtime = Builder::new_current_thread().enable_all().build().wrap_err("start runtime")?;
+    runtime.block_on(async {
+        let stopping = stop_signal()?;
+        match command {
+            StandinCommand::Platform(arguments) => {
+                platform::run(arguments.into_options(), stopping).await
+            }
+            StandinCommand::Engine(arguments) => {
+                engine::run(arguments.into_options(), stopping).await
+            }
+            StandinCommand::Weights(arguments) => {
+                weights::run(arguments.into_options(), stopping).await
+            }
+            StandinCommand::Service(arguments) => {
+                service::run(arguments.into_options(), stopping).await
+            }
+            StandinCommand::Fault(arguments) => {
+                fault::run(arguments.into_options()?, stopping).await
+            }
+            StandinCommand::Demo(arguments) => demo::run(arguments, stopping).await,
+            StandinCommand::Overhead(arguments) => overhead::run(arguments).await,
+        }
+    })
+}
+
+fn stop_signal() -> Result<watch::Receiver<bool>> {
+    let mut terminate = signal(SignalKind::terminate()).wrap_err("listen for SIGTERM")?;
+    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("listen for SIGINT")?;
+    let (sender, receiver) = watch::channel(false);
+    tokio::spawn(async move {
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        sender.send_replace(true);
+        std::future::pending::<()>().await;
+    });
+    Ok(receiver)
+}
--- /dev/null
+++ b/crates/standin/src/platform.rs
@@ -0,0 +1,301 @@
+//! Stand-in for the platform: versioned objects, conditional writes, watches and a lagging host
+//! list, with faults that can be set at run time under `/standin/`.
+
+use bytes::Bytes;
+use eyre::Result;
+use http_body_util::BodyExt;
+use hyper::{Method, Request, StatusCode, body::Incoming};
+use plantain_net::{
+    platform::records::{HostRecord, ObjectList, ObjectRecord, PutAnswer},
+    server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply},
+};
+use serde::{Deserialize, Serialize};
+use serde_json::Value;
+use std::{
+    collections::{BTreeMap, HashMap, VecDeque},
+    net::SocketAddr,
+    sync::{Arc, Mutex, MutexGuard},
+    time::{Duration, Instant},
+};
+use tokio::{
+    sync::watch,
+    time::{sleep, timeout},
+};
+
+/// Largest value of an object.
+const VALUE_LIMIT: usize = 1 << 20;
+
+/// Settings of the stand-in.
+#[derive(Clone, Debug)]
+pub struct PlatformOptions {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Writes that it takes a second.
+    pub writes_per_second: u32,
+    /// Reads that it takes a second, waiting watches included.
+    pub reads_per_second: u32,
+    /// How far the host list lags.
+    pub host_lag: Duration,
+}
+
+/// Faults that a test sets with `POST /standin/faults`.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct PlatformFaults {
+    /// Every call fails with status 503.
+    pub down: bool,
+    /// Each call is answered this much later.
+    pub delay_ms: u64,
+    /// So many writes take effect, but their answers are lost.
+    pub lose_answers: u32,
+}
+
+/// Calls counted so far, from `GET /standin/calls`.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct CallCounts {
+    /// Gets, lists and host lists.
+    pub reads: u64,
+    /// Writes and deletions.
+    pub writes: u64,
+    /// Watches.
+    pub watches: u64,
+    /// Conditional writes refused.
+    pub conflicts: u64,
+    /// Calls over the rate.
+    pub limited: u64,
+}
+
+struct StoredObject {
+    version: u64,
+    value: Option<Value>,
+}
+
+#[derive(Default)]
+struct PlatformState {
+    objects: HashMap<String, BTreeMap<String, StoredObject>>,
+    version: u64,
+    hosts: VecDeque<(Instant, Vec<HostRecord>)>,
+    faults: PlatformFaults,
+    calls: CallCounts,
+    window: Option<Instant>,
+    window_reads: u32,
+    window_writes: u32,
+}
+
+#[derive(Clone)]
+struct PlatformHandler {
+    options: Arc<PlatformOptions>,
+    state: Arc<Mutex<PlatformState>>,
+    changed: watch::Sender<u64>,
+}
+
+/// Runs the stand-in until `stopping`.
+pub async fn run(options: PlatformOptions, stopping: watch::Receiver<bool>) -> Result<()> {
+    let listener = server::bind(options.listen, "platform stand-in").await?;
+    let handler = PlatformHandler {
+        options: Arc::new(options),
+        state: Arc::default(),
+        changed: watch::Sender::new(0),
+    };
+    server::serve(listener, handler, ServerOptions { connections: 4_096 }, stopping).await;
+    Ok(())
+}
+
+impl HttpHandler for PlatformHandler {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> HttpReply {
+        let (parts, body) = request.into_parts();
+        let Ok(body) = body.collect().await else {
+            return text_reply(StatusCode::BAD_REQUEST, "body broken off");
+        };
+        let path = parts.uri.path().to_owned();
+        let query = parts.uri.query().unwrap_or("").to_owned();
+        if let Some(step) = path.strip_prefix("/standin/") {
+            return self.control(step, &body.to_bytes());
+        }
+        let faults = self.state().faults.clone();
+        if faults.delay_ms > 0 {
+            sleep(Duration::from_millis(faults.delay_ms)).await;
+        }
+        if faults.down {
+            return text_reply(StatusCode::SERVICE_UNAVAILABLE, "platform is down");
+        }
+        self.answer(&parts.method, &path, &query, body.to_bytes()).await
+    }
+}
+
+impl PlatformHandler {
+    fn state(&self) -> MutexGuard<'_, PlatformState> {
+        self.state.lock().expect("no panic while locked")
+    }
+
+    async fn answer(&self, method: &Method, path: &str, query: &str, body: Bytes) -> HttpReply {
+        let is_write = matches!(*method, Method::PUT | Method::DELETE);
+        if !self.admit(is_write, path.starts_with("/v1/watch/")) {
+            return text_reply(StatusCode::TOO_MANY_REQUESTS, "rate limit");
+        }
+        let parts: Vec<&str> = path.trim_start_matches("/v1/").split('/').collect();
+        match (method, parts.as_slice()) {
+            (&Method::GET, ["hosts"]) => json_reply(StatusCode::OK, &self.hosts()),
+            (&Method::GET, ["objects", kind]) => json_reply(StatusCode::OK, &self.list(kind, 0)),
+            (&Method::GET, ["objects", kind, name]) => self.get(kind, name),
+            (&Method::GET, ["watch", kind]) => self.watch(kind, query).await,
+            (&Method::PUT, ["objects", kind, name]) => self.put(kind, name, query, &body),
+            (&Method::DELETE, ["objects", kind, name]) => self.delete(kind, name),
+            _ => text_reply(StatusCode::NOT_FOUND, "no such call"),
+        }
+    }
+
+    fn admit(&self, is_write: bool, is_watch: bool) -> bool {
+        let mut state = self.state();
+        let now = Instant::now();
+        if state.window.is_none_or(|start| now - start >= Duration::from_secs(1)) {
+            state.window = Some(now);
+            (state.window_reads, state.window_writes) = (0, 0);
+        }
+        let admitted = if is_write {
+            state.window_writes += 1;
+            state.calls.writes += 1;
+            state.window_writes <= self.options.writes_per_second
+        } else {
+            state.window_reads += 1;
+            state.calls.reads += u64::from(!is_watch);
+            state.calls.watches += u64::from(is_watch);
+            state.window_reads <= self.options.reads_per_second
+        };
+        state.calls.limited += u64::from(!admitted);
+        admitted
+    }
+
+    fn hosts(&self) -> Vec<HostRecord> {
+        let mut state = self.state();
+        let due = Instant::now().checked_sub(self.options.host_lag);
+        while state.hosts.len() > 1 && due.is_some_and(|due| state.hosts[1].0 <= due) {
+            state.hosts.pop_front();
+        }
+        state.hosts.front().map(|(_, hosts)| hosts.clone()).unwrap_or_default()
+    }
+
+    fn list(&self, kind: &str, after: u64) -> ObjectList<Value> {
+        let state = self.state();
+        let objects = state.objects.get(kind).into_iter().flatten();
+        let items = objects
+            .filter(|(_, object)| object.version > after && (after > 0 || object.value.is_some()))
+            .map(|(name, object)| ObjectRecord {
+                name: name.clone(),
+                version: object.version,
+                value: object.value.clone(),
+            })
+            .collect();
+        ObjectList { items, revision: state.version }
+    }
+
+    fn get(&self, kind: &str, name: &str) -> HttpReply {
+        let state = self.state();
+        match state.objects.get(kind).and_then(|objects| objects.get(name)) {
+            Some(StoredObject { version, value: Some(value) }) => json_reply(
+                StatusCode::OK,
+                &ObjectRecord { name: name.into(), version: *version, value: Some(value) },
+            ),
+            _ => text_reply(StatusCode::NOT_FOUND, "no such object"),
+        }
+    }
+
+    async fn watch(&self, kind: &str, query: &str) -> HttpReply {
+        let after = query_number(query, "after").unwrap_or(0);
+        let wait = Duration::from_millis(query_number(query, "wait_ms").unwrap_or(0));
+        let mut changed = self.changed.subscribe();
+        let deadline = Instant::now() + wait;
+        loop {
+            changed.mark_unchanged();
+            let list = self.list(kind, after);
+            let left = deadline.saturating_duration_since(Instant::now());
+            if !list.items.is_empty() || left.is_zero() {
+                return json_reply(StatusCode::OK, &list);
+            }
+            let _ = timeout(left, changed.changed()).await;
+            if self.state().faults.down {
+                return text_reply(StatusCode::SERVICE_UNAVAILABLE, "platform is down");
+            }
+        }
+    }
+
+    fn put(&self, kind: &str, name: &str, query: &str, body: &Bytes) -> HttpReply {
+        if body.len() > VALUE_LIMIT {
+            return text_reply(StatusCode::PAYLOAD_TOO_LARGE, "value over a megabyte");
+        }
+        let Ok(value) = serde_json::from_slice::<Value>(body) else {
+            return text_reply(StatusCode::BAD_REQUEST, "value is not JSON");
+        };
+        let Some(wanted) = query_number(query, "version") else {
+            return text_reply(StatusCode::BAD_REQUEST, "version is missing");
+        };
+        let mut state = self.state();
+        let objects = state.objects.entry(kind.to_owned()).or_default();
+        let current = objects.get(name).filter(|o| o.value.is_some()).map_or(0, |o| o.version);
+        if current != wanted {
+            state.calls.conflicts += 1;
+            return json_reply(StatusCode::CONFLICT, &PutAnswer { version: current });
+        }
+        self.store(state, kind, name, Some(value))
+    }
+
+    fn delete(&self, kind: &str, name: &str) -> HttpReply {
+        let state = self.state();
+        let known = state.objects.get(kind).and_then(|objects| objects.get(name));
+        if known.is_none_or(|object| object.value.is_none()) {
+            return text_reply(StatusCode::NOT_FOUND, "no such object");
+        }
+        self.store(state, kind, name, None)
+    }
+
+    fn store(
+        &self,
+        mut state: MutexGuard<'_, PlatformState>,
+        kind: &str,
+        name: &str,
+        value: Option<Value>,
+    ) -> HttpReply {
+        state.version += 1;
+        let version = state.version;
+        let objects = state.objects.entry(kind.to_owned()).or_default();
+        objects.insert(name.to_owned(), StoredObject { version, value });
+        let lost = state.faults.lose_answers > 0;
+        state.faults.lose_answers = state.faults.lose_answers.saturating_sub(1);
+        drop(state);
+        self.changed.send_replace(version);
+        if lost {
+            return text_reply(StatusCode::GATEWAY_TIMEOUT, "answer lost");
+        }
+        json_reply(StatusCode::OK, &PutAnswer { version })
+    }
+
+    fn control(&self, step: &str, body: &Bytes) -> HttpReply {
+        let mut state = self.state();
+        match step {
+            "faults" => match serde_json::from_slice(body) {
+                Ok(faults) => {
+                    state.faults = faults;
+                    drop(state);
+                    // Waiting watches see an outage at once.
+                    self.changed.send_modify(|_| {});
+                    text_reply(StatusCode::OK, "set")
+                }
+                Err(error) => text_reply(StatusCode::BAD_REQUEST, error.to_string()),
+            },
+            "hosts" => match serde_json::from_slice(body) {
+                Ok(hosts) => {
+                    state.hosts.push_back((Instant::now(), hosts));
+                    text_reply(StatusCode::OK, "set")
+                }
+                Err(error) => text_reply(StatusCode::BAD_REQUEST, error.to_string()),
+            },
+            "calls" => json_reply(StatusCode::OK, &state.calls),
+            _ => text_reply(StatusCode::NOT_FOUND, "no such control"),
+        }
+    }
+}
+
+fn query_number(query: &str, name: &str) -> Option<u64> {
+    let pair = query.split('&').filter_map(|pair| pair.split_once('='));
+    pair.filter(|(key, _)| *key == name).find_map(|(_, value)| value.parse().ok())
+}
--- /dev/null
+++ b/crates/standin/src/service.rs
@@ -0,0 +1,81 @@
+//! Stand-in for a plain service: echoes each call and keeps a record of it, so that a test can
+//! count how often a key was executed.
+
+use eyre::Result;
+use http_body_util::BodyExt;
+use hyper::{Request, StatusCode, body::Incoming, header::HeaderValue};
+use plantain_net::server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply};
+use serde::{Deserialize, Serialize};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::Duration,
+};
+use tokio::{sync::watch, time::sleep};
+
+/// Settings of the stand-in.
+#[derive(Clone, Debug)]
+pub struct ServiceOptions {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Time that a call takes.
+    pub call_time: Duration,
+}
+
+/// One executed call.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct CallRecord {
+    /// HTTP method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// `Idempotency-Key` header.
+    pub key: Option<String>,
+    /// Size of the body.
+    pub body_bytes: usize,
+}
+
+#[derive(Clone)]
+struct ServiceHandler {
+    call_time: Duration,
+    calls: Arc<Mutex<Vec<CallRecord>>>,
+}
+
+/// Runs the stand-in until `stopping`.
+pub async fn run(options: ServiceOptions, stopping: watch::Receiver<bool>) -> Result<()> {
+    let listener = server::bind(options.listen, "service stand-in").await?;
+    let handler = ServiceHandler { call_time: options.call_time, calls: Arc::default() };
+    server::serve(listener, handler, ServerOptions { connections: 1_024 }, stopping).await;
+    Ok(())
+}
+
+impl HttpHandler for ServiceHandler {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> HttpReply {
+        let (parts, body) = request.into_parts();
+        let path = parts.uri.path_and_query().map_or("/", |path| path.as_str()).to_owned();
+        if path == "/standin/calls" {
+            let calls = self.calls.lock().expect("no panic while locked").clone();
+            return json_reply(StatusCode::OK, &calls);
+        }
+        let Ok(body) = body.collect().await else {
+            return text_reply(StatusCode::BAD_REQUEST, "body broken off");
+        };
+        let body = body.to_bytes();
+        let header =
+            |name| parts.headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
+        let call = CallRecord {
+            method: parts.method.to_string(),
+            path: path.clone(),
+            key: header("idempotency-key").map(str::to_owned),
+            body_bytes: body.len(),
+        };
+        self.calls.lock().expect("no panic while locked").push(call);
+        sleep(self.call_time).await;
+        let text = format!("{} {path}\n{}", parts.method, String::from_utf8_lossy(&body));
+        let mut reply = text_reply(StatusCode::OK, text);
+        if let Some(value) = parts.headers.get("x-echo") {
+            reply.headers_mut().insert("x-echo", value.clone());
+        }
+        reply
+    }
+}
--- /dev/null
+++ b/crates/standin/src/weights.rs
@@ -0,0 +1,122 @@
+//! Stand-in for the weight store: a rate limit, and full speed for only a few loads at once.
+
+use eyre::Result;
+use hyper::{Request, StatusCode, body::Incoming};
+use plantain_net::server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply};
+use serde::{Deserialize, Serialize};
+use std::{
+    net::SocketAddr,
+    sync::{Arc, Mutex},
+    time::{Duration, Instant},
+};
+use tokio::{sync::watch, time::sleep};
+
+/// Slices that a load is cut into, so that its speed follows the number of loads under way.
+const LOAD_SLICES: u32 = 20;
+
+/// Settings of the stand-in.
+#[derive(Clone, Debug)]
+pub struct WeightOptions {
+    /// Where it listens.
+    pub listen: SocketAddr,
+    /// Loads that may begin in a second; others are refused.
+    pub rate: f64,
+    /// Loads at full speed at once; more of them share that speed.
+    pub full_speed: u32,
+    /// Time of a load at full speed.
+    pub load_time: Duration,
+}
+
+/// What the store has done, from `GET /standin/counts`.
+#[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct WeightCounts {
+    /// Loads begun.
+    pub loads: u64,
+    /// Loads refused for the rate.
+    pub refused: u64,
+    /// Most loads at once.
+    pub peak: u32,
+    /// Loads under way.
+    pub active: u32,
+}
+
+#[derive(Default)]
+struct WeightState {
+    counts: WeightCounts,
+    tokens: f64,
+    refilled: Option<Instant>,
+}
+
+#[derive(Clone)]
+struct WeightHandler {
+    options: Arc<WeightOptions>,
+    state: Arc<Mutex<WeightState>>,
+}
+
+/// Runs the stand-in until `stopping`.
+pub async fn run(options: WeightOptions, stopping: watch::Receiver<bool>) -> Result<()> {
+    let listener = server::bind(options.listen, "weight store stand-in").await?;
+    let handler = WeightHandler { options: Arc::new(options), state: Arc::default() };
+    server::serve(listener, handler, ServerOptions { connections: 1_024 }, stopping).await;
+    Ok(())
+}
+
+impl HttpHandler for WeightHandler {
+    async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> HttpReply {
+        let path = request.uri().path();
+        if path == "/standin/counts" {
+            let counts = self.state.lock().expect("no panic while locked").counts;
+            return json_reply(StatusCode::OK, &counts);
+        }
+        let Some(name) = path.strip_prefix("/weights/").map(str::to_owned) else {
+            return text_reply(StatusCode::NOT_FOUND, "no such weights");
+        };
+        if !self.admit() {
+            return text_reply(StatusCode::TOO_MANY_REQUESTS, "over the load rate");
+        }
+        let _load = ActiveLoad::begin(Arc::clone(&self.state));
+        for _ in 0..LOAD_SLICES {
+            let active = self.state.lock().expect("no panic while locked").counts.active;
+            let slowdown = f64::from(active) / f64::from(self.options.full_speed);
+            sleep((self.options.load_time / LOAD_SLICES).mul_f64(slowdown.max(1.0))).await;
+        }
+        text_reply(StatusCode::OK, format!("weights of {name}"))
+    }
+}
+
+impl WeightHandler {
+    fn admit(&self) -> bool {
+        let mut state = self.state.lock().expect("no panic while locked");
+        let now = Instant::now();
+        let burst = self.options.rate.max(1.0);
+        let since = state.refilled.map(|refilled| now - refilled);
+        let earned = since.map_or(burst, |since| since.as_secs_f64() * self.options.rate);
+        state.tokens = (state.tokens + earned).min(burst);
+        state.refilled = Some(now);
+        if state.tokens < 1.0 {
+            state.counts.refused += 1;
+            return false;
+        }
+        state.tokens -= 1.0;
+        state.counts.loads += 1;
+        true
+    }
+}
+
+struct ActiveLoad(Arc<Mutex<WeightState>>);
+
+impl ActiveLoad {
+    fn begin(state: Arc<Mutex<WeightState>>) -> Self {
+        let mut locked = state.lock().expect("no panic while locked");
+        locked.counts.active += 1;
+        locked.counts.peak = locked.counts.peak.max(locked.counts.active);
+        drop(locked);
+        Self(state)
+    }
+}
+
+impl Drop for ActiveLoad {
+    fn drop(&mut self) {
+        self.0.lock().expect("no panic while locked").counts.active -= 1;
+    }
+}
--- /dev/null
+++ b/crates/standin/tests/integration/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the whole system: real processes, talking over loopback.
+
+mod path;
+mod support;
