Callers and peers share a thread; overhead measured against an engine of no time

Cause: each answer crossed a thread on its way between HTTP and QUIC, twice on each side, and the engine's steps were rounded up to the timer's millisecond, which hid what was measured. Change: link streams run on the callers' thread of the entry and on the targets' thread of the agent; decisions keep a thread of their own; a step of no time yields instead of sleeping.

--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -21,7 +21,7 @@
     net::TcpListener,
     runtime::Builder,
     sync::{mpsc, oneshot, watch},
-    task::LocalSet,
+    task::{LocalSet, spawn_local},
     time::timeout,
 };
 
@@ -45,7 +45,9 @@
 
         let (own, ring, log) = (settings.clone(), commands.clone(), logger.clone());
         let taken = epoch.clone();
-        duty::start("targets", move || targets::run(own, job_ring, ring, taken, log))?;
+        // The target's answers go straight to the peers' streams, so both share a thread. See
+        // docs/design/threads.md.
+        spawn_local(targets::run(own, job_ring, ring, taken, log));
         let (own, ring, log) = (settings.clone(), commands.clone(), logger.clone());
         let stop = stopping.clone();
         duty::start("platform", move || platform::run(own, ring, epoch_sender, stop, log))?;
@@ -62,7 +64,7 @@
             "peer" => %settings.target);
         let streams = streams::StreamServer::new(endpoint, commands.clone(), logger.clone());
         let serving = streams.clone();
-        tokio::task::spawn_local(async move { serving.run().await });
+        spawn_local(async move { serving.run().await });
 
         let _ = stopping.wait_for(|stop| *stop).await;
         info!(logger, "agent stops"; "step" => "stop");
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -24,7 +24,7 @@
 use tokio::{
     runtime::Builder,
     sync::{mpsc, watch},
-    task::LocalSet,
+    task::{LocalSet, spawn_local},
 };
 
 /// Runs an entry until it is told to stop and all requests in flight have ended.
@@ -45,7 +45,9 @@
         let policy = settings.clone();
         duty::start("decisions", move || decisions::run(policy, decision_ring))?;
         let (link, log) = (settings.clone(), logger.clone());
-        duty::start("peers", move || offers::run(link, offer_ring, log))?;
+        // Callers and peers share a thread: each answer crosses both, and a change of thread costs
+        // more than the work on either side. See docs/design/threads.md.
+        spawn_local(offers::run(link, offer_ring, log));
         let signals = Arc::new(EntrySignals::default());
         let (own, ring, log) = (settings.clone(), decisions.clone(), logger.clone());
         let marks = Arc::clone(&signals);
--- a/crates/standin/src/cluster/plan.rs
+++ b/crates/standin/src/cluster/plan.rs
@@ -56,6 +56,7 @@
             format!("--slots={}", plan.slots),
             format!("--batch-limit={}", plan.batch_limit),
             format!("--step-us={}", plan.step_us),
+            format!("--sequence-us={}", plan.sequence_us),
             format!("--adapter-us={}", plan.adapter_us),
             format!("--prompt-us={}", plan.prompt_us),
         ];
@@ -110,6 +111,8 @@
     pub batch_limit: usize,
     /// Time of an engine's step, in microseconds.
     pub step_us: u64,
+    /// Time that each sequence adds to a step, in microseconds.
+    pub sequence_us: u64,
     /// Time that each distinct adapter adds to a step, in microseconds.
     pub adapter_us: u64,
     /// Time that each prompt token adds to a step, in microseconds.
@@ -151,6 +154,7 @@
             slots: 8,
             batch_limit: 16,
             step_us: 2_000,
+            sequence_us: 20,
             adapter_us: 100,
             prompt_us: 5,
             store_rate: 100.0,
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -27,6 +27,7 @@
 };
 use tokio::{
     sync::{Notify, mpsc, watch},
+    task::yield_now,
     time::sleep,
 };
 
@@ -188,7 +189,12 @@
             let _ = tokio::time::timeout(Duration::from_millis(20), handler.work.notified()).await;
             continue;
         };
-        sleep(duration).await;
+        // The timer rounds up to a millisecond, which a step of no time must not pay.
+        if duration.is_zero() {
+            yield_now().await;
+        } else {
+            sleep(duration).await;
+        }
         let mut state = handler.state();
         let ended = state.batch.end_step();
         state.records.steps += 1;
--- a/crates/standin/src/overhead.rs
+++ b/crates/standin/src/overhead.rs
@@ -52,8 +52,9 @@
 /// Runs the measurement.
 pub async fn run(arguments: OverheadArguments) -> Result<()> {
     let mut plan = ClusterPlan::new(1, 1, &["kandy"]);
-    // An engine that takes no time, so that only the way to it is measured.
-    (plan.step_us, plan.adapter_us, plan.prompt_us) = (100, 0, 0);
+    // An engine that takes no time: its steps would be rounded up to the timer's millisecond, which
+    // is more than what is measured.
+    (plan.step_us, plan.sequence_us, plan.adapter_us, plan.prompt_us) = (0, 0, 0, 0);
     plan.batch_limit = 512;
     plan.log_level = "warning".into();
     let cluster = Cluster::start(plan).await?;
