Tests of the decisions: random histories of the agent, permits, choice, configuration

Cause: the state machines had only been seen through processes. Change: quickcheck over event orders of the agent and the permit desk, tables of cases for admission, resolution, edits, routes and choice.

--- /dev/null
+++ b/crates/core/tests/core/agent.rs
@@ -0,0 +1,483 @@
+//! The agent's state machine under events in any order.
+
+use plantain_core::{
+    agent::{
+        AgentOptions, AgentState, TargetKind,
+        events::{AgentAction, AgentEvent, LoadResult, OfferSummary, WorkId},
+        residency::EvictionPolicy,
+    },
+    ids::{AdapterKey, Timestamp},
+    protocol::{Priority, RefusalReason, WorkItem},
+};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
+
+const SLOTS: usize = 3;
+const BATCH: u32 = 4;
+const ADAPTERS: u32 = 7;
+
+fn key(index: u32) -> AdapterKey {
+    AdapterKey::new(format!("house-{index}"), 1)
+}
+
+fn options() -> AgentOptions {
+    AgentOptions {
+        kind: TargetKind::Engine("scribe".into()),
+        slots: SLOTS,
+        batch_limit: BATCH,
+        load_limit: 2,
+        eviction: EvictionPolicy::Worth,
+        residency_base: 0,
+    }
+}
+
+fn offer(work: WorkId, adapter: u32) -> OfferSummary {
+    OfferSummary {
+        work,
+        item: WorkItem::Completion { key: key(adapter), base: "scribe".into() },
+        idempotent: true,
+        priority: Priority::Normal,
+        caller: "desk".into(),
+        share: 1,
+        time_left: Duration::from_secs(30),
+        revision: 0,
+    }
+}
+
+/// A step of a random history. Numbers choose among what is possible at that point.
+#[derive(Clone, Debug)]
+enum Step {
+    Offer { adapter: u32, idempotent: bool, priority: usize, millis: u64 },
+    Release(usize),
+    Cancel(usize),
+    Finish(usize),
+    Missing(usize),
+    Permit(usize),
+    EndLoad(usize, u8),
+    EndEvict(bool),
+    Restart,
+    Down(bool),
+    Wait(u64),
+}
+
+impl Arbitrary for Step {
+    fn arbitrary(generator: &mut Gen) -> Self {
+        let pick = usize::arbitrary(generator) % 64;
+        match u8::arbitrary(generator) % 20 {
+            0..=5 => Self::Offer {
+                adapter: u32::arbitrary(generator) % ADAPTERS,
+                idempotent: u8::arbitrary(generator) % 4 > 0,
+                priority: pick % 3,
+                millis: 100 + u64::arbitrary(generator) % 5_000,
+            },
+            6 => Self::Release(pick),
+            7 => Self::Cancel(pick),
+            8..=9 => Self::Finish(pick),
+            10 => Self::Missing(pick),
+            11..=12 => Self::Permit(pick),
+            13..=14 => Self::EndLoad(pick, u8::arbitrary(generator) % 5),
+            15 => Self::EndEvict(pick % 5 > 0),
+            16 if pick < 8 => Self::Restart,
+            17 if pick < 16 => Self::Down(bool::arbitrary(generator)),
+            _ => Self::Wait(u64::arbitrary(generator) % 700),
+        }
+    }
+}
+
+/// The world round the state machine: an engine that does what it is told, and entries that note
+/// what they are told.
+struct World {
+    state: AgentState,
+    now: Timestamp,
+    next: WorkId,
+    offers: BTreeMap<WorkId, OfferSummary>,
+    accepted: BTreeSet<WorkId>,
+    released: BTreeSet<WorkId>,
+    running: BTreeSet<WorkId>,
+    ended: BTreeSet<WorkId>,
+    aborted: BTreeSet<WorkId>,
+    asked: Vec<AdapterKey>,
+    loading: BTreeSet<AdapterKey>,
+    loaded: BTreeSet<AdapterKey>,
+    evicting: Option<AdapterKey>,
+}
+
+impl World {
+    fn new() -> Self {
+        let mut world = Self {
+            state: AgentState::new(options()),
+            now: Duration::from_secs(1),
+            next: 0,
+            offers: BTreeMap::new(),
+            accepted: BTreeSet::new(),
+            released: BTreeSet::new(),
+            running: BTreeSet::new(),
+            ended: BTreeSet::new(),
+            aborted: BTreeSet::new(),
+            asked: Vec::new(),
+            loading: BTreeSet::new(),
+            loaded: BTreeSet::new(),
+            evicting: None,
+        };
+        world.event(AgentEvent::TargetUp(true));
+        world
+    }
+
+    fn event(&mut self, event: AgentEvent) {
+        for action in self.state.handle(event, self.now) {
+            self.act(action);
+        }
+        let held = self.loaded.len() + self.loading.len();
+        assert!(held <= SLOTS, "{held} adapters in {SLOTS} slots");
+        assert!(self.running.len() <= BATCH as usize, "batch overfull");
+    }
+
+    fn act(&mut self, action: AgentAction) {
+        match action {
+            AgentAction::Accept { work } => {
+                assert!(self.accepted.insert(work), "accepted twice");
+            }
+            AgentAction::Refuse { work, .. } => {
+                assert!(!self.running.contains(&work), "refused what runs");
+                assert!(self.ended.insert(work), "ended twice");
+            }
+            AgentAction::Start { work, .. } => {
+                let offer = &self.offers[&work];
+                assert!(self.accepted.contains(&work) && !self.ended.contains(&work));
+                assert!(offer.idempotent || self.released.contains(&work), "ran unreleased");
+                let ready = |key: &AdapterKey| offer.needs(key);
+                assert!(self.loaded.iter().any(ready), "started without its adapter");
+                assert!(self.running.insert(work), "started twice");
+            }
+            AgentAction::Abort { work } => {
+                assert!(self.offers[&work].idempotent, "aborted what may not be repeated");
+                self.aborted.insert(work);
+            }
+            AgentAction::AskPermit { key, .. } => self.asked.push(key),
+            AgentAction::Load { key } => {
+                assert!(!self.loaded.contains(&key), "loaded twice");
+                assert!(self.loading.insert(key), "ordered twice");
+            }
+            AgentAction::Evict { key } => {
+                let pinned = |work: &&WorkId| self.offers[work].needs(&key);
+                let open = self.accepted.difference(&self.ended);
+                assert!(open.clone().find(pinned).is_none(), "evicted {key} in use");
+                assert!(self.evicting.replace(key).is_none(), "two evictions at once");
+            }
+        }
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match *step {
+            Step::Offer { adapter, idempotent, priority, millis } => {
+                let work = self.next;
+                self.next += 1;
+                let offer = OfferSummary {
+                    idempotent,
+                    priority: Priority::ALL[priority],
+                    time_left: Duration::from_millis(millis),
+                    ..offer(work, adapter)
+                };
+                self.offers.insert(work, offer.clone());
+                self.event(AgentEvent::Offered(Box::new(offer)));
+            }
+            Step::Release(pick) => {
+                if let Some(work) = choose(&self.waiting(), pick) {
+                    self.released.insert(work);
+                    self.event(AgentEvent::Released(work));
+                }
+            }
+            Step::Cancel(pick) => {
+                if let Some(work) = choose(&self.waiting(), pick) {
+                    self.ended.insert(work);
+                    self.event(AgentEvent::Cancelled(work));
+                }
+            }
+            Step::Finish(pick) => {
+                if let Some(work) = choose(&self.running, pick) {
+                    self.finish(work);
+                }
+            }
+            Step::Missing(pick) => {
+                // Only a restart that the agent has not seen yet makes an engine lose an adapter.
+                if let Some(work) = choose(&self.running, pick) {
+                    self.running.remove(&work);
+                    let lost = self.offers[&work].clone();
+                    self.loaded.retain(|key| !lost.needs(key));
+                    self.event(AgentEvent::AdapterMissing(work));
+                }
+            }
+            Step::Permit(pick) => {
+                if !self.asked.is_empty() {
+                    let key = self.asked.remove(pick % self.asked.len());
+                    self.event(AgentEvent::LoadPermitted(key));
+                }
+            }
+            Step::EndLoad(pick, result) => {
+                if let Some(key) = choose(&self.loading, pick) {
+                    self.end_load(key, result);
+                }
+            }
+            Step::EndEvict(evicted) => {
+                if let Some(key) = self.evicting.take() {
+                    if evicted {
+                        self.loaded.remove(&key);
+                    }
+                    self.event(AgentEvent::EvictEnded { key, evicted });
+                }
+            }
+            Step::Restart => self.restart(),
+            Step::Down(down) => self.event(AgentEvent::TargetUp(!down)),
+            Step::Wait(millis) => {
+                self.now += Duration::from_millis(millis);
+                self.event(AgentEvent::Tick);
+            }
+        }
+    }
+
+    fn waiting(&self) -> BTreeSet<WorkId> {
+        let open = self.accepted.difference(&self.ended);
+        open.filter(|work| !self.running.contains(*work)).copied().collect()
+    }
+
+    fn finish(&mut self, work: WorkId) {
+        self.running.remove(&work);
+        assert!(self.ended.insert(work), "ended twice");
+        self.event(AgentEvent::Finished { work, service_time: Duration::from_millis(50) });
+    }
+
+    fn end_load(&mut self, key: AdapterKey, result: u8) {
+        self.loading.remove(&key);
+        let result = match result {
+            0 => LoadResult::Failed,
+            1 => LoadResult::StoreBusy,
+            _ => LoadResult::Loaded,
+        };
+        if result == LoadResult::Loaded {
+            self.loaded.insert(key.clone());
+        }
+        let took = Duration::from_millis(300);
+        self.event(AgentEvent::LoadEnded { key, result, took });
+    }
+
+    fn restart(&mut self) {
+        self.loaded.clear();
+        self.loading.clear();
+        self.evicting = None;
+        self.event(AgentEvent::TargetRestarted);
+        for work in std::mem::take(&mut self.running) {
+            self.finish(work);
+        }
+    }
+
+    /// Lets everything end, and checks that it does.
+    fn settle(&mut self) {
+        self.event(AgentEvent::TargetUp(true));
+        self.event(AgentEvent::Stopping);
+        for _ in 0..2_000 {
+            if self.state.is_drained() {
+                break;
+            }
+            while let Some(work) = choose(&self.running, 0) {
+                self.finish(work);
+            }
+            for key in std::mem::take(&mut self.asked) {
+                self.event(AgentEvent::LoadPermitted(key));
+            }
+            while let Some(key) = choose(&self.loading, 0) {
+                self.end_load(key, 4);
+            }
+            self.apply(&Step::EndEvict(true));
+            self.apply(&Step::Wait(100));
+        }
+        assert!(self.state.is_drained(), "work is left over");
+        assert_eq!(
+            self.accepted.difference(&self.ended).count(),
+            0,
+            "an accepted offer never ended"
+        );
+    }
+}
+
+fn choose<T: Clone + Ord>(set: &BTreeSet<T>, pick: usize) -> Option<T> {
+    set.iter().nth(pick % set.len().max(1)).cloned()
+}
+
+/// Whatever happens in whatever order, callers are told the truth once: nothing runs unreleased or
+/// without its adapter, nothing in use is evicted, slots and batch are never overfull, and every
+/// accepted offer ends exactly once.
+#[test]
+fn any_history_keeps_the_promises() {
+    fn property(steps: Vec<Step>) {
+        let mut world = World::new();
+        for step in &steps {
+            world.apply(step);
+        }
+        world.settle();
+    }
+    QuickCheck::new().tests(400).quickcheck(property as fn(Vec<Step>));
+}
+
+struct Admission {
+    name: &'static str,
+    prepare: fn(&mut AgentState),
+    change: fn(&mut OfferSummary),
+    reason: RefusalReason,
+}
+
+#[test]
+fn offers_that_cannot_be_served_are_refused_at_once() {
+    let cases = [
+        Admission {
+            name: "stopping",
+            prepare: |state| drop(state.handle(AgentEvent::Stopping, Duration::ZERO)),
+            change: |_| {},
+            reason: RefusalReason::Leaving,
+        },
+        Admission {
+            name: "lease lost",
+            prepare: |state| drop(state.handle(AgentEvent::LeaseHeld(false), Duration::ZERO)),
+            change: |_| {},
+            reason: RefusalReason::NoLease,
+        },
+        Admission {
+            name: "engine down",
+            prepare: |state| drop(state.handle(AgentEvent::TargetUp(false), Duration::ZERO)),
+            change: |_| {},
+            reason: RefusalReason::TargetDown,
+        },
+        Admission {
+            name: "another base model",
+            prepare: |_| {},
+            change: |offer| {
+                offer.item = WorkItem::Completion { key: key(1), base: "clerk".into() };
+            },
+            reason: RefusalReason::WrongTarget,
+        },
+        Admission {
+            name: "older configuration",
+            prepare: |state| {
+                let configured = AgentEvent::Configured { revision: 5, queue_limit: 8 };
+                drop(state.handle(configured, Duration::ZERO));
+            },
+            change: |offer| offer.revision = 4,
+            reason: RefusalReason::ConfigBehind,
+        },
+        Admission {
+            name: "deadline before the load could end",
+            prepare: |_| {},
+            change: |offer| offer.time_left = Duration::from_millis(20),
+            reason: RefusalReason::TooLate,
+        },
+    ];
+    for case in cases {
+        let mut state = AgentState::new(options());
+        state.handle(AgentEvent::TargetUp(true), Duration::ZERO);
+        (case.prepare)(&mut state);
+        let mut offer = offer(1, 1);
+        (case.change)(&mut offer);
+        let actions = state.handle(AgentEvent::Offered(Box::new(offer)), Duration::ZERO);
+        let refused = actions.iter().any(|action| {
+            matches!(action, AgentAction::Refuse { refusal, .. } if refusal.reason == case.reason)
+        });
+        assert!(refused, "{}: {actions:?}", case.name);
+    }
+}
+
+/// A busy caller and a quiet one wait for the same full engine. The busy one asked first and often;
+/// the quiet one's request must start as soon as one place is free, not behind the whole queue.
+#[test]
+fn busy_caller_does_not_starve_a_quiet_one() {
+    let mut state = AgentState::new(AgentOptions { batch_limit: 1, ..options() });
+    state.handle(AgentEvent::TargetUp(true), Duration::ZERO);
+    state.handle(AgentEvent::Inventory(vec![key(1)]), Duration::ZERO);
+    let mut started = Vec::new();
+    let mut tell = |state: &mut AgentState, event: AgentEvent| {
+        for action in state.handle(event, Duration::ZERO) {
+            if let AgentAction::Start { work, .. } = action {
+                started.push(work);
+            }
+        }
+    };
+    for work in 0..10 {
+        tell(&mut state, AgentEvent::Offered(Box::new(offer(work, 1))));
+    }
+    let quiet = OfferSummary { caller: "guide".into(), ..offer(99, 1) };
+    tell(&mut state, AgentEvent::Offered(Box::new(quiet)));
+    for work in 0..2 {
+        tell(&mut state, AgentEvent::Finished { work, service_time: Duration::from_millis(1) });
+    }
+    assert!(started.contains(&99), "started: {started:?}");
+}
+
+/// The queue is full of lower-priority work when an upper-priority request comes: the newest of the
+/// lower ones is given up on at once, with when to come back, and the upper one gets its place.
+#[test]
+fn upper_priority_takes_the_place_of_lower_work() {
+    let mut state = AgentState::new(AgentOptions { batch_limit: 1, ..options() });
+    state.handle(AgentEvent::TargetUp(true), Duration::ZERO);
+    state.handle(AgentEvent::Configured { revision: 1, queue_limit: 4 }, Duration::ZERO);
+    let with = |work, priority| OfferSummary { priority, revision: 1, ..offer(work, 1) };
+    let mut refused = Vec::new();
+    for work in 0..8 {
+        let event = AgentEvent::Offered(Box::new(with(work, Priority::Lower)));
+        for action in state.handle(event, Duration::ZERO) {
+            if let AgentAction::Refuse { work, refusal } = action {
+                assert!(refusal.retry_after.is_some());
+                refused.push(work);
+            }
+        }
+    }
+    assert_eq!(refused, [3, 4, 5, 6, 7], "the lower priority may fill half of the queue");
+    let mut shed = Vec::new();
+    for work in 10..13 {
+        let event = AgentEvent::Offered(Box::new(with(work, Priority::Upper)));
+        for action in state.handle(event, Duration::ZERO) {
+            if let AgentAction::Refuse { work, .. } = action {
+                shed.push(work);
+            }
+        }
+    }
+    assert_eq!(shed, [2], "one lower request makes room");
+}
+
+/// Two adapters want the last slot in turn. The one that was just loaded is worth more than its
+/// demand for a few seconds, so the other waits or goes elsewhere instead of pushing it out.
+#[test]
+fn fresh_adapter_outlives_an_older_one_of_equal_demand() {
+    let mut state = AgentState::new(options());
+    state.handle(AgentEvent::TargetUp(true), Duration::ZERO);
+    state.handle(AgentEvent::Inventory((0..3).map(key).collect()), Duration::ZERO);
+    let mut evicted = Vec::new();
+    for (round, adapter) in (3..6).enumerate() {
+        let now = Duration::from_secs(20) + Duration::from_millis(100) * round as u32;
+        let mut events = vec![AgentEvent::Offered(Box::new(offer(round as u64, adapter)))];
+        while let Some(event) = events.pop() {
+            for action in state.handle(event, now) {
+                match action {
+                    AgentAction::AskPermit { key, .. } => {
+                        events.push(AgentEvent::LoadPermitted(key));
+                    }
+                    AgentAction::Evict { key } => {
+                        evicted.push(key.clone());
+                        events.push(AgentEvent::EvictEnded { key, evicted: true });
+                    }
+                    AgentAction::Load { key } => events.push(AgentEvent::LoadEnded {
+                        key,
+                        result: LoadResult::Loaded,
+                        took: Duration::from_millis(10),
+                    }),
+                    AgentAction::Start { work, .. } => events.push(AgentEvent::Finished {
+                        work,
+                        service_time: Duration::from_millis(10),
+                    }),
+                    _ => {}
+                }
+            }
+        }
+    }
+    assert_eq!(evicted, [key(0), key(1), key(2)]);
+}
--- /dev/null
+++ b/crates/core/tests/core/main.rs
@@ -0,0 +1,7 @@
+//! Tests of the decisions, without processes.
+
+mod agent;
+mod config;
+mod entry;
+mod events;
+mod permits;
