Settings tests, and a measurement of what control costs as things grow

Cause: nothing showed what idle processes, connections and adapters cost. Change: plantain-standin scale; tests of both programs' settings and the codec.

--- a/crates/core/tests/core/agent.rs
+++ b/crates/core/tests/core/agent.rs
@@ -191,8 +191,11 @@
                 }
             }
             Step::Cancel(pick) => {
-                if let Some(work) = choose(&self.waiting(), pick) {
-                    self.ended.insert(work);
+                let open = self.accepted.difference(&self.ended).copied().collect();
+                if let Some(work) = choose(&open, pick) {
+                    if !self.running.contains(&work) {
+                        self.ended.insert(work);
+                    }
                     self.event(AgentEvent::Cancelled(work));
                 }
             }
--- /dev/null
+++ b/crates/daemon/tests/daemon/main.rs
@@ -0,0 +1,4 @@
+//! Tests of the daemon by itself.
+
+mod frames;
+mod settings;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod options;
 pub mod overhead;
 pub mod platform;
+pub mod scale;
 pub mod service;
 pub mod weights;
 
@@ -61,6 +62,7 @@
             }
             StandinCommand::Demo(arguments) => demo::run(arguments, stopping).await,
             StandinCommand::Overhead(arguments) => overhead::run(arguments).await,
+            StandinCommand::Scale(arguments) => scale::run(arguments).await,
         }
     })
 }
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -39,6 +39,9 @@
     /// Measures the time that entry and agent add to a call of the engine
     #[bpaf(command("overhead"))]
     Overhead(#[bpaf(external(overhead_arguments))] OverheadArguments),
+    /// Measures what control costs as adapters and connections grow
+    #[bpaf(command("scale"))]
+    Scale(#[bpaf(external(scale_arguments))] ScaleArguments),
 }
 
 /// Arguments of the platform.
@@ -232,6 +235,15 @@
     pub seconds: f64,
 }
 
+/// Arguments of the scale measurement.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(scale_arguments))]
+pub struct ScaleArguments {
+    /// Writes the figures to a file
+    #[bpaf(argument("FILE"))]
+    pub json: Option<PathBuf>,
+}
+
 /// Reads the command line.
 pub fn read() -> Result<StandinCommand, ExitCode> {
     standin_command().run_inner(Args::current_args()).map_err(|failure| {
