--- a/crates/daemon/src/agent/platform.rs
+++ b/crates/daemon/src/agent/platform.rs
@@ -6,14 +6,18 @@
     telemetry::names,
 };
 use metrics::{counter, gauge};
-use plantain_core::{agent::events::AgentEvent, entry::targets::TargetRecord};
+use plantain_core::{
+    agent::events::AgentEvent,
+    config::{ConfigRoot, PresetRecord, parts::PRESETS_PART},
+    entry::targets::TargetRecord,
+};
 use plantain_net::{
     backoff::{RetryBackoff, jitter},
     client::HttpClient,
     config_store::ConfigStore,
     platform::{
         PlatformClient, PlatformError, PlatformResult,
-        records::{SLOT_KIND, SlotRecord},
+        records::{ROOT_KIND, SLOT_KIND, SlotRecord},
     },
 };
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -28,8 +32,8 @@
 const FAILED_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause after failed platform calls.
 const FAILED_PAUSE_LIMIT: Duration = Duration::from_secs(5);
-/// Pause between looks at the configuration, for an agent that no offer tells of a newer one.
-const CONFIG_PAUSE: Duration = Duration::from_secs(3);
+/// Longest pause before an agent follows a change, so that a fleet of them does not come at once.
+const FOLLOW_PAUSE: Duration = Duration::from_millis(800);
 /// Longest wait for the slot to be marked as leaving; entries learn it from refusals anyway.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -51,7 +55,8 @@
     let taken = slot.take().await;
     epoch.send_replace(taken);
     let presets = PresetFollower {
-        store: ConfigStore::new(platform),
+        store: ConfigStore::new(platform.clone()),
+        platform,
         commands: commands.clone(),
         logger: logger.clone(),
     };
@@ -212,6 +217,7 @@
 
 /// Follows the revision and the preset in force.
 struct PresetFollower {
+    platform: PlatformClient,
     store: ConfigStore,
     commands: CommandSender,
     logger: Logger,
@@ -219,48 +225,86 @@
 
 impl Actor for PresetFollower {
     type Msg = LookMessage;
-    type State = u64;
+    type State = PresetState;
     type Arguments = ();
 
     async fn pre_start(
         &self,
         myself: ActorRef<LookMessage>,
         (): (),
-    ) -> Result<u64, ActorProcessingErr> {
+    ) -> Result<PresetState, ActorProcessingErr> {
         myself.cast(LookMessage)?;
-        Ok(0)
+        Ok(PresetState {
+            watched: 0,
+            root: ConfigRoot::default(),
+            preset: None,
+            backoff: RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT),
+        })
     }
 
     async fn handle(
         &self,
         myself: ActorRef<LookMessage>,
         _message: LookMessage,
-        revision: &mut u64,
+        state: &mut PresetState,
     ) -> Result<(), ActorProcessingErr> {
-        if let Err(failure) = self.look(revision).await {
-            counter!(names::PLATFORM_FAILURES).increment(1);
-            warn!(self.logger, "preset not read"; "step" => "follow preset", "error" => %failure);
-        }
-        myself.send_after(jitter(CONFIG_PAUSE), || LookMessage);
+        let pause = match self.look(state).await {
+            Ok(()) => {
+                state.backoff.reset();
+                Duration::ZERO
+            }
+            Err(failure) => {
+                counter!(names::PLATFORM_FAILURES).increment(1);
+                warn!(self.logger, "preset not read"; "step" => "follow preset",
+                    "error" => %failure);
+                state.backoff.next_pause()
+            }
+        };
+        myself.send_after(pause, || LookMessage);
         Ok(())
     }
 }
 
+/// What an agent follows of the configuration.
+struct PresetState {
+    watched: u64,
+    root: ConfigRoot,
+    preset: Option<PresetRecord>,
+    backoff: RetryBackoff,
+}
+
 impl PresetFollower {
-    async fn look(&self, revision: &mut u64) -> PlatformResult<()> {
-        let Some(root) = self.store.root().await?.and_then(|object| object.value) else {
-            return Ok(());
-        };
-        if root.revision <= *revision {
+    /// Waits for a newer root. A waiting watch counts as one call, so that a fleet of agents costs
+    /// the platform little while nothing changes.
+    async fn look(&self, state: &mut PresetState) -> PlatformResult<()> {
+        let list = self.platform.watch::<ConfigRoot>(ROOT_KIND, state.watched).await?;
+        if let Some(root) = list.items.into_iter().find_map(|item| item.value) {
+            self.follow(root, state).await?;
+        }
+        state.watched = list.revision;
+        Ok(())
+    }
+
+    async fn follow(&self, root: ConfigRoot, state: &mut PresetState) -> PlatformResult<()> {
+        if root.revision <= state.root.revision {
             return Ok(());
         }
-        let preset = self.store.preset(&root).await?;
-        *revision = root.revision;
+        let same = root.preset == state.root.preset
+            && root.parts.get(PRESETS_PART) == state.root.parts.get(PRESETS_PART);
+        let preset = match state.preset.take().filter(|_| same) {
+            Some(preset) => preset,
+            None => {
+                sleep(jitter(FOLLOW_PAUSE)).await;
+                self.store.preset(&root).await?
+            }
+        };
         gauge!(names::CONFIG_REVISION).set(root.revision as f64);
         info!(self.logger, "preset in force"; "step" => "preset", "revision" => root.revision,
             "preset" => &*preset.name);
         let event =
             AgentEvent::Configured { revision: root.revision, queue_limit: preset.queue_limit };
+        state.preset = Some(preset);
+        state.root = root;
         let _ = self.commands.send(AgentCommand::Event(event)).await;
         Ok(())
     }
--- a/crates/daemon/src/entry/platform.rs
+++ b/crates/daemon/src/entry/platform.rs
@@ -6,7 +6,10 @@
 };
 use crate::{options::EntrySettings, telemetry::names};
 use metrics::{counter, gauge};
-use plantain_core::{config::ConfigSnapshot, entry::targets::TargetRecord};
+use plantain_core::{
+    config::{ConfigRoot, ConfigSnapshot},
+    entry::targets::TargetRecord,
+};
 use plantain_net::{
     backoff::{RetryBackoff, jitter},
     client::HttpClient,
@@ -71,7 +74,7 @@
     announce(&settings, &platform, &logger).await;
     loop {
         signals.refresh_asked().await;
-        let _ = fetcher.cast(FetchMessage);
+        let _ = fetcher.cast(FetchMessage(None));
     }
 }
 
@@ -106,8 +109,8 @@
     }
 }
 
-/// Asks for the newest configuration.
-struct FetchMessage;
+/// Asks for the configuration that a root names, or else for the newest.
+struct FetchMessage(Option<ConfigRoot>);
 
 /// Asks for the next look.
 struct LookMessage;
@@ -131,18 +134,23 @@
         myself: ActorRef<FetchMessage>,
         (): (),
     ) -> Result<RetryBackoff, ActorProcessingErr> {
-        myself.cast(FetchMessage)?;
+        myself.cast(FetchMessage(None))?;
         Ok(RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT))
     }
 
     async fn handle(
         &self,
         myself: ActorRef<FetchMessage>,
-        _message: FetchMessage,
+        FetchMessage(root): FetchMessage,
         backoff: &mut RetryBackoff,
     ) -> Result<(), ActorProcessingErr> {
         let known = Arc::clone(&self.config.borrow());
-        match self.store.snapshot(&known).await {
+        let fetched = match root {
+            Some(root) if root.revision <= known.revision() => return Ok(()),
+            Some(root) => self.store.complete(root, &known).await,
+            None => self.store.snapshot(&known).await,
+        };
+        match fetched {
             Ok(snapshot) => {
                 backoff.reset();
                 self.publish(snapshot, known.revision()).await;
@@ -151,7 +159,7 @@
                 counter!(names::PLATFORM_FAILURES).increment(1);
                 warn!(self.logger, "configuration not read"; "step" => "fetch config",
                     "error" => %failure);
-                myself.send_after(backoff.next_pause(), || FetchMessage);
+                myself.send_after(backoff.next_pause(), || FetchMessage(None));
             }
         }
         Ok(())
@@ -199,12 +207,12 @@
         _message: LookMessage,
         (revision, backoff): &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
-        let watched = self.platform.watch::<serde::de::IgnoredAny>(ROOT_KIND, *revision).await;
+        let watched = self.platform.watch::<ConfigRoot>(ROOT_KIND, *revision).await;
         if let Ok(list) = watched {
             backoff.reset();
             *revision = list.revision;
-            if !list.items.is_empty() {
-                self.fetcher.cast(FetchMessage)?;
+            if let Some(root) = list.items.into_iter().find_map(|item| item.value) {
+                self.fetcher.cast(FetchMessage(Some(root)))?;
             }
         } else {
             counter!(names::PLATFORM_FAILURES).increment(1);
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -15,8 +15,9 @@
 
 /// Name that the TLS handshake carries; identity rests on the key alone.
 pub const PEER_NAME: &str = "plantain-peer";
-/// Requests in flight on one connection.
-const STREAM_LIMIT: u32 = 4_096;
+/// Requests in flight on one connection. The library sets up state for each stream that the other
+/// end may open, 90 bytes of it, so a high limit costs memory on every idle connection.
+const STREAM_LIMIT: u32 = 128;
 /// Time after which an unused connection is dropped, so that an entry holds connections to the
 /// agents that it uses and not to the whole fleet.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
