Load broker: one entry grants permits for the weight store, most urgent first

Cause: each agent loaded at a rate of its own, so a rush at one engine could not use what the others left of the store's 4 loads a second. Change: agents ask the entry that rendezvous hashing picks, one stream a load, whose end gives the permit back; without a broker an agent falls back to its own share. Load order by setting.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -175,6 +175,11 @@
         &self.residents
     }
 
+    /// Adapters that accepted work waits for.
+    pub fn loads_wanted(&self) -> usize {
+        self.loads.keys().count()
+    }
+
     /// How many requests of this target hold `key`, queued and reserved ones included.
     pub fn pins(&self, key: &AdapterKey) -> u32 {
         self.residents.pins(key)
@@ -442,8 +447,8 @@
         self.queue.remove(work);
         if let WorkItem::Completion { key, .. } = &record.offer.item {
             self.residents.unpin(key);
-            if self.residents.pins(key) == 0 {
-                self.loads.unwant(key);
+            if self.residents.pins(key) == 0 && self.loads.unwant(key) {
+                self.actions.push(AgentAction::DropPermit { key: key.clone() });
             }
         }
     }
--- a/crates/core/src/agent/events.rs
+++ b/crates/core/src/agent/events.rs
@@ -152,6 +152,11 @@
         /// How much it is wanted.
         urgency: LoadUrgency,
     },
+    /// Take back a claim for a permit: nobody waits for the adapter any more.
+    DropPermit {
+        /// The adapter.
+        key: AdapterKey,
+    },
     /// Order the engine to load.
     Load {
         /// The adapter.
--- a/crates/core/src/agent/loads.rs
+++ b/crates/core/src/agent/loads.rs
@@ -99,13 +99,16 @@
         load.deadline = load.deadline.min(deadline);
     }
 
-    /// Drops a load that nobody waits for any more, unless the engine is already at it.
-    pub fn unwant(&mut self, key: &AdapterKey) {
-        let idle = |load: &LoadRecord| !matches!(load.phase, LoadPhase::Started(_));
-        if self.loads.get(key).is_some_and(idle) {
-            self.loads.remove(key);
-            self.counter += 1;
+    /// Drops a load that nobody waits for any more, unless the engine is already at it. True if a
+    /// permit was asked for or held.
+    pub fn unwant(&mut self, key: &AdapterKey) -> bool {
+        let Some(phase) = self.loads.get(key).map(|load| load.phase) else { return false };
+        if matches!(phase, LoadPhase::Started(_)) {
+            return false;
         }
+        self.loads.remove(key);
+        self.counter += 1;
+        !matches!(phase, LoadPhase::Wanted(_))
     }
 
     /// The most urgent load that no permit was asked for.
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -4,11 +4,41 @@
     agent::events::LoadUrgency,
     ids::{AdapterKey, TargetName, Timestamp},
 };
+use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Time after which a granted permit counts as given back, whatever became of its holder.
 const PERMIT_TTL: Duration = Duration::from_secs(15);
 
+/// Which claim goes first.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum PermitOrder {
+    /// In the order of asking.
+    Fifo,
+    /// The most urgent first.
+    #[default]
+    Urgency,
+}
+
+impl PermitOrder {
+    /// Parses `fifo` or `urgency`.
+    pub fn parse(text: &str) -> Result<Self, String> {
+        match text {
+            "fifo" => Ok(Self::Fifo),
+            "urgency" => Ok(Self::Urgency),
+            _ => Err(format!("load order `{text}` is not one of fifo, urgency")),
+        }
+    }
+
+    /// The order's name.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Fifo => "fifo",
+            Self::Urgency => "urgency",
+        }
+    }
+}
+
 /// What the weight store allows.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct PermitLimits {
@@ -16,10 +46,12 @@
     pub rate: f64,
     /// Loads under way at once.
     pub active: usize,
+    /// Which claim goes first.
+    pub order: PermitOrder,
 }
 
 /// A permit that was asked for or granted.
-#[derive(Clone, Debug, Eq, Hash, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct PermitClaim {
     /// Who loads.
     pub target: TargetName,
@@ -50,6 +82,11 @@
         self.active.len()
     }
 
+    /// Whether a claim was granted and not given back.
+    pub fn holds(&self, claim: &PermitClaim) -> bool {
+        self.active.iter().any(|(active, _)| active == claim)
+    }
+
     /// Claims that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
@@ -105,6 +142,10 @@
             let (_, urgency, asked) = &self.waiting[index];
             LoadUrgency { waited: urgency.waited + now.saturating_sub(*asked), ..*urgency }
         };
-        (0..self.waiting.len()).max_by(|&a, &b| urgency(a).cmp(&urgency(b)))
+        let asked = |index: usize| self.waiting[index].2;
+        (0..self.waiting.len()).max_by(|&a, &b| match self.limits.order {
+            PermitOrder::Fifo => asked(b).cmp(&asked(a)),
+            PermitOrder::Urgency => urgency(a).cmp(&urgency(b)),
+        })
     }
 }
--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -5,10 +5,12 @@
 //! carry the answer. Every frame names its request, and an answer without `End` is incomplete.
 
 use crate::{
+    agent::events::LoadUrgency,
     ids::{
         AdapterDigest, AdapterKey, BaseName, CallerName, ConfigRevision, RequestId, ServiceName,
     },
     outcome::{Refusal, RunOutcome},
+    permits::PermitClaim,
 };
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -118,6 +120,26 @@
     pub body: Bytes,
 }
 
+/// Frames from agent to broker, one stream for each load. Ending the stream gives the permit back,
+/// so a broker need not trust agents to say so.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum PermitFrame {
+    /// Asks for a permit, or tells that its urgency has changed.
+    Ask {
+        /// Who loads what.
+        claim: PermitClaim,
+        /// How much it is wanted.
+        urgency: LoadUrgency,
+    },
+}
+
+/// The broker's answer on the same stream.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct GrantFrame {
+    /// Who may load what.
+    pub claim: PermitClaim,
+}
+
 /// Frames from entry to agent.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum EntryFrame {
--- a/crates/core/tests/core/agent.rs
+++ b/crates/core/tests/core/agent.rs
@@ -157,6 +157,7 @@
                 self.aborted.insert(work);
             }
             AgentAction::AskPermit { key, .. } => self.asked.push(key),
+            AgentAction::DropPermit { key } => self.asked.retain(|asked| *asked != key),
             AgentAction::Load { key } => {
                 assert!(!self.loaded.contains(&key), "loaded twice");
                 assert!(self.loading.insert(key), "ordered twice");
--- a/crates/core/tests/core/permits.rs
+++ b/crates/core/tests/core/permits.rs
@@ -3,12 +3,12 @@
 use plantain_core::{
     agent::events::LoadUrgency,
     ids::AdapterKey,
-    permits::{PermitClaim, PermitDesk, PermitLimits},
+    permits::{PermitClaim, PermitDesk, PermitLimits, PermitOrder},
 };
 use quickcheck::QuickCheck;
 use std::time::Duration;
 
-const LIMITS: PermitLimits = PermitLimits { rate: 4.0, active: 3 };
+const LIMITS: PermitLimits = PermitLimits { rate: 4.0, active: 3, order: PermitOrder::Urgency };
 
 fn claim(index: u64) -> PermitClaim {
     PermitClaim { target: "scribe-0".into(), key: AdapterKey::new(format!("house-{index}"), 1) }
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -2,6 +2,7 @@
 
 pub mod decisions;
 pub mod engine;
+pub mod permits;
 pub mod platform;
 pub mod streams;
 pub mod targets;
@@ -40,6 +41,8 @@
         let mut stopping = duty::stop_signal()?;
         let (commands, command_ring) = mpsc::channel(constants::RING_DEPTH);
         let (jobs, job_ring) = mpsc::channel(constants::RING_DEPTH);
+        let (permits, permit_ring) = mpsc::channel(constants::RING_DEPTH);
+        let (entry_sender, entries) = watch::channel(Vec::new());
         let (epoch_sender, epoch) = watch::channel(0);
         let (ended_sender, ended) = watch::channel(false);
 
@@ -50,7 +53,10 @@
         spawn_local(targets::run(own, job_ring, ring, taken, log));
         let (own, ring, log) = (settings.clone(), commands.clone(), logger.clone());
         let stop = stopping.clone();
-        duty::start("platform", move || platform::run(own, ring, epoch_sender, stop, log))?;
+        let senders = platform::PlatformSenders { epoch: epoch_sender, entries: entry_sender };
+        duty::start("platform", move || platform::run(own, ring, senders, stop, log))?;
+        let (own, ring, log) = (settings.clone(), commands.clone(), logger.clone());
+        duty::start("permits", move || permits::run(own, permit_ring, entries, ring, log))?;
         let source = AgentStatus { commands: commands.clone(), epoch: epoch.clone() };
         let admin = admin.into_std().wrap_err("hand over admin address")?;
         duty::start("telemetry", move || async move {
@@ -58,7 +64,8 @@
             telemetry::run(admin, metrics, source, ended).await;
         })?;
         let (own, log, taken) = (settings.clone(), logger.clone(), epoch.clone());
-        duty::start("decisions", move || decisions::run(own, command_ring, jobs, taken, log))?;
+        let rings = decisions::DecisionRings { commands: command_ring, jobs, permits };
+        duty::start("decisions", move || decisions::run(own, rings, taken, log))?;
 
         info!(logger, "agent listens"; "step" => "start", "listen" => %settings.listen,
             "peer" => %settings.target);
--- a/crates/daemon/src/agent/decisions.rs
+++ b/crates/daemon/src/agent/decisions.rs
@@ -1,6 +1,7 @@
 //! The decisions duty of an agent: owns the state machine, one command at a time.
 
 use super::{
+    permits::PermitJob,
     streams::ReplySender,
     targets::{RunJob, TargetJob},
 };
@@ -11,9 +12,8 @@
         AgentOptions, AgentState, TargetKind,
         events::{AgentAction, AgentEvent, LoadResult, OfferSummary, WorkId},
     },
-    ids::{AdapterKey, TargetName, Timestamp},
+    ids::{AdapterKey, Timestamp},
     outcome::Refusal,
-    permits::{PermitClaim, PermitDesk, PermitLimits},
     protocol::{AgentFrame, OfferFrame, PROTOCOL_VERSION, RefusalReason, TargetReport},
 };
 use serde_json::{Value, json};
@@ -37,6 +37,16 @@
 /// Sends commands to the decisions duty.
 pub type CommandSender = mpsc::Sender<AgentCommand>;
 
+/// The rings that join this duty to the others.
+pub struct DecisionRings {
+    /// What it is told.
+    pub commands: mpsc::Receiver<AgentCommand>,
+    /// Work for the target.
+    pub jobs: mpsc::Sender<TargetJob>,
+    /// Questions for load permits.
+    pub permits: mpsc::Sender<PermitJob>,
+}
+
 /// Commands.
 #[derive(Debug)]
 pub enum AgentCommand {
@@ -90,9 +100,9 @@
 struct DecisionDuty {
     settings: Arc<AgentSettings>,
     state: AgentState,
-    desk: PermitDesk,
     works: HashMap<WorkId, WorkChannel>,
     jobs: mpsc::Sender<TargetJob>,
+    permits: mpsc::Sender<PermitJob>,
     next_work: WorkId,
     started: Instant,
     drained: Option<oneshot::Sender<()>>,
@@ -103,14 +113,14 @@
 /// Runs until all senders are gone.
 pub async fn run(
     settings: Arc<AgentSettings>,
-    mut commands: mpsc::Receiver<AgentCommand>,
-    jobs: mpsc::Sender<TargetJob>,
+    rings: DecisionRings,
     mut epoch: watch::Receiver<u64>,
     logger: Logger,
 ) {
     // Nothing is decided before the slot is taken; offers wait in the ring until then.
     let Ok(taken) = epoch.wait_for(|epoch| *epoch > 0).await.map(|epoch| *epoch) else { return };
-    let mut duty = DecisionDuty::new(settings, jobs, taken, logger);
+    let DecisionRings { mut commands, jobs, permits } = rings;
+    let mut duty = DecisionDuty::new(settings, jobs, permits, taken, logger);
     let mut ticks = interval(TICK_PAUSE);
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -128,6 +138,7 @@
     fn new(
         settings: Arc<AgentSettings>,
         jobs: mpsc::Sender<TargetJob>,
+        permits: mpsc::Sender<PermitJob>,
         epoch: u64,
         logger: Logger,
     ) -> Self {
@@ -139,13 +150,12 @@
             eviction: settings.eviction,
             residency_base: epoch << EPOCH_SHIFT,
         };
-        let limits = PermitLimits { rate: settings.load_rate, active: settings.load_limit };
         Self {
             state: AgentState::new(options),
-            desk: PermitDesk::new(limits, Duration::ZERO),
             settings,
             works: HashMap::new(),
             jobs,
+            permits,
             next_work: 0,
             started: Instant::now(),
             drained: None,
@@ -239,13 +249,12 @@
         }
         info!(self.logger, "load ended"; "step" => "load", "adapter" => %key, "result" => label,
             "ms" => took.as_millis() as u64);
-        self.desk.end(&self.claim(&key));
+        self.tell_permits(PermitJob::End(key.clone()));
         self.event(AgentEvent::LoadEnded { key, result, took });
     }
 
     fn tick(&mut self) {
         self.event(AgentEvent::Tick);
-        self.grant();
         self.sample();
         self.check_drained();
     }
@@ -269,10 +278,9 @@
                 }
             }
             AgentAction::AskPermit { key, urgency } => {
-                let claim = self.claim(&key);
-                self.desk.ask(claim, urgency, self.now());
-                self.grant();
+                self.tell_permits(PermitJob::Ask(key, urgency));
             }
+            AgentAction::DropPermit { key } => self.tell_permits(PermitJob::End(key)),
             AgentAction::Load { key } => self.order(TargetJob::Load(key)),
             AgentAction::Evict { key } => {
                 counter!(names::EVICTIONS).increment(1);
@@ -321,14 +329,10 @@
         }
     }
 
-    fn claim(&self, key: &AdapterKey) -> PermitClaim {
-        let target: TargetName = self.settings.common.name.clone();
-        PermitClaim { target, key: key.clone() }
-    }
-
-    fn grant(&mut self) {
-        for claim in self.desk.grant(self.now()) {
-            self.event(AgentEvent::LoadPermitted(claim.key));
+    /// The state machine asks for no more permits at once than the engine may load.
+    fn tell_permits(&self, job: PermitJob) {
+        if let Err(error) = self.permits.try_send(job) {
+            slog::error!(self.logger, "permit job lost"; "step" => "permit", "error" => %error);
         }
     }
 
@@ -365,7 +369,7 @@
             "target_up": self.state.is_target_up(), "running": report.running, "queued": report.queued,
             "batch_limit": report.batch_limit, "leaving": report.leaving,
             "residents": is_engine.then_some(keys), "slots": self.settings.slots,
-            "loads_waiting": self.desk.waiting(), "loads_active": self.desk.active(),
+            "loads_wanted": self.state.loads_wanted(),
             "evictions": residents.evictions(), "thrash": residents.thrash(),
         })
     }
--- a/crates/daemon/src/agent/platform.rs
+++ b/crates/daemon/src/agent/platform.rs
@@ -17,7 +17,7 @@
     config_store::ConfigStore,
     platform::{
         PlatformClient, PlatformError, PlatformResult,
-        records::{ROOT_KIND, SLOT_KIND, SlotRecord},
+        records::{ENTRY_KIND, EntryRecord, ObjectRecord, ROOT_KIND, SLOT_KIND, SlotRecord},
     },
 };
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -37,11 +37,19 @@
 /// Longest wait for the slot to be marked as leaving; entries learn it from refusals anyway.
 const LEAVE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Where the duty tells what it finds.
+pub struct PlatformSenders {
+    /// The epoch of the slot, once it is taken.
+    pub epoch: watch::Sender<u64>,
+    /// The entries that may grant load permits.
+    pub entries: watch::Sender<Vec<EntryRecord>>,
+}
+
 /// Runs the duty for as long as the process lives.
 pub async fn run(
     settings: Arc<AgentSettings>,
     commands: CommandSender,
-    epoch: watch::Sender<u64>,
+    senders: PlatformSenders,
     mut stopping: watch::Receiver<bool>,
     logger: Logger,
 ) {
@@ -53,16 +61,18 @@
         logger: logger.clone(),
     };
     let taken = slot.take().await;
-    epoch.send_replace(taken);
+    senders.epoch.send_replace(taken);
     let presets = PresetFollower {
         store: ConfigStore::new(platform.clone()),
-        platform,
+        platform: platform.clone(),
         commands: commands.clone(),
         logger: logger.clone(),
     };
+    let entries = EntryFollower { platform, entries: senders.entries, logger: logger.clone() };
     let checks = LeaseChecker { slot: slot.clone(), epoch: taken, commands };
     let spawned = async {
         Actor::spawn(None, presets, ()).await?;
+        Actor::spawn(None, entries, ()).await?;
         Actor::spawn(None, checks, ()).await
     };
     if let Err(failure) = spawned.await {
@@ -215,6 +225,59 @@
     }
 }
 
+/// Follows the entries that announce themselves. In an outage of the platform, the last list stays.
+struct EntryFollower {
+    platform: PlatformClient,
+    entries: watch::Sender<Vec<EntryRecord>>,
+    logger: Logger,
+}
+
+impl Actor for EntryFollower {
+    type Msg = LookMessage;
+    type State = (u64, RetryBackoff);
+    type Arguments = ();
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<LookMessage>,
+        (): (),
+    ) -> Result<Self::State, ActorProcessingErr> {
+        myself.cast(LookMessage)?;
+        Ok((0, RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT)))
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<LookMessage>,
+        _message: LookMessage,
+        (revision, backoff): &mut Self::State,
+    ) -> Result<(), ActorProcessingErr> {
+        match self.platform.watch::<EntryRecord>(ENTRY_KIND, *revision).await {
+            Ok(list) => {
+                backoff.reset();
+                *revision = list.revision;
+                self.entries.send_modify(|entries| merge_entries(entries, list.items));
+            }
+            Err(failure) => {
+                counter!(names::PLATFORM_FAILURES).increment(1);
+                warn!(self.logger, "entries not read"; "step" => "follow entries",
+                    "error" => %failure);
+                sleep(backoff.next_pause()).await;
+            }
+        }
+        myself.cast(LookMessage)?;
+        Ok(())
+    }
+}
+
+fn merge_entries(entries: &mut Vec<EntryRecord>, changed: Vec<ObjectRecord<EntryRecord>>) {
+    for item in changed {
+        entries.retain(|entry| entry.name != item.name);
+        entries.extend(item.value);
+    }
+    entries.sort_by(|a, b| a.name.cmp(&b.name));
+}
+
 /// Follows the revision and the preset in force.
 struct PresetFollower {
     platform: PlatformClient,
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -1,5 +1,6 @@
 //! The entry role: takes callers' requests, chooses a target, offers, streams the answer back.
 
+pub mod broker;
 pub mod callers;
 pub mod decisions;
 pub mod exchange;
@@ -48,6 +49,8 @@
         // Callers and peers share a thread: each answer crosses both, and a change of thread costs
         // more than the work on either side. See docs/design/threads.md.
         spawn_local(offers::run(link, offer_ring, log));
+        let (own, log) = (settings.clone(), logger.clone());
+        duty::start("broker", move || broker::run(own, log))?;
         let signals = Arc::new(EntrySignals::default());
         let (own, ring, log) = (settings.clone(), decisions.clone(), logger.clone());
         let marks = Arc::clone(&signals);
--- /dev/null
+++ b/crates/daemon/src/entry/broker.rs
@@ -0,0 +1,147 @@
+//! The broker duty of an entry: grants load permits to the agents that ask here.
+//!
+//! Agents ask the entry that rendezvous hashing picks, so in a quiet fleet one desk sees all loads
+//! of a weight store. Nothing is kept or agreed on: two brokers for a moment only slow loads down.
+
+use crate::{
+    link::{frames, server_endpoint},
+    options::EntrySettings,
+    telemetry::names,
+};
+use eyre::{Result, eyre};
+use metrics::{counter, gauge};
+use plantain_core::{
+    permits::{PermitClaim, PermitDesk},
+    protocol::{GrantFrame, PermitFrame},
+};
+use quinn::{Connection, RecvStream, SendStream};
+use slog::{Logger, debug, error};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    sync::{Notify, oneshot},
+    task::spawn_local,
+    time::timeout,
+};
+
+/// Longest sleep between looks at the desk.
+const LOOK_PAUSE: Duration = Duration::from_secs(1);
+
+struct BrokerState {
+    desk: PermitDesk,
+    waiting: HashMap<PermitClaim, oneshot::Sender<()>>,
+}
+
+struct BrokerDuty {
+    state: RefCell<BrokerState>,
+    changed: Notify,
+    started: Instant,
+    logger: Logger,
+}
+
+/// Runs for as long as the process lives.
+pub async fn run(settings: Arc<EntrySettings>, logger: Logger) {
+    let endpoint = match server_endpoint(settings.peer_listen, &settings.common.keys) {
+        Ok(endpoint) => endpoint,
+        Err(failure) => {
+            error!(logger, "no broker"; "step" => "bind", "error" => format!("{failure:#}"));
+            return;
+        }
+    };
+    let desk = PermitDesk::new(settings.permits, Duration::ZERO);
+    let duty = Rc::new(BrokerDuty {
+        state: RefCell::new(BrokerState { desk, waiting: HashMap::new() }),
+        changed: Notify::new(),
+        started: Instant::now(),
+        logger,
+    });
+    spawn_local(grant_permits(Rc::clone(&duty)));
+    while let Some(incoming) = endpoint.accept().await {
+        let duty = Rc::clone(&duty);
+        spawn_local(async move {
+            if let Ok(connection) = incoming.await {
+                accept_streams(duty, connection).await;
+            }
+        });
+    }
+}
+
+async fn accept_streams(duty: Rc<BrokerDuty>, connection: Connection) {
+    while let Ok((send, receive)) = connection.accept_bi().await {
+        let duty = Rc::clone(&duty);
+        spawn_local(async move {
+            if let Err(failure) = serve_claim(&duty, send, receive).await {
+                debug!(duty.logger, "permit ended early"; "step" => "permit",
+                    "error" => format!("{failure:#}"));
+            }
+        });
+    }
+}
+
+/// Follows one claim from the first question to the end of its stream, which gives it back.
+async fn serve_claim(
+    duty: &BrokerDuty,
+    mut send: SendStream,
+    mut receive: RecvStream,
+) -> Result<()> {
+    let Some(PermitFrame::Ask { claim, urgency }) = frames::read(&mut receive).await? else {
+        return Err(eyre!("the stream ended before its question"));
+    };
+    let (granted, mut grant) = oneshot::channel();
+    {
+        let mut state = duty.state.borrow_mut();
+        state.desk.ask(claim.clone(), urgency, duty.started.elapsed());
+        state.waiting.insert(claim.clone(), granted);
+    }
+    duty.changed.notify_one();
+    let mut is_granted = false;
+    let result = loop {
+        tokio::select! {
+            Ok(()) = &mut grant, if !is_granted => {
+                is_granted = true;
+                let frame = GrantFrame { claim: claim.clone() };
+                if let Err(failure) = frames::write(&mut send, &frame).await {
+                    break Err(failure);
+                }
+            }
+            frame = frames::read::<PermitFrame>(&mut receive) => match frame {
+                Ok(Some(PermitFrame::Ask { urgency, .. })) => {
+                    let now = duty.started.elapsed();
+                    duty.state.borrow_mut().desk.ask(claim.clone(), urgency, now);
+                }
+                Ok(None) => break Ok(()),
+                Err(failure) => break Err(failure),
+            },
+        }
+    };
+    let mut state = duty.state.borrow_mut();
+    state.desk.end(&claim);
+    state.waiting.remove(&claim);
+    drop(state);
+    duty.changed.notify_one();
+    result
+}
+
+async fn grant_permits(duty: Rc<BrokerDuty>) {
+    loop {
+        let now = duty.started.elapsed();
+        let next = {
+            let mut state = duty.state.borrow_mut();
+            for claim in state.desk.grant(now) {
+                counter!(names::PERMITS).increment(1);
+                if let Some(granted) = state.waiting.remove(&claim) {
+                    let _ = granted.send(());
+                }
+            }
+            gauge!(names::PERMITS_WAITING).set(state.desk.waiting() as f64);
+            state.desk.next_grant(now)
+        };
+        let pause = next.unwrap_or(LOOK_PAUSE).min(LOOK_PAUSE);
+        let _ = timeout(pause, duty.changed.notified()).await;
+    }
+}
--- a/crates/daemon/src/entry/platform.rs
+++ b/crates/daemon/src/entry/platform.rs
@@ -84,6 +84,7 @@
     let record = EntryRecord {
         name: common.name.to_string(),
         admin: common.admin,
+        peer: settings.peer_listen,
         region: common.region.clone(),
         zone: common.zone.clone(),
     };
--- a/crates/daemon/src/options/arguments.rs
+++ b/crates/daemon/src/options/arguments.rs
@@ -66,6 +66,18 @@
     /// Address for callers
     #[bpaf(long, argument("ADDR"), env("PLANTAIN_LISTEN"))]
     pub listen: SocketAddr,
+    /// Address for agents (UDP), to ask this entry for load permits
+    #[bpaf(long("peer-listen"), argument("ADDR"), env("PLANTAIN_PEER_LISTEN"))]
+    pub peer_listen: SocketAddr,
+    /// Loads a second that the weight store allows (default: 4)
+    #[bpaf(long("store-rate"), argument("RATE"), env("PLANTAIN_STORE_RATE"))]
+    pub store_rate: Option<f64>,
+    /// Loads at once that the weight store serves at full speed (default: 3)
+    #[bpaf(long("store-loads"), argument("COUNT"), env("PLANTAIN_STORE_LOADS"))]
+    pub store_loads: Option<usize>,
+    /// Which load goes first: fifo or urgency (default: urgency)
+    #[bpaf(long("load-order"), argument("ORDER"), env("PLANTAIN_LOAD_ORDER"), fallback("urgency".into()))]
+    pub load_order: String,
     /// How targets are chosen: random, least-outstanding, hash or cost (default: cost)
     #[bpaf(long, argument("POLICY"), env("PLANTAIN_POLICY"), fallback("cost".into()))]
     pub policy: String,
@@ -114,7 +126,7 @@
     /// Loads that the engine performs at once (default: 2)
     #[bpaf(long("load-limit"), argument("COUNT"), env("PLANTAIN_LOAD_LIMIT"))]
     pub load_limit: Option<usize>,
-    /// Loads a second that this agent may order by itself (default: 1)
+    /// Loads a second that this agent may order when no entry grants permits (default: 0.3)
     #[bpaf(long("load-rate"), argument("RATE"), env("PLANTAIN_LOAD_RATE"))]
     pub load_rate: Option<f64>,
     /// Which adapter goes when slots are full: lru or worth (default: worth)
--- a/crates/daemon/src/options/constants.rs
+++ b/crates/daemon/src/options/constants.rs
@@ -30,8 +30,13 @@
 pub const BATCH_LIMIT: u32 = 16;
 /// Loads that an engine performs at once.
 pub const LOAD_LIMIT: usize = 2;
-/// Loads a second that an agent may order by itself.
-pub const LOAD_RATE: f64 = 1.0;
+/// Loads a second that an agent may order when no entry grants permits: a twelfth of the store's
+/// rate, for twelve engines.
+pub const LOAD_RATE: f64 = 0.3;
+/// Loads a second that the weight store allows.
+pub const STORE_RATE: f64 = 4.0;
+/// Loads at once that the weight store serves at full speed.
+pub const STORE_LOADS: usize = 3;
 /// Length of an agent's lease of its slot.
 pub const LEASE: Duration = Duration::from_secs(30);
 /// Pause between looks at the target's health and load.
--- a/crates/daemon/src/options/settings.rs
+++ b/crates/daemon/src/options/settings.rs
@@ -8,6 +8,7 @@
 use plantain_core::{
     agent::{TargetKind, residency::EvictionPolicy},
     ids::check_name,
+    permits::{PermitLimits, PermitOrder},
     policy::RoutingPolicy,
 };
 use serde_json::json;
@@ -49,6 +50,10 @@
     pub common: CommonSettings,
     /// Address for callers.
     pub listen: SocketAddr,
+    /// Address for agents that ask for load permits.
+    pub peer_listen: SocketAddr,
+    /// What the weight store allows.
+    pub permits: PermitLimits,
     /// How targets are chosen.
     pub policy: RoutingPolicy,
     /// Largest body of a request, in bytes.
@@ -143,9 +148,21 @@
         if !(floor..=ceiling).contains(&body_limit) {
             return Err(format!("--body-limit: expected from {floor} to {ceiling} bytes"));
         }
+        let store_rate = arguments.store_rate.unwrap_or(constants::STORE_RATE);
+        if !(store_rate > 0.0 && store_rate.is_finite()) {
+            return Err("--store-rate: expected a number above 0".into());
+        }
+        let permits = PermitLimits {
+            rate: store_rate,
+            active: positive("--store-loads", arguments.store_loads, constants::STORE_LOADS)?,
+            order: PermitOrder::parse(&arguments.load_order)
+                .map_err(|error| format!("--load-order: {error}"))?,
+        };
         Ok(Self {
             common,
             listen: arguments.listen,
+            peer_listen: arguments.peer_listen,
+            permits,
             policy: RoutingPolicy::parse(&arguments.policy)
                 .map_err(|e| format!("--policy: {e}"))?,
             body_limit,
@@ -157,6 +174,8 @@
     fn describe(&self) -> serde_json::Value {
         json!({
             "role": "entry", "common": self.common.describe(), "listen": self.listen,
+            "peer_listen": self.peer_listen, "store_rate": self.permits.rate,
+            "store_loads": self.permits.active, "load_order": self.permits.order.name(),
             "policy": self.policy.name(), "body_limit": self.body_limit,
             "connections": self.connections, "requests": self.requests,
         })
--- a/crates/daemon/tests/daemon/settings.rs
+++ b/crates/daemon/tests/daemon/settings.rs
@@ -12,8 +12,10 @@
         .expect("run plantaind")
 }
 
-const ENTRY: [&str; 13] = [
+const ENTRY: [&str; 15] = [
     "entry",
+    "--peer-listen",
+    "127.0.0.1:5",
     "--name",
     "entry-0",
     "--region",
@@ -55,10 +57,10 @@
 fn wrong_settings_end_with_one_line_and_status_2() {
     let cases = [
         BadSetting { base: &[], added: &[], says: "COMMAND" },
-        BadSetting { base: &ENTRY[..11], added: &[], says: "--listen" },
+        BadSetting { base: &ENTRY[..13], added: &[], says: "--listen" },
         BadSetting { base: &ENTRY, added: &["--colour", "red"], says: "--colour" },
-        BadSetting { base: &ENTRY[..11], added: &["--listen", "nowhere"], says: "nowhere" },
-        BadSetting { base: &ENTRY[..11], added: &["--listen", "127.0.0.1:2"], says: "--admin" },
+        BadSetting { base: &ENTRY[..13], added: &["--listen", "nowhere"], says: "nowhere" },
+        BadSetting { base: &ENTRY[..13], added: &["--listen", "127.0.0.1:2"], says: "--admin" },
         BadSetting { base: &ENTRY, added: &["--policy", "best"], says: "--policy" },
         BadSetting { base: &ENTRY, added: &["--body-limit", "5"], says: "--body-limit" },
         BadSetting { base: &ENTRY, added: &["--requests", "0"], says: "--requests" },
--- a/crates/net/src/platform/records.rs
+++ b/crates/net/src/platform/records.rs
@@ -86,6 +86,8 @@
     pub name: String,
     /// Address of its admin pages.
     pub admin: SocketAddr,
+    /// Address at which agents ask it for load permits.
+    pub peer: SocketAddr,
     /// Its region.
     pub region: RegionName,
     /// Its availability zone.
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -341,6 +341,10 @@
         arguments.extend(self.common(&name, site, self.entry_admin(index)));
         let listen = self.entry(index).to_string();
         arguments.extend(words(&["--listen", &listen, "--policy", &self.plan.policy]));
+        let peer = self.address(plan::ENTRY_PEER_PORT + index as u16).to_string();
+        let rate = self.plan.store_rate.to_string();
+        arguments.extend(words(&["--peer-listen", &peer, "--store-rate", &rate]));
+        arguments.extend(words(&["--load-order", &self.plan.load_order]));
         self.start_process(&name, "plantaind", &arguments)
     }
 
--- a/crates/standin/src/cluster/plan.rs
+++ b/crates/standin/src/cluster/plan.rs
@@ -8,6 +8,8 @@
 pub const ENTRY_PORT: u16 = 11_000;
 /// First port of entries' admin pages.
 pub const ENTRY_ADMIN_PORT: u16 = 12_000;
+/// First port of entries for agents.
+pub const ENTRY_PEER_PORT: u16 = 12_500;
 /// First port of engines.
 pub const ENGINE_PORT: u16 = 13_000;
 /// First port of engines' agents.
@@ -127,6 +129,8 @@
     pub load_ms: u64,
     /// Loads a second that an agent may order by itself.
     pub load_rate: f64,
+    /// Order of loads: fifo or urgency.
+    pub load_order: String,
     /// How far the host list lags, in milliseconds.
     pub host_lag_ms: u64,
     /// Time of a service's call, in milliseconds.
@@ -168,6 +172,7 @@
             store_rate: 100.0,
             load_ms: 50,
             load_rate: 100.0,
+            load_order: "urgency".into(),
             host_lag_ms: 200,
             call_ms: 5,
             link_proxies: false,
