Bench of policies; eviction by long demand, and the victim's worth in the cost

Cause: with a half-life of 30 s an engine could not tell the adapters apart that compete for its last slots (asked for about once a minute each), and a fresh one counted four times its demand, so it pushed out better ones; an entry did not know what an eviction would cost.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -29,6 +29,10 @@
 pub const RESERVATION_TTL: Duration = Duration::from_secs(10);
 /// First guess of the time that a request runs, until requests have been seen.
 const SERVICE_TIME_GUESS: Duration = Duration::from_millis(200);
+/// Chance that an evicted adapter must be loaded again soon, for each unit of its demand.
+const RELOAD_CHANCE: f64 = 0.1;
+/// Demand that stands for that of the victim when all adapters are in use.
+const PINNED_DEMAND: f64 = 50.0;
 /// Lowest advice on when to come back.
 const RETRY_AFTER_FLOOR: Duration = Duration::from_millis(100);
 /// Share of the queue that each priority may fill, by rank: the upper priority always finds room
@@ -199,12 +203,19 @@
             queued: self.queued(),
             batch_limit: self.options.batch_limit,
             load_wait: self.loads.expected_wait(self.options.load_limit, now),
+            slot_cost: self.slot_cost(now),
             service_time: self.service_time.read(),
             leaving: self.leaving,
             revision: self.revision,
         }
     }
 
+    /// An evicted adapter is loaded again with a chance that grows with its demand.
+    fn slot_cost(&self, now: Timestamp) -> Duration {
+        let demand = self.residents.victim_demand(now).unwrap_or(PINNED_DEMAND);
+        self.loads.load_time().mul_f64(demand * RELOAD_CHANCE)
+    }
+
     fn offered(&mut self, offer: OfferSummary, now: Timestamp) {
         let work = offer.work;
         match self.judge(&offer, now) {
--- a/crates/core/src/agent/loads.rs
+++ b/crates/core/src/agent/loads.rs
@@ -176,6 +176,11 @@
         self.counter += 1;
     }
 
+    /// Mean time of a load.
+    pub fn load_time(&self) -> Duration {
+        self.load_time.read()
+    }
+
     /// Expected wait until an adapter that is asked for now is loaded.
     pub fn expected_wait(&self, load_limit: usize, now: Timestamp) -> Duration {
         let load_time = self.load_time.read();
--- a/crates/core/src/agent/residency.rs
+++ b/crates/core/src/agent/residency.rs
@@ -6,11 +6,14 @@
 };
 use std::{collections::HashMap, time::Duration};
 
+/// Time in which the demand for an adapter falls to half. The adapters that compete for an engine's
+/// last slots are asked for about once a minute, so a shorter memory could not tell them apart; a
+/// sudden favourite outranks them within seconds all the same. See docs/design/eviction.md.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(300);
 /// Time after a load in which an adapter counts as fresh.
 const FRESH_TIME: Duration = Duration::from_secs(5);
-/// Worth of a fresh adapter over an older one with the same demand: two adapters that want the same
-/// slot must not push each other out in turn.
-const FRESH_FACTOR: f64 = 4.0;
+/// Demand added to a fresh adapter: two adapters of equal demand must not push each other out.
+const FRESH_BONUS: f64 = 0.5;
 /// Time within which loading an evicted adapter again counts as thrash.
 const THRASH_TIME: Duration = Duration::from_secs(10);
 /// Adapters whose demand is remembered while they are not resident.
@@ -58,7 +61,7 @@
     loaded: Timestamp,
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug)]
 struct AdapterMemory {
     pins: u32,
     demand: DecayedCount,
@@ -66,6 +69,17 @@
     evicted: Option<Timestamp>,
 }
 
+impl Default for AdapterMemory {
+    fn default() -> Self {
+        Self {
+            pins: 0,
+            demand: DecayedCount::new(DEMAND_HALF_LIFE),
+            used: Duration::ZERO,
+            evicted: None,
+        }
+    }
+}
+
 /// The engine's slots, as ordered by this agent.
 #[derive(Debug)]
 pub struct ResidentTable {
@@ -178,6 +192,16 @@
         self.slots.saturating_sub(self.residents.iter().filter(held).count())
     }
 
+    /// Demand for the adapter that would go to make room for another: 0 if a slot is free, `None` if
+    /// all are pinned.
+    pub fn victim_demand(&self, now: Timestamp) -> Option<f64> {
+        if self.residents.len() < self.slots {
+            return Some(0.0);
+        }
+        let demand = |key: &AdapterKey| self.memory.get(key).map_or(0.0, |m| m.demand.read(now));
+        self.evictable().map(demand).min_by(f64::total_cmp)
+    }
+
     /// Takes a free slot to load `key`; false if none is free.
     pub fn take_slot(&mut self, key: &AdapterKey, now: Timestamp) -> bool {
         if self.residents.len() >= self.slots || self.residents.contains_key(key) {
@@ -279,7 +303,7 @@
             EvictionPolicy::Worth => {
                 let loaded = self.residents.get(key).map_or(Duration::ZERO, |slot| slot.loaded);
                 let fresh = now.saturating_sub(loaded) < FRESH_TIME;
-                memory.demand.read(now) * if fresh { FRESH_FACTOR } else { 1.0 }
+                memory.demand.read(now) + if fresh { FRESH_BONUS } else { 0.0 }
             }
         }
     }
--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -3,17 +3,20 @@
 use crate::ids::Timestamp;
 use std::time::Duration;
 
-/// Time in which a count falls to half.
-pub const DEMAND_HALF_LIFE: Duration = Duration::from_secs(30);
-
-/// A count whose past fades with [`DEMAND_HALF_LIFE`].
-#[derive(Clone, Copy, Debug, Default)]
+/// A count that falls to half in each half-life.
+#[derive(Clone, Copy, Debug)]
 pub struct DecayedCount {
+    half_life: Duration,
     value: f64,
     updated: Timestamp,
 }
 
 impl DecayedCount {
+    /// Starts at zero.
+    pub fn new(half_life: Duration) -> Self {
+        Self { half_life, value: 0.0, updated: Duration::ZERO }
+    }
+
     /// Counts one more at `now`.
     pub fn record(&mut self, now: Timestamp) {
         self.value = self.read(now) + 1.0;
@@ -23,11 +26,11 @@
     /// The faded count at `now`.
     pub fn read(&self, now: Timestamp) -> f64 {
         let age = now.saturating_sub(self.updated).as_secs_f64();
-        self.value * (-age / DEMAND_HALF_LIFE.as_secs_f64()).exp2()
+        self.value * (-age / self.half_life.as_secs_f64()).exp2()
     }
 
     /// Requests a second that would hold the count where it is.
     pub fn rate(&self, now: Timestamp) -> f64 {
-        self.read(now) * std::f64::consts::LN_2 / DEMAND_HALF_LIFE.as_secs_f64()
+        self.read(now) * std::f64::consts::LN_2 / self.half_life.as_secs_f64()
     }
 }
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -34,6 +34,9 @@
 /// First guess of the time that a load takes, until targets have reported.
 const USUAL_LOAD_GUESS: Duration = Duration::from_millis(500);
 
+/// Time in which the demand that widens the order of preferred targets falls to half.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(30);
+
 /// Round trips from this entry.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct ZoneTrips {
@@ -292,7 +295,7 @@
         let order = self.orders.entry(digest).or_insert_with(|| PreferredOrder {
             generation: 0,
             order: Vec::new(),
-            demand: DecayedCount::default(),
+            demand: DecayedCount::new(DEMAND_HALF_LIFE),
         });
         order.demand.record(now);
         if order.generation != generation {
--- a/crates/core/src/entry/targets.rs
+++ b/crates/core/src/entry/targets.rs
@@ -121,7 +121,7 @@
             Some(digest) if self.residents.contains(&digest) => Duration::ZERO,
             // Half of a load is still to come, on average.
             Some(digest) if self.loading.contains(&digest) => load_wait / 2,
-            Some(_) => load_wait,
+            Some(_) => load_wait + self.report.slot_cost,
             None => Duration::ZERO,
         };
         // The report counts own requests too, but not those sent after it.
--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -222,6 +222,8 @@
     pub batch_limit: u32,
     /// Expected wait until an adapter asked for now is loaded.
     pub load_wait: Duration,
+    /// What others would lose by the eviction that a load needs, as a wait.
+    pub slot_cost: Duration,
     /// Mean time that a request runs.
     pub service_time: Duration,
     /// Whether the target takes no new work.
--- /dev/null
+++ b/crates/standin/src/bench/driver.rs
@@ -0,0 +1,126 @@
+//! Sends a trace at its own pace and notes what callers see.
+
+use super::workload::{Trace, TraceRequest, adapter_name};
+use crate::{
+    answer::whole_answer,
+    call::{ChatCall, read_events},
+};
+use bytes::BytesMut;
+use eyre::Result;
+use http_body_util::BodyExt;
+use plantain_core::protocol::Priority;
+use plantain_net::client::HttpClient;
+use std::{net::SocketAddr, sync::Arc, time::Duration};
+use tokio::{
+    task::JoinSet,
+    time::{Instant, sleep_until},
+};
+
+/// What a caller saw of one request.
+#[derive(Clone, Debug)]
+pub struct RequestSample {
+    /// When it was sent, from the start.
+    pub sent: Duration,
+    /// Its importance.
+    pub priority: Priority,
+    /// Whether it was answered whole.
+    pub answered: bool,
+    /// Whether the answer came within the deadline.
+    pub in_time: bool,
+    /// Time that it waited for its adapter.
+    pub load_stall: Duration,
+    /// Time to the first token.
+    pub first: Duration,
+    /// Mean time between tokens.
+    pub between: Option<Duration>,
+    /// Why the answer is wrong, if it is.
+    pub wrong: Option<String>,
+}
+
+/// Sends all requests of a trace and waits for their answers.
+pub async fn drive(
+    entries: Vec<SocketAddr>,
+    trace: Arc<Trace>,
+    begin: Instant,
+    deadline: Duration,
+) -> Vec<RequestSample> {
+    let http = HttpClient::new();
+    let mut running = JoinSet::new();
+    for index in 0..trace.requests.len() {
+        let request = trace.requests[index].clone();
+        sleep_until(begin + request.at).await;
+        let entry = entries[request.entry % entries.len()];
+        let http = http.clone();
+        running.spawn(async move { send(&http, entry, &request, deadline).await });
+    }
+    running.join_all().await
+}
+
+async fn send(
+    http: &HttpClient,
+    entry: SocketAddr,
+    request: &TraceRequest,
+    deadline: Duration,
+) -> RequestSample {
+    let mut sample = RequestSample {
+        sent: request.at,
+        priority: request.priority,
+        answered: false,
+        in_time: false,
+        load_stall: Duration::ZERO,
+        first: Duration::ZERO,
+        between: None,
+        wrong: None,
+    };
+    let name = adapter_name(request.adapter);
+    let call = ChatCall::new(&name, &request.prompt, request.tokens)
+        .with_header("x-plantain-priority", request.priority.name());
+    match follow(http, entry, &call, &mut sample).await {
+        Ok(Some((body, last))) => {
+            let model = format!("{name}@1");
+            let wanted = whole_answer(&model, &request.prompt, request.tokens);
+            match read_events(&body, &model) {
+                Ok(content) if content == wanted => {
+                    sample.answered = true;
+                    sample.in_time = last <= deadline;
+                }
+                Ok(_) => sample.wrong = Some(format!("{name}: other content")),
+                Err(error) => sample.wrong = Some(format!("{name}: {error:#}")),
+            }
+        }
+        // Refused, or broken off and known to be.
+        Ok(None) | Err(_) => {}
+    }
+    sample
+}
+
+async fn follow(
+    http: &HttpClient,
+    entry: SocketAddr,
+    call: &ChatCall,
+    sample: &mut RequestSample,
+) -> Result<Option<(BytesMut, Duration)>> {
+    let started = Instant::now();
+    let reply = http.send(call.request(entry)?).await?;
+    if !reply.status().is_success() {
+        return Ok(None);
+    }
+    let stall = reply.headers().get("x-plantain-load-stall-ms");
+    let stall = stall.and_then(|value| value.to_str().ok()?.parse().ok());
+    sample.load_stall = Duration::from_millis(stall.unwrap_or(0));
+    let mut body = BytesMut::new();
+    let mut stream = reply.into_body();
+    let mut first = None;
+    while let Some(frame) = stream.frame().await {
+        if let Ok(data) = frame?.into_data() {
+            first.get_or_insert_with(|| started.elapsed());
+            body.extend_from_slice(&data);
+        }
+    }
+    let last = started.elapsed();
+    sample.first = first.unwrap_or(last);
+    if call.tokens > 1 {
+        sample.between = Some((last - sample.first) / (call.tokens - 1));
+    }
+    Ok(Some((body, last)))
+}
--- /dev/null
+++ b/crates/standin/src/bench/optimal.rs
@@ -0,0 +1,35 @@
+//! A bound: the loads that an offline optimal cache of the same total slots needs.
+
+use super::workload::{Trace, Workload};
+use std::collections::{BTreeSet, HashMap};
+
+/// Loads within the counted time, when every eviction takes the adapter whose next use is furthest
+/// away (Belady's rule) and all slots form one cache.
+pub fn loads(trace: &Trace, workload: &Workload) -> u64 {
+    let requests = &trace.requests;
+    let mut next_use = vec![usize::MAX; requests.len()];
+    let mut seen: HashMap<usize, usize> = HashMap::new();
+    for (index, request) in requests.iter().enumerate().rev() {
+        next_use[index] = seen.insert(request.adapter, index).unwrap_or(usize::MAX);
+    }
+    let capacity = workload.targets * workload.slots;
+    let mut held: HashMap<usize, usize> = HashMap::new();
+    let mut by_next: BTreeSet<(usize, usize)> = BTreeSet::new();
+    let mut loads = 0;
+    for (index, request) in requests.iter().enumerate() {
+        match held.remove(&request.adapter) {
+            Some(next) => drop(by_next.remove(&(next, request.adapter))),
+            None => {
+                loads += u64::from(request.at >= workload.warm_up);
+                if held.len() >= capacity
+                    && let Some((_, victim)) = by_next.pop_last()
+                {
+                    held.remove(&victim);
+                }
+            }
+        }
+        held.insert(request.adapter, next_use[index]);
+        by_next.insert((next_use[index], request.adapter));
+    }
+    loads
+}
--- a/crates/standin/src/call.rs
+++ b/crates/standin/src/call.rs
@@ -59,9 +59,8 @@
             "messages": [{"role": "user", "content": self.prompt}]})
     }
 
-    /// Sends the call and follows its answer to the end.
-    pub async fn send(&self, http: &HttpClient, peer: SocketAddr) -> Result<ChatAnswer> {
-        let started = Instant::now();
+    /// The request to send.
+    pub fn request(&self, peer: SocketAddr) -> Result<Request<Full<Bytes>>> {
         let mut request = Request::builder()
             .method(Method::POST)
             .uri(url(peer, "/v1/chat/completions"))
@@ -70,7 +69,13 @@
             request = request.header(name.as_str(), value.as_str());
         }
         let body = Bytes::from(serde_json::to_vec(&self.body())?);
-        let reply = http.send(request.body(Full::new(body))?).await?;
+        request.body(Full::new(body)).wrap_err("build request")
+    }
+
+    /// Sends the call and follows its answer to the end.
+    pub async fn send(&self, http: &HttpClient, peer: SocketAddr) -> Result<ChatAnswer> {
+        let started = Instant::now();
+        let reply = http.send(self.request(peer)?).await?;
         let (parts, mut stream) = reply.into_parts();
         let mut answer = ChatAnswer {
             status: parts.status,
@@ -159,7 +164,7 @@
 }
 
 /// Joins the content of a whole stream of events.
-fn read_events(body: &[u8], model: &str) -> Result<String> {
+pub fn read_events(body: &[u8], model: &str) -> Result<String> {
     let text = std::str::from_utf8(body).wrap_err("read events")?;
     let mut content = String::new();
     let mut ended = false;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -1,6 +1,7 @@
 //! Stand-ins for the systems that plantainroute serves, with the demo and the benchmarks.
 
 pub mod answer;
+pub mod bench;
 pub mod call;
 pub mod cluster;
 pub mod demo;
@@ -62,6 +63,7 @@
             }
             StandinCommand::Demo(arguments) => demo::run(arguments, stopping).await,
             StandinCommand::Overhead(arguments) => overhead::run(arguments).await,
+            StandinCommand::Bench(arguments) => bench::run(arguments).await,
             StandinCommand::Scale(arguments) => scale::run(arguments).await,
         }
     })
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -39,6 +39,9 @@
     /// Measures the time that entry and agent add to a call of the engine
     #[bpaf(command("overhead"))]
     Overhead(#[bpaf(external(overhead_arguments))] OverheadArguments),
+    /// Compares routing policies under a workload
+    #[bpaf(command("bench"))]
+    Bench(#[bpaf(external(bench_arguments))] BenchArguments),
     /// Measures what control costs as adapters and connections grow
     #[bpaf(command("scale"))]
     Scale(#[bpaf(external(scale_arguments))] ScaleArguments),
@@ -235,6 +238,63 @@
     pub seconds: f64,
 }
 
+/// Arguments of the policy comparison. What is not given comes from the workload.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(bench_arguments))]
+pub struct BenchArguments {
+    /// Workload: sripada or acseq
+    #[bpaf(argument("NAME"), fallback("sripada".into()))]
+    pub workload: String,
+    /// Policies, joined by commas, or all (default: all)
+    #[bpaf(argument("NAMES"), fallback("all".into()))]
+    pub policy: String,
+    /// Seed of all that is random (default: 1)
+    #[bpaf(argument("NUMBER"), fallback(1))]
+    pub seed: u64,
+    /// Seconds that are counted
+    #[bpaf(argument("SECONDS"))]
+    pub seconds: Option<u64>,
+    /// Seconds before them that are not
+    #[bpaf(long("warm-up"), argument("SECONDS"))]
+    pub warm_up: Option<u64>,
+    /// Adapters
+    #[bpaf(argument("COUNT"))]
+    pub adapters: Option<usize>,
+    /// Exponent of the Zipf distribution of their popularity
+    #[bpaf(argument("NUMBER"))]
+    pub skew: Option<f64>,
+    /// Requests a second
+    #[bpaf(argument("RATE"))]
+    pub rate: Option<f64>,
+    /// Engines
+    #[bpaf(argument("COUNT"))]
+    pub targets: Option<usize>,
+    /// Adapter slots of an engine
+    #[bpaf(argument("COUNT"))]
+    pub slots: Option<usize>,
+    /// Tokens of a prompt
+    #[bpaf(long("prompt-tokens"), argument("COUNT"))]
+    pub prompt_tokens: Option<u32>,
+    /// Tokens of an answer, on average
+    #[bpaf(long("answer-tokens"), argument("COUNT"))]
+    pub answer_tokens: Option<u32>,
+    /// Share of upper-priority requests
+    #[bpaf(long("upper-share"), argument("SHARE"))]
+    pub upper_share: Option<f64>,
+    /// Weight of the load stall in the cost policy
+    #[bpaf(long("stall-weight"), argument("NUMBER"))]
+    pub stall_weight: Option<f64>,
+    /// Weight of the batch in the cost policy
+    #[bpaf(long("batch-weight"), argument("NUMBER"))]
+    pub batch_weight: Option<f64>,
+    /// Second after the warm-up at which a quiet adapter turns into the busiest
+    #[bpaf(long("shift-at"), argument("SECONDS"))]
+    pub shift_at: Option<u64>,
+    /// Writes the figures to a file
+    #[bpaf(argument("FILE"))]
+    pub json: Option<PathBuf>,
+}
+
 /// Arguments of the scale measurement.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(scale_arguments))]
