Claims: a keyed call that may not be repeated runs at most once across entries

Cause: a caller's retry through another entry ran a stamp again. Change: a keyed non-idempotent request is claimed on a shard object of the platform before it is offered, in batches, by conditional update; conflicts and lost answers are settled by reading back; first answers are held for the caller's retries at the same entry; claims of requests that were provably not run are given back. The idea of recording the launch before it and failing closed is that of Reliable Cron across the Planet.

--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -2,10 +2,12 @@
 
 pub mod broker;
 pub mod callers;
+pub mod claims;
 pub mod decisions;
 pub mod exchange;
 pub mod offers;
 pub mod platform;
+pub mod replays;
 pub mod reply;
 pub mod request;
 pub mod status;
@@ -15,7 +17,7 @@
     options::{EntrySettings, constants},
     telemetry,
 };
-use callers::CallerContext;
+use callers::{CallerContext, CallerRings};
 use eyre::{Result, WrapErr};
 use plantain_core::config::ConfigSnapshot;
 use plantain_net::server;
@@ -51,6 +53,9 @@
         spawn_local(offers::run(link, offer_ring, log));
         let (own, log) = (settings.clone(), logger.clone());
         duty::start("broker", move || broker::run(own, log))?;
+        let (claims, claim_ring) = mpsc::channel(constants::RING_DEPTH);
+        let (own, log) = (settings.clone(), logger.clone());
+        duty::start("claims", move || claims::run(own, claim_ring, log))?;
         let signals = Arc::new(EntrySignals::default());
         let (own, ring, log) = (settings.clone(), decisions.clone(), logger.clone());
         let marks = Arc::clone(&signals);
@@ -70,8 +75,8 @@
         })?;
 
         info!(logger, "entry listens"; "step" => "start", "listen" => %settings.listen);
-        let context =
-            CallerContext::new(settings, config, decisions, offers, status, logger.clone());
+        let rings = CallerRings { decisions, offers, claims };
+        let context = CallerContext::new(settings, config, rings, status, logger.clone());
         callers::run(callers, context, stopping).await;
         info!(logger, "all requests ended"; "step" => "stop");
         ended_sender.send_replace(true);
--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -1,9 +1,11 @@
 //! The callers duty of an entry: HTTP in, HTTP out.
 
 use super::{
+    claims::{self, ClaimSender},
     decisions::DecisionSender,
     exchange::{Exchange, ExchangeEnd},
     offers::OfferSender,
+    replays::{FirstRequest, ReplayTable},
     reply::RequestError,
     request::{self, ID_HEADER, RequestPath},
     status::EntryStatus,
@@ -21,7 +23,12 @@
     http::request::Parts,
 };
 use metrics::{counter, gauge};
-use plantain_core::{config::ConfigSnapshot, ids::RequestId, outcome::RunOutcome};
+use plantain_core::{
+    claims::{ClaimChange, ClaimKey, ClaimVerdict},
+    config::ConfigSnapshot,
+    ids::RequestId,
+    outcome::RunOutcome,
+};
 use plantain_net::server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply};
 use serde_json::json;
 use slog::{Logger, info, o};
@@ -49,6 +56,17 @@
 /// Times that a request is resolved again because an agent had a newer configuration.
 const RESOLVE_LIMIT: usize = 3;
 
+/// The rings that join the callers duty to others.
+#[derive(Clone, Debug)]
+pub struct CallerRings {
+    /// To the decisions.
+    pub decisions: DecisionSender,
+    /// To the peers.
+    pub offers: OfferSender,
+    /// To the claims.
+    pub claims: ClaimSender,
+}
+
 /// What every caller's request needs.
 #[derive(Clone, Debug)]
 pub struct CallerContext {
@@ -57,6 +75,8 @@
     pub(crate) decisions: DecisionSender,
     pub(crate) offers: OfferSender,
     pub(crate) logger: Logger,
+    claims: ClaimSender,
+    replays: ReplayTable,
     status: EntryStatus,
     places: Arc<Semaphore>,
     next_id: Arc<AtomicU64>,
@@ -67,15 +87,27 @@
     pub fn new(
         settings: Arc<EntrySettings>,
         config: watch::Receiver<Arc<ConfigSnapshot>>,
-        decisions: DecisionSender,
-        offers: OfferSender,
+        rings: CallerRings,
         status: EntryStatus,
         logger: Logger,
     ) -> Self {
+        let CallerRings { decisions, offers, claims } = rings;
         let places = Arc::new(Semaphore::new(settings.requests));
         // Ids start at random, so that those of a restarted entry do not meet its earlier ones.
         let next_id = Arc::new(AtomicU64::new(rand::random::<u64>() >> 1));
-        Self { settings, config, decisions, offers, logger, status, places, next_id }
+        let replays = ReplayTable::default();
+        Self {
+            settings,
+            config,
+            decisions,
+            offers,
+            logger,
+            claims,
+            replays,
+            status,
+            places,
+            next_id,
+        }
     }
 }
 
@@ -149,8 +181,13 @@
             let snapshot = Arc::clone(&self.config.borrow());
             let mut admitted = request::admit(path.clone(), &parts, body.clone(), &snapshot)?;
             admitted.time_left = admitted.time_left.saturating_sub(received.elapsed());
+            let key = admitted.claim.clone();
             let exchange = Exchange::new(self, admitted, snapshot.revision(), id, name, &logger);
-            match exchange.run().await {
+            let end = match key {
+                Some(key) => self.run_once(exchange, key).await,
+                None => exchange.run().await,
+            };
+            match end {
                 ExchangeEnd::Reply(reply) => return Ok(reply),
                 ExchangeEnd::Error(error) => return Err(error),
                 ExchangeEnd::ConfigBehind(revision) => self.catch_up(revision).await,
@@ -159,6 +196,40 @@
         Err(RequestError::entry_busy(BUSY_PAUSE))
     }
 
+    /// Runs a request whose key makes it the same as the caller's retries of it: claimed on the
+    /// platform before it is offered, and answered again from memory where it has already run.
+    async fn run_once(&self, exchange: Exchange<'_>, key: ClaimKey) -> ExchangeEnd {
+        let guard = match self.replays.begin(&key) {
+            Ok(guard) => guard,
+            Err(first) => return replay(first, exchange.time_left()).await,
+        };
+        let record = claims::new_claim(&self.settings.common.name);
+        let operation = record.operation.clone();
+        let claim = ClaimChange::Claim(key.clone(), record);
+        let refused = match claims::change(&self.claims, claim).await {
+            Ok(ClaimVerdict::Done) => None,
+            Ok(ClaimVerdict::Taken(theirs)) => Some(RequestError::already_claimed(&theirs.entry)),
+            Ok(ClaimVerdict::Full) => Some(RequestError::claims_unavailable(BUSY_PAUSE)),
+            Err(pause) => Some(RequestError::claims_unavailable(pause)),
+        };
+        if let Some(error) = refused {
+            guard.not_run();
+            return ExchangeEnd::Error(error);
+        }
+        let end = exchange.run().await;
+        match &end {
+            ExchangeEnd::Reply(reply) => guard.answered(reply),
+            ExchangeEnd::Error(error) if error.outcome == RunOutcome::Unknown => drop(guard),
+            // Provably not run: the claim is given back, so that the next try may run.
+            _ => {
+                guard.not_run();
+                let release = ClaimChange::Release(key, operation);
+                let _ = claims::change(&self.claims, release).await;
+            }
+        }
+        end
+    }
+
     /// Waits for a configuration that an agent has seen, so that no request meets an older one than
     /// it has already passed.
     async fn catch_up(&self, revision: u64) {
@@ -225,6 +296,23 @@
     }
 }
 
+/// Gives a retry the answer of the first request, once there is one.
+async fn replay(mut first: watch::Receiver<FirstRequest>, limit: Duration) -> ExchangeEnd {
+    let ended = first.wait_for(|first| !matches!(first, FirstRequest::Running));
+    let ended = timeout(limit, ended).await;
+    let error = match ended {
+        Ok(Ok(first)) => match &*first {
+            FirstRequest::Answered(Some(answer)) => return ExchangeEnd::Reply(answer.reply()),
+            FirstRequest::Answered(None) => RequestError::already_answered(),
+            _ => RequestError::unknown("an earlier request with this key ended without an answer"),
+        },
+        // The first request was provably not run; the caller may ask again at once.
+        Ok(Err(_)) => RequestError::first_not_run(),
+        Err(_) => RequestError::unknown("an earlier request with this key is still under way"),
+    };
+    ExchangeEnd::Error(error)
+}
+
 /// Reads the rest of a body that is too large, within bounds: a caller that still sends sees a
 /// broken connection in place of the error.
 async fn discard(body: Incoming) {
--- /dev/null
+++ b/crates/daemon/src/entry/claims.rs
@@ -0,0 +1,190 @@
+//! The claims duty of an entry: writes idempotency records to the platform, in batches.
+
+use crate::{options::EntrySettings, telemetry::names};
+use metrics::counter;
+use plantain_core::claims::{ClaimChange, ClaimRecord, ClaimShard, ClaimVerdict, claim_shard};
+use plantain_net::{
+    client::HttpClient,
+    platform::{PlatformClient, PlatformError, PlatformResult, records::CLAIM_KIND},
+};
+use slog::{Logger, warn};
+use std::{
+    cell::RefCell,
+    collections::HashMap,
+    rc::Rc,
+    sync::Arc,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+use tokio::{
+    sync::{mpsc, oneshot},
+    task::spawn_local,
+    time::sleep,
+};
+
+/// Attempts to write one batch while others write the same shard.
+const WRITE_ATTEMPTS: u32 = 16;
+/// Least pause between two batches of one shard.
+const BATCH_PAUSE: Duration = Duration::from_millis(5);
+/// Time after a failure in which the platform counts as out, and claims are refused at once.
+const OUTAGE_TIME: Duration = Duration::from_secs(1);
+
+/// Sends jobs to the claims duty.
+pub type ClaimSender = mpsc::Sender<ClaimJob>;
+
+/// A change to make.
+#[derive(Debug)]
+pub struct ClaimJob {
+    /// The change.
+    pub change: ClaimChange,
+    /// Where its verdict goes; an error says when to come back.
+    pub reply: oneshot::Sender<Result<ClaimVerdict, Duration>>,
+}
+
+#[derive(Default)]
+struct ShardQueue {
+    waiting: Vec<ClaimJob>,
+    writing: bool,
+    known: Option<(u64, ClaimShard)>,
+}
+
+struct ClaimDuty {
+    platform: PlatformClient,
+    shards: RefCell<HashMap<u64, ShardQueue>>,
+    failed: RefCell<Option<Instant>>,
+    logger: Logger,
+}
+
+/// Runs until all senders are gone.
+pub async fn run(settings: Arc<EntrySettings>, mut jobs: mpsc::Receiver<ClaimJob>, log: Logger) {
+    let duty = Rc::new(ClaimDuty {
+        platform: PlatformClient::new(settings.common.platform, HttpClient::new()),
+        shards: RefCell::new(HashMap::new()),
+        failed: RefCell::new(None),
+        logger: log,
+    });
+    while let Some(job) = jobs.recv().await {
+        duty.take(job);
+    }
+}
+
+impl ClaimDuty {
+    fn take(self: &Rc<Self>, job: ClaimJob) {
+        let outage = self.failed.borrow().map(|failed| failed.elapsed());
+        if let Some(since) = outage.filter(|since| *since < OUTAGE_TIME) {
+            // Known to be out: the answer is given at once, not after one more timeout.
+            let _ = job.reply.send(Err(OUTAGE_TIME - since));
+            return;
+        }
+        let shard = claim_shard(job.change.key());
+        let mut shards = self.shards.borrow_mut();
+        let queue = shards.entry(shard).or_default();
+        queue.waiting.push(job);
+        if !queue.writing {
+            queue.writing = true;
+            spawn_local(Rc::clone(self).write_shard(shard));
+        }
+    }
+
+    /// Writes batch after batch of one shard: the next goes as soon as the last has ended.
+    async fn write_shard(self: Rc<Self>, shard: u64) {
+        loop {
+            let (batch, known) = {
+                let mut shards = self.shards.borrow_mut();
+                let queue = shards.entry(shard).or_default();
+                if queue.waiting.is_empty() {
+                    queue.writing = false;
+                    return;
+                }
+                (std::mem::take(&mut queue.waiting), queue.known.take())
+            };
+            let changes: Vec<ClaimChange> = batch.iter().map(|job| job.change.clone()).collect();
+            let (verdicts, known) = self.write_batch(shard, &changes, known).await;
+            if let Some(queue) = self.shards.borrow_mut().get_mut(&shard) {
+                queue.known = known;
+            }
+            for (index, job) in batch.into_iter().enumerate() {
+                let verdict = match &verdicts {
+                    Ok(verdicts) => Ok(verdicts[index].clone()),
+                    Err(_) => Err(OUTAGE_TIME),
+                };
+                let _ = job.reply.send(verdict);
+            }
+            if let Err(failure) = &verdicts {
+                counter!(names::PLATFORM_FAILURES).increment(1);
+                warn!(self.logger, "claims not written"; "step" => "claim", "shard" => shard,
+                    "error" => %failure);
+                *self.failed.borrow_mut() = Some(Instant::now());
+            }
+            sleep(BATCH_PAUSE).await;
+        }
+    }
+
+    /// Writes one batch under the shard's version. A conflict, or an answer that was lost, only
+    /// means reading again: a claim of ours that is found there has taken effect.
+    async fn write_batch(
+        &self,
+        shard: u64,
+        changes: &[ClaimChange],
+        mut known: Option<(u64, ClaimShard)>,
+    ) -> (PlatformResult<Vec<ClaimVerdict>>, Option<(u64, ClaimShard)>) {
+        let name = format!("shard-{shard:02}");
+        let mut last = PlatformError::Missing;
+        let mut lost_once = false;
+        for _ in 0..WRITE_ATTEMPTS {
+            let (version, old) = match known.take() {
+                Some(known) => known,
+                None => match self.read_shard(&name).await {
+                    Ok(read) => read,
+                    Err(failure) => return (Err(failure), None),
+                },
+            };
+            let mut new = old.clone();
+            let now = unix_ms();
+            let verdicts = changes.iter().map(|change| new.apply(change, now)).collect();
+            if new == old {
+                return (Ok(verdicts), Some((version, old)));
+            }
+            match self.platform.put(CLAIM_KIND, &name, version, &new).await {
+                Ok(version) => return (Ok(verdicts), Some((version, new))),
+                Err(failure @ PlatformError::Conflict(_)) => last = failure,
+                Err(failure @ PlatformError::Unanswered(_)) if !lost_once => {
+                    lost_once = true;
+                    last = failure;
+                }
+                Err(failure) => return (Err(failure), None),
+            }
+        }
+        (Err(last), None)
+    }
+
+    async fn read_shard(&self, name: &str) -> PlatformResult<(u64, ClaimShard)> {
+        match self.platform.get::<ClaimShard>(CLAIM_KIND, name).await {
+            Ok(object) => Ok((object.version, object.value.unwrap_or_default())),
+            Err(PlatformError::Missing) => Ok((0, ClaimShard::default())),
+            Err(failure) => Err(failure),
+        }
+    }
+}
+
+fn unix_ms() -> u64 {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    since.as_millis() as u64
+}
+
+/// A claim for one request of this entry.
+pub fn new_claim(entry: &str) -> ClaimRecord {
+    ClaimRecord {
+        entry: entry.to_owned(),
+        operation: format!("{:016x}", rand::random::<u64>()),
+        claimed_ms: unix_ms(),
+    }
+}
+
+/// Sends a change and waits for its verdict.
+pub async fn change(sender: &ClaimSender, change: ClaimChange) -> Result<ClaimVerdict, Duration> {
+    let (reply, verdict) = oneshot::channel();
+    if sender.try_send(ClaimJob { change, reply }).is_err() {
+        return Err(OUTAGE_TIME);
+    }
+    verdict.await.unwrap_or(Err(OUTAGE_TIME))
+}
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -154,7 +154,8 @@
         }
     }
 
-    fn time_left(&self) -> Duration {
+    /// Time until the deadline.
+    pub fn time_left(&self) -> Duration {
         self.request.time_left.saturating_sub(self.started.elapsed())
     }
 
--- a/crates/daemon/src/entry/reply.rs
+++ b/crates/daemon/src/entry/reply.rs
@@ -157,6 +157,47 @@
         }
     }
 
+    /// Another entry has a request with this key.
+    pub fn already_claimed(entry: &str) -> Self {
+        let message = format!(
+            "a request with this idempotency key was taken by {entry}, which may have run it; ask \
+             there for its answer"
+        );
+        Self {
+            outcome: RunOutcome::Unknown,
+            ..Self::refused(StatusCode::CONFLICT, "already_claimed", message)
+        }
+    }
+
+    /// The first request with this key was answered, but its answer is not held.
+    pub fn already_answered() -> Self {
+        let message = "a request with this idempotency key has run; its answer was too large to \
+                       be held";
+        Self {
+            outcome: RunOutcome::Unknown,
+            ..Self::refused(StatusCode::CONFLICT, "already_answered", message)
+        }
+    }
+
+    /// The first request with this key was not run, and neither was this one.
+    pub fn first_not_run() -> Self {
+        let message = "not run: neither was the earlier request with this key; ask again";
+        Self {
+            retry_after: Some(Duration::ZERO),
+            ..Self::refused(StatusCode::SERVICE_UNAVAILABLE, "first_not_run", message)
+        }
+    }
+
+    /// The request's key cannot be claimed now, so it is not run.
+    pub fn claims_unavailable(retry_after: Duration) -> Self {
+        let message = "not run: the platform, which keeps idempotency keys, does not answer; ask \
+                       again after the time given";
+        Self {
+            retry_after: Some(retry_after),
+            ..Self::refused(StatusCode::SERVICE_UNAVAILABLE, "claims_unavailable", message)
+        }
+    }
+
     /// The deadline passed while the target had the request.
     pub fn deadline_passed() -> Self {
         let message = "the deadline passed; the request may have run";
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -8,6 +8,7 @@
     http::request::Parts,
 };
 use plantain_core::{
+    claims::{ClaimKey, claim_key},
     config::{CallerRecord, ConfigSnapshot, ResolveError, records::DEADLINE_LIMIT_MS},
     ids::{CallerName, ModelSelector},
     outcome::NotRunProof,
@@ -64,6 +65,9 @@
     pub time_left: Duration,
     /// Whether running it twice does no harm.
     pub idempotent: bool,
+    /// The key under which it is claimed, if it may not be repeated and the caller named one.
+    /// Without a key no retry can be told from a new request, and each is offered only once anyway.
+    pub claim: Option<ClaimKey>,
     /// Whether the answer is a stream of events.
     pub streamed: bool,
     /// Method, path and headers for the target.
@@ -143,6 +147,7 @@
         priority,
         time_left,
         idempotent: true,
+        claim: None,
         streamed: false,
         head: RequestHead {
             method: parts.method.to_string(),
@@ -158,9 +163,23 @@
         }
         _ => admit_completion(&mut request, &body, config)?,
     }
+    if !request.idempotent {
+        let key = read_header(&parts.headers, KEY_HEADER)?;
+        request.claim = key.map(|key| claim_key(&request.caller, &claim_scope(&request), key));
+    }
     Ok(request)
 }
 
+/// What a key is compared within: the same key for another call is another request.
+fn claim_scope(request: &AdmittedRequest) -> String {
+    match &request.work {
+        WorkItem::Service { name } => {
+            format!("{name} {} {}", request.head.method, request.head.path)
+        }
+        WorkItem::Completion { key, .. } => key.name.to_string(),
+    }
+}
+
 fn admit_service(
     request: &mut AdmittedRequest,
     name: &str,
--- a/crates/net/src/platform/records.rs
+++ b/crates/net/src/platform/records.rs
@@ -45,6 +45,9 @@
     pub version: u64,
 }
 
+/// Kind of the shards of idempotency records.
+pub const CLAIM_KIND: &str = "claims";
+
 /// State of a host.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "lowercase")]
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -349,18 +349,24 @@
     }
 
     fn start_service(&mut self, index: usize) -> Result<()> {
-        let plan: ServicePlan = self.plan.services[index].clone();
         let listen = self.service(index).to_string();
         let call_ms = self.plan.call_ms.to_string();
         let service = words(&["service", "--listen", &listen, "--call-ms", &call_ms]);
+        self.start_process(&format!("service-{index}"), "plantain-standin", &service)?;
+        self.restart_service_agent(index)
+    }
+
+    /// Starts the agent of service `index`.
+    pub fn restart_service_agent(&mut self, index: usize) -> Result<()> {
+        let plan: ServicePlan = self.plan.services[index].clone();
+        let target = self.service(index).to_string();
         let mut agent = vec!["agent".to_owned()];
         agent.extend(self.common(&plan.name, &plan.site, self.service_agent_admin(index)));
-        let agent_listen = self.address(plan::SERVICE_AGENT_PORT + index as u16).to_string();
-        agent.extend(words(&["--listen", &agent_listen, "--target", &listen]));
+        let listen = self.address(plan::SERVICE_AGENT_PORT + index as u16).to_string();
+        agent.extend(words(&["--listen", &listen, "--target", &target]));
         let link = (self.plan.engines.len() + index) as u16;
-        agent.extend(self.start_link_proxy(link, &agent_listen)?);
+        agent.extend(self.start_link_proxy(link, &listen)?);
         agent.extend(words(&["--service", &plan.service]));
-        self.start_process(&format!("service-{index}"), "plantain-standin", &service)?;
         self.start_process(&format!("agent-service-{index}"), "plantaind", &agent)
     }
 
--- a/crates/standin/tests/integration/main.rs
+++ b/crates/standin/tests/integration/main.rs
@@ -1,7 +1,10 @@
 //! Tests of the whole system: real processes, talking over loopback.
 
 mod answers;
+mod claims;
 mod import;
+mod loads;
+mod operators;
 mod path;
 mod requests;
 mod services;
