--- a/crates/daemon/src/agent/permits.rs
+++ b/crates/daemon/src/agent/permits.rs
@@ -121,13 +121,11 @@
         let claim = PermitClaim { target: self.settings.common.name.clone(), key: key.clone() };
         let getting = async {
             let asked = timeout(GRANT_TIMEOUT, self.ask_broker(&claim, urgency)).await;
-            match asked {
-                Ok(Ok(permit)) => Some(permit),
-                Ok(Err(_)) | Err(_) => {
-                    self.ask_share(&claim, urgency).await;
-                    None
-                }
+            if let Ok(Ok(permit)) = asked {
+                return Some(permit);
             }
+            self.ask_share(&claim, urgency).await;
+            None
         };
         tokio::pin!(ended);
         let permit = tokio::select! {
--- a/crates/daemon/src/agent/platform.rs
+++ b/crates/daemon/src/agent/platform.rs
@@ -354,12 +354,11 @@
         }
         let same = root.preset == state.root.preset
             && root.parts.get(PRESETS_PART) == state.root.parts.get(PRESETS_PART);
-        let preset = match state.preset.take().filter(|_| same) {
-            Some(preset) => preset,
-            None => {
-                sleep(jitter(FOLLOW_PAUSE)).await;
-                self.store.preset(&root).await?
-            }
+        let preset = if let Some(preset) = state.preset.take().filter(|_| same) {
+            preset
+        } else {
+            sleep(jitter(FOLLOW_PAUSE)).await;
+            self.store.preset(&root).await?
         };
         gauge!(names::CONFIG_REVISION).set(root.revision as f64);
         info!(self.logger, "preset in force"; "step" => "preset", "revision" => root.revision,
--- a/crates/daemon/src/entry/claims.rs
+++ b/crates/daemon/src/entry/claims.rs
@@ -72,7 +72,7 @@
         let outage = self.failed.borrow().map(|failed| failed.elapsed());
         if let Some(since) = outage.filter(|since| *since < OUTAGE_TIME) {
             // Known to be out: the answer is given at once, not after one more timeout.
-            let _ = job.reply.send(Err(OUTAGE_TIME - since));
+            let _ = job.reply.send(Err(OUTAGE_TIME.saturating_sub(since)));
             return;
         }
         let shard = claim_shard(job.change.key());
--- a/crates/daemon/src/entry/replays.rs
+++ b/crates/daemon/src/entry/replays.rs
@@ -127,16 +127,13 @@
 impl Drop for ReplayGuard {
     fn drop(&mut self) {
         let mut state = self.table.lock();
-        match self.end.take() {
-            Some(end) => {
-                if let Some(sender) = state.requests.get(&self.key) {
-                    sender.send_replace(end);
-                }
-            }
-            None => {
-                state.requests.remove(&self.key);
-                state.order.retain(|(_, key)| *key != self.key);
+        if let Some(end) = self.end.take() {
+            if let Some(sender) = state.requests.get(&self.key) {
+                sender.send_replace(end);
             }
+        } else {
+            state.requests.remove(&self.key);
+            state.order.retain(|(_, key)| *key != self.key);
         }
     }
 }
--- a/crates/standin/src/bench/driver.rs
+++ b/crates/standin/src/bench/driver.rs
@@ -75,21 +75,18 @@
     let name = adapter_name(request.adapter);
     let call = ChatCall::new(&name, &request.prompt, request.tokens)
         .with_header("x-plantain-priority", request.priority.name());
-    match follow(http, entry, &call, &mut sample).await {
-        Ok(Some((body, last))) => {
-            let model = format!("{name}@1");
-            let wanted = whole_answer(&model, &request.prompt, request.tokens);
-            match read_events(&body, &model) {
-                Ok(content) if content == wanted => {
-                    sample.answered = true;
-                    sample.in_time = last <= deadline;
-                }
-                Ok(_) => sample.wrong = Some(format!("{name}: other content")),
-                Err(error) => sample.wrong = Some(format!("{name}: {error:#}")),
+    // Anything else was refused, or broken off and known to be.
+    if let Ok(Some((body, last))) = follow(http, entry, &call, &mut sample).await {
+        let model = format!("{name}@1");
+        let wanted = whole_answer(&model, &request.prompt, request.tokens);
+        match read_events(&body, &model) {
+            Ok(content) if content == wanted => {
+                sample.answered = true;
+                sample.in_time = last <= deadline;
             }
+            Ok(_) => sample.wrong = Some(format!("{name}: other content")),
+            Err(error) => sample.wrong = Some(format!("{name}: {error:#}")),
         }
-        // Refused, or broken off and known to be.
-        Ok(None) | Err(_) => {}
     }
     sample
 }
@@ -120,7 +117,7 @@
     let last = started.elapsed();
     sample.first = first.unwrap_or(last);
     if call.tokens > 1 {
-        sample.between = Some((last - sample.first) / (call.tokens - 1));
+        sample.between = Some(last.saturating_sub(sample.first) / (call.tokens - 1));
     }
     Ok(Some((body, last)))
 }
--- a/crates/standin/src/bench/optimal.rs
+++ b/crates/standin/src/bench/optimal.rs
@@ -17,15 +17,14 @@
     let mut by_next: BTreeSet<(usize, usize)> = BTreeSet::new();
     let mut loads = 0;
     for (index, request) in requests.iter().enumerate() {
-        match held.remove(&request.adapter) {
-            Some(next) => drop(by_next.remove(&(next, request.adapter))),
-            None => {
-                loads += u64::from(request.at >= workload.warm_up);
-                if held.len() >= capacity
-                    && let Some((_, victim)) = by_next.pop_last()
-                {
-                    held.remove(&victim);
-                }
+        if let Some(next) = held.remove(&request.adapter) {
+            by_next.remove(&(next, request.adapter));
+        } else {
+            loads += u64::from(request.at >= workload.warm_up);
+            if held.len() >= capacity
+                && let Some((_, victim)) = by_next.pop_last()
+            {
+                held.remove(&victim);
             }
         }
         held.insert(request.adapter, next_use[index]);
