Fault run, burn report, urgency across the fleet, brokers that die

Cause 1: an agent asked for two permits at a time, so the broker could not see that a third load was more urgent, and urgency never changed once asked. Change: up to 16 claims an agent, urgency updates on the claim's stream; the engine's own limit still bounds its loads. Cause 2: a killed broker's connection looked alive for 30 s, and each load waited 8 s for its grant: loads_go_on_when_the_broker_dies took over 60 s. Change: pulses on the permit connection while claims wait, the next entry after a silence. Also: plantain-standin faults, a seeded run of 18 kinds of faults checked against the stand-ins' records, with switches that break four promises, each reported in a trial; plantainctl report; plantain-standin plot; a failed target is tried by one request first. The entry test for failed targets now ends its offers, and checks the single trial as well.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -29,6 +29,8 @@
 pub const RESERVATION_TTL: Duration = Duration::from_secs(10);
 /// First guess of the time that a request runs, until requests have been seen.
 const SERVICE_TIME_GUESS: Duration = Duration::from_millis(200);
+/// Load permits that an agent asks for at once.
+const CLAIM_LIMIT: usize = 16;
 /// Chance that an evicted adapter must be loaded again soon, for each unit of its demand.
 const RELOAD_CHANCE: f64 = 0.1;
 /// Demand that stands for that of the victim when all adapters are in use.
@@ -320,8 +322,9 @@
     fn want_load(&mut self, record: &WorkRecord, now: Timestamp) {
         if let WorkItem::Completion { key, .. } = &record.offer.item
             && !self.residents.is_present(key)
+            && let Some(urgency) = self.loads.want(key, record.offer.priority, record.deadline, now)
         {
-            self.loads.want(key, record.offer.priority, record.deadline, now);
+            self.actions.push(AgentAction::AskPermit { key: key.clone(), urgency });
         }
     }
 
@@ -494,7 +497,9 @@
     }
 
     fn order_loads(&mut self, now: Timestamp) {
-        while let Some(key) = self.loads.next_permitted() {
+        while self.loads.started() < self.options.load_limit
+            && let Some(key) = self.loads.next_permitted()
+        {
             if self.residents.take_slot(&key, now) {
                 self.loads.start(&key, now);
                 self.actions.push(AgentAction::Load { key });
@@ -511,7 +516,9 @@
 
     fn ask_permits(&mut self, now: Timestamp) {
         let room = self.residents.claimable();
-        while self.loads.outstanding() < self.options.load_limit.min(room) {
+        // More claims than the engine can load at once: only the broker, which sees those of all
+        // agents, can tell which of them goes first.
+        while self.loads.outstanding() < CLAIM_LIMIT.min(room) {
             let Some((key, urgency)) = self.loads.next_unasked(now) else { return };
             self.loads.ask(&key);
             self.actions.push(AgentAction::AskPermit { key, urgency });
--- a/crates/core/src/agent/events.rs
+++ b/crates/core/src/agent/events.rs
@@ -145,7 +145,7 @@
         /// The request.
         work: WorkId,
     },
-    /// Ask for a load permit.
+    /// Ask for a load permit, or tell that its urgency has changed.
     AskPermit {
         /// The adapter.
         key: AdapterKey,
--- a/crates/core/src/agent/loads.rs
+++ b/crates/core/src/agent/loads.rs
@@ -73,14 +73,21 @@
         self.loads.len() - self.loads.values().filter(waits).count()
     }
 
-    /// Adds a waiter.
+    /// Loads that the engine is at.
+    pub fn started(&self) -> usize {
+        let started = |load: &&LoadRecord| matches!(load.phase, LoadPhase::Started(_));
+        self.loads.values().filter(started).count()
+    }
+
+    /// Adds a waiter. Returns the new urgency if a permit is already asked for, so that the broker
+    /// learns of it.
     pub fn want(
         &mut self,
         key: &AdapterKey,
         priority: Priority,
         deadline: LoadDeadline,
         now: Timestamp,
-    ) {
+    ) -> Option<LoadUrgency> {
         let counter = &mut self.counter;
         let load = self.loads.entry(key.clone()).or_insert_with(|| {
             *counter += 1;
@@ -97,6 +104,7 @@
         load.waiters += 1;
         load.priority = load.priority.min(priority);
         load.deadline = load.deadline.min(deadline);
+        (load.phase == LoadPhase::Asked).then(|| urgency(load, now))
     }
 
     /// Drops a load that nobody waits for any more, unless the engine is already at it. True if a
--- a/crates/core/src/config/records.rs
+++ b/crates/core/src/config/records.rs
@@ -1,6 +1,7 @@
 //! Records that operators write.
 
 use crate::{
+    burn::ServiceObjectives,
     ids::{AdapterName, AdapterVersion, BaseName, CallerName, PresetName, ServiceName, check_name},
     protocol::Priority,
 };
@@ -165,6 +166,9 @@
     /// The least important priority that is admitted.
     #[serde(default = "default_lowest_priority")]
     pub lowest_priority: Priority,
+    /// What each class of requests is promised, for the report on service-level burn.
+    #[serde(default)]
+    pub objectives: ServiceObjectives,
 }
 
 fn default_weight() -> f64 {
@@ -198,6 +202,7 @@
             deadline_ms: default_deadline_ms(),
             retry_ratio: default_retry_ratio(),
             lowest_priority: default_lowest_priority(),
+            objectives: ServiceObjectives::default(),
         }
     }
 
@@ -220,7 +225,7 @@
         if self.deadline_ms == 0 || self.deadline_ms > DEADLINE_LIMIT_MS {
             return Err(format!("deadline_ms: expected from 1 to {DEADLINE_LIMIT_MS}"));
         }
-        Ok(())
+        self.objectives.check()
     }
 
     /// Deadline of a request that names none.
--- a/crates/core/src/entry/targets.rs
+++ b/crates/core/src/entry/targets.rs
@@ -84,7 +84,9 @@
 
     /// Whether it may be offered to.
     pub fn is_open(&self, now: Timestamp) -> bool {
-        !self.leaving && now >= self.closed_until
+        // After a failure, one request goes first; the others follow its answer.
+        let probing = self.failures > 0 && self.in_flight > 0;
+        !self.leaving && now >= self.closed_until && !probing
     }
 
     /// Whether it is known to hold an adapter.
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions of plantainroute as pure state machines: time and randomness come in as arguments.
 
 pub mod agent;
+pub mod burn;
 pub mod claims;
 pub mod config;
 pub mod cost;
--- a/crates/core/tests/core/agent.rs
+++ b/crates/core/tests/core/agent.rs
@@ -156,11 +156,16 @@
                 assert!(self.offers[&work].idempotent, "aborted what may not be repeated");
                 self.aborted.insert(work);
             }
-            AgentAction::AskPermit { key, .. } => self.asked.push(key),
+            AgentAction::AskPermit { key, .. } => {
+                if !self.asked.contains(&key) {
+                    self.asked.push(key);
+                }
+            }
             AgentAction::DropPermit { key } => self.asked.retain(|asked| *asked != key),
             AgentAction::Load { key } => {
                 assert!(!self.loaded.contains(&key), "loaded twice");
                 assert!(self.loading.insert(key), "ordered twice");
+                assert!(self.loading.len() <= 2, "more loads than the engine takes");
             }
             AgentAction::Evict { key } => {
                 let pinned = |work: &&WorkId| self.offers[work].needs(&key);
--- a/crates/core/tests/core/entry.rs
+++ b/crates/core/tests/core/entry.rs
@@ -136,6 +136,7 @@
     state.set_targets(records);
     for adapter in 0..20 {
         assert_eq!(choose(&mut state, &work(adapter), 1), "scribe-1");
+        state.offer_answered(&"scribe-1".into());
     }
     state.offer_failed(&"scribe-1".into(), NOW);
     let item = work(1);
@@ -143,6 +144,9 @@
     let proof = state.choose(&query, NOW).expect_err("no target is open");
     let pause = proof.retry_after().expect("when to come back");
     assert!(state.choose(&query, NOW + pause).is_ok());
+    assert!(state.choose(&query, NOW + pause).is_err(), "only one request tries it first");
+    state.offer_answered(&"scribe-1".into());
+    assert!(state.choose(&query, NOW + pause).is_ok());
 }
 
 #[test]
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decisions, without processes.
 
 mod agent;
+mod burn;
 mod config;
 mod entry;
 mod events;
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -3,6 +3,7 @@
 pub mod adapters;
 pub mod callers;
 pub mod presets;
+pub mod report;
 pub mod services;
 pub mod status;
 
@@ -81,6 +82,7 @@
         ControlCommand::Caller(command) => callers::carry_out(&context, command).await,
         ControlCommand::Service(command) => services::carry_out(&context, command).await,
         ControlCommand::Preset(command) => presets::carry_out(&context, command).await,
+        ControlCommand::Report { html } => report::carry_out(&context, html.as_deref()).await,
         ControlCommand::Status => status::carry_out(&context).await,
     }
 }
--- a/crates/ctl/src/commands/presets.rs
+++ b/crates/ctl/src/commands/presets.rs
@@ -83,6 +83,10 @@
     record.queue_limit = fields.queue_limit.unwrap_or(record.queue_limit);
     record.deadline_ms = fields.deadline_ms.unwrap_or(record.deadline_ms);
     record.retry_ratio = fields.retry_ratio.unwrap_or(record.retry_ratio);
+    let objectives = &mut record.objectives;
+    objectives.availability = fields.availability.unwrap_or(objectives.availability);
+    objectives.first_byte_ms = fields.first_byte_ms.unwrap_or(objectives.first_byte_ms);
+    objectives.load_stall_ms = fields.load_stall_ms.unwrap_or(objectives.load_stall_ms);
     if let Some(priority) = &fields.lowest_priority {
         record.lowest_priority = Priority::parse(priority)
             .map_err(|error| CommandError::Invalid(format!("--lowest-priority: {error}")))?;
--- a/crates/ctl/src/options/arguments.rs
+++ b/crates/ctl/src/options/arguments.rs
@@ -43,6 +43,13 @@
     /// Presets, and which of them is in force
     #[bpaf(command("preset"))]
     Preset(#[bpaf(external(preset_command))] PresetCommand),
+    /// Shows how fast each class of requests uses up its error budget
+    #[bpaf(command("report"))]
+    Report {
+        /// Writes the report as one HTML page too
+        #[bpaf(argument("FILE"))]
+        html: Option<PathBuf>,
+    },
     /// Shows the configuration in force, the processes and what they report
     #[bpaf(command("status"))]
     Status,
@@ -219,6 +226,15 @@
     /// Retries allowed for each answered request
     #[bpaf(long("retry-ratio"), argument("NUMBER"))]
     pub retry_ratio: Option<f64>,
+    /// Objective: share of requests that are answered whole
+    #[bpaf(argument("SHARE"))]
+    pub availability: Option<f64>,
+    /// Objective: time to the first byte for 95 in 100, in milliseconds
+    #[bpaf(long("first-byte-ms"), argument("MS"))]
+    pub first_byte_ms: Option<u64>,
+    /// Objective: load stall for 95 in 100, in milliseconds
+    #[bpaf(long("load-stall-ms"), argument("MS"))]
+    pub load_stall_ms: Option<u64>,
     /// Least important priority that is admitted
     #[bpaf(long("lowest-priority"), argument("PRIORITY"))]
     pub lowest_priority: Option<String>,
--- a/crates/daemon/src/agent/permits.rs
+++ b/crates/daemon/src/agent/permits.rs
@@ -2,7 +2,7 @@
 
 use super::decisions::{AgentCommand, CommandSender};
 use crate::{
-    link::{self, PEER_NAME, frames},
+    link::{self, PEER_NAME, frames, pulse},
     options::AgentSettings,
 };
 use eyre::{Result, WrapErr, eyre};
@@ -15,13 +15,16 @@
 };
 use plantain_net::platform::records::EntryRecord;
 use quinn::{Connection, Endpoint};
-use slog::{Logger, info};
+use slog::{Logger, debug, info};
 use std::{
     cell::RefCell,
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
-    sync::Arc,
+    sync::{
+        Arc,
+        atomic::{AtomicUsize, Ordering},
+    },
     time::{Duration, Instant},
 };
 use tokio::{
@@ -33,6 +36,8 @@
 
 /// Longest wait for a connection to a broker.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Entries that are asked for one permit.
+const BROKER_ATTEMPTS: usize = 4;
 /// Time for which an entry that could not be reached is passed over.
 const AVOID_TIME: Duration = Duration::from_secs(5);
 /// Pause between looks at the own share.
@@ -61,6 +66,7 @@
     connection: RefCell<Option<(SocketAddr, Connection)>>,
     avoided: RefCell<HashMap<SocketAddr, Instant>>,
     share: RefCell<PermitDesk>,
+    claims: Arc<AtomicUsize>,
     started: Instant,
     logger: Logger,
 }
@@ -94,37 +100,59 @@
         connection: RefCell::new(None),
         avoided: RefCell::new(HashMap::new()),
         share: RefCell::new(PermitDesk::new(limits, Duration::ZERO)),
+        claims: Arc::default(),
         started: Instant::now(),
         logger,
     });
-    let mut open: HashMap<AdapterKey, oneshot::Sender<()>> = HashMap::new();
+    let mut open: HashMap<AdapterKey, OpenClaim> = HashMap::new();
     while let Some(job) = jobs.recv().await {
         match job {
             PermitJob::Ask(key, urgency) => {
+                if let Some(claim) = open.get(&key) {
+                    claim.urgency.send_replace(urgency);
+                    continue;
+                }
                 let (end, ended) = oneshot::channel();
-                open.insert(key.clone(), end);
-                spawn_local(Rc::clone(&duty).follow(key, urgency, ended));
+                let (sender, receiver) = watch::channel(urgency);
+                open.insert(key.clone(), OpenClaim { urgency: sender, _end: end });
+                spawn_local(Rc::clone(&duty).follow(key, receiver, ended));
             }
             PermitJob::End(key) => drop(open.remove(&key)),
         }
     }
 }
 
+/// Counts a claim that asks a broker, for as long as it does.
+struct ClaimCount<'a>(&'a AtomicUsize);
+
+impl Drop for ClaimCount<'_> {
+    fn drop(&mut self) {
+        self.0.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// A claim under way. Dropping it ends the claim.
+struct OpenClaim {
+    urgency: watch::Sender<LoadUrgency>,
+    _end: oneshot::Sender<()>,
+}
+
 impl PermitDuty {
     /// Gets one permit and holds it until it is given back.
     async fn follow(
         self: Rc<Self>,
         key: AdapterKey,
-        urgency: LoadUrgency,
+        mut urgency: watch::Receiver<LoadUrgency>,
         ended: oneshot::Receiver<()>,
     ) {
         let claim = PermitClaim { target: self.settings.common.name.clone(), key: key.clone() };
         let getting = async {
-            let asked = timeout(GRANT_TIMEOUT, self.ask_broker(&claim, urgency)).await;
-            if let Ok(Ok(permit)) = asked {
+            let asked = timeout(GRANT_TIMEOUT, self.ask_brokers(&claim, &mut urgency)).await;
+            if let Ok(Some(permit)) = asked {
                 return Some(permit);
             }
-            self.ask_share(&claim, urgency).await;
+            let last = *urgency.borrow();
+            self.ask_share(&claim, last).await;
             None
         };
         tokio::pin!(ended);
@@ -143,20 +171,49 @@
         drop(permit);
     }
 
+    /// Asks one entry after another: a broker that dies is found out by its silence, and the next in
+    /// the order takes its place.
+    async fn ask_brokers(
+        &self,
+        claim: &PermitClaim,
+        urgency: &mut watch::Receiver<LoadUrgency>,
+    ) -> Option<quinn::SendStream> {
+        self.claims.fetch_add(1, Ordering::AcqRel);
+        let _count = ClaimCount(&self.claims);
+        for _ in 0..BROKER_ATTEMPTS {
+            match self.ask_broker(claim, urgency).await {
+                Ok(permit) => return Some(permit),
+                Err(failure) => {
+                    debug!(self.logger, "no permit"; "step" => "permit",
+                        "error" => format!("{failure:#}"));
+                }
+            }
+        }
+        None
+    }
+
     /// Asks the first entry in rendezvous order that can be reached, and returns the stream that
     /// holds the permit.
     async fn ask_broker(
         &self,
         claim: &PermitClaim,
-        urgency: LoadUrgency,
+        urgency: &mut watch::Receiver<LoadUrgency>,
     ) -> Result<quinn::SendStream> {
         let connection = self.broker().await?;
         let (mut send, mut receive) = connection.open_bi().await.wrap_err("open permit stream")?;
-        let ask = PermitFrame::Ask { claim: claim.clone(), urgency };
-        frames::write(&mut send, &ask).await?;
-        match frames::read::<GrantFrame>(&mut receive).await? {
-            Some(grant) if grant.claim == *claim => Ok(send),
-            _ => Err(eyre!("the broker ended without a grant")),
+        let grant = frames::read::<GrantFrame>(&mut receive);
+        tokio::pin!(grant);
+        loop {
+            let urgency_now = *urgency.borrow_and_update();
+            let ask = PermitFrame::Ask { claim: claim.clone(), urgency: urgency_now };
+            frames::write(&mut send, &ask).await?;
+            tokio::select! {
+                granted = &mut grant => return match granted? {
+                    Some(grant) if grant.claim == *claim => Ok(send),
+                    _ => Err(eyre!("the broker ended without a grant")),
+                },
+                Ok(()) = urgency.changed() => {}
+            }
         }
     }
 
@@ -171,6 +228,8 @@
             }
             if let Ok(connection) = self.connect(peer).await {
                 info!(self.logger, "broker found"; "step" => "permit", "peer" => %peer);
+                let (pulsed, claims) = (connection.clone(), Arc::clone(&self.claims));
+                spawn_local(async move { pulse::send_pulses(&pulsed, &claims).await });
                 *self.connection.borrow_mut() = Some((peer, connection.clone()));
                 return Ok(connection);
             }
--- a/crates/daemon/src/entry/broker.rs
+++ b/crates/daemon/src/entry/broker.rs
@@ -4,7 +4,7 @@
 //! of a weight store. Nothing is kept or agreed on: two brokers for a moment only slow loads down.
 
 use crate::{
-    link::{frames, server_endpoint},
+    link::{frames, pulse, server_endpoint},
     options::EntrySettings,
     telemetry::names,
 };
@@ -20,7 +20,7 @@
     cell::RefCell,
     collections::HashMap,
     rc::Rc,
-    sync::Arc,
+    sync::{Arc, atomic::AtomicUsize},
     time::{Duration, Instant},
 };
 use tokio::{
@@ -72,6 +72,10 @@
 }
 
 async fn accept_streams(duty: Rc<BrokerDuty>, connection: Connection) {
+    // The agent's pulses tell it that this broker lives. A silent agent holds no place here: its
+    // permits lapse by themselves.
+    let pulsed = connection.clone();
+    spawn_local(async move { pulse::answer_pulses(&pulsed, &AtomicUsize::new(0)).await });
     while let Ok((send, receive)) = connection.accept_bi().await {
         let duty = Rc::clone(&duty);
         spawn_local(async move {
@@ -110,6 +114,8 @@
                 }
             }
             frame = frames::read::<PermitFrame>(&mut receive) => match frame {
+                // News of a claim that was granted meanwhile must not make it wait again.
+                Ok(Some(PermitFrame::Ask { .. })) if is_granted => {}
                 Ok(Some(PermitFrame::Ask { urgency, .. })) => {
                     let now = duty.started.elapsed();
                     duty.state.borrow_mut().desk.ask(claim.clone(), urgency, now);
--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -7,7 +7,7 @@
     offers::OfferSender,
     replays::{FirstRequest, ReplayTable},
     reply::RequestError,
-    request::{self, ID_HEADER, RequestPath},
+    request::{self, AdmittedRequest, ID_HEADER, RequestPath},
     status::EntryStatus,
 };
 use crate::{
@@ -24,10 +24,12 @@
 };
 use metrics::{counter, gauge};
 use plantain_core::{
+    burn::RequestOutcome,
     claims::{ClaimChange, ClaimKey, ClaimVerdict},
     config::ConfigSnapshot,
-    ids::RequestId,
+    ids::{CallerName, RequestId},
     outcome::RunOutcome,
+    protocol::{Priority, WorkItem},
 };
 use plantain_net::server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply};
 use serde_json::json;
@@ -157,9 +159,13 @@
         let started = Instant::now();
         let id: RequestId = self.next_id.fetch_add(1, Ordering::Relaxed);
         let name = request_name(request.headers(), id);
+        let mut facts = None;
         gauge!(names::IN_FLIGHT).increment(1.0);
-        let result = self.serve(request, id, &name).await;
+        let result = self.serve(request, id, &name, &mut facts).await;
         gauge!(names::IN_FLIGHT).decrement(1.0);
+        if let Some(facts) = facts {
+            self.status.record(&facts.outcome(&result, started.elapsed()));
+        }
         self.finish(result, &name, peer, started)
     }
 
@@ -168,6 +174,7 @@
         request: Request<Incoming>,
         id: RequestId,
         name: &str,
+        facts: &mut Option<RequestFacts>,
     ) -> Result<HttpReply, RequestError> {
         let path = RequestPath::new(request.method(), request.uri())?;
         let (parts, body) = request.into_parts();
@@ -181,6 +188,7 @@
             let snapshot = Arc::clone(&self.config.borrow());
             let mut admitted = request::admit(path.clone(), &parts, body.clone(), &snapshot)?;
             admitted.time_left = admitted.time_left.saturating_sub(received.elapsed());
+            *facts = Some(RequestFacts::new(&admitted));
             let key = admitted.claim.clone();
             let exchange = Exchange::new(self, admitted, snapshot.revision(), id, name, &logger);
             let end = match key {
@@ -321,6 +329,41 @@
     let _ = timeout(constants::DISCARD_TIMEOUT, discarded).await;
 }
 
+/// What the report on service-level burn says of a request.
+struct RequestFacts {
+    priority: Priority,
+    caller: CallerName,
+    subject: String,
+}
+
+impl RequestFacts {
+    fn new(admitted: &AdmittedRequest) -> Self {
+        let subject = match &admitted.work {
+            WorkItem::Completion { key, .. } => key.name.to_string(),
+            WorkItem::Service { name } => name.to_string(),
+        };
+        Self { priority: admitted.priority, caller: admitted.caller.clone(), subject }
+    }
+
+    fn outcome(
+        self,
+        result: &Result<HttpReply, RequestError>,
+        first_byte: Duration,
+    ) -> RequestOutcome {
+        let stall = result.as_ref().ok().and_then(|reply| {
+            reply.headers().get("x-plantain-load-stall-ms")?.to_str().ok()?.parse().ok()
+        });
+        RequestOutcome {
+            priority: self.priority,
+            caller: self.caller,
+            subject: self.subject,
+            failure: result.as_ref().err().map(|error| error.kind),
+            first_byte,
+            load_stall: Duration::from_millis(stall.unwrap_or(0)),
+        }
+    }
+}
+
 fn request_name(headers: &HeaderMap, id: RequestId) -> String {
     let given = headers.get(ID_HEADER).and_then(|value| value.to_str().ok());
     given.map_or_else(|| format!("{id:016x}"), str::to_owned)
--- a/crates/daemon/src/entry/platform.rs
+++ b/crates/daemon/src/entry/platform.rs
@@ -15,9 +15,10 @@
     client::HttpClient,
     config_store::ConfigStore,
     platform::{
-        PlatformClient, PlatformError, PlatformResult,
+        PlatformClient, PlatformError,
         records::{
-            ENTRY_KIND, EntryRecord, HostRecord, HostState, ROOT_KIND, SLOT_KIND, SlotRecord,
+            ENTRY_KIND, EntryRecord, HostRecord, HostState, ObjectRecord, ROOT_KIND, SLOT_KIND,
+            SlotRecord,
         },
     },
 };
@@ -28,14 +29,18 @@
     sync::Arc,
     time::Duration,
 };
-use tokio::{sync::watch, time::sleep};
+use tokio::{sync::watch, task::spawn_local, time::sleep};
 
 /// First pause after a failed platform call.
 const FAILED_PAUSE: Duration = Duration::from_millis(200);
 /// Longest pause after failed platform calls.
 const FAILED_PAUSE_LIMIT: Duration = Duration::from_secs(5);
-/// Pause between looks at the host list.
+/// Least pause between looks at the host list.
 const HOST_PAUSE: Duration = Duration::from_secs(1);
+/// Size of one host in the list, in bytes.
+const HOST_RECORD_BYTES: f64 = 90.0;
+/// Traffic that the host list may cost an entry, in bytes a second.
+const HOST_BYTES_PER_SECOND: f64 = 6_000.0;
 
 /// Sends configurations to the other duties.
 pub type ConfigSender = watch::Sender<Arc<ConfigSnapshot>>;
@@ -56,12 +61,14 @@
         signals: Arc::clone(&signals),
         logger: logger.clone(),
     };
-    let targets = TargetFollower { platform: platform.clone(), decisions, logger: logger.clone() };
+    let targets = TargetFollower { decisions, logger: logger.clone() };
     let started = async {
         let (fetcher, _) = Actor::spawn(None, fetcher, ()).await?;
         let watcher = ConfigWatcher { platform: platform.clone(), fetcher: fetcher.clone() };
         Actor::spawn(None, watcher, ()).await?;
-        Actor::spawn(None, targets, ()).await?;
+        let (targets, _) = Actor::spawn(None, targets, ()).await?;
+        spawn_local(watch_slots(platform.clone(), targets.clone(), logger.clone()));
+        spawn_local(poll_hosts(platform.clone(), targets, logger.clone()));
         Ok::<_, ractor::SpawnErr>(fetcher)
     };
     let fetcher = match started.await {
@@ -224,19 +231,25 @@
     }
 }
 
-/// Follows the slots and the host list, and joins them to the targets that may be offered to.
+/// News for the [`TargetFollower`].
+enum TargetMessage {
+    /// Slots that changed.
+    Slots(Vec<ObjectRecord<SlotRecord>>),
+    /// The host list.
+    Hosts(Vec<HostRecord>),
+}
+
+/// Joins the slots and the host list to the targets that may be offered to.
 struct TargetFollower {
-    platform: PlatformClient,
     decisions: DecisionSender,
     logger: Logger,
 }
 
 #[derive(Default)]
 struct TargetDirectory {
-    revision: u64,
     slots: BTreeMap<String, TargetRecord>,
     leaving: HashSet<String>,
-    sent: Option<Vec<TargetRecord>>,
+    sent: Vec<TargetRecord>,
 }
 
 impl TargetDirectory {
@@ -248,59 +261,95 @@
         self.slots.iter().map(join).collect()
     }
 
-    fn take_hosts(&mut self, hosts: Vec<HostRecord>) {
-        let leaving = hosts.into_iter().filter(|host| host.state == HostState::Leaving);
-        self.leaving = leaving.map(|host| host.name).collect();
+    fn take(&mut self, message: TargetMessage) {
+        match message {
+            TargetMessage::Slots(items) => {
+                for item in items {
+                    match item.value {
+                        Some(slot) => self.slots.insert(item.name, slot.target),
+                        None => self.slots.remove(&item.name),
+                    };
+                }
+            }
+            TargetMessage::Hosts(hosts) => {
+                let leaving = hosts.into_iter().filter(|host| host.state == HostState::Leaving);
+                self.leaving = leaving.map(|host| host.name).collect();
+            }
+        }
     }
 }
 
 impl Actor for TargetFollower {
-    type Msg = LookMessage;
+    type Msg = TargetMessage;
     type State = TargetDirectory;
     type Arguments = ();
 
     async fn pre_start(
         &self,
-        myself: ActorRef<LookMessage>,
+        _myself: ActorRef<TargetMessage>,
         (): (),
     ) -> Result<TargetDirectory, ActorProcessingErr> {
-        myself.cast(LookMessage)?;
         Ok(TargetDirectory::default())
     }
 
     async fn handle(
         &self,
-        myself: ActorRef<LookMessage>,
-        _message: LookMessage,
+        _myself: ActorRef<TargetMessage>,
+        message: TargetMessage,
         directory: &mut TargetDirectory,
     ) -> Result<(), ActorProcessingErr> {
-        if let Err(failure) = self.look(directory).await {
-            counter!(names::PLATFORM_FAILURES).increment(1);
-            warn!(self.logger, "targets not read"; "step" => "follow targets",
-                "error" => %failure);
-        }
+        directory.take(message);
         let targets = directory.targets();
-        if directory.sent.as_ref() != Some(&targets) {
+        if directory.sent != targets {
             info!(self.logger, "targets changed"; "step" => "targets", "count" => targets.len());
-            directory.sent = Some(targets.clone());
+            directory.sent.clone_from(&targets);
             let _ = self.decisions.send(DecisionCommand::Targets(targets)).await;
         }
-        myself.send_after(jitter(HOST_PAUSE), || LookMessage);
         Ok(())
     }
 }
 
-impl TargetFollower {
-    async fn look(&self, directory: &mut TargetDirectory) -> PlatformResult<()> {
-        let list = self.platform.changes::<SlotRecord>(SLOT_KIND, directory.revision).await?;
-        directory.revision = list.revision;
-        for item in list.items {
-            match item.value {
-                Some(slot) => directory.slots.insert(item.name, slot.target),
-                None => directory.slots.remove(&item.name),
-            };
+/// Watches the slots: they change only when an agent starts or stops.
+async fn watch_slots(platform: PlatformClient, follower: ActorRef<TargetMessage>, logger: Logger) {
+    let mut backoff = RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT);
+    let mut revision = None;
+    loop {
+        // The first look must not wait for a change.
+        let list = match revision {
+            None => platform.list::<SlotRecord>(SLOT_KIND).await,
+            Some(revision) => platform.watch::<SlotRecord>(SLOT_KIND, revision).await,
+        };
+        match list {
+            Ok(list) => {
+                backoff.reset();
+                revision = Some(list.revision);
+                let _ = follower.cast(TargetMessage::Slots(list.items));
+            }
+            Err(failure) => {
+                counter!(names::PLATFORM_FAILURES).increment(1);
+                warn!(logger, "slots not read"; "step" => "watch slots", "error" => %failure);
+                sleep(backoff.next_pause()).await;
+            }
+        }
+    }
+}
+
+/// Reads the host list, at a pace that its size sets: the list is only the third to know of a
+/// leaving target, after its refusals and its slot, and must not use up the control traffic.
+async fn poll_hosts(platform: PlatformClient, follower: ActorRef<TargetMessage>, logger: Logger) {
+    let mut pause = HOST_PAUSE;
+    loop {
+        match platform.hosts().await {
+            Ok(hosts) => {
+                let paced = hosts.len() as f64 * HOST_RECORD_BYTES / HOST_BYTES_PER_SECOND;
+                pause = HOST_PAUSE.max(Duration::from_secs_f64(paced));
+                let _ = follower.cast(TargetMessage::Hosts(hosts));
+            }
+            Err(failure) => {
+                counter!(names::PLATFORM_FAILURES).increment(1);
+                warn!(logger, "hosts not read"; "step" => "poll hosts", "error" => %failure);
+            }
         }
-        directory.take_hosts(self.platform.hosts().await?);
-        Ok(())
+        sleep(jitter(pause)).await;
     }
 }
--- a/crates/daemon/src/entry/status.rs
+++ b/crates/daemon/src/entry/status.rs
@@ -2,11 +2,17 @@
 
 use super::decisions::{DecisionCommand, DecisionSender};
 use crate::{options::EntrySettings, telemetry::StatusSource};
-use plantain_core::config::ConfigSnapshot;
+use plantain_core::{
+    burn::{BurnLedger, RequestOutcome},
+    config::ConfigSnapshot,
+};
 use serde_json::{Value, json};
-use std::sync::{
-    Arc,
-    atomic::{AtomicBool, Ordering},
+use std::{
+    sync::{
+        Arc, Mutex,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Instant,
 };
 use tokio::sync::{Notify, oneshot, watch};
 
@@ -18,11 +24,13 @@
     decisions: DecisionSender,
     stopping: watch::Receiver<bool>,
     signals: Arc<EntrySignals>,
+    started: Instant,
 }
 
-/// Signals between the duties.
+/// Signals between the duties, and the counts that the pages show.
 #[derive(Debug, Default)]
 pub struct EntrySignals {
+    burn: Mutex<BurnLedger>,
     loaded: AtomicBool,
     refresh: Notify,
 }
@@ -48,7 +56,7 @@
         stopping: watch::Receiver<bool>,
         signals: Arc<EntrySignals>,
     ) -> Self {
-        Self { settings, config, decisions, stopping, signals }
+        Self { settings, config, decisions, stopping, signals, started: Instant::now() }
     }
 
     /// Whether the process was told to stop.
@@ -56,6 +64,13 @@
         *self.stopping.borrow()
     }
 
+    /// Takes one ended request into the report on service-level burn.
+    pub fn record(&self, outcome: &RequestOutcome) {
+        let objectives = self.config.borrow().preset().objectives;
+        let mut burn = self.signals.burn.lock().expect("no panic while locked");
+        burn.record(outcome, &objectives, self.started.elapsed());
+    }
+
     /// Asks the platform duty for a newer configuration.
     pub fn ask_refresh(&self) {
         self.signals.refresh.notify_one();
@@ -71,6 +86,10 @@
         let (sender, receiver) = oneshot::channel();
         let _ = self.decisions.send(DecisionCommand::Status(sender)).await;
         let routing = receiver.await.unwrap_or_default();
+        let burn = {
+            let ledger = self.signals.burn.lock().expect("no panic while locked");
+            ledger.report(self.started.elapsed())
+        };
         let (revision, preset) = {
             let config = self.config.borrow();
             (config.revision(), config.preset().name.clone())
@@ -80,7 +99,7 @@
             "zone": self.settings.common.zone, "region": self.settings.common.region,
             "ready": self.is_ready(), "stopping": self.is_stopping(),
             "revision": revision, "preset": preset, "policy": self.settings.policy.name(),
-            "routing": routing,
+            "routing": routing, "burn": burn,
         })
     }
 }
--- a/crates/net/src/platform.rs
+++ b/crates/net/src/platform.rs
@@ -102,16 +102,6 @@
         self.call(Method::DELETE, &path, Bytes::new(), CALL_TIMEOUT).await.map(drop)
     }
 
-    /// Objects of a kind that have changed since `revision`, without waiting for a change.
-    pub async fn changes<T: DeserializeOwned>(
-        &self,
-        kind: &str,
-        revision: u64,
-    ) -> PlatformResult<ObjectList<T>> {
-        let path = format!("/v1/watch/{kind}?after={revision}&wait_ms=0");
-        parse(&self.call(Method::GET, &path, Bytes::new(), CALL_TIMEOUT).await?)
-    }
-
     /// Waits until objects of a kind have changed since `revision`, or until [`WATCH_TIME`] is up.
     pub async fn watch<T: DeserializeOwned>(
         &self,
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -180,6 +180,11 @@
         }
     }
 
+    /// Whether a process was started and not ended by this system.
+    pub fn has(&self, name: &str) -> bool {
+        self.processes.contains_key(name)
+    }
+
     /// The process id of a process.
     pub fn process_id(&self, name: &str) -> Option<u32> {
         self.processes.get(name).and_then(ManagedProcess::id)
--- a/crates/standin/src/cluster/process.rs
+++ b/crates/standin/src/cluster/process.rs
@@ -98,6 +98,8 @@
     pub async fn stop(mut self) -> Result<bool> {
         if self.id().is_some() {
             self.signal(Signal::SIGTERM)?;
+            // A frozen process takes no other signal.
+            self.signal(Signal::SIGCONT)?;
         }
         let ended = timeout(STOP_LIMIT, self.child.wait()).await;
         let status = ended.wrap_err_with(|| format!("{} does not stop", self.name))?;
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -68,6 +68,10 @@
     pub wrong_model: u32,
     /// So many answers break off after their first token.
     pub cut_answers: u32,
+    /// So many answers hold other content than they should, under the right name.
+    pub wrong_content: u32,
+    /// So many requests lose their adapter while they run.
+    pub drop_in_use: u32,
     /// Tokens stop coming while set.
     pub freeze: bool,
 }
@@ -271,7 +275,13 @@
         };
         let cut = take_one(&mut state.faults.cut_answers);
         let prompt_size = prompt_tokens(&prompt);
-        state.batch.push(Sequence::new(request.model, prompt, tokens, request.priority, events));
+        let wrong_content = take_one(&mut state.faults.wrong_content);
+        let asked = if wrong_content { format!("{prompt}?") } else { prompt };
+        let model = request.model.clone();
+        state.batch.push(Sequence::new(request.model, asked, tokens, request.priority, events));
+        if take_one(&mut state.faults.drop_in_use) {
+            state.drop_adapter(&model);
+        }
         drop(state);
         self.work.notify_one();
         let writer = AnswerWriter { id, model: answered_model, chat, cut, prompt_size };
@@ -288,6 +298,19 @@
     }
 }
 
+impl EngineState {
+    /// Lets go of an adapter, whoever uses it; false if it was not there.
+    fn drop_adapter(&mut self, model: &str) -> bool {
+        if !self.adapters.remove(model) {
+            return false;
+        }
+        if self.batch.lose_model(model) > 0 {
+            self.records.evicted_in_use += 1;
+        }
+        true
+    }
+}
+
 fn take_one(count: &mut u32) -> bool {
     let taken = *count > 0;
     *count = count.saturating_sub(1);
--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -72,12 +72,9 @@
             Err(reply) => return *reply,
         };
         let mut state = self.state();
-        if !state.adapters.remove(&order.lora_name) {
+        if !state.drop_adapter(&order.lora_name) {
             return engine_error(StatusCode::NOT_FOUND, "not loaded");
         }
-        if state.batch.lose_model(&order.lora_name) > 0 {
-            state.records.evicted_in_use += 1;
-        }
         text_reply(StatusCode::OK, "unloaded")
     }
 
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -7,9 +7,11 @@
 pub mod demo;
 pub mod engine;
 pub mod fault;
+pub mod faults;
 pub mod options;
 pub mod overhead;
 pub mod platform;
+pub mod plot;
 pub mod scale;
 pub mod service;
 pub mod weights;
@@ -63,7 +65,9 @@
             }
             StandinCommand::Demo(arguments) => demo::run(arguments, stopping).await,
             StandinCommand::Overhead(arguments) => overhead::run(arguments).await,
+            StandinCommand::Faults(arguments) => faults::run(arguments).await,
             StandinCommand::Bench(arguments) => bench::run(arguments).await,
+            StandinCommand::Plot(arguments) => plot::run(&arguments),
             StandinCommand::Scale(arguments) => scale::run(arguments).await,
         }
     })
--- a/crates/standin/src/options.rs
+++ b/crates/standin/src/options.rs
@@ -39,9 +39,15 @@
     /// Measures the time that entry and agent add to a call of the engine
     #[bpaf(command("overhead"))]
     Overhead(#[bpaf(external(overhead_arguments))] OverheadArguments),
+    /// Runs a whole system under load and seeded faults, and checks what callers were told
+    #[bpaf(command("faults"))]
+    Faults(#[bpaf(external(fault_run_arguments))] FaultRunArguments),
     /// Compares routing policies under a workload
     #[bpaf(command("bench"))]
     Bench(#[bpaf(external(bench_arguments))] BenchArguments),
+    /// Draws files that bench wrote
+    #[bpaf(command("plot"))]
+    Plot(#[bpaf(external(plot_arguments))] PlotArguments),
     /// Measures what control costs as adapters and connections grow
     #[bpaf(command("scale"))]
     Scale(#[bpaf(external(scale_arguments))] ScaleArguments),
@@ -238,6 +244,27 @@
     pub seconds: f64,
 }
 
+/// Arguments of the fault run.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(fault_run_arguments))]
+pub struct FaultRunArguments {
+    /// Seed of all that is random (default: 1)
+    #[bpaf(argument("NUMBER"), fallback(1))]
+    pub seed: u64,
+    /// Seconds of faults (default: 120)
+    #[bpaf(argument("SECONDS"), fallback(120))]
+    pub seconds: u64,
+    /// Only kinds of faults with this in their name, such as "stop" or "platform"
+    #[bpaf(argument("TEXT"))]
+    pub only: Option<String>,
+    /// Breaks a promise on purpose, to show that the run reports it: answer, eviction, not-run, once
+    #[bpaf(long("break"), argument("PROMISE"))]
+    pub break_promise: Option<String>,
+    /// Writes the outcome to a file
+    #[bpaf(argument("FILE"))]
+    pub json: Option<PathBuf>,
+}
+
 /// Arguments of the policy comparison. What is not given comes from the workload.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(bench_arguments))]
@@ -295,6 +322,18 @@
     pub json: Option<PathBuf>,
 }
 
+/// Arguments of the drawing.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(plot_arguments))]
+pub struct PlotArguments {
+    /// The SVG file to write
+    #[bpaf(argument("FILE"))]
+    pub out: PathBuf,
+    /// Files that bench wrote with --json
+    #[bpaf(positional("FILE"))]
+    pub files: Vec<PathBuf>,
+}
+
 /// Arguments of the scale measurement.
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(generate(scale_arguments))]
--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -35,16 +35,29 @@
     pub body_bytes: usize,
 }
 
+/// Faults that a test sets with `POST /standin/faults`.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+#[serde(default)]
+pub struct ServiceFaults {
+    /// So many calls are executed twice.
+    pub execute_twice: u32,
+}
+
 #[derive(Clone)]
 struct ServiceHandler {
     call_time: Duration,
+    faults: Arc<Mutex<ServiceFaults>>,
     calls: Arc<Mutex<Vec<CallRecord>>>,
 }
 
 /// Runs the stand-in until `stopping`.
 pub async fn run(options: ServiceOptions, stopping: watch::Receiver<bool>) -> Result<()> {
     let listener = server::bind(options.listen, "service stand-in").await?;
-    let handler = ServiceHandler { call_time: options.call_time, calls: Arc::default() };
+    let handler = ServiceHandler {
+        call_time: options.call_time,
+        faults: Arc::default(),
+        calls: Arc::default(),
+    };
     server::serve(listener, handler, ServerOptions { connections: 1_024 }, stopping).await;
     Ok(())
 }
@@ -61,6 +74,9 @@
             return text_reply(StatusCode::BAD_REQUEST, "body broken off");
         };
         let body = body.to_bytes();
+        if path == "/standin/faults" {
+            return self.set_faults(&body);
+        }
         let header =
             |name| parts.headers.get(name).and_then(|value: &HeaderValue| value.to_str().ok());
         let call = CallRecord {
@@ -69,7 +85,7 @@
             key: header("idempotency-key").map(str::to_owned),
             body_bytes: body.len(),
         };
-        self.calls.lock().expect("no panic while locked").push(call);
+        self.execute(call);
         sleep(self.call_time).await;
         let text = format!("{} {path}\n{}", parts.method, String::from_utf8_lossy(&body));
         let mut reply = text_reply(StatusCode::OK, text);
@@ -79,3 +95,25 @@
         reply
     }
 }
+
+impl ServiceHandler {
+    fn execute(&self, call: CallRecord) {
+        let mut calls = self.calls.lock().expect("no panic while locked");
+        let mut faults = self.faults.lock().expect("no panic while locked");
+        if faults.execute_twice > 0 {
+            faults.execute_twice -= 1;
+            calls.push(call.clone());
+        }
+        calls.push(call);
+    }
+
+    fn set_faults(&self, body: &[u8]) -> HttpReply {
+        match serde_json::from_slice(body) {
+            Ok(faults) => {
+                *self.faults.lock().expect("no panic while locked") = faults;
+                text_reply(StatusCode::OK, "set")
+            }
+            Err(error) => text_reply(StatusCode::BAD_REQUEST, error.to_string()),
+        }
+    }
+}
--- a/crates/standin/tests/integration/main.rs
+++ b/crates/standin/tests/integration/main.rs
@@ -6,6 +6,7 @@
 mod loads;
 mod operators;
 mod path;
+mod report;
 mod requests;
 mod services;
 mod stopping;
