Entries join from their peers in an outage; rolling restart proved

Cause: an entry that restarted while the platform was out stayed unready until it came back. The platform's word goes before it once it is back. Conclusion: entries join; agents still need the platform to take their slot.

--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -6,6 +6,7 @@
 
 use crate::{
     agent::events::LoadUrgency,
+    entry::targets::TargetRecord,
     ids::{
         AdapterDigest, AdapterKey, BaseName, CallerName, ConfigRevision, RequestId, ServiceName,
     },
@@ -120,10 +121,14 @@
     pub body: Bytes,
 }
 
-/// Frames from agent to broker, one stream for each load. Ending the stream gives the permit back,
-/// so a broker need not trust agents to say so.
+/// First frames of streams to an entry.
+///
+/// A load is asked for on a stream of its own; ending the stream gives the permit back, so a broker
+/// need not trust agents to say so.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum PermitFrame {
+pub enum PeerFrame {
+    /// Asks for the configuration and the targets, as a starting entry does in an outage.
+    Join,
     /// Asks for a permit, or tells that its urgency has changed.
     Ask {
         /// Who loads what.
@@ -133,6 +138,18 @@
     },
 }
 
+/// What an entry tells one that joins. The configuration travels as JSON, the form in which the
+/// platform holds it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct JoinFrame {
+    /// The root.
+    pub root: Bytes,
+    /// All parts, by name.
+    pub parts: Vec<(String, Bytes)>,
+    /// The targets.
+    pub targets: Vec<TargetRecord>,
+}
+
 /// The broker's answer on the same stream.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct GrantFrame {
--- a/crates/daemon/src/agent/permits.rs
+++ b/crates/daemon/src/agent/permits.rs
@@ -10,7 +10,7 @@
     agent::events::{AgentEvent, LoadUrgency},
     ids::AdapterKey,
     permits::{PermitClaim, PermitDesk, PermitLimits, PermitOrder},
-    protocol::{GrantFrame, PermitFrame},
+    protocol::{GrantFrame, PeerFrame},
     rendezvous,
 };
 use plantain_net::platform::records::EntryRecord;
@@ -205,7 +205,7 @@
         tokio::pin!(grant);
         loop {
             let urgency_now = *urgency.borrow_and_update();
-            let ask = PermitFrame::Ask { claim: claim.clone(), urgency: urgency_now };
+            let ask = PeerFrame::Ask { claim: claim.clone(), urgency: urgency_now };
             frames::write(&mut send, &ask).await?;
             tokio::select! {
                 granted = &mut grant => return match granted? {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -5,6 +5,7 @@
 pub mod claims;
 pub mod decisions;
 pub mod exchange;
+pub mod join;
 pub mod offers;
 pub mod platform;
 pub mod replays;
@@ -52,7 +53,8 @@
         // more than the work on either side. See docs/design/threads.md.
         spawn_local(offers::run(link, offer_ring, log));
         let (own, log) = (settings.clone(), logger.clone());
-        duty::start("broker", move || broker::run(own, log))?;
+        let (known, ring) = (config.clone(), decisions.clone());
+        duty::start("broker", move || broker::run(own, known, ring, log))?;
         let (claims, claim_ring) = mpsc::channel(constants::RING_DEPTH);
         let (own, log) = (settings.clone(), logger.clone());
         duty::start("claims", move || claims::run(own, claim_ring, log))?;
--- a/crates/daemon/src/entry/broker.rs
+++ b/crates/daemon/src/entry/broker.rs
@@ -3,6 +3,10 @@
 //! Agents ask the entry that rendezvous hashing picks, so in a quiet fleet one desk sees all loads
 //! of a weight store. Nothing is kept or agreed on: two brokers for a moment only slow loads down.
 
+use super::{
+    decisions::{DecisionCommand, DecisionSender},
+    join,
+};
 use crate::{
     link::{frames, pulse, server_endpoint},
     options::EntrySettings,
@@ -11,8 +15,9 @@
 use eyre::{Result, eyre};
 use metrics::{counter, gauge};
 use plantain_core::{
+    config::ConfigSnapshot,
     permits::{PermitClaim, PermitDesk},
-    protocol::{GrantFrame, PermitFrame},
+    protocol::{GrantFrame, PeerFrame},
 };
 use quinn::{Connection, RecvStream, SendStream};
 use slog::{Logger, debug, error};
@@ -24,7 +29,7 @@
     time::{Duration, Instant},
 };
 use tokio::{
-    sync::{Notify, oneshot},
+    sync::{Notify, oneshot, watch},
     task::spawn_local,
     time::timeout,
 };
@@ -38,6 +43,8 @@
 }
 
 struct BrokerDuty {
+    config: watch::Receiver<Arc<ConfigSnapshot>>,
+    decisions: DecisionSender,
     state: RefCell<BrokerState>,
     changed: Notify,
     started: Instant,
@@ -45,7 +52,12 @@
 }
 
 /// Runs for as long as the process lives.
-pub async fn run(settings: Arc<EntrySettings>, logger: Logger) {
+pub async fn run(
+    settings: Arc<EntrySettings>,
+    config: watch::Receiver<Arc<ConfigSnapshot>>,
+    decisions: DecisionSender,
+    logger: Logger,
+) {
     let endpoint = match server_endpoint(settings.peer_listen, &settings.common.keys) {
         Ok(endpoint) => endpoint,
         Err(failure) => {
@@ -55,6 +67,8 @@
     };
     let desk = PermitDesk::new(settings.permits, Duration::ZERO);
     let duty = Rc::new(BrokerDuty {
+        config,
+        decisions,
         state: RefCell::new(BrokerState { desk, waiting: HashMap::new() }),
         changed: Notify::new(),
         started: Instant::now(),
@@ -93,8 +107,10 @@
     mut send: SendStream,
     mut receive: RecvStream,
 ) -> Result<()> {
-    let Some(PermitFrame::Ask { claim, urgency }) = frames::read(&mut receive).await? else {
-        return Err(eyre!("the stream ended before its question"));
+    let (claim, urgency) = match frames::read(&mut receive).await? {
+        Some(PeerFrame::Ask { claim, urgency }) => (claim, urgency),
+        Some(PeerFrame::Join) => return duty.tell_joiner(send).await,
+        None => return Err(eyre!("the stream ended before its question")),
     };
     let (granted, mut grant) = oneshot::channel();
     {
@@ -113,13 +129,14 @@
                     break Err(failure);
                 }
             }
-            frame = frames::read::<PermitFrame>(&mut receive) => match frame {
+            frame = frames::read::<PeerFrame>(&mut receive) => match frame {
                 // News of a claim that was granted meanwhile must not make it wait again.
-                Ok(Some(PermitFrame::Ask { .. })) if is_granted => {}
-                Ok(Some(PermitFrame::Ask { urgency, .. })) => {
+                Ok(Some(_)) if is_granted => {}
+                Ok(Some(PeerFrame::Ask { urgency, .. })) => {
                     let now = duty.started.elapsed();
                     duty.state.borrow_mut().desk.ask(claim.clone(), urgency, now);
                 }
+                Ok(Some(PeerFrame::Join)) => break Err(eyre!("a second question on one stream")),
                 Ok(None) => break Ok(()),
                 Err(failure) => break Err(failure),
             },
@@ -133,6 +150,20 @@
     result
 }
 
+impl BrokerDuty {
+    /// Tells a starting entry what this one knows, so that it can serve in an outage.
+    async fn tell_joiner(&self, mut send: SendStream) -> Result<()> {
+        let (sender, targets) = oneshot::channel();
+        let _ = self.decisions.send(DecisionCommand::ListTargets(sender)).await;
+        let targets = targets.await.unwrap_or_default();
+        let config = Arc::clone(&self.config.borrow());
+        frames::write(&mut send, &join::describe(&config, targets)?).await?;
+        let _ = send.finish();
+        let _ = send.stopped().await;
+        Ok(())
+    }
+}
+
 async fn grant_permits(duty: Rc<BrokerDuty>) {
     loop {
         let now = duty.started.elapsed();
--- a/crates/daemon/src/entry/decisions.rs
+++ b/crates/daemon/src/entry/decisions.rs
@@ -60,6 +60,8 @@
     Targets(Vec<TargetRecord>),
     /// The preset in force.
     Preset(PresetRecord),
+    /// The known targets, for an entry that joins.
+    ListTargets(oneshot::Sender<Vec<TargetRecord>>),
     /// The routing state, for the status page.
     Status(oneshot::Sender<Value>),
 }
@@ -95,6 +97,10 @@
                 gauge!(names::TARGETS).set(records.len() as f64);
                 self.state.set_targets(records);
             }
+            DecisionCommand::ListTargets(reply) => {
+                let views = self.state.targets().views().iter();
+                let _ = reply.send(views.map(|view| view.record.clone()).collect());
+            }
             DecisionCommand::Preset(preset) => self.state.apply_preset(&preset),
             DecisionCommand::Status(reply) => {
                 let _ = reply.send(self.status());
--- a/crates/daemon/src/entry/platform.rs
+++ b/crates/daemon/src/entry/platform.rs
@@ -2,6 +2,7 @@
 
 use super::{
     decisions::{DecisionCommand, DecisionSender},
+    join,
     status::EntrySignals,
 };
 use crate::{options::EntrySettings, telemetry::names};
@@ -68,25 +69,26 @@
         Actor::spawn(None, watcher, ()).await?;
         let (targets, _) = Actor::spawn(None, targets, ()).await?;
         spawn_local(watch_slots(platform.clone(), targets.clone(), logger.clone()));
-        spawn_local(poll_hosts(platform.clone(), targets, logger.clone()));
-        Ok::<_, ractor::SpawnErr>(fetcher)
+        spawn_local(poll_hosts(platform.clone(), targets.clone(), logger.clone()));
+        Ok::<_, ractor::SpawnErr>((fetcher, targets))
     };
-    let fetcher = match started.await {
-        Ok(fetcher) => fetcher,
+    let (fetcher, targets) = match started.await {
+        Ok(started) => started,
         Err(failure) => {
             error!(logger, "platform duty failed"; "step" => "spawn", "error" => %failure);
             return;
         }
     };
-    announce(&settings, &platform, &logger).await;
+    spawn_local(announce(Arc::clone(&settings), platform.clone(), logger.clone()));
+    spawn_local(join::join_from_peers(settings, fetcher.clone(), targets, signals.clone(), logger));
     loop {
         signals.refresh_asked().await;
-        let _ = fetcher.cast(FetchMessage(None));
+        let _ = fetcher.cast(FetchMessage::Newest);
     }
 }
 
 /// Tells operators where the admin pages are; the command-line tool asks there.
-async fn announce(settings: &EntrySettings, platform: &PlatformClient, logger: &Logger) {
+async fn announce(settings: Arc<EntrySettings>, platform: PlatformClient, logger: Logger) {
     let common = &settings.common;
     let record = EntryRecord {
         name: common.name.to_string(),
@@ -117,8 +119,15 @@
     }
 }
 
-/// Asks for the configuration that a root names, or else for the newest.
-struct FetchMessage(Option<ConfigRoot>);
+/// News for the [`ConfigFetcher`].
+pub(super) enum FetchMessage {
+    /// Read the newest configuration.
+    Newest,
+    /// Read the configuration that a root names.
+    Named(ConfigRoot),
+    /// Take a configuration that a peer has told.
+    Told(Box<ConfigSnapshot>),
+}
 
 /// Asks for the next look.
 struct LookMessage;
@@ -142,21 +151,22 @@
         myself: ActorRef<FetchMessage>,
         (): (),
     ) -> Result<RetryBackoff, ActorProcessingErr> {
-        myself.cast(FetchMessage(None))?;
+        myself.cast(FetchMessage::Newest)?;
         Ok(RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT))
     }
 
     async fn handle(
         &self,
         myself: ActorRef<FetchMessage>,
-        FetchMessage(root): FetchMessage,
+        message: FetchMessage,
         backoff: &mut RetryBackoff,
     ) -> Result<(), ActorProcessingErr> {
         let known = Arc::clone(&self.config.borrow());
-        let fetched = match root {
-            Some(root) if root.revision <= known.revision() => return Ok(()),
-            Some(root) => self.store.complete(root, &known).await,
-            None => self.store.snapshot(&known).await,
+        let fetched = match message {
+            FetchMessage::Named(root) if root.revision <= known.revision() => return Ok(()),
+            FetchMessage::Named(root) => self.store.complete(root, &known).await,
+            FetchMessage::Newest => self.store.snapshot(&known).await,
+            FetchMessage::Told(snapshot) => Ok(*snapshot),
         };
         match fetched {
             Ok(snapshot) => {
@@ -167,7 +177,7 @@
                 counter!(names::PLATFORM_FAILURES).increment(1);
                 warn!(self.logger, "configuration not read"; "step" => "fetch config",
                     "error" => %failure);
-                myself.send_after(backoff.next_pause(), || FetchMessage(None));
+                myself.send_after(backoff.next_pause(), || FetchMessage::Newest);
             }
         }
         Ok(())
@@ -220,7 +230,7 @@
             backoff.reset();
             *revision = list.revision;
             if let Some(root) = list.items.into_iter().find_map(|item| item.value) {
-                self.fetcher.cast(FetchMessage(Some(root)))?;
+                self.fetcher.cast(FetchMessage::Named(root))?;
             }
         } else {
             counter!(names::PLATFORM_FAILURES).increment(1);
@@ -232,11 +242,13 @@
 }
 
 /// News for the [`TargetFollower`].
-enum TargetMessage {
+pub(super) enum TargetMessage {
     /// Slots that changed.
     Slots(Vec<ObjectRecord<SlotRecord>>),
     /// The host list.
     Hosts(Vec<HostRecord>),
+    /// Targets that a peer has told; what the platform says goes before it.
+    Told(Vec<TargetRecord>),
 }
 
 /// Joins the slots and the host list to the targets that may be offered to.
@@ -271,6 +283,11 @@
                     };
                 }
             }
+            TargetMessage::Told(targets) => {
+                for target in targets {
+                    self.slots.entry(target.name.to_string()).or_insert(target);
+                }
+            }
             TargetMessage::Hosts(hosts) => {
                 let leaving = hosts.into_iter().filter(|host| host.state == HostState::Leaving);
                 self.leaving = leaving.map(|host| host.name).collect();
--- a/crates/daemon/src/entry/status.rs
+++ b/crates/daemon/src/entry/status.rs
@@ -41,6 +41,11 @@
         self.loaded.store(true, Ordering::Release);
     }
 
+    /// Whether the configuration and the targets have been read.
+    pub fn is_loaded(&self) -> bool {
+        self.loaded.load(Ordering::Acquire)
+    }
+
     /// Waits until a newer configuration is asked for.
     pub async fn refresh_asked(&self) {
         self.refresh.notified().await;
--- a/crates/daemon/src/options/arguments.rs
+++ b/crates/daemon/src/options/arguments.rs
@@ -69,6 +69,10 @@
     /// Address for agents (UDP), to ask this entry for load permits
     #[bpaf(long("peer-listen"), argument("ADDR"), env("PLANTAIN_PEER_LISTEN"))]
     pub peer_listen: SocketAddr,
+    /// Peer address of another entry, to join from when the platform is out at the start; give it
+    /// once for each of several, best in different zones
+    #[bpaf(long, argument("ADDR"))]
+    pub peer: Vec<SocketAddr>,
     /// Loads a second that the weight store allows (default: 4)
     #[bpaf(long("store-rate"), argument("RATE"), env("PLANTAIN_STORE_RATE"))]
     pub store_rate: Option<f64>,
--- a/crates/daemon/src/options/settings.rs
+++ b/crates/daemon/src/options/settings.rs
@@ -52,6 +52,8 @@
     pub listen: SocketAddr,
     /// Address for agents that ask for load permits.
     pub peer_listen: SocketAddr,
+    /// Other entries to join from in an outage.
+    pub peers: Vec<SocketAddr>,
     /// What the weight store allows.
     pub permits: PermitLimits,
     /// How targets are chosen.
@@ -162,6 +164,7 @@
             common,
             listen: arguments.listen,
             peer_listen: arguments.peer_listen,
+            peers: arguments.peer.clone(),
             permits,
             policy: RoutingPolicy::parse(&arguments.policy)
                 .map_err(|e| format!("--policy: {e}"))?,
@@ -174,7 +177,7 @@
     fn describe(&self) -> serde_json::Value {
         json!({
             "role": "entry", "common": self.common.describe(), "listen": self.listen,
-            "peer_listen": self.peer_listen, "store_rate": self.permits.rate,
+            "peer_listen": self.peer_listen, "peers": self.peers, "store_rate": self.permits.rate,
             "store_loads": self.permits.active, "load_order": self.permits.order.name(),
             "policy": self.policy.name(), "body_limit": self.body_limit,
             "connections": self.connections, "requests": self.requests,
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -350,6 +350,10 @@
         let rate = self.plan.store_rate.to_string();
         arguments.extend(words(&["--peer-listen", &peer, "--store-rate", &rate]));
         arguments.extend(words(&["--load-order", &self.plan.load_order]));
+        for other in (0..self.plan.entries.len()).filter(|&other| other != index) {
+            let peer = self.address(plan::ENTRY_PEER_PORT + other as u16).to_string();
+            arguments.extend(words(&["--peer", &peer]));
+        }
         self.start_process(&name, "plantaind", &arguments)
     }
 
--- a/crates/standin/tests/integration/operators.rs
+++ b/crates/standin/tests/integration/operators.rs
@@ -93,3 +93,27 @@
     cluster.wait_revision(3).await?;
     finish(cluster).await
 }
+
+/// Callers are served by an entry that was killed and started again in the middle of an outage. It
+/// cannot read the configuration, so it asks its peers and takes the highest revision that any of
+/// them has; it is not ready before that, and never shows an older one than before.
+#[tokio::test]
+async fn entry_restarted_in_an_outage_joins_from_its_peers() -> Result<()> {
+    let mut cluster = start(ClusterPlan::new(3, 1, &["kandy", "nuwara", "hatton"])).await?;
+    cluster.control_ok(&["--wait", "30", "adapter", "roll-out", "house-0004", "3"]).await?;
+    set(&cluster, PlatformFaults { down: true, ..PlatformFaults::default() }).await?;
+    cluster.kill("entry-0").await?;
+    cluster.start_entry(0)?;
+    cluster
+        .wait_for("entry ready", async || {
+            let status: Value = cluster.page(cluster.entry_admin(0), "/status").await?;
+            ensure!(status["ready"] != true || status["revision"] == 3, "reverted: {status}");
+            Ok(status["ready"] == true)
+        })
+        .await?;
+    ask(&cluster, 0, &ChatCall::new("house-0004", "Open?", 3), "house-0004@3").await?;
+    set(&cluster, PlatformFaults::default()).await?;
+    cluster.control_ok(&["--wait", "30", "adapter", "roll-out", "house-0004", "2"]).await?;
+    ask(&cluster, 0, &ChatCall::new("house-0004", "Open?", 3), "house-0004@2").await?;
+    finish(cluster).await
+}
--- a/crates/standin/tests/integration/stopping.rs
+++ b/crates/standin/tests/integration/stopping.rs
@@ -2,13 +2,19 @@
 
 use crate::support::{ask, finish, start};
 use eyre::{Result, ensure};
+use hyper::Method;
 use nix::sys::signal::Signal;
+use plantain_net::client::{HttpClient, url};
 use plantain_standin::{
     call::ChatCall,
     cluster::{Cluster, plan::ClusterPlan},
 };
 use serde_json::Value;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{sync::watch, task::JoinSet};
 
+/// Longest wait for an entry to say whether it is ready.
+const READY_LIMIT: Duration = Duration::from_secs(2);
 /// Tokens of an answer that takes about two seconds.
 const LONG_ANSWER: u32 = 400;
 
@@ -86,3 +92,58 @@
     cluster.wait_for("request runs", async || Ok(running(0).await? || running(1).await?)).await?;
     Ok(usize::from(running(1).await?))
 }
+
+/// Every caller sees whole answers while each process of the system is restarted in turn: entries
+/// turn unready before they close, agents refuse before they leave, and both end what they hold.
+#[tokio::test]
+async fn rolling_restart_under_load_loses_no_request() -> Result<()> {
+    let mut cluster = start(ClusterPlan::new(2, 2, &["kandy"])).await?;
+    let (stop, stopping) = watch::channel(false);
+    let entries: Vec<SocketAddr> = (0..2).map(|index| cluster.entry(index)).collect();
+    let mut callers = JoinSet::new();
+    for caller in 0..6 {
+        callers.spawn(ask_all_along(entries.clone(), caller, stopping.clone()));
+    }
+    for index in 0..2 {
+        ensure!(cluster.stop(&format!("entry-{index}")).await?, "entry {index} not in order");
+        cluster.start_entry(index)?;
+        cluster.wait_ready().await?;
+        ensure!(
+            cluster.stop(&format!("agent-engine-{index}")).await?,
+            "agent {index} not in order"
+        );
+        cluster.start_engine_agent(index)?;
+        cluster.wait_ready().await?;
+    }
+    stop.send_replace(true);
+    let mut answered = 0;
+    while let Some(count) = callers.join_next().await {
+        answered += count??;
+    }
+    ensure!(answered > 50, "only {answered} requests were asked");
+    finish(cluster).await
+}
+
+/// Asks one request after another of entries that say they are ready, as the balancer does.
+async fn ask_all_along(
+    entries: Vec<SocketAddr>,
+    caller: usize,
+    stopping: watch::Receiver<bool>,
+) -> Result<usize> {
+    let mut answered = 0;
+    while !*stopping.borrow() {
+        let entry = entries[(answered + caller) % entries.len()];
+        // A new client each time: connections that the entry is about to close are not its matter.
+        let http = HttpClient::new();
+        let ready = http.call(Method::GET, &url(entry, "/readyz"), "", READY_LIMIT).await;
+        if ready.is_ok_and(|ready| ready.status == 200) {
+            let model = format!("house-{:04}@2", answered % 5);
+            let mut call = ChatCall::new(&model, "Open?", 20);
+            call.streamed = caller.is_multiple_of(2);
+            let answer = call.send(&http, entry).await?;
+            call.check(&answer, &model)?;
+        }
+        answered += 1;
+    }
+    Ok(answered)
+}
