One way to follow the platform's objects; agent's state machine in three files

Cause: four watches had the same loop, with three ways to log a failure; the agent's state machine had grown over 500 lines; two programs had the same stop signal. Change: KindWatch and note_failure serve all; admission and dispatch are files of their own; the stand-ins use the daemon's stop signal; the fault run tells what failed requests were told.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -3,6 +3,8 @@
 //! Events go in, actions come out. Because nothing else orders the target anything, promises such
 //! as "an adapter in use is never evicted" are local invariants of this module.
 
+mod admission;
+mod dispatch;
 pub mod events;
 pub mod loads;
 pub mod queue;
@@ -17,8 +19,7 @@
     },
     config::PresetRecord,
     ids::{AdapterDigest, AdapterKey, BaseName, ConfigRevision, ServiceName, Timestamp},
-    outcome::Refusal,
-    protocol::{Priority, RefusalReason, TargetReport, WorkItem},
+    protocol::{RefusalReason, TargetReport, WorkItem},
     stats::RunningMean,
 };
 use serde::{Deserialize, Serialize};
@@ -29,17 +30,10 @@
 pub const RESERVATION_TTL: Duration = Duration::from_secs(10);
 /// First guess of the time that a request runs, until requests have been seen.
 const SERVICE_TIME_GUESS: Duration = Duration::from_millis(200);
-/// Load permits that an agent asks for at once.
-const CLAIM_LIMIT: usize = 16;
 /// Chance that an evicted adapter must be loaded again soon, for each unit of its demand.
 const RELOAD_CHANCE: f64 = 0.1;
 /// Demand that stands for that of the victim when all adapters are in use.
 const PINNED_DEMAND: f64 = 50.0;
-/// Lowest advice on when to come back.
-const RETRY_AFTER_FLOOR: Duration = Duration::from_millis(100);
-/// Share of the queue that each priority may fill, by rank: the upper priority always finds room
-/// that the lower ones cannot take.
-const QUEUE_SHARES: [f64; 3] = [1.0, 0.8, 0.5];
 
 /// What a target serves.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -226,72 +220,6 @@
         }
     }
 
-    fn judge(&mut self, offer: &OfferSummary, now: Timestamp) -> Result<(), Refusal> {
-        if self.leaving {
-            return Err(Refusal::new(RefusalReason::Leaving));
-        }
-        if !self.leased {
-            return Err(Refusal::new(RefusalReason::NoLease));
-        }
-        if !self.serves(&offer.item) {
-            return Err(Refusal::new(RefusalReason::WrongTarget));
-        }
-        if offer.revision < self.revision {
-            return Err(Refusal::new(RefusalReason::ConfigBehind));
-        }
-        if !self.target_up {
-            return Err(self.refusal(RefusalReason::TargetDown));
-        }
-        let expected = self.expected_start(&offer.item, now);
-        if expected > offer.time_left {
-            return Err(Refusal::new(RefusalReason::TooLate).with_retry_after(expected));
-        }
-        self.make_room(offer.priority)
-    }
-
-    fn serves(&self, item: &WorkItem) -> bool {
-        match (item, &self.options.kind) {
-            (WorkItem::Completion { base, .. }, TargetKind::Engine(served)) => base == served,
-            (WorkItem::Service { name }, TargetKind::Service(served)) => name == served,
-            _ => false,
-        }
-    }
-
-    fn refusal(&self, reason: RefusalReason) -> Refusal {
-        let limit = f64::from(self.options.batch_limit.max(1));
-        let batches = f64::from(self.queued() + self.running) / limit;
-        let delay = self.service_time.read().mul_f64(batches).max(RETRY_AFTER_FLOOR);
-        Refusal::new(reason).with_retry_after(delay)
-    }
-
-    /// Expected time until the target could start such a request.
-    fn expected_start(&self, item: &WorkItem, now: Timestamp) -> Duration {
-        let limit = self.options.batch_limit.max(1);
-        let ahead = (self.queued() + self.running + 1).saturating_sub(limit);
-        let queue = self.service_time.read().mul_f64(f64::from(ahead) / f64::from(limit));
-        let stall = match item {
-            WorkItem::Completion { key, .. } if !self.residents.is_ready(key) => {
-                self.loads.expected_wait_of(key, self.options.load_limit, now)
-            }
-            _ => Duration::ZERO,
-        };
-        queue.max(stall)
-    }
-
-    /// Finds a queue place, taking it from the newest least important work if it must.
-    fn make_room(&mut self, priority: Priority) -> Result<(), Refusal> {
-        let free = self.options.batch_limit.saturating_sub(self.running);
-        let limit = (f64::from(self.queue_limit) * QUEUE_SHARES[priority.rank()]) as u32 + free;
-        if self.queued() < limit {
-            return Ok(());
-        }
-        let Some(shed) = self.queue.newest_below(priority) else {
-            return Err(self.refusal(RefusalReason::QueueFull));
-        };
-        self.refuse_accepted(shed, RefusalReason::QueueFull);
-        Ok(())
-    }
-
     fn accept(&mut self, offer: OfferSummary, now: Timestamp) {
         let work = offer.work;
         if let WorkItem::Completion { key, .. } = &offer.item {
@@ -466,62 +394,4 @@
             }
         }
     }
-
-    /// Starts what can start and orders the loads that have a permit and a slot.
-    fn pump(&mut self, now: Timestamp) {
-        self.start_ready();
-        if !self.leased || !self.target_up {
-            return;
-        }
-        self.order_loads(now);
-        self.ask_permits(now);
-    }
-
-    fn start_ready(&mut self) {
-        if !self.target_up {
-            return;
-        }
-        while self.running < self.options.batch_limit {
-            let residents = &self.residents;
-            let next = self.queue.pop(|item| match item {
-                WorkItem::Completion { key, .. } => residents.is_ready(key),
-                WorkItem::Service { .. } => true,
-            });
-            let Some(work) = next else { return };
-            let Some(record) = self.works.get_mut(&work) else { continue };
-            record.phase = WorkPhase::Running;
-            self.running += 1;
-            let load_stall = record.stall.unwrap_or_default();
-            self.actions.push(AgentAction::Start { work, load_stall });
-        }
-    }
-
-    fn order_loads(&mut self, now: Timestamp) {
-        while self.loads.started() < self.options.load_limit
-            && let Some(key) = self.loads.next_permitted()
-        {
-            if self.residents.take_slot(&key, now) {
-                self.loads.start(&key, now);
-                self.actions.push(AgentAction::Load { key });
-                continue;
-            }
-            if self.residents.is_evicting() {
-                return;
-            }
-            let Some(victim) = self.residents.begin_evict(now) else { return };
-            self.actions.push(AgentAction::Evict { key: victim });
-            return;
-        }
-    }
-
-    fn ask_permits(&mut self, now: Timestamp) {
-        let room = self.residents.claimable();
-        // More claims than the engine can load at once: only the broker, which sees those of all
-        // agents, can tell which of them goes first.
-        while self.loads.outstanding() < CLAIM_LIMIT.min(room) {
-            let Some((key, urgency)) = self.loads.next_unasked(now) else { return };
-            self.loads.ask(&key);
-            self.actions.push(AgentAction::AskPermit { key, urgency });
-        }
-    }
 }
--- a/crates/daemon/src/agent/platform.rs
+++ b/crates/daemon/src/agent/platform.rs
@@ -4,15 +4,16 @@
 use crate::{
     options::{AgentSettings, constants},
     telemetry::names,
+    watch::{KindWatch, note_failure, platform_backoff},
 };
-use metrics::{counter, gauge};
+use metrics::gauge;
 use plantain_core::{
     agent::events::AgentEvent,
     config::{ConfigRoot, PresetRecord, parts::PRESETS_PART},
     entry::targets::TargetRecord,
 };
 use plantain_net::{
-    backoff::{RetryBackoff, jitter},
+    backoff::jitter,
     client::HttpClient,
     config_store::ConfigStore,
     platform::{
@@ -28,10 +29,6 @@
     time::{sleep, timeout},
 };
 
-/// First pause after a failed platform call.
-const FAILED_PAUSE: Duration = Duration::from_millis(200);
-/// Longest pause after failed platform calls.
-const FAILED_PAUSE_LIMIT: Duration = Duration::from_secs(5);
 /// Longest pause before an agent follows a change, so that a fleet of them does not come at once.
 const FOLLOW_PAUSE: Duration = Duration::from_millis(800);
 /// Longest wait for the slot to be marked as leaving; entries learn it from refusals anyway.
@@ -99,7 +96,7 @@
     /// Takes the slot by one conditional update and returns the epoch it was taken with. The epoch
     /// is the fencing number of this process's orders.
     async fn take(&self) -> u64 {
-        let mut backoff = RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT);
+        let mut backoff = platform_backoff();
         loop {
             match self.try_take().await {
                 Ok(epoch) => {
@@ -107,9 +104,7 @@
                     return epoch;
                 }
                 Err(failure) => {
-                    counter!(names::PLATFORM_FAILURES).increment(1);
-                    warn!(self.logger, "slot not taken"; "step" => "take slot",
-                        "peer" => %self.platform.address(), "error" => %failure);
+                    note_failure(&self.logger, "take slot", &failure);
                     sleep(backoff.next_pause()).await;
                 }
             }
@@ -234,7 +229,7 @@
 
 impl Actor for EntryFollower {
     type Msg = LookMessage;
-    type State = (u64, RetryBackoff);
+    type State = KindWatch<EntryRecord>;
     type Arguments = ();
 
     async fn pre_start(
@@ -243,28 +238,17 @@
         (): (),
     ) -> Result<Self::State, ActorProcessingErr> {
         myself.cast(LookMessage)?;
-        Ok((0, RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT)))
+        Ok(KindWatch::new(self.platform.clone(), ENTRY_KIND, self.logger.clone()))
     }
 
     async fn handle(
         &self,
         myself: ActorRef<LookMessage>,
         _message: LookMessage,
-        (revision, backoff): &mut Self::State,
+        watch: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
-        match self.platform.watch::<EntryRecord>(ENTRY_KIND, *revision).await {
-            Ok(list) => {
-                backoff.reset();
-                *revision = list.revision;
-                self.entries.send_modify(|entries| merge_entries(entries, list.items));
-            }
-            Err(failure) => {
-                counter!(names::PLATFORM_FAILURES).increment(1);
-                warn!(self.logger, "entries not read"; "step" => "follow entries",
-                    "error" => %failure);
-                sleep(backoff.next_pause()).await;
-            }
-        }
+        let changed = watch.next().await;
+        self.entries.send_modify(|entries| merge_entries(entries, changed));
         myself.cast(LookMessage)?;
         Ok(())
     }
@@ -298,10 +282,9 @@
     ) -> Result<PresetState, ActorProcessingErr> {
         myself.cast(LookMessage)?;
         Ok(PresetState {
-            watched: 0,
+            watch: KindWatch::new(self.platform.clone(), ROOT_KIND, self.logger.clone()),
             root: ConfigRoot::default(),
             preset: None,
-            backoff: RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT),
         })
     }
 
@@ -311,54 +294,30 @@
         _message: LookMessage,
         state: &mut PresetState,
     ) -> Result<(), ActorProcessingErr> {
-        let pause = match self.look(state).await {
-            Ok(()) => {
-                state.backoff.reset();
-                Duration::ZERO
-            }
-            Err(failure) => {
-                counter!(names::PLATFORM_FAILURES).increment(1);
-                warn!(self.logger, "preset not read"; "step" => "follow preset",
-                    "error" => %failure);
-                state.backoff.next_pause()
-            }
-        };
-        myself.send_after(pause, || LookMessage);
+        if let Some(root) = state.watch.next().await.into_iter().find_map(|item| item.value)
+            && root.revision > state.root.revision
+        {
+            self.follow(root, state).await;
+        }
+        myself.cast(LookMessage)?;
         Ok(())
     }
 }
 
 /// What an agent follows of the configuration.
 struct PresetState {
-    watched: u64,
+    watch: KindWatch<ConfigRoot>,
     root: ConfigRoot,
     preset: Option<PresetRecord>,
-    backoff: RetryBackoff,
 }
 
 impl PresetFollower {
-    /// Waits for a newer root. A waiting watch counts as one call, so that a fleet of agents costs
-    /// the platform little while nothing changes.
-    async fn look(&self, state: &mut PresetState) -> PlatformResult<()> {
-        let list = self.platform.watch::<ConfigRoot>(ROOT_KIND, state.watched).await?;
-        if let Some(root) = list.items.into_iter().find_map(|item| item.value) {
-            self.follow(root, state).await?;
-        }
-        state.watched = list.revision;
-        Ok(())
-    }
-
-    async fn follow(&self, root: ConfigRoot, state: &mut PresetState) -> PlatformResult<()> {
-        if root.revision <= state.root.revision {
-            return Ok(());
-        }
+    async fn follow(&self, root: ConfigRoot, state: &mut PresetState) {
         let same = root.preset == state.root.preset
             && root.parts.get(PRESETS_PART) == state.root.parts.get(PRESETS_PART);
-        let preset = if let Some(preset) = state.preset.take().filter(|_| same) {
-            preset
-        } else {
-            sleep(jitter(FOLLOW_PAUSE)).await;
-            self.store.preset(&root).await?
+        let preset = match state.preset.take().filter(|_| same) {
+            Some(preset) => preset,
+            None => self.read_preset(&root).await,
         };
         gauge!(names::CONFIG_REVISION).set(root.revision as f64);
         info!(self.logger, "preset in force"; "step" => "preset", "revision" => root.revision,
@@ -368,6 +327,22 @@
         state.preset = Some(preset);
         state.root = root;
         let _ = self.commands.send(AgentCommand::Event(event)).await;
-        Ok(())
+    }
+
+    /// Reads the preset in force; if its part is already gone, the newest one.
+    async fn read_preset(&self, root: &ConfigRoot) -> PresetRecord {
+        let mut backoff = platform_backoff();
+        let mut wanted = root.clone();
+        sleep(jitter(FOLLOW_PAUSE)).await;
+        loop {
+            match self.store.preset(&wanted).await {
+                Ok(preset) => return preset,
+                Err(failure) => note_failure(&self.logger, "read preset", &failure),
+            }
+            sleep(backoff.next_pause()).await;
+            if let Ok(Some(newest)) = self.store.root().await {
+                wanted = newest.value.unwrap_or(wanted);
+            }
+        }
     }
 }
--- a/crates/daemon/src/entry/platform.rs
+++ b/crates/daemon/src/entry/platform.rs
@@ -5,8 +5,12 @@
     join,
     status::EntrySignals,
 };
-use crate::{options::EntrySettings, telemetry::names};
-use metrics::{counter, gauge};
+use crate::{
+    options::EntrySettings,
+    telemetry::names,
+    watch::{KindWatch, note_failure, platform_backoff},
+};
+use metrics::gauge;
 use plantain_core::{
     config::{ConfigRoot, ConfigSnapshot},
     entry::targets::TargetRecord,
@@ -24,7 +28,7 @@
     },
 };
 use ractor::{Actor, ActorProcessingErr, ActorRef};
-use slog::{Logger, error, info, warn};
+use slog::{Logger, error, info};
 use std::{
     collections::{BTreeMap, HashSet},
     sync::Arc,
@@ -32,10 +36,6 @@
 };
 use tokio::{sync::watch, task::spawn_local, time::sleep};
 
-/// First pause after a failed platform call.
-const FAILED_PAUSE: Duration = Duration::from_millis(200);
-/// Longest pause after failed platform calls.
-const FAILED_PAUSE_LIMIT: Duration = Duration::from_secs(5);
 /// Least pause between looks at the host list.
 const HOST_PAUSE: Duration = Duration::from_secs(1);
 /// Size of one host in the list, in bytes.
@@ -65,7 +65,11 @@
     let targets = TargetFollower { decisions, logger: logger.clone() };
     let started = async {
         let (fetcher, _) = Actor::spawn(None, fetcher, ()).await?;
-        let watcher = ConfigWatcher { platform: platform.clone(), fetcher: fetcher.clone() };
+        let watcher = ConfigWatcher {
+            platform: platform.clone(),
+            fetcher: fetcher.clone(),
+            logger: logger.clone(),
+        };
         Actor::spawn(None, watcher, ()).await?;
         let (targets, _) = Actor::spawn(None, targets, ()).await?;
         spawn_local(watch_slots(platform.clone(), targets.clone(), logger.clone()));
@@ -97,7 +101,7 @@
         region: common.region.clone(),
         zone: common.zone.clone(),
     };
-    let mut backoff = RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT);
+    let mut backoff = platform_backoff();
     loop {
         let known = match platform.get::<EntryRecord>(ENTRY_KIND, &common.name).await {
             Ok(object) if object.value.as_ref() == Some(&record) => return,
@@ -112,7 +116,7 @@
         match written {
             Ok(_) => return,
             Err(failure) => {
-                warn!(logger, "entry not announced"; "step" => "announce", "error" => %failure);
+                note_failure(&logger, "announce", &failure);
                 sleep(backoff.next_pause()).await;
             }
         }
@@ -152,7 +156,7 @@
         (): (),
     ) -> Result<RetryBackoff, ActorProcessingErr> {
         myself.cast(FetchMessage::Newest)?;
-        Ok(RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT))
+        Ok(platform_backoff())
     }
 
     async fn handle(
@@ -174,9 +178,7 @@
                 self.publish(snapshot, known.revision()).await;
             }
             Err(failure) => {
-                counter!(names::PLATFORM_FAILURES).increment(1);
-                warn!(self.logger, "configuration not read"; "step" => "fetch config",
-                    "error" => %failure);
+                note_failure(&self.logger, "fetch config", &failure);
                 myself.send_after(backoff.next_pause(), || FetchMessage::Newest);
             }
         }
@@ -203,11 +205,12 @@
 struct ConfigWatcher {
     platform: PlatformClient,
     fetcher: ActorRef<FetchMessage>,
+    logger: Logger,
 }
 
 impl Actor for ConfigWatcher {
     type Msg = LookMessage;
-    type State = (u64, RetryBackoff);
+    type State = KindWatch<ConfigRoot>;
     type Arguments = ();
 
     async fn pre_start(
@@ -216,25 +219,17 @@
         (): (),
     ) -> Result<Self::State, ActorProcessingErr> {
         myself.cast(LookMessage)?;
-        Ok((0, RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT)))
+        Ok(KindWatch::new(self.platform.clone(), ROOT_KIND, self.logger.clone()))
     }
 
     async fn handle(
         &self,
         myself: ActorRef<LookMessage>,
         _message: LookMessage,
-        (revision, backoff): &mut Self::State,
+        watch: &mut Self::State,
     ) -> Result<(), ActorProcessingErr> {
-        let watched = self.platform.watch::<ConfigRoot>(ROOT_KIND, *revision).await;
-        if let Ok(list) = watched {
-            backoff.reset();
-            *revision = list.revision;
-            if let Some(root) = list.items.into_iter().find_map(|item| item.value) {
-                self.fetcher.cast(FetchMessage::Named(root))?;
-            }
-        } else {
-            counter!(names::PLATFORM_FAILURES).increment(1);
-            sleep(backoff.next_pause()).await;
+        if let Some(root) = watch.next().await.into_iter().find_map(|item| item.value) {
+            self.fetcher.cast(FetchMessage::Named(root))?;
         }
         myself.cast(LookMessage)?;
         Ok(())
@@ -328,26 +323,9 @@
 
 /// Watches the slots: they change only when an agent starts or stops.
 async fn watch_slots(platform: PlatformClient, follower: ActorRef<TargetMessage>, logger: Logger) {
-    let mut backoff = RetryBackoff::new(FAILED_PAUSE, FAILED_PAUSE_LIMIT);
-    let mut revision = None;
+    let mut watch = KindWatch::<SlotRecord>::new(platform, SLOT_KIND, logger);
     loop {
-        // The first look must not wait for a change.
-        let list = match revision {
-            None => platform.list::<SlotRecord>(SLOT_KIND).await,
-            Some(revision) => platform.watch::<SlotRecord>(SLOT_KIND, revision).await,
-        };
-        match list {
-            Ok(list) => {
-                backoff.reset();
-                revision = Some(list.revision);
-                let _ = follower.cast(TargetMessage::Slots(list.items));
-            }
-            Err(failure) => {
-                counter!(names::PLATFORM_FAILURES).increment(1);
-                warn!(logger, "slots not read"; "step" => "watch slots", "error" => %failure);
-                sleep(backoff.next_pause()).await;
-            }
-        }
+        let _ = follower.cast(TargetMessage::Slots(watch.next().await));
     }
 }
 
@@ -363,8 +341,7 @@
                 let _ = follower.cast(TargetMessage::Hosts(hosts));
             }
             Err(failure) => {
-                counter!(names::PLATFORM_FAILURES).increment(1);
-                warn!(logger, "hosts not read"; "step" => "poll hosts", "error" => %failure);
+                note_failure(&logger, "poll hosts", &failure);
             }
         }
         sleep(jitter(pause)).await;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod logging;
 pub mod options;
 pub mod telemetry;
+mod watch;
 
 use options::{DaemonArguments, DaemonSettings};
 use std::process::ExitCode;
--- a/crates/standin/src/faults/ledger.rs
+++ b/crates/standin/src/faults/ledger.rs
@@ -8,6 +8,9 @@
     time::Duration,
 };
 
+/// Characters of what a caller was told that are kept.
+const DETAIL_LENGTH: usize = 160;
+
 /// What a caller was told of one attempt.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
@@ -97,6 +100,8 @@
     pub cut_by_planned_stop: usize,
     /// Availability of completions by kind of fault.
     pub availability: BTreeMap<String, Availability>,
+    /// Completions without an answer, by the fault in force and what the caller was told.
+    pub failures: BTreeMap<String, u64>,
     /// One line each.
     pub violations: Vec<String>,
 }
@@ -135,6 +140,7 @@
             reversions: ledger.reversions.len(),
             cut_by_planned_stop: cut,
             availability: availability(ledger, windows),
+            failures: failures(ledger, windows),
             violations,
         }
     }
@@ -164,6 +170,9 @@
             let share = availability.answered as f64 / availability.asked.max(1) as f64 * 100.0;
             println!("  {kind:<24} {:>6} asked {share:>8.2}% answered", availability.asked);
         }
+        for (failure, count) in &self.failures {
+            println!("  {count:>4} x {failure}");
+        }
         for violation in &self.violations {
             println!("VIOLATION {violation}");
         }
@@ -244,18 +253,31 @@
 fn availability(ledger: &Ledger, windows: &[FaultWindow]) -> BTreeMap<String, Availability> {
     let mut kinds: BTreeMap<String, Availability> = BTreeMap::new();
     for chat in &ledger.chats {
-        let active: Vec<&FaultWindow> =
-            windows.iter().filter(|w| chat.asked >= w.from && chat.asked < w.to).collect();
-        let names = match active.as_slice() {
-            [] => vec!["none".to_owned()],
-            [one] => vec![one.kind.clone()],
-            _ => vec!["two at once".to_owned()],
-        };
-        for name in names {
-            let entry = kinds.entry(name).or_default();
-            entry.asked += 1;
-            entry.answered += u64::from(chat.told == Told::Answered);
-        }
+        let entry = kinds.entry(fault_of(chat, windows).to_owned()).or_default();
+        entry.asked += 1;
+        entry.answered += u64::from(chat.told == Told::Answered);
     }
     kinds
 }
+
+/// The fault that was in force when a completion was asked for.
+fn fault_of<'a>(chat: &ChatRecord, windows: &'a [FaultWindow]) -> &'a str {
+    let mut active = windows.iter().filter(|w| chat.asked >= w.from && chat.asked < w.to);
+    match (active.next(), active.next()) {
+        (None, _) => "none",
+        (Some(one), None) => &one.kind,
+        _ => "two at once",
+    }
+}
+
+fn failures(ledger: &Ledger, windows: &[FaultWindow]) -> BTreeMap<String, u64> {
+    let mut counts = BTreeMap::new();
+    for chat in ledger.chats.iter().filter(|chat| chat.told != Told::Answered) {
+        let last = windows.iter().rfind(|window| window.to <= chat.asked);
+        let after = last.map_or("nothing", |window| &window.kind);
+        let told: String = chat.detail.chars().take(DETAIL_LENGTH).collect();
+        let line = format!("{} (after {after}): {told}", fault_of(chat, windows));
+        *counts.entry(line).or_default() += 1;
+    }
+    counts
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -18,12 +18,9 @@
 
 use eyre::{Result, WrapErr};
 use options::StandinCommand;
+use plantaind::duty;
 use std::process::ExitCode;
-use tokio::{
-    runtime::Builder,
-    signal::unix::{SignalKind, signal},
-    sync::watch,
-};
+use tokio::runtime::Builder;
 
 /// Exit status of a wrong command line.
 const USAGE_STATUS: u8 = 2;
@@ -46,7 +43,7 @@
 fn run_command(command: StandinCommand) -> Result<()> {
     let runtime = Builder::new_current_thread().enable_all().build().wrap_err("start runtime")?;
     runtime.block_on(async {
-        let stopping = stop_signal()?;
+        let stopping = duty::stop_signal()?;
         match command {
             StandinCommand::Platform(arguments) => {
                 platform::run(arguments.into_options(), stopping).await
@@ -72,18 +69,3 @@
         }
     })
 }
-
-fn stop_signal() -> Result<watch::Receiver<bool>> {
-    let mut terminate = signal(SignalKind::terminate()).wrap_err("listen for SIGTERM")?;
-    let mut interrupt = signal(SignalKind::interrupt()).wrap_err("listen for SIGINT")?;
-    let (sender, receiver) = watch::channel(false);
-    tokio::spawn(async move {
-        tokio::select! {
-            _ = terminate.recv() => {}
-            _ = interrupt.recv() => {}
-        }
-        sender.send_replace(true);
-        std::future::pending::<()>().await;
-    });
-    Ok(receiver)
-}
