A successor of a frozen agent, hanging loads; exchange in three files

Cause: no test paused an agent while a successor ran, or let a load hang; the entry's exchange held three jobs. Change: tests for both, with a second agent on another address; the status page says whether the lease is held; following an offer and forwarding an answer are files of their own. Conclusion: engines that check fencing numbers are covered; the wait of a lease's time before engines that ignore them is not tested.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -155,6 +155,11 @@
         self.leaving && self.works.is_empty()
     }
 
+    /// Whether this process holds the lease of its target.
+    pub fn is_leased(&self) -> bool {
+        self.leased
+    }
+
     /// Whether the target answers.
     pub fn is_target_up(&self) -> bool {
         self.target_up
--- a/crates/daemon/src/agent/decisions.rs
+++ b/crates/daemon/src/agent/decisions.rs
@@ -366,7 +366,7 @@
             "role": "agent", "name": self.settings.common.name,
             "zone": self.settings.common.zone, "region": self.settings.common.region,
             "serves": self.settings.kind, "revision": report.revision,
-            "target_up": self.state.is_target_up(), "running": report.running, "queued": report.queued,
+            "target_up": self.state.is_target_up(), "leased": self.state.is_leased(), "running": report.running, "queued": report.queued,
             "batch_limit": report.batch_limit, "leaving": report.leaving,
             "residents": is_engine.then_some(keys), "slots": self.settings.slots,
             "loads_wanted": self.state.loads_wanted(),
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -5,6 +5,8 @@
 pub mod claims;
 pub mod decisions;
 pub mod exchange;
+mod follow;
+mod forward;
 pub mod join;
 pub mod offers;
 pub mod platform;
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -2,12 +2,14 @@
 
 use super::{
     callers::CallerContext,
-    decisions::{DecisionCommand, DecisionSender, OfferEnd},
-    offers::{OfferEvent, OfferHandle, OfferJob},
+    decisions::{DecisionCommand, OfferEnd},
+    follow::{OfferFollower, OfferGuard},
+    forward::Forward,
+    offers::{OfferEvent, OfferJob},
     reply::RequestError,
     request::AdmittedRequest,
 };
-use crate::{options::constants, telemetry::names};
+use crate::telemetry::names;
 use bytes::{Bytes, BytesMut};
 use hyper::{
     Response, StatusCode,
@@ -18,17 +20,14 @@
     entry::RouteChoice,
     ids::{AdapterKey, ConfigRevision, RequestId, TargetName},
     outcome::NotRunProof,
-    protocol::{AgentFrame, OfferFrame, PROTOCOL_VERSION, RefusalReason, TargetReport, WorkItem},
-};
-use plantain_net::{
-    body::{BodyAbort, BodySender, ReplyBody},
-    server::HttpReply,
+    protocol::{AgentFrame, OfferFrame, PROTOCOL_VERSION, RefusalReason, WorkItem},
 };
+use plantain_net::{body::ReplyBody, server::HttpReply};
 use slog::{Logger, info, warn};
 use std::time::{Duration, Instant};
 use tokio::{
-    sync::{mpsc, oneshot},
-    time::{sleep, sleep_until, timeout},
+    sync::oneshot,
+    time::{sleep_until, timeout},
 };
 
 /// Offers of one request, the first included.
@@ -39,9 +38,6 @@
 /// Largest answer that is held until it is whole, so that one cut short can be asked for again.
 const HOLD_LIMIT: usize = 1 << 20;
 
-/// Time in which the last event of a broken stream goes out.
-const FLUSH_PAUSE: Duration = Duration::from_millis(20);
-
 /// How an exchange ended.
 #[derive(Debug)]
 pub enum ExchangeEnd {
@@ -374,104 +370,3 @@
     }
     reply
 }
-
-struct OfferFollower {
-    handle: OfferHandle,
-    guard: OfferGuard,
-    released: bool,
-}
-
-/// Tells the decisions duty how an offer ended, also when the caller went away and the exchange was
-/// dropped in the middle: otherwise the target would seem busier with each caller that leaves.
-struct OfferGuard {
-    decisions: DecisionSender,
-    target: TargetName,
-    ended: bool,
-}
-
-impl OfferGuard {
-    fn new(decisions: DecisionSender, target: TargetName) -> Self {
-        Self { decisions, target, ended: false }
-    }
-
-    fn report(&self, report: TargetReport) {
-        self.send(DecisionCommand::Report { target: self.target.clone(), report });
-    }
-
-    fn end(&mut self, end: OfferEnd) {
-        if !std::mem::replace(&mut self.ended, true) {
-            self.send(DecisionCommand::Ended { target: self.target.clone(), end });
-        }
-    }
-
-    fn send(&self, command: DecisionCommand) {
-        if let Err(mpsc::error::TrySendError::Full(command)) = self.decisions.try_send(command) {
-            let decisions = self.decisions.clone();
-            tokio::spawn(async move {
-                let _ = decisions.send(command).await;
-            });
-        }
-    }
-}
-
-impl Drop for OfferGuard {
-    fn drop(&mut self) {
-        self.end(OfferEnd::Dropped);
-    }
-}
-
-/// Passes an answer on to the caller as it comes.
-struct Forward {
-    sender: BodySender,
-    follower: OfferFollower,
-    started: Instant,
-    first: Bytes,
-    events: bool,
-    logger: Logger,
-}
-
-impl Forward {
-    async fn run(mut self) {
-        let mut piece = std::mem::take(&mut self.first);
-        let problem = loop {
-            match timeout(constants::WRITE_TIMEOUT, self.sender.send(Ok(piece))).await {
-                Ok(Ok(())) => {}
-                // The caller is gone, or does not read: its place is worth more than its answer.
-                Ok(Err(_)) | Err(_) => return self.follower.guard.end(OfferEnd::Dropped),
-            }
-            let event = tokio::select! {
-                event = self.follower.handle.events.recv() => event,
-                () = self.sender.closed() => return self.follower.guard.end(OfferEnd::Dropped),
-            };
-            match event {
-                Some(OfferEvent::Frame(AgentFrame::Chunk { data, .. })) => piece = data,
-                Some(OfferEvent::Frame(AgentFrame::End { report, .. })) => {
-                    histogram!(names::REQUEST_SECONDS).record(self.started.elapsed().as_secs_f64());
-                    self.follower.guard.report(report);
-                    return self.follower.guard.end(OfferEnd::Answered);
-                }
-                Some(OfferEvent::Frame(AgentFrame::Failed { message, .. })) => break message,
-                Some(OfferEvent::Lost(problem)) => break problem,
-                _ => break "the answer broke off".to_owned(),
-            }
-        };
-        self.break_off(problem).await;
-    }
-
-    /// Tells the caller that the answer is not whole, then cuts the connection, so that not even a
-    /// caller that ignores the event can take it for a short answer.
-    async fn break_off(mut self, problem: String) {
-        warn!(self.logger, "answer broken off"; "step" => "stream",
-            "peer" => &*self.follower.guard.target, "error" => &problem);
-        self.follower.guard.end(OfferEnd::Failed);
-        counter!(names::REQUESTS, "outcome" => "broken_off").increment(1);
-        if self.events {
-            let error = RequestError::unknown(&problem).body();
-            let event = format!("event: error\ndata: {error}\n\n");
-            let _ = self.sender.send(Ok(event.into())).await;
-            // The server throws away what it has not written when a body breaks off.
-            sleep(FLUSH_PAUSE).await;
-        }
-        let _ = self.sender.send(Err(BodyAbort(problem))).await;
-    }
-}
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -338,6 +338,23 @@
         Ok(words(&["--announce", &listen]))
     }
 
+    /// Starts another agent for engine `index` on another host, as a successor would be.
+    pub fn start_successor(&mut self, index: usize) -> Result<()> {
+        let plan: EnginePlan = self.plan.engines[index].clone();
+        let mut arguments = vec!["agent".to_owned()];
+        arguments.extend(self.common(&plan.name, &plan.site, self.spare(0)));
+        arguments.extend(words(&[
+            "--listen",
+            &self.spare(1).to_string(),
+            "--target",
+            &self.engine(index).to_string(),
+            "--weight-store",
+            &self.weights().to_string(),
+        ]));
+        arguments.extend(plan.agent_arguments(&self.plan));
+        self.start_process(&format!("successor-engine-{index}"), "plantaind", &arguments)
+    }
+
     /// Starts entry `index`.
     pub fn start_entry(&mut self, index: usize) -> Result<()> {
         let site: &SitePlan = &self.plan.entries[index];
--- a/crates/standin/tests/integration/targets.rs
+++ b/crates/standin/tests/integration/targets.rs
@@ -67,6 +67,64 @@
     Ok(())
 }
 
+/// The caller sees right answers from the successor. The agent freezes while it still believes that
+/// it holds its slot; a successor on another host takes the slot with a higher epoch, and entries
+/// follow the slot. When the old one wakes it finds its slot taken and takes no more work; were it
+/// to order anything first, the engine would refuse the old fencing number.
+#[tokio::test]
+async fn successor_takes_over_from_a_frozen_agent() -> Result<()> {
+    let mut plan = ClusterPlan::new(1, 1, &["kandy"]);
+    plan.check_fencing = true;
+    let mut cluster = start(plan).await?;
+    let call = ChatCall::new("house-0008@2", "Open?", 3);
+    ask(&cluster, 0, &call, "house-0008@2").await?;
+    cluster.signal("agent-engine-0", Signal::SIGSTOP)?;
+    cluster.start_successor(0)?;
+    cluster
+        .wait_for("successor serves", async || {
+            Ok(ask(&cluster, 0, &call, "house-0008@2").await.is_ok())
+        })
+        .await?;
+    let status: Value = cluster.page(cluster.spare(0), "/status").await?;
+    ensure!(
+        status["residents"][0] == "house-0008@2",
+        "the successor adopts what is there: {status}"
+    );
+    cluster.signal("agent-engine-0", Signal::SIGCONT)?;
+    cluster
+        .wait_for("old agent finds its slot taken", async || {
+            let status: Value = cluster.page(cluster.engine_agent_admin(0), "/status").await?;
+            Ok(status["leased"] == false)
+        })
+        .await?;
+    for index in 0..12 {
+        let model = format!("house-{index:04}@1");
+        ask(&cluster, 0, &ChatCall::new(&model, "Open?", 2), &model).await?;
+    }
+    let records: EngineRecords = cluster.page(cluster.engine(0), "/standin/records").await?;
+    ensure!(records.evicted_in_use == 0, "evicted in use");
+    finish(cluster).await
+}
+
+/// The caller is told at its deadline that the request was not run: the load that it waits for hangs,
+/// nothing was handed to the engine, and the agent's refusal proves it. When the load comes through
+/// after all, the next caller finds the adapter there.
+#[tokio::test]
+async fn hanging_load_does_not_hold_its_waiters_past_their_deadline() -> Result<()> {
+    let cluster = start(ClusterPlan::new(1, 1, &["kandy"])).await?;
+    let faults = EngineFaults { hang_loads: true, ..EngineFaults::default() };
+    cluster.set(cluster.engine(0), "/standin/faults", &faults).await?;
+    let call =
+        ChatCall::new("house-0009@1", "Open?", 2).with_header("x-plantain-deadline-ms", "2000");
+    let answer = call.send(cluster.http(), cluster.entry(0)).await?;
+    ensure!(answer.error()["outcome"] == "not_run", "{} {}", answer.status, answer.text());
+    ensure!(answer.last < std::time::Duration::from_secs(4), "held for {:?}", answer.last);
+    cluster.set(cluster.engine(0), "/standin/faults", &EngineFaults::default()).await?;
+    let patient = ChatCall::new("house-0009@1", "Open?", 2);
+    ask(&cluster, 0, &patient, "house-0009@1").await?;
+    finish(cluster).await
+}
+
 /// The operator sees the offers of a process without the key refused. It announces itself like any
 /// agent, but neither end of the link accepts the other's key, so no request goes to it.
 #[tokio::test]
