Names of the field; an entry that slept past its record's window runs nothing

Cause 1: claim, desk and pulse were the design's words; the field says idempotency record, permit request and pool, heartbeat. Renamed, no change of behaviour. Cause 2, found in reading: an entry frozen between writing a record and its offer for longer than the record's window of 15 minutes could release a key that another entry had run meanwhile. Change: no offer and no release without time left; an agent refuses an offer without time left. Deadlines are at most 10 minutes, and a freeze after the check outlasts the agent's reservation of 10 s. Before: the new case of offers_that_cannot_be_served_are_refused_at_once was accepted. After: refused. 70 tests pass; no test freezes a process for 15 minutes.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -26,7 +26,7 @@
 use std::{collections::HashMap, time::Duration};
 
 /// Time after which a reservation that was never released lapses. It only has to outlast the
-/// entry's claim of the idempotency key, a few platform round trips.
+/// entry's request of the idempotency key, a few platform round trips.
 pub const RESERVATION_TTL: Duration = Duration::from_secs(10);
 /// First guess of the time that a request runs, until requests have been seen.
 const SERVICE_TIME_GUESS: Duration = Duration::from_millis(200);
--- a/crates/core/src/agent/admission.rs
+++ b/crates/core/src/agent/admission.rs
@@ -32,7 +32,8 @@
             return Err(self.refusal(RefusalReason::TargetDown));
         }
         let expected = self.expected_start(&offer.item, now);
-        if expected > offer.time_left {
+        // An offer without time left may come from an entry that was frozen before it sent it.
+        if expected >= offer.time_left {
             return Err(Refusal::new(RefusalReason::TooLate).with_retry_after(expected));
         }
         self.make_room(offer.priority)
--- a/crates/core/src/agent/dispatch.rs
+++ b/crates/core/src/agent/dispatch.rs
@@ -7,7 +7,7 @@
 };
 
 /// Load permits that an agent asks for at once.
-const CLAIM_LIMIT: usize = 16;
+const PERMIT_LIMIT: usize = 16;
 
 impl AgentState {
     /// Starts what can start and orders the loads that have a permit and a slot.
@@ -58,10 +58,10 @@
     }
 
     fn ask_permits(&mut self, now: Timestamp) {
-        let room = self.residents.claimable();
-        // More claims than the engine can load at once: only the broker, which sees those of all
+        let room = self.residents.loadable();
+        // More requests than the engine can load at once: only the broker, which sees those of all
         // agents, can tell which of them goes first.
-        while self.loads.outstanding() < CLAIM_LIMIT.min(room) {
+        while self.loads.outstanding() < PERMIT_LIMIT.min(room) {
             let Some((key, urgency)) = self.loads.next_unasked(now) else { return };
             self.loads.ask(&key);
             self.actions.push(AgentAction::AskPermit { key, urgency });
--- a/crates/core/src/agent/events.rs
+++ b/crates/core/src/agent/events.rs
@@ -152,7 +152,7 @@
         /// How much it is wanted.
         urgency: LoadUrgency,
     },
-    /// Take back a claim for a permit: nobody waits for the adapter any more.
+    /// Take back a request for a permit: nobody waits for the adapter any more.
     DropPermit {
         /// The adapter.
         key: AdapterKey,
--- a/crates/core/src/agent/residency.rs
+++ b/crates/core/src/agent/residency.rs
@@ -185,7 +185,7 @@
     }
 
     /// Slots that loads have taken or could take: all but those of pinned adapters.
-    pub fn claimable(&self) -> usize {
+    pub fn loadable(&self) -> usize {
         let held = |(key, slot): &(&AdapterKey, &SlotRecord)| {
             slot.phase == SlotPhase::Ready && self.pins(key) > 0
         };
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -2,12 +2,12 @@
 
 pub mod agent;
 pub mod burn;
-pub mod claims;
 pub mod config;
 pub mod cost;
 pub mod demand;
 pub mod entry;
 pub mod events;
+pub mod idempotency;
 pub mod ids;
 pub mod outcome;
 pub mod permits;
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -10,7 +10,7 @@
 /// Time after which a granted permit counts as given back, whatever became of its holder.
 const PERMIT_TTL: Duration = Duration::from_secs(15);
 
-/// Which claim goes first.
+/// Which request goes first.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub enum PermitOrder {
     /// In the order of asking.
@@ -46,32 +46,32 @@
     pub rate: f64,
     /// Loads under way at once.
     pub active: usize,
-    /// Which claim goes first.
+    /// Which request goes first.
     pub order: PermitOrder,
 }
 
 /// A permit that was asked for or granted.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub struct PermitClaim {
+pub struct PermitRequest {
     /// Who loads.
     pub target: TargetName,
     /// What.
     pub key: AdapterKey,
 }
 
-/// Grants permits within limits. Two desks for the same store only slow loads down, so nothing is
+/// Grants permits within limits. Two pools for the same store only slow loads down, so nothing is
 /// kept or agreed on.
 #[derive(Debug)]
-pub struct PermitDesk {
+pub struct PermitPool {
     limits: PermitLimits,
     tokens: f64,
     refilled: Timestamp,
-    waiting: Vec<(PermitClaim, LoadUrgency, Timestamp)>,
-    active: Vec<(PermitClaim, Timestamp)>,
+    waiting: Vec<(PermitRequest, LoadUrgency, Timestamp)>,
+    active: Vec<(PermitRequest, Timestamp)>,
 }
 
-impl PermitDesk {
-    /// Starts with one permit in hand, not a full second's worth: a desk that was just restarted
+impl PermitPool {
+    /// Starts with one permit in hand, not a full second's worth: a pool that was just restarted
     /// must not grant again what its predecessor granted a moment ago.
     pub fn new(limits: PermitLimits, now: Timestamp) -> Self {
         Self { limits, tokens: 1.0, refilled: now, waiting: Vec::new(), active: Vec::new() }
@@ -82,46 +82,46 @@
         self.active.len()
     }
 
-    /// Whether a claim was granted and not given back.
-    pub fn holds(&self, claim: &PermitClaim) -> bool {
-        self.active.iter().any(|(active, _)| active == claim)
+    /// Whether a request was granted and not given back.
+    pub fn holds(&self, request: &PermitRequest) -> bool {
+        self.active.iter().any(|(active, _)| active == request)
     }
 
-    /// Claims that wait.
+    /// Requests that wait.
     pub fn waiting(&self) -> usize {
         self.waiting.len()
     }
 
-    /// Adds a claim, or updates its urgency.
-    pub fn ask(&mut self, claim: PermitClaim, urgency: LoadUrgency, now: Timestamp) {
-        match self.waiting.iter_mut().find(|(waiting, _, _)| *waiting == claim) {
+    /// Adds a request, or updates its urgency.
+    pub fn ask(&mut self, request: PermitRequest, urgency: LoadUrgency, now: Timestamp) {
+        match self.waiting.iter_mut().find(|(waiting, _, _)| *waiting == request) {
             Some(known) => known.1 = urgency,
-            None => self.waiting.push((claim, urgency, now)),
+            None => self.waiting.push((request, urgency, now)),
         }
     }
 
-    /// Takes back a claim or a permit: the load ended, or is no longer wanted.
-    pub fn end(&mut self, claim: &PermitClaim) {
-        self.waiting.retain(|(waiting, _, _)| waiting != claim);
-        self.active.retain(|(active, _)| active != claim);
+    /// Takes back a request or a permit: the load ended, or is no longer wanted.
+    pub fn end(&mut self, request: &PermitRequest) {
+        self.waiting.retain(|(waiting, _, _)| waiting != request);
+        self.active.retain(|(active, _)| active != request);
     }
 
     /// Grants what the limits allow now.
-    pub fn grant(&mut self, now: Timestamp) -> Vec<PermitClaim> {
+    pub fn grant(&mut self, now: Timestamp) -> Vec<PermitRequest> {
         self.refill(now);
         self.active.retain(|(_, granted)| now.saturating_sub(*granted) < PERMIT_TTL);
         let mut granted = Vec::new();
         while self.tokens >= 1.0 && self.active.len() < self.limits.active {
             let Some(index) = self.most_urgent(now) else { break };
-            let (claim, _, _) = self.waiting.swap_remove(index);
+            let (request, _, _) = self.waiting.swap_remove(index);
             self.tokens -= 1.0;
-            self.active.push((claim.clone(), now));
-            granted.push(claim);
+            self.active.push((request.clone(), now));
+            granted.push(request);
         }
         granted
     }
 
-    /// Time until the next permit can be granted, if a claim waits for one.
+    /// Time until the next permit can be granted, if a request waits for one.
     pub fn next_grant(&self, now: Timestamp) -> Option<Duration> {
         if self.waiting.is_empty() || self.active.len() >= self.limits.active {
             return None;
--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -11,7 +11,7 @@
         AdapterDigest, AdapterKey, BaseName, CallerName, ConfigRevision, RequestId, ServiceName,
     },
     outcome::{Refusal, RunOutcome},
-    permits::PermitClaim,
+    permits::PermitRequest,
 };
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -132,7 +132,7 @@
     /// Asks for a permit, or tells that its urgency has changed.
     Ask {
         /// Who loads what.
-        claim: PermitClaim,
+        request: PermitRequest,
         /// How much it is wanted.
         urgency: LoadUrgency,
     },
@@ -154,7 +154,7 @@
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct GrantFrame {
     /// Who may load what.
-    pub claim: PermitClaim,
+    pub request: PermitRequest,
 }
 
 /// Frames from entry to agent.
--- a/crates/core/tests/core/agent.rs
+++ b/crates/core/tests/core/agent.rs
@@ -376,6 +376,14 @@
             change: |offer| offer.revision = 4,
             reason: RefusalReason::ConfigBehind,
         },
+        Admission {
+            name: "no time left, adapter resident",
+            prepare: |state| {
+                drop(state.handle(AgentEvent::Inventory(vec![key(1)]), Duration::ZERO));
+            },
+            change: |offer| offer.time_left = Duration::ZERO,
+            reason: RefusalReason::TooLate,
+        },
         Admission {
             name: "deadline before the load could end",
             prepare: |_| {},
--- a/crates/daemon/src/agent/permits.rs
+++ b/crates/daemon/src/agent/permits.rs
@@ -2,14 +2,14 @@
 
 use super::decisions::{AgentCommand, CommandSender};
 use crate::{
-    link::{self, PEER_NAME, frames, pulse},
+    link::{self, PEER_NAME, frames, heartbeat},
     options::AgentSettings,
 };
 use eyre::{Result, WrapErr, eyre};
 use plantain_core::{
     agent::events::{AgentEvent, LoadUrgency},
     ids::AdapterKey,
-    permits::{PermitClaim, PermitDesk, PermitLimits, PermitOrder},
+    permits::{PermitLimits, PermitOrder, PermitPool, PermitRequest},
     protocol::{GrantFrame, PeerFrame},
     rendezvous,
 };
@@ -65,8 +65,8 @@
     commands: CommandSender,
     connection: RefCell<Option<(SocketAddr, Connection)>>,
     avoided: RefCell<HashMap<SocketAddr, Instant>>,
-    share: RefCell<PermitDesk>,
-    claims: Arc<AtomicUsize>,
+    share: RefCell<PermitPool>,
+    requests: Arc<AtomicUsize>,
     started: Instant,
     logger: Logger,
 }
@@ -99,22 +99,22 @@
         commands,
         connection: RefCell::new(None),
         avoided: RefCell::new(HashMap::new()),
-        share: RefCell::new(PermitDesk::new(limits, Duration::ZERO)),
-        claims: Arc::default(),
+        share: RefCell::new(PermitPool::new(limits, Duration::ZERO)),
+        requests: Arc::default(),
         started: Instant::now(),
         logger,
     });
-    let mut open: HashMap<AdapterKey, OpenClaim> = HashMap::new();
+    let mut open: HashMap<AdapterKey, OpenRequest> = HashMap::new();
     while let Some(job) = jobs.recv().await {
         match job {
             PermitJob::Ask(key, urgency) => {
-                if let Some(claim) = open.get(&key) {
-                    claim.urgency.send_replace(urgency);
+                if let Some(request) = open.get(&key) {
+                    request.urgency.send_replace(urgency);
                     continue;
                 }
                 let (end, ended) = oneshot::channel();
                 let (sender, receiver) = watch::channel(urgency);
-                open.insert(key.clone(), OpenClaim { urgency: sender, _end: end });
+                open.insert(key.clone(), OpenRequest { urgency: sender, _end: end });
                 spawn_local(Rc::clone(&duty).follow(key, receiver, ended));
             }
             PermitJob::End(key) => drop(open.remove(&key)),
@@ -122,17 +122,17 @@
     }
 }
 
-/// Counts a claim that asks a broker, for as long as it does.
-struct ClaimCount<'a>(&'a AtomicUsize);
+/// Counts a request that asks a broker, for as long as it does.
+struct RequestCount<'a>(&'a AtomicUsize);
 
-impl Drop for ClaimCount<'_> {
+impl Drop for RequestCount<'_> {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
-/// A claim under way. Dropping it ends the claim.
-struct OpenClaim {
+/// A request under way. Dropping it ends the request.
+struct OpenRequest {
     urgency: watch::Sender<LoadUrgency>,
     _end: oneshot::Sender<()>,
 }
@@ -145,28 +145,28 @@
         mut urgency: watch::Receiver<LoadUrgency>,
         ended: oneshot::Receiver<()>,
     ) {
-        let claim = PermitClaim { target: self.settings.common.name.clone(), key: key.clone() };
+        let request = PermitRequest { target: self.settings.common.name.clone(), key: key.clone() };
         let getting = async {
-            let asked = timeout(GRANT_TIMEOUT, self.ask_brokers(&claim, &mut urgency)).await;
+            let asked = timeout(GRANT_TIMEOUT, self.ask_brokers(&request, &mut urgency)).await;
             if let Ok(Some(permit)) = asked {
                 return Some(permit);
             }
             let last = *urgency.borrow();
-            self.ask_share(&claim, last).await;
+            self.ask_share(&request, last).await;
             None
         };
         tokio::pin!(ended);
         let permit = tokio::select! {
             permit = getting => permit,
             _ = &mut ended => {
-                self.share.borrow_mut().end(&claim);
+                self.share.borrow_mut().end(&request);
                 return;
             }
         };
         let event = AgentEvent::LoadPermitted(key);
         let _ = self.commands.send(AgentCommand::Event(event)).await;
         let _ = ended.await;
-        self.share.borrow_mut().end(&claim);
+        self.share.borrow_mut().end(&request);
         // Ends the broker's stream, which gives the permit back.
         drop(permit);
     }
@@ -175,13 +175,13 @@
     /// the order takes its place.
     async fn ask_brokers(
         &self,
-        claim: &PermitClaim,
+        request: &PermitRequest,
         urgency: &mut watch::Receiver<LoadUrgency>,
     ) -> Option<quinn::SendStream> {
-        self.claims.fetch_add(1, Ordering::AcqRel);
-        let _count = ClaimCount(&self.claims);
+        self.requests.fetch_add(1, Ordering::AcqRel);
+        let _count = RequestCount(&self.requests);
         for _ in 0..BROKER_ATTEMPTS {
-            match self.ask_broker(claim, urgency).await {
+            match self.ask_broker(request, urgency).await {
                 Ok(permit) => return Some(permit),
                 Err(failure) => {
                     debug!(self.logger, "no permit"; "step" => "permit",
@@ -196,7 +196,7 @@
     /// holds the permit.
     async fn ask_broker(
         &self,
-        claim: &PermitClaim,
+        request: &PermitRequest,
         urgency: &mut watch::Receiver<LoadUrgency>,
     ) -> Result<quinn::SendStream> {
         let connection = self.broker().await?;
@@ -205,11 +205,11 @@
         tokio::pin!(grant);
         loop {
             let urgency_now = *urgency.borrow_and_update();
-            let ask = PeerFrame::Ask { claim: claim.clone(), urgency: urgency_now };
+            let ask = PeerFrame::Ask { request: request.clone(), urgency: urgency_now };
             frames::write(&mut send, &ask).await?;
             tokio::select! {
                 granted = &mut grant => return match granted? {
-                    Some(grant) if grant.claim == *claim => Ok(send),
+                    Some(grant) if grant.request == *request => Ok(send),
                     _ => Err(eyre!("the broker ended without a grant")),
                 },
                 Ok(()) = urgency.changed() => {}
@@ -228,8 +228,8 @@
             }
             if let Ok(connection) = self.connect(peer).await {
                 info!(self.logger, "broker found"; "step" => "permit", "peer" => %peer);
-                let (pulsed, claims) = (connection.clone(), Arc::clone(&self.claims));
-                spawn_local(async move { pulse::send_pulses(&pulsed, &claims).await });
+                let (connected, requests) = (connection.clone(), Arc::clone(&self.requests));
+                spawn_local(async move { heartbeat::send_heartbeats(&connected, &requests).await });
                 *self.connection.borrow_mut() = Some((peer, connection.clone()));
                 return Ok(connection);
             }
@@ -258,12 +258,12 @@
     }
 
     /// Without a broker, each agent loads at its own small share of the store's rate.
-    async fn ask_share(&self, claim: &PermitClaim, urgency: LoadUrgency) {
-        self.share.borrow_mut().ask(claim.clone(), urgency, self.started.elapsed());
+    async fn ask_share(&self, request: &PermitRequest, urgency: LoadUrgency) {
+        self.share.borrow_mut().ask(request.clone(), urgency, self.started.elapsed());
         loop {
             // A grant to another follower shows when that one looks.
             self.share.borrow_mut().grant(self.started.elapsed());
-            if self.share.borrow().holds(claim) {
+            if self.share.borrow().holds(request) {
                 return;
             }
             sleep(SHARE_PAUSE).await;
--- a/crates/daemon/src/agent/streams.rs
+++ b/crates/daemon/src/agent/streams.rs
@@ -1,7 +1,7 @@
 //! The peers duty of an agent: entries' connections, one stream for each offer.
 
 use super::decisions::{AgentCommand, CommandSender};
-use crate::link::{frames, pulse};
+use crate::link::{frames, heartbeat};
 use eyre::{Result, WrapErr, ensure, eyre};
 use plantain_core::{
     agent::events::WorkId,
@@ -84,8 +84,8 @@
             }
         };
         let in_flight = Arc::new(AtomicUsize::new(0));
-        let (pulsed, count) = (connection.clone(), Arc::clone(&in_flight));
-        spawn_local(async move { pulse::answer_pulses(&pulsed, &count).await });
+        let (connected, count) = (connection.clone(), Arc::clone(&in_flight));
+        spawn_local(async move { heartbeat::answer_heartbeats(&connected, &count).await });
         self.streams(&connection, &in_flight, peer).await;
     }
 
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -2,11 +2,11 @@
 
 pub mod broker;
 pub mod callers;
-pub mod claims;
 pub mod decisions;
 pub mod exchange;
 mod follow;
 mod forward;
+pub mod idempotency;
 pub mod join;
 pub mod offers;
 pub mod platform;
@@ -57,9 +57,9 @@
         let (own, log) = (settings.clone(), logger.clone());
         let (known, ring) = (config.clone(), decisions.clone());
         duty::start("broker", move || broker::run(own, known, ring, log))?;
-        let (claims, claim_ring) = mpsc::channel(constants::RING_DEPTH);
+        let (records, record_ring) = mpsc::channel(constants::RING_DEPTH);
         let (own, log) = (settings.clone(), logger.clone());
-        duty::start("claims", move || claims::run(own, claim_ring, log))?;
+        duty::start("idempotency", move || idempotency::run(own, record_ring, log))?;
         let signals = Arc::new(EntrySignals::default());
         let (own, ring, log) = (settings.clone(), decisions.clone(), logger.clone());
         let marks = Arc::clone(&signals);
@@ -79,7 +79,7 @@
         })?;
 
         info!(logger, "entry listens"; "step" => "start", "listen" => %settings.listen);
-        let rings = CallerRings { decisions, offers, claims };
+        let rings = CallerRings { decisions, offers, records };
         let context = CallerContext::new(settings, config, rings, status, logger.clone());
         callers::run(callers, context, stopping).await;
         info!(logger, "all requests ended"; "step" => "stop");
--- a/crates/daemon/src/entry/broker.rs
+++ b/crates/daemon/src/entry/broker.rs
@@ -1,6 +1,6 @@
 //! The broker duty of an entry: grants load permits to the agents that ask here.
 //!
-//! Agents ask the entry that rendezvous hashing picks, so in a quiet fleet one desk sees all loads
+//! Agents ask the entry that rendezvous hashing picks, so in a quiet fleet one pool sees all loads
 //! of a weight store. Nothing is kept or agreed on: two brokers for a moment only slow loads down.
 
 use super::{
@@ -8,7 +8,7 @@
     join,
 };
 use crate::{
-    link::{frames, pulse, server_endpoint},
+    link::{frames, heartbeat, server_endpoint},
     options::EntrySettings,
     telemetry::names,
 };
@@ -16,7 +16,7 @@
 use metrics::{counter, gauge};
 use plantain_core::{
     config::ConfigSnapshot,
-    permits::{PermitClaim, PermitDesk},
+    permits::{PermitPool, PermitRequest},
     protocol::{GrantFrame, PeerFrame},
 };
 use quinn::{Connection, RecvStream, SendStream};
@@ -34,12 +34,12 @@
     time::timeout,
 };
 
-/// Longest sleep between looks at the desk.
+/// Longest sleep between looks at the pool.
 const LOOK_PAUSE: Duration = Duration::from_secs(1);
 
 struct BrokerState {
-    desk: PermitDesk,
-    waiting: HashMap<PermitClaim, oneshot::Sender<()>>,
+    pool: PermitPool,
+    waiting: HashMap<PermitRequest, oneshot::Sender<()>>,
 }
 
 struct BrokerDuty {
@@ -65,11 +65,11 @@
             return;
         }
     };
-    let desk = PermitDesk::new(settings.permits, Duration::ZERO);
+    let pool = PermitPool::new(settings.permits, Duration::ZERO);
     let duty = Rc::new(BrokerDuty {
         config,
         decisions,
-        state: RefCell::new(BrokerState { desk, waiting: HashMap::new() }),
+        state: RefCell::new(BrokerState { pool, waiting: HashMap::new() }),
         changed: Notify::new(),
         started: Instant::now(),
         logger,
@@ -86,14 +86,16 @@
 }
 
 async fn accept_streams(duty: Rc<BrokerDuty>, connection: Connection) {
-    // The agent's pulses tell it that this broker lives. A silent agent holds no place here: its
+    // The agent's heartbeats tell it that this broker lives. A silent agent holds no place here: its
     // permits lapse by themselves.
-    let pulsed = connection.clone();
-    spawn_local(async move { pulse::answer_pulses(&pulsed, &AtomicUsize::new(0)).await });
+    let connected = connection.clone();
+    spawn_local(
+        async move { heartbeat::answer_heartbeats(&connected, &AtomicUsize::new(0)).await },
+    );
     while let Ok((send, receive)) = connection.accept_bi().await {
         let duty = Rc::clone(&duty);
         spawn_local(async move {
-            if let Err(failure) = serve_claim(&duty, send, receive).await {
+            if let Err(failure) = serve_request(&duty, send, receive).await {
                 debug!(duty.logger, "permit ended early"; "step" => "permit",
                     "error" => format!("{failure:#}"));
             }
@@ -101,22 +103,22 @@
     }
 }
 
-/// Follows one claim from the first question to the end of its stream, which gives it back.
-async fn serve_claim(
+/// Follows one request from the first question to the end of its stream, which gives it back.
+async fn serve_request(
     duty: &BrokerDuty,
     mut send: SendStream,
     mut receive: RecvStream,
 ) -> Result<()> {
-    let (claim, urgency) = match frames::read(&mut receive).await? {
-        Some(PeerFrame::Ask { claim, urgency }) => (claim, urgency),
+    let (request, urgency) = match frames::read(&mut receive).await? {
+        Some(PeerFrame::Ask { request, urgency }) => (request, urgency),
         Some(PeerFrame::Join) => return duty.tell_joiner(send).await,
         None => return Err(eyre!("the stream ended before its question")),
     };
     let (granted, mut grant) = oneshot::channel();
     {
         let mut state = duty.state.borrow_mut();
-        state.desk.ask(claim.clone(), urgency, duty.started.elapsed());
-        state.waiting.insert(claim.clone(), granted);
+        state.pool.ask(request.clone(), urgency, duty.started.elapsed());
+        state.waiting.insert(request.clone(), granted);
     }
     duty.changed.notify_one();
     let mut is_granted = false;
@@ -124,17 +126,17 @@
         tokio::select! {
             Ok(()) = &mut grant, if !is_granted => {
                 is_granted = true;
-                let frame = GrantFrame { claim: claim.clone() };
+                let frame = GrantFrame { request: request.clone() };
                 if let Err(failure) = frames::write(&mut send, &frame).await {
                     break Err(failure);
                 }
             }
             frame = frames::read::<PeerFrame>(&mut receive) => match frame {
-                // News of a claim that was granted meanwhile must not make it wait again.
+                // News of a request that was granted meanwhile must not make it wait again.
                 Ok(Some(_)) if is_granted => {}
                 Ok(Some(PeerFrame::Ask { urgency, .. })) => {
                     let now = duty.started.elapsed();
-                    duty.state.borrow_mut().desk.ask(claim.clone(), urgency, now);
+                    duty.state.borrow_mut().pool.ask(request.clone(), urgency, now);
                 }
                 Ok(Some(PeerFrame::Join)) => break Err(eyre!("a second question on one stream")),
                 Ok(None) => break Ok(()),
@@ -143,8 +145,8 @@
         }
     };
     let mut state = duty.state.borrow_mut();
-    state.desk.end(&claim);
-    state.waiting.remove(&claim);
+    state.pool.end(&request);
+    state.waiting.remove(&request);
     drop(state);
     duty.changed.notify_one();
     result
@@ -169,14 +171,14 @@
         let now = duty.started.elapsed();
         let next = {
             let mut state = duty.state.borrow_mut();
-            for claim in state.desk.grant(now) {
+            for request in state.pool.grant(now) {
                 counter!(names::PERMITS).increment(1);
-                if let Some(granted) = state.waiting.remove(&claim) {
+                if let Some(granted) = state.waiting.remove(&request) {
                     let _ = granted.send(());
                 }
             }
-            gauge!(names::PERMITS_WAITING).set(state.desk.waiting() as f64);
-            state.desk.next_grant(now)
+            gauge!(names::PERMITS_WAITING).set(state.pool.waiting() as f64);
+            state.pool.next_grant(now)
         };
         let pause = next.unwrap_or(LOOK_PAUSE).min(LOOK_PAUSE);
         let _ = timeout(pause, duty.changed.notified()).await;
--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -1,9 +1,9 @@
 //! The callers duty of an entry: HTTP in, HTTP out.
 
 use super::{
-    claims::{self, ClaimSender},
     decisions::DecisionSender,
     exchange::{Exchange, ExchangeEnd},
+    idempotency::{self, RecordSender},
     offers::OfferSender,
     replays::{FirstRequest, ReplayTable},
     reply::RequestError,
@@ -25,8 +25,8 @@
 use metrics::{counter, gauge};
 use plantain_core::{
     burn::RequestOutcome,
-    claims::{ClaimChange, ClaimKey, ClaimVerdict},
     config::ConfigSnapshot,
+    idempotency::{RecordChange, RecordKey, RecordVerdict},
     ids::{CallerName, RequestId},
     outcome::RunOutcome,
     protocol::{Priority, WorkItem},
@@ -65,8 +65,8 @@
     pub decisions: DecisionSender,
     /// To the peers.
     pub offers: OfferSender,
-    /// To the claims.
-    pub claims: ClaimSender,
+    /// To the idempotency records.
+    pub records: RecordSender,
 }
 
 /// What every caller's request needs.
@@ -77,7 +77,7 @@
     pub(crate) decisions: DecisionSender,
     pub(crate) offers: OfferSender,
     pub(crate) logger: Logger,
-    claims: ClaimSender,
+    records: RecordSender,
     replays: ReplayTable,
     status: EntryStatus,
     places: Arc<Semaphore>,
@@ -93,7 +93,7 @@
         status: EntryStatus,
         logger: Logger,
     ) -> Self {
-        let CallerRings { decisions, offers, claims } = rings;
+        let CallerRings { decisions, offers, records } = rings;
         let places = Arc::new(Semaphore::new(settings.requests));
         // Ids start at random, so that those of a restarted entry do not meet its earlier ones.
         let next_id = Arc::new(AtomicU64::new(rand::random::<u64>() >> 1));
@@ -104,7 +104,7 @@
             decisions,
             offers,
             logger,
-            claims,
+            records,
             replays,
             status,
             places,
@@ -189,7 +189,7 @@
             let mut admitted = request::admit(path.clone(), &parts, body.clone(), &snapshot)?;
             admitted.time_left = admitted.time_left.saturating_sub(received.elapsed());
             *facts = Some(RequestFacts::new(&admitted));
-            let key = admitted.claim.clone();
+            let key = admitted.record.clone();
             let exchange = Exchange::new(self, admitted, snapshot.revision(), id, name, &logger);
             let end = match key {
                 Some(key) => self.run_once(exchange, key).await,
@@ -204,21 +204,21 @@
         Err(RequestError::entry_busy(BUSY_PAUSE))
     }
 
-    /// Runs a request whose key makes it the same as the caller's retries of it: claimed on the
+    /// Runs a request whose key makes it the same as the caller's retries of it: recorded on the
     /// platform before it is offered, and answered again from memory where it has already run.
-    async fn run_once(&self, exchange: Exchange<'_>, key: ClaimKey) -> ExchangeEnd {
+    async fn run_once(&self, exchange: Exchange<'_>, key: RecordKey) -> ExchangeEnd {
         let guard = match self.replays.begin(&key) {
             Ok(guard) => guard,
             Err(first) => return replay(first, exchange.time_left()).await,
         };
-        let record = claims::new_claim(&self.settings.common.name);
+        let record = idempotency::new_record(&self.settings.common.name);
         let operation = record.operation.clone();
-        let claim = ClaimChange::Claim(key.clone(), record);
-        let refused = match claims::change(&self.claims, claim).await {
-            Ok(ClaimVerdict::Done) => None,
-            Ok(ClaimVerdict::Taken(theirs)) => Some(RequestError::already_claimed(&theirs.entry)),
-            Ok(ClaimVerdict::Full) => Some(RequestError::claims_unavailable(BUSY_PAUSE)),
-            Err(pause) => Some(RequestError::claims_unavailable(pause)),
+        let record = RecordChange::Insert(key.clone(), record);
+        let refused = match idempotency::change(&self.records, record).await {
+            Ok(RecordVerdict::Done) => None,
+            Ok(RecordVerdict::Taken(theirs)) => Some(RequestError::key_taken(&theirs.entry)),
+            Ok(RecordVerdict::Full) => Some(RequestError::keys_unavailable(BUSY_PAUSE)),
+            Err(pause) => Some(RequestError::keys_unavailable(pause)),
         };
         if let Some(error) = refused {
             guard.not_run();
@@ -228,11 +228,11 @@
         match &end {
             ExchangeEnd::Reply(reply) => guard.answered(reply),
             ExchangeEnd::Error(error) if error.outcome == RunOutcome::Unknown => drop(guard),
-            // Provably not run: the claim is given back, so that the next try may run.
+            // Provably not run: the record is given back, so that the next try may run.
             _ => {
                 guard.not_run();
-                let release = ClaimChange::Release(key, operation);
-                let _ = claims::change(&self.claims, release).await;
+                let release = RecordChange::Remove(key, operation);
+                let _ = idempotency::change(&self.records, release).await;
             }
         }
         end
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -107,6 +107,10 @@
     pub async fn run(mut self) -> ExchangeEnd {
         let mut last = None;
         for _ in 0..OFFER_LIMIT {
+            if self.time_left().is_zero() {
+                let late = NotRunProof::never_offered(RefusalReason::TooLate, None);
+                return ExchangeEnd::Error(self.give_up(&last.unwrap_or(late)));
+            }
             let choice = match self.choose().await {
                 Ok(choice) => choice,
                 Err(proof) => return ExchangeEnd::Error(self.give_up(&last.unwrap_or(proof))),
@@ -228,6 +232,12 @@
             match frame {
                 AgentFrame::Accepted { report, .. } => {
                     follower.guard.report(report);
+                    // An entry that was frozen may be past the window of its idempotency record,
+                    // and another may have run the key since. Deadlines are shorter than the
+                    // window, and a freeze after this check outlasts the agent's reservation.
+                    if !self.request.idempotent && self.time_left().is_zero() {
+                        return Err(OfferResult::NotRun(NotRunProof::never_released()));
+                    }
                     if !self.request.idempotent
                         && let Some(release) = follower.handle.release.take()
                     {
--- a/crates/daemon/src/entry/claims.rs
+++ b/crates/daemon/src/entry/idempotency.rs
@@ -1,11 +1,13 @@
-//! The claims duty of an entry: writes idempotency records to the platform, in batches.
+//! The idempotency duty of an entry: writes idempotency records to the platform, in batches.
 
 use crate::{options::EntrySettings, telemetry::names};
 use metrics::counter;
-use plantain_core::claims::{ClaimChange, ClaimRecord, ClaimShard, ClaimVerdict, claim_shard};
+use plantain_core::idempotency::{
+    IdempotencyRecord, RecordChange, RecordShard, RecordVerdict, record_shard,
+};
 use plantain_net::{
     client::HttpClient,
-    platform::{PlatformClient, PlatformError, PlatformResult, records::CLAIM_KIND},
+    platform::{PlatformClient, PlatformError, PlatformResult, records::RECORD_KIND},
 };
 use slog::{Logger, warn};
 use std::{
@@ -25,29 +27,29 @@
 const WRITE_ATTEMPTS: u32 = 16;
 /// Least pause between two batches of one shard.
 const BATCH_PAUSE: Duration = Duration::from_millis(5);
-/// Time after a failure in which the platform counts as out, and claims are refused at once.
+/// Time after a failure in which the platform counts as out, and records are refused at once.
 const OUTAGE_TIME: Duration = Duration::from_secs(1);
 
-/// Sends jobs to the claims duty.
-pub type ClaimSender = mpsc::Sender<ClaimJob>;
+/// Sends jobs to the idempotency duty.
+pub type RecordSender = mpsc::Sender<RecordJob>;
 
 /// A change to make.
 #[derive(Debug)]
-pub struct ClaimJob {
+pub struct RecordJob {
     /// The change.
-    pub change: ClaimChange,
+    pub change: RecordChange,
     /// Where its verdict goes; an error says when to come back.
-    pub reply: oneshot::Sender<Result<ClaimVerdict, Duration>>,
+    pub reply: oneshot::Sender<Result<RecordVerdict, Duration>>,
 }
 
 #[derive(Default)]
 struct ShardQueue {
-    waiting: Vec<ClaimJob>,
+    waiting: Vec<RecordJob>,
     writing: bool,
-    known: Option<(u64, ClaimShard)>,
+    known: Option<(u64, RecordShard)>,
 }
 
-struct ClaimDuty {
+struct RecordDuty {
     platform: PlatformClient,
     shards: RefCell<HashMap<u64, ShardQueue>>,
     failed: RefCell<Option<Instant>>,
@@ -55,8 +57,8 @@
 }
 
 /// Runs until all senders are gone.
-pub async fn run(settings: Arc<EntrySettings>, mut jobs: mpsc::Receiver<ClaimJob>, log: Logger) {
-    let duty = Rc::new(ClaimDuty {
+pub async fn run(settings: Arc<EntrySettings>, mut jobs: mpsc::Receiver<RecordJob>, log: Logger) {
+    let duty = Rc::new(RecordDuty {
         platform: PlatformClient::new(settings.common.platform, HttpClient::new()),
         shards: RefCell::new(HashMap::new()),
         failed: RefCell::new(None),
@@ -67,15 +69,15 @@
     }
 }
 
-impl ClaimDuty {
-    fn take(self: &Rc<Self>, job: ClaimJob) {
+impl RecordDuty {
+    fn take(self: &Rc<Self>, job: RecordJob) {
         let outage = self.failed.borrow().map(|failed| failed.elapsed());
         if let Some(since) = outage.filter(|since| *since < OUTAGE_TIME) {
             // Known to be out: the answer is given at once, not after one more timeout.
             let _ = job.reply.send(Err(OUTAGE_TIME.saturating_sub(since)));
             return;
         }
-        let shard = claim_shard(job.change.key());
+        let shard = record_shard(job.change.key());
         let mut shards = self.shards.borrow_mut();
         let queue = shards.entry(shard).or_default();
         queue.waiting.push(job);
@@ -97,7 +99,7 @@
                 }
                 (std::mem::take(&mut queue.waiting), queue.known.take())
             };
-            let changes: Vec<ClaimChange> = batch.iter().map(|job| job.change.clone()).collect();
+            let changes: Vec<RecordChange> = batch.iter().map(|job| job.change.clone()).collect();
             let (verdicts, known) = self.write_batch(shard, &changes, known).await;
             if let Some(queue) = self.shards.borrow_mut().get_mut(&shard) {
                 queue.known = known;
@@ -111,7 +113,7 @@
             }
             if let Err(failure) = &verdicts {
                 counter!(names::PLATFORM_FAILURES).increment(1);
-                warn!(self.logger, "claims not written"; "step" => "claim", "shard" => shard,
+                warn!(self.logger, "records not written"; "step" => "write records", "shard" => shard,
                     "error" => %failure);
                 *self.failed.borrow_mut() = Some(Instant::now());
             }
@@ -120,13 +122,13 @@
     }
 
     /// Writes one batch under the shard's version. A conflict, or an answer that was lost, only
-    /// means reading again: a claim of ours that is found there has taken effect.
+    /// means reading again: a record of ours that is found there has taken effect.
     async fn write_batch(
         &self,
         shard: u64,
-        changes: &[ClaimChange],
-        mut known: Option<(u64, ClaimShard)>,
-    ) -> (PlatformResult<Vec<ClaimVerdict>>, Option<(u64, ClaimShard)>) {
+        changes: &[RecordChange],
+        mut known: Option<(u64, RecordShard)>,
+    ) -> (PlatformResult<Vec<RecordVerdict>>, Option<(u64, RecordShard)>) {
         let name = format!("shard-{shard:02}");
         let mut last = PlatformError::Missing;
         let mut lost_once = false;
@@ -144,7 +146,7 @@
             if new == old {
                 return (Ok(verdicts), Some((version, old)));
             }
-            match self.platform.put(CLAIM_KIND, &name, version, &new).await {
+            match self.platform.put(RECORD_KIND, &name, version, &new).await {
                 Ok(version) => return (Ok(verdicts), Some((version, new))),
                 Err(failure @ PlatformError::Conflict(_)) => last = failure,
                 Err(failure @ PlatformError::Unanswered(_)) if !lost_once => {
@@ -157,10 +159,10 @@
         (Err(last), None)
     }
 
-    async fn read_shard(&self, name: &str) -> PlatformResult<(u64, ClaimShard)> {
-        match self.platform.get::<ClaimShard>(CLAIM_KIND, name).await {
+    async fn read_shard(&self, name: &str) -> PlatformResult<(u64, RecordShard)> {
+        match self.platform.get::<RecordShard>(RECORD_KIND, name).await {
             Ok(object) => Ok((object.version, object.value.unwrap_or_default())),
-            Err(PlatformError::Missing) => Ok((0, ClaimShard::default())),
+            Err(PlatformError::Missing) => Ok((0, RecordShard::default())),
             Err(failure) => Err(failure),
         }
     }
@@ -171,19 +173,22 @@
     since.as_millis() as u64
 }
 
-/// A claim for one request of this entry.
-pub fn new_claim(entry: &str) -> ClaimRecord {
-    ClaimRecord {
+/// A record for one request of this entry.
+pub fn new_record(entry: &str) -> IdempotencyRecord {
+    IdempotencyRecord {
         entry: entry.to_owned(),
         operation: format!("{:016x}", rand::random::<u64>()),
-        claimed_ms: unix_ms(),
+        inserted_ms: unix_ms(),
     }
 }
 
 /// Sends a change and waits for its verdict.
-pub async fn change(sender: &ClaimSender, change: ClaimChange) -> Result<ClaimVerdict, Duration> {
+pub async fn change(
+    sender: &RecordSender,
+    change: RecordChange,
+) -> Result<RecordVerdict, Duration> {
     let (reply, verdict) = oneshot::channel();
-    if sender.try_send(ClaimJob { change, reply }).is_err() {
+    if sender.try_send(RecordJob { change, reply }).is_err() {
         return Err(OUTAGE_TIME);
     }
     verdict.await.unwrap_or(Err(OUTAGE_TIME))
--- a/crates/daemon/src/entry/offers.rs
+++ b/crates/daemon/src/entry/offers.rs
@@ -1,7 +1,7 @@
 //! The peers duty of an entry: connections to agents, one stream for each offer.
 
 use crate::{
-    link::{self, PEER_NAME, frames, pulse},
+    link::{self, PEER_NAME, frames, heartbeat},
     options::{EntrySettings, constants},
 };
 use eyre::{Result, WrapErr, ensure, eyre};
@@ -201,8 +201,8 @@
             .wrap_err("no answer")?
             .wrap_err("handshake")?;
         let in_flight = Arc::new(AtomicUsize::new(0));
-        let (pulsed, count) = (connection.clone(), Arc::clone(&in_flight));
-        spawn_local(async move { pulse::send_pulses(&pulsed, &count).await });
+        let (connected, count) = (connection.clone(), Arc::clone(&in_flight));
+        spawn_local(async move { heartbeat::send_heartbeats(&connected, &count).await });
         *slot =
             Some(PeerConnection { connection: connection.clone(), in_flight: in_flight.clone() });
         Ok((connection, in_flight))
--- a/crates/daemon/src/entry/replays.rs
+++ b/crates/daemon/src/entry/replays.rs
@@ -2,7 +2,7 @@
 
 use bytes::Bytes;
 use hyper::{HeaderMap, Response, StatusCode};
-use plantain_core::claims::{CLAIM_WINDOW, ClaimKey};
+use plantain_core::idempotency::{RECORD_WINDOW, RecordKey};
 use plantain_net::{body::ReplyBody, server::HttpReply};
 use std::{
     collections::{HashMap, VecDeque},
@@ -59,8 +59,8 @@
 
 #[derive(Default)]
 struct ReplayState {
-    requests: HashMap<ClaimKey, watch::Sender<FirstRequest>>,
-    order: VecDeque<(Instant, ClaimKey)>,
+    requests: HashMap<RecordKey, watch::Sender<FirstRequest>>,
+    order: VecDeque<(Instant, RecordKey)>,
 }
 
 /// First requests of this entry, by key.
@@ -75,7 +75,7 @@
 
 impl ReplayTable {
     /// Notes a first request, or returns how the one before it stands.
-    pub fn begin(&self, key: &ClaimKey) -> Result<ReplayGuard, watch::Receiver<FirstRequest>> {
+    pub fn begin(&self, key: &RecordKey) -> Result<ReplayGuard, watch::Receiver<FirstRequest>> {
         let mut state = self.lock();
         state.prune();
         if let Some(known) = state.requests.get(key) {
@@ -95,7 +95,7 @@
 impl ReplayState {
     fn prune(&mut self) {
         while let Some((began, _)) = self.order.front() {
-            if self.order.len() < REPLAY_LIMIT && began.elapsed() < CLAIM_WINDOW {
+            if self.order.len() < REPLAY_LIMIT && began.elapsed() < RECORD_WINDOW {
                 return;
             }
             if let Some((_, key)) = self.order.pop_front() {
@@ -108,7 +108,7 @@
 /// Tells waiting retries how the first request ended, also when its caller went away.
 pub struct ReplayGuard {
     table: ReplayTable,
-    key: ClaimKey,
+    key: RecordKey,
     end: Option<FirstRequest>,
 }
 
--- a/crates/daemon/src/entry/reply.rs
+++ b/crates/daemon/src/entry/reply.rs
@@ -158,14 +158,14 @@
     }
 
     /// Another entry has a request with this key.
-    pub fn already_claimed(entry: &str) -> Self {
+    pub fn key_taken(entry: &str) -> Self {
         let message = format!(
             "a request with this idempotency key was taken by {entry}, which may have run it; ask \
              there for its answer"
         );
         Self {
             outcome: RunOutcome::Unknown,
-            ..Self::refused(StatusCode::CONFLICT, "already_claimed", message)
+            ..Self::refused(StatusCode::CONFLICT, "key_taken", message)
         }
     }
 
@@ -188,13 +188,13 @@
         }
     }
 
-    /// The request's key cannot be claimed now, so it is not run.
-    pub fn claims_unavailable(retry_after: Duration) -> Self {
+    /// The request's key cannot be recorded now, so it is not run.
+    pub fn keys_unavailable(retry_after: Duration) -> Self {
         let message = "not run: the platform, which keeps idempotency keys, does not answer; ask \
                        again after the time given";
         Self {
             retry_after: Some(retry_after),
-            ..Self::refused(StatusCode::SERVICE_UNAVAILABLE, "claims_unavailable", message)
+            ..Self::refused(StatusCode::SERVICE_UNAVAILABLE, "keys_unavailable", message)
         }
     }
 
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -8,8 +8,8 @@
     http::request::Parts,
 };
 use plantain_core::{
-    claims::{ClaimKey, claim_key},
     config::{CallerRecord, ConfigSnapshot, ResolveError, records::DEADLINE_LIMIT_MS},
+    idempotency::{RecordKey, record_key},
     ids::{CallerName, ModelSelector},
     outcome::NotRunProof,
     protocol::{Priority, RefusalReason, RequestHead, WorkItem},
@@ -65,9 +65,9 @@
     pub time_left: Duration,
     /// Whether running it twice does no harm.
     pub idempotent: bool,
-    /// The key under which it is claimed, if it may not be repeated and the caller named one.
+    /// The key under which it is recorded, if it may not be repeated and the caller named one.
     /// Without a key no retry can be told from a new request, and each is offered only once anyway.
-    pub claim: Option<ClaimKey>,
+    pub record: Option<RecordKey>,
     /// Whether the answer is a stream of events.
     pub streamed: bool,
     /// Method, path and headers for the target.
@@ -147,7 +147,7 @@
         priority,
         time_left,
         idempotent: true,
-        claim: None,
+        record: None,
         streamed: false,
         head: RequestHead {
             method: parts.method.to_string(),
@@ -165,13 +165,13 @@
     }
     if !request.idempotent {
         let key = read_header(&parts.headers, KEY_HEADER)?;
-        request.claim = key.map(|key| claim_key(&request.caller, &claim_scope(&request), key));
+        request.record = key.map(|key| record_key(&request.caller, &key_scope(&request), key));
     }
     Ok(request)
 }
 
 /// What a key is compared within: the same key for another call is another request.
-fn claim_scope(request: &AdmittedRequest) -> String {
+fn key_scope(request: &AdmittedRequest) -> String {
     match &request.work {
         WorkItem::Service { name } => {
             format!("{name} {} {}", request.head.method, request.head.path)
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -1,8 +1,8 @@
 //! The links between processes: QUIC, one stream per request, both ends known by their keys.
 
 pub mod frames;
+pub mod heartbeat;
 pub mod keys;
-pub mod pulse;
 
 use eyre::{Result, WrapErr};
 use keys::PeerKeys;
--- a/crates/daemon/src/telemetry/names.rs
+++ b/crates/daemon/src/telemetry/names.rs
@@ -32,7 +32,7 @@
 pub const THRASH: &str = "plantain_thrash_total";
 /// Load permits granted by this entry.
 pub const PERMITS: &str = "plantain_permits_total";
-/// Claims for load permits that wait at this entry.
+/// Requests for load permits that wait at this entry.
 pub const PERMITS_WAITING: &str = "plantain_permits_waiting";
 /// Revision of the configuration in force.
 pub const CONFIG_REVISION: &str = "plantain_config_revision";
--- a/crates/net/src/platform/records.rs
+++ b/crates/net/src/platform/records.rs
@@ -46,7 +46,7 @@
 }
 
 /// Kind of the shards of idempotency records.
-pub const CLAIM_KIND: &str = "claims";
+pub const RECORD_KIND: &str = "idempotency";
 
 /// State of a host.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
--- a/crates/standin/tests/integration/claims.rs
+++ b/crates/standin/tests/integration/idempotency.rs
@@ -59,7 +59,7 @@
     ensure!(first.body == second.body, "the retry got another answer");
     ensure!(other.status == 409, "{} {}", other.status, other.text());
     let told = error(&other)?;
-    ensure!(told["type"] == "already_claimed" && told["outcome"] == "unknown", "{told}");
+    ensure!(told["type"] == "key_taken" && told["outcome"] == "unknown", "{told}");
     ensure!(told["message"].as_str().unwrap_or("").contains("entry-0"), "{told}");
     let later = stamp(&cluster, 0, Some("stamp-1")).await?;
     ensure!(later.status == 200 && later.body == first.body, "{}", later.status);
@@ -70,7 +70,7 @@
 }
 
 /// Callers race with the same key through two entries while both write the same shard. The
-/// platform's version check lets one claim in; the other sees it when it reads again.
+/// platform's version check lets one record in; the other sees it when it reads again.
 #[tokio::test]
 async fn racing_entries_run_a_stamp_once() -> Result<()> {
     let cluster = start(ClusterPlan::new(2, 1, &["kandy"])).await?;
@@ -85,10 +85,10 @@
     finish(cluster).await
 }
 
-/// The caller sees its answer. The claim's write takes effect but its answer is lost; the entry
-/// reads the shard back, finds its own claim, and runs the stamp once.
+/// The caller sees its answer. The record's write takes effect but its answer is lost; the entry
+/// reads the shard back, finds its own record, and runs the stamp once.
 #[tokio::test]
-async fn lost_answer_of_a_claim_is_settled() -> Result<()> {
+async fn lost_answer_of_a_record_is_settled() -> Result<()> {
     let cluster = start(ClusterPlan::new(1, 1, &["kandy"])).await?;
     let faults = PlatformFaults { lose_answers: 1, ..PlatformFaults::default() };
     cluster.set(cluster.platform(), "/standin/faults", &faults).await?;
@@ -110,7 +110,7 @@
         let asked = Instant::now();
         let answer = stamp(&cluster, 0, Some("stamp-1")).await?;
         let told = error(&answer)?;
-        ensure!(answer.status == 503 && told["type"] == "claims_unavailable", "{told}");
+        ensure!(answer.status == 503 && told["type"] == "keys_unavailable", "{told}");
         ensure!(told["outcome"] == "not_run", "{told}");
         ensure!(answer.headers.contains_key("retry-after"), "{:?}", answer.headers);
         ensure!(asked.elapsed() < Duration::from_secs(5), "held back");
@@ -129,10 +129,10 @@
     finish(cluster).await
 }
 
-/// The caller is told that its stamp was not run, because no target took it. Its claim is given
+/// The caller is told that its stamp was not run, because no target took it. Its record is given
 /// back, so that asking again with the same key, even elsewhere, runs it.
 #[tokio::test]
-async fn claim_of_a_stamp_that_was_not_run_is_given_back() -> Result<()> {
+async fn record_of_a_stamp_that_was_not_run_is_removed() -> Result<()> {
     let mut cluster = start(ClusterPlan::new(2, 1, &["kandy"])).await?;
     cluster.kill("agent-service-0").await?;
     let answer = stamp(&cluster, 0, Some("stamp-1")).await?;
--- a/crates/standin/tests/integration/main.rs
+++ b/crates/standin/tests/integration/main.rs
@@ -1,7 +1,7 @@
 //! Tests of the whole system: real processes, talking over loopback.
 
 mod answers;
-mod claims;
+mod idempotency;
 mod import;
 mod loads;
 mod operators;
