A region serves itself; a lost offer is not forgotten when a request is resolved again

Cause 1: preferred targets were ordered over all regions, so with three regions an adapter had none of its first three here in 30 of 100 cases, and its requests went abroad although this region had room. Change: the order is of this region's targets; others come in only when none here is open. Proof: region_serves_itself_with_many_targets_elsewhere failed (house-3 went to scribe-14), and passes. Cause 2, found in reading: a request that was lost once and then met an agent with a newer configuration was resolved again as if new, and could be told not run. Change: it ends with outcome unknown. No test: it needs an entry that is behind and two agents at the same moment.

--- a/crates/core/src/agent/admission.rs
+++ b/crates/core/src/agent/admission.rs
@@ -10,6 +10,9 @@
 
 /// Lowest advice on when to come back.
 const RETRY_AFTER_FLOOR: Duration = Duration::from_millis(100);
+/// Share of the mean service time that a request must have left when it starts; shorter answers than
+/// the mean may still make it.
+const SERVICE_SHARE: f64 = 0.7;
 /// Share of the queue that each priority may fill, by rank: the upper priority always finds room
 /// that the lower ones cannot take.
 const QUEUE_SHARES: [f64; 3] = [1.0, 0.8, 0.5];
@@ -32,13 +35,23 @@
             return Err(self.refusal(RefusalReason::TargetDown));
         }
         let expected = self.expected_start(&offer.item, now);
-        // An offer without time left may come from an entry that was frozen before it sent it.
-        if expected >= offer.time_left {
-            return Err(Refusal::new(RefusalReason::TooLate).with_retry_after(expected));
+        if self.is_too_late(expected, offer.time_left) {
+            let delay = expected.max(RETRY_AFTER_FLOOR);
+            return Err(Refusal::new(RefusalReason::TooLate).with_retry_after(delay));
         }
         self.make_room(offer.priority)
     }
 
+    /// What starts too late to end in time only takes its place from what could. What can start at
+    /// once is taken, however long others run: refusing it would leave the mean as it is for ever.
+    /// An offer without time left may come from an entry that was frozen before it sent it.
+    fn is_too_late(&self, expected: Duration, time_left: Duration) -> bool {
+        if expected.is_zero() {
+            return time_left.is_zero();
+        }
+        expected + self.service_time.read().mul_f64(SERVICE_SHARE) >= time_left
+    }
+
     fn serves(&self, item: &WorkItem) -> bool {
         match (item, &self.options.kind) {
             (WorkItem::Completion { base, .. }, TargetKind::Engine(served)) => base == served,
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -299,7 +299,14 @@
         });
         order.demand.record(now);
         if order.generation != generation {
-            let nodes = self.targets.of_kind(kind).iter();
+            // Ordering all regions' targets together would leave some adapters without a preferred
+            // target here, and send their requests abroad while this region has room.
+            let region = &self.options.region;
+            let all = self.targets.of_kind(kind);
+            let is_here = |index: &&usize| self.targets.view(**index).record.region == *region;
+            let here: Vec<usize> = all.iter().filter(is_here).copied().collect();
+            let nodes = if here.is_empty() { all } else { here.as_slice() };
+            let nodes = nodes.iter();
             let nodes = nodes.map(|&index| (index, self.targets.view(index).record.name.as_ref()));
             order.order = rendezvous::first_choices(digest, nodes, PREFERRED_LIMIT);
             order.generation = generation;
--- a/crates/core/tests/core/entry.rs
+++ b/crates/core/tests/core/entry.rs
@@ -125,6 +125,19 @@
     assert_eq!(choose(&mut state, &work(1), 3), "scribe-1");
 }
 
+/// A caller's request never leaves its region while a target there is open, whichever targets of all
+/// regions the hash would put first.
+#[test]
+fn region_serves_itself_with_many_targets_elsewhere() {
+    let targets = (0..18).map(|i| target(i, "kandy", ["central", "south", "east"][i % 3]));
+    let mut state = entry("kandy", targets.collect());
+    for adapter in 0..100 {
+        let chosen = choose(&mut state, &work(adapter), 5);
+        let index: usize = chosen.trim_start_matches("scribe-").parse().expect("a number");
+        assert_eq!(index % 3, 0, "house-{adapter} went to {chosen}");
+    }
+}
+
 /// A target that refused as leaving stays out for good, however late the platform's list learns of
 /// it; one that failed comes back after a pause that grows.
 #[test]
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -118,7 +118,7 @@
             let target = choice.target.clone();
             match self.offer(choice).await {
                 OfferResult::Reply(reply) => return ExchangeEnd::Reply(reply),
-                OfferResult::ConfigBehind(revision) => return ExchangeEnd::ConfigBehind(revision),
+                OfferResult::ConfigBehind(revision) => return self.resolve_again(revision),
                 OfferResult::NotRun(proof) => {
                     info!(self.logger, "offer not run"; "step" => "offer", "peer" => &*target,
                         "reason" => proof.reason().name());
@@ -146,6 +146,15 @@
         ExchangeEnd::Error(self.give_up(&proof))
     }
 
+    /// A fresh exchange knows nothing of this one's offers. If one of them may have run, a refusal
+    /// that the fresh one meets would pass for a proof, so this one ends here.
+    fn resolve_again(&self, revision: ConfigRevision) -> ExchangeEnd {
+        match &self.may_have_run {
+            Some(problem) => ExchangeEnd::Error(RequestError::unknown(problem)),
+            None => ExchangeEnd::ConfigBehind(revision),
+        }
+    }
+
     /// The final error. Once any offer may have run, a later refusal proves nothing.
     fn give_up(&self, proof: &NotRunProof) -> RequestError {
         match &self.may_have_run {
