--- a/crates/ctl/src/commands/report/page.rs
+++ b/crates/ctl/src/commands/report/page.rs
@@ -4,7 +4,7 @@
 use std::fmt::Write;
 
 /// Width of the longest bar, in pixels.
-const BAR_WIDTH: f64 = 260.0;
+const BAR_WIDTH: f64 = 150.0;
 /// Burn at which a bar is full.
 const FULL_BURN: f64 = 10.0;
 
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -14,8 +14,9 @@
 
 /// Longest wait for a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// Time that an unused connection is kept.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time that an unused connection is kept. Servers close idle ones too, many engines after 5 s, and a
+/// request sent on a connection in that moment fails with its outcome unknown; so ours goes first.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
 /// Largest answer that is read whole.
 const ANSWER_LIMIT: usize = 64 << 20;
 
