Targets that have not reported are not shunned

Cause: an entry took a target without a report to load in the mean of all reports, and that mean began at a guess of 500 ms which samples of 70 ms faded out over dozens of requests; so the first targets asked got everything. Ruled out: a bias of the hash (few_targets_share_adapters_evenly passes on the old code). Before: targets_that_have_not_reported_are_not_shunned gives scribe-0 300 of 300.

--- a/crates/core/tests/core/entry.rs
+++ b/crates/core/tests/core/entry.rs
@@ -173,3 +173,30 @@
     let choice = state.choose(&query, NOW).expect("a target");
     assert_eq!(choice.known_residency, 0, "a set that was not seen must be asked for again");
 }
+
+#[test]
+fn few_targets_share_adapters_evenly() {
+    let targets: Vec<_> = (0..3).map(|i| target(i, "kandy", "central")).collect();
+    let mut state = entry("kandy", targets);
+    let mut counts = BTreeMap::new();
+    for adapter in 0..3_000 {
+        *counts.entry(choose(&mut state, &work(adapter), 0)).or_insert(0) += 1;
+    }
+    assert!(counts.values().all(|&count| (900..=1_100).contains(&count)), "{counts:?}");
+}
+
+/// Only one of three targets has been asked so far, and it loads fast. The others must not look worse
+/// for want of a report: an adapter goes to its own first choice.
+#[test]
+fn targets_that_have_not_reported_are_not_shunned() {
+    let mut counts = BTreeMap::new();
+    for adapter in 0..300 {
+        let targets: Vec<_> = (0..3).map(|i| target(i, "kandy", "central")).collect();
+        let mut state = entry("kandy", targets);
+        let mut fast = report(vec![], 0);
+        fast.load_wait = Duration::from_millis(70);
+        state.apply_report(&"scribe-0".into(), fast);
+        *counts.entry(choose(&mut state, &work(adapter), 0)).or_insert(0) += 1;
+    }
+    assert!(counts.len() == 3 && counts.values().all(|&count| count > 60), "{counts:?}");
+}
