Unreported targets count as good as the best candidate

Change: a target without a report counts as good as the best candidate. Conclusion: the choice of a cold fleet follows the hash.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -250,7 +250,11 @@
             |index: &usize| self.targets.view(*index).record.region == self.options.region;
         let here: Vec<usize> = open.iter().copied().filter(own_region).collect();
         let chosen = if here.is_empty() { open } else { here };
-        chosen.into_iter().enumerate().map(|(rank, t)| self.candidate(t, rank, digest)).collect()
+        // A target without a report counts as good as the best: it must be asked to become known.
+        let best = chosen.iter().filter_map(|&index| self.targets.view(index).load_wait()).min();
+        let unknown_load = best.unwrap_or(USUAL_LOAD_GUESS);
+        let ranked = chosen.into_iter().enumerate();
+        ranked.map(|(rank, target)| self.candidate(target, rank, digest, unknown_load)).collect()
     }
 
     fn candidate(
@@ -258,6 +262,7 @@
         target: usize,
         rank: usize,
         digest: Option<AdapterDigest>,
+        unknown_load: Duration,
     ) -> PolicyCandidate {
         let view = self.targets.view(target);
         let usual_load = self.usual_load.read();
@@ -266,7 +271,7 @@
             _ => Duration::ZERO,
         };
         let trip = self.trip(&view.record) + rank_wait;
-        PolicyCandidate { target, outlook: view.outlook(digest, trip, usual_load) }
+        PolicyCandidate { target, outlook: view.outlook(digest, trip, unknown_load) }
     }
 
     fn trip(&self, record: &TargetRecord) -> Duration {
--- a/crates/core/src/entry/targets.rs
+++ b/crates/core/src/entry/targets.rs
@@ -110,15 +110,15 @@
         self.residents.contains(&digest) || self.loading.contains(&digest)
     }
 
-    /// What to expect of it; a target that has not reported is taken to load in `usual_load` time.
+    /// What to expect of it; a target that has not reported is taken to load in `unknown_load` time.
     pub(crate) fn outlook(
         &self,
         digest: Option<AdapterDigest>,
         trip: Duration,
-        usual_load: Duration,
+        unknown_load: Duration,
     ) -> TargetOutlook {
         let reported = self.report.batch_limit > 0;
-        let load_wait = self.load_wait().unwrap_or(usual_load);
+        let load_wait = self.load_wait().unwrap_or(unknown_load);
         let load_stall = match digest {
             Some(digest) if self.residents.contains(&digest) => Duration::ZERO,
             // Half of a load is still to come, on average.
--- a/crates/core/tests/core/entry.rs
+++ b/crates/core/tests/core/entry.rs
@@ -193,9 +193,12 @@
     for adapter in 0..300 {
         let targets: Vec<_> = (0..3).map(|i| target(i, "kandy", "central")).collect();
         let mut state = entry("kandy", targets);
-        let mut fast = report(vec![], 0);
-        fast.load_wait = Duration::from_millis(70);
-        state.apply_report(&"scribe-0".into(), fast);
+        // The first report holds the agent's own guess, from before its first load.
+        for load_ms in [800, 70] {
+            let load_wait = Duration::from_millis(load_ms);
+            let told = TargetReport { load_wait, ..report(vec![], 0) };
+            state.apply_report(&"scribe-0".into(), told);
+        }
         *counts.entry(choose(&mut state, &work(adapter), 0)).or_insert(0) += 1;
     }
     assert!(counts.len() == 3 && counts.values().all(|&count| count > 60), "{counts:?}");
