A restarted agent resets the connections of the one before

Cause: an entry's connection to a killed agent looks alive; the new process could not reset it, knowing neither its connection ids nor its reset key, so the first offer went unanswered for a second, and with one target the request failed. Change: both keys come from the peer key; an offer that meets a reset before any word is sent once more (it was at most reserved). Proof: agent_restarted_under_a_busy_engine_waits_until_it_is_idle, new, failed in its last request with no answer to the offer; it passes now.

--- a/crates/daemon/src/entry/offers.rs
+++ b/crates/daemon/src/entry/offers.rs
@@ -9,10 +9,10 @@
     ids::RequestId,
     protocol::{AgentFrame, EntryFrame, OfferFrame},
 };
-use quinn::{Connection, Endpoint, RecvStream, SendStream, VarInt};
+use quinn::{Connection, ConnectionError, Endpoint, RecvStream, SendStream, VarInt};
 use slog::{Logger, debug, error};
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
@@ -30,6 +30,8 @@
 
 /// Longest wait for a connection to an agent.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(800);
+/// Times that an offer is sent to one address: again only if a restarted agent reset the connection.
+const OFFER_ATTEMPTS: usize = 2;
 /// Events of an offer that wait for the caller.
 const EVENT_DEPTH: usize = 32;
 /// Code with which an entry gives up a stream.
@@ -106,38 +108,58 @@
 }
 
 async fn make_offer(duty: Rc<OfferDuty>, job: OfferJob) {
-    let OfferJob { peer, offer, events, release } = job;
-    let opened = tokio::select! {
-        opened = duty.open(peer) => opened,
-        () = events.closed() => return,
-    };
-    let (send, receive, in_flight) = match opened {
-        Ok(opened) => opened,
-        Err(error) => {
-            let text = format!("connect to agent {peer}: {error:#}");
-            debug!(duty.logger, "offer not sent"; "step" => "connect", "peer" => %peer,
-                "request" => offer.request, "error" => &text);
-            let _ = events.send(OfferEvent::Unsent(text)).await;
-            return;
+    let OfferJob { peer, offer, events, mut release } = job;
+    for attempt in 0..OFFER_ATTEMPTS {
+        let opened = tokio::select! {
+            opened = duty.open(peer) => opened,
+            () = events.closed() => return,
+        };
+        let opened = match opened {
+            Ok(opened) => opened,
+            Err(error) => {
+                let text = format!("connect to agent {peer}: {error:#}");
+                debug!(duty.logger, "offer not sent"; "step" => "connect", "peer" => %peer,
+                    "request" => offer.request, "error" => &text);
+                let _ = events.send(OfferEvent::Unsent(text)).await;
+                return;
+            }
+        };
+        let OpenStream { connection, send, receive, in_flight } = opened;
+        let _guard = InFlight::new(in_flight);
+        let heard = Cell::new(false);
+        let carried = carry(send, receive, &offer, &events, &mut release, &heard).await;
+        let Err(error) = carried else { return };
+        // The agent was restarted since the connection was made, and resets it. Without a word from
+        // the one before, the offer was at most reserved, so the new process may have it.
+        let is_reset = connection.close_reason() == Some(ConnectionError::Reset);
+        if is_reset && !heard.get() && attempt + 1 < OFFER_ATTEMPTS {
+            continue;
         }
-    };
-    let _guard = InFlight::new(in_flight);
-    if let Err(error) = carry(send, receive, offer, &events, release).await {
         let text = format!("agent {peer}: {error:#}");
         let _ = events.send(OfferEvent::Lost(text)).await;
+        return;
     }
 }
 
+/// A stream to an agent.
+struct OpenStream {
+    connection: Connection,
+    send: SendStream,
+    receive: RecvStream,
+    in_flight: Arc<AtomicUsize>,
+}
+
 async fn carry(
     mut send: SendStream,
     mut receive: RecvStream,
-    offer: OfferFrame,
+    offer: &OfferFrame,
     events: &mpsc::Sender<OfferEvent>,
-    release: oneshot::Receiver<()>,
+    release: &mut oneshot::Receiver<()>,
+    heard: &Cell<bool>,
 ) -> Result<()> {
     let request = offer.request;
-    frames::write(&mut send, &EntryFrame::Offer(Box::new(offer))).await?;
-    let reading = read_frames(&mut receive, request, events);
+    frames::write(&mut send, &EntryFrame::Offer(Box::new(offer.clone()))).await?;
+    let reading = read_frames(&mut receive, request, events, heard);
     let releasing = async {
         if release.await.is_ok() {
             frames::write(&mut send, &EntryFrame::Run { request }).await?;
@@ -164,10 +186,12 @@
     receive: &mut RecvStream,
     request: RequestId,
     events: &mpsc::Sender<OfferEvent>,
+    heard: &Cell<bool>,
 ) -> Result<()> {
     // A frozen agent answers no offer, and its connection may still look alive.
     let first = timeout(constants::OFFER_TIMEOUT, frames::read::<AgentFrame>(receive)).await;
     let mut next = first.wrap_err("no answer to the offer")??;
+    heard.set(true);
     loop {
         let frame = next.ok_or_else(|| eyre!("answer broke off"))?;
         // A frame of another request must never reach this caller.
@@ -181,10 +205,10 @@
 }
 
 impl OfferDuty {
-    async fn open(&self, peer: SocketAddr) -> Result<(SendStream, RecvStream, Arc<AtomicUsize>)> {
+    async fn open(&self, peer: SocketAddr) -> Result<OpenStream> {
         let (connection, in_flight) = self.connection(peer).await?;
         let (send, receive) = connection.open_bi().await.wrap_err("open stream")?;
-        Ok((send, receive, in_flight))
+        Ok(OpenStream { connection, send, receive, in_flight })
     }
 
     async fn connection(&self, peer: SocketAddr) -> Result<(Connection, Arc<AtomicUsize>)> {
--- a/crates/daemon/src/link.rs
+++ b/crates/daemon/src/link.rs
@@ -6,9 +6,13 @@
 
 use eyre::{Result, WrapErr};
 use keys::PeerKeys;
-use quinn::{ClientConfig, Endpoint, IdleTimeout, ServerConfig, TransportConfig, VarInt};
+use quinn::{
+    ClientConfig, Endpoint, EndpointConfig, IdleTimeout, ServerConfig, TokioRuntime,
+    TransportConfig, VarInt,
+};
+use quinn_proto::HashedConnectionIdGenerator;
 use std::{
-    net::{IpAddr, SocketAddr},
+    net::{IpAddr, SocketAddr, UdpSocket},
     sync::Arc,
     time::Duration,
 };
@@ -46,7 +50,14 @@
         .wrap_err("set up QUIC server keys")?;
     let mut config = ServerConfig::with_crypto(Arc::new(crypto));
     config.transport_config(transport()?);
-    Endpoint::server(config, listen).wrap_err_with(|| format!("bind QUIC on {listen}"))
+    let socket = UdpSocket::bind(listen).wrap_err_with(|| format!("bind QUIC on {listen}"))?;
+    // A restarted process must be able to reset the connections of the one before it; with a key of
+    // its own it could not, and each entry's next offer would go unanswered for a second.
+    let mut endpoint = EndpointConfig::new(Arc::new(keys.reset_key()));
+    let cid_key = keys.cid_key();
+    endpoint.cid_generator(move || Box::new(HashedConnectionIdGenerator::from_key(cid_key)));
+    Endpoint::new(endpoint, Some(config), socket, Arc::new(TokioRuntime))
+        .wrap_err_with(|| format!("serve QUIC on {listen}"))
 }
 
 fn transport() -> Result<Arc<TransportConfig>> {
--- a/crates/daemon/src/link/keys.rs
+++ b/crates/daemon/src/link/keys.rs
@@ -2,6 +2,7 @@
 //! (RFC 7250), so that no certificate has to be issued, stored or renewed.
 
 use eyre::{Result, WrapErr, eyre};
+use ring::hmac;
 use rustls::{
     CertificateError, ClientConfig, DigitallySignedStruct, DistinguishedName, Error, ServerConfig,
     SignatureScheme,
@@ -10,7 +11,8 @@
         danger::{HandshakeSignatureValid, ServerCertVerified, ServerCertVerifier},
     },
     crypto::{
-        CryptoProvider, WebPkiSupportedAlgorithms, ring, verify_tls13_signature_with_raw_key,
+        CryptoProvider, WebPkiSupportedAlgorithms, ring as ring_provider,
+        verify_tls13_signature_with_raw_key,
     },
     pki_types::{
         CertificateDer, PrivateKeyDer, PrivatePkcs8KeyDer, ServerName, SubjectPublicKeyInfoDer,
@@ -32,6 +34,11 @@
     0x30, 0x2e, 0x02, 0x01, 0x00, 0x30, 0x05, 0x06, 0x03, 0x2b, 0x65, 0x70, 0x04, 0x22, 0x04, 0x20,
 ];
 
+/// What sets the reset key apart from other uses of the own key.
+const RESET_CONTEXT: &[u8] = b"plantain stateless reset";
+/// What sets the key of connection ids apart.
+const CID_CONTEXT: &[u8] = b"plantain connection ids";
+
 /// The keys of this process.
 #[derive(Clone)]
 pub struct PeerKeys {
@@ -60,6 +67,20 @@
         self.second.is_some()
     }
 
+    /// Key by which any process with these keys can reset connections of an earlier one.
+    pub fn reset_key(&self) -> hmac::Key {
+        let seed = hmac::sign(&hmac::Key::new(hmac::HMAC_SHA256, &self.own), RESET_CONTEXT);
+        hmac::Key::new(hmac::HMAC_SHA256, seed.as_ref())
+    }
+
+    /// Key by which a process recognizes the connection ids of an earlier one.
+    pub fn cid_key(&self) -> u64 {
+        let key = hmac::Key::new(hmac::HMAC_SHA256, &self.own);
+        let tag = hmac::sign(&key, CID_CONTEXT);
+        let (head, _) = tag.as_ref().split_first_chunk().expect("a tag of 32 bytes");
+        u64::from_le_bytes(*head)
+    }
+
     /// TLS settings of the connecting end.
     pub fn client_config(&self) -> Result<ClientConfig> {
         let certified = certified_key(&self.own)?;
@@ -89,7 +110,7 @@
 }
 
 fn provider() -> CryptoProvider {
-    ring::default_provider()
+    ring_provider::default_provider()
 }
 
 fn parse_key(flag: &str, text: &str) -> Result<[u8; KEY_BYTES], String> {
@@ -103,7 +124,7 @@
 fn certified_key(seed: &[u8; KEY_BYTES]) -> Result<Arc<CertifiedKey>> {
     let der = [PKCS8_PREFIX.as_slice(), seed].concat();
     let der = PrivateKeyDer::Pkcs8(PrivatePkcs8KeyDer::from(der));
-    let key = ring::sign::any_supported_type(&der).wrap_err("read peer key")?;
+    let key = ring_provider::sign::any_supported_type(&der).wrap_err("read peer key")?;
     let public = key.public_key().ok_or_else(|| eyre!("peer key has no public half"))?;
     let certificate = CertificateDer::from(public.to_vec());
     Ok(Arc::new(CertifiedKey::new(vec![certificate], key)))
--- a/crates/standin/tests/integration/targets.rs
+++ b/crates/standin/tests/integration/targets.rs
@@ -106,6 +106,45 @@
     finish(cluster).await
 }
 
+/// A request that this agent did not start, as one of a killed predecessor, runs on the engine when
+/// the agent comes up. It has no pin for it, so it must take no work, and order no eviction, until
+/// the engine is idle; the foreign answer comes whole.
+#[tokio::test]
+async fn agent_restarted_under_a_busy_engine_waits_until_it_is_idle() -> Result<()> {
+    let mut cluster = start(ClusterPlan::new(1, 1, &["kandy"])).await?;
+    ask(&cluster, 0, &ChatCall::new("house-0001@1", "Open?", 2), "house-0001@1").await?;
+    let (http, engine) = (cluster.http().clone(), cluster.engine(0));
+    let foreign = tokio::spawn(async move {
+        ChatCall::new("house-0001@1", "All rules?", 800).send(&http, engine).await
+    });
+    cluster
+        .wait_for("foreign request runs", async || {
+            let records: EngineRecords =
+                cluster.page(cluster.engine(0), "/standin/records").await?;
+            Ok(records.executed.len() == 2)
+        })
+        .await?;
+    cluster.kill("agent-engine-0").await?;
+    cluster.start_engine_agent(0)?;
+    cluster
+        .wait_for("new agent holds the slot", async || {
+            let status: Value = cluster.page(cluster.engine_agent_admin(0), "/status").await?;
+            Ok(status["leased"] == true)
+        })
+        .await?;
+    while !foreign.is_finished() {
+        let status: Value = cluster.page(cluster.engine_agent_admin(0), "/status").await?;
+        ensure!(status["target_up"] == false || foreign.is_finished(), "took work: {status}");
+    }
+    let answer = foreign.await??;
+    ensure!(answer.text().contains("[DONE]"), "the foreign answer was cut");
+    cluster.wait_ready().await?;
+    ask(&cluster, 0, &ChatCall::new("house-0001@1", "Open?", 2), "house-0001@1").await?;
+    let records: EngineRecords = cluster.page(cluster.engine(0), "/standin/records").await?;
+    ensure!(records.evicted_in_use == 0 && records.loads == 1, "{records:?}");
+    finish(cluster).await
+}
+
 /// The caller is told at its deadline that the request was not run: the load that it waits for hangs,
 /// nothing was handed to the engine, and the agent's refusal proves it. When the load comes through
 /// after all, the next caller finds the adapter there.
