--- a/crates/core/src/agent/residency.rs
+++ b/crates/core/src/agent/residency.rs
@@ -9,7 +9,7 @@
 /// Time in which the demand for an adapter falls to half. The adapters that compete for an engine's
 /// last slots are asked for about once a minute, so a shorter memory could not tell them apart; a
 /// sudden favourite outranks them within seconds all the same. See docs/design/eviction.md.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(300);
+const DEMAND_HALF_LIFE: Duration = Duration::from_mins(5);
 /// Time after a load in which an adapter counts as fresh.
 const FRESH_TIME: Duration = Duration::from_secs(5);
 /// Demand added to a fresh adapter: two adapters of equal demand must not push each other out.
--- a/crates/core/src/idempotency.rs
+++ b/crates/core/src/idempotency.rs
@@ -13,7 +13,7 @@
 /// and pace, not by requests.
 pub const RECORD_SHARDS: u64 = 64;
 /// Time for which a record is kept. A key that comes back later counts as a new request.
-pub const RECORD_WINDOW: Duration = Duration::from_secs(900);
+pub const RECORD_WINDOW: Duration = Duration::from_mins(15);
 /// Records that one shard may hold: some 100 bytes each, within the megabyte of an object.
 pub const SHARD_LIMIT: usize = 8_000;
 
--- a/crates/core/tests/core/burn.rs
+++ b/crates/core/tests/core/burn.rs
@@ -33,7 +33,7 @@
     assert_eq!((minute.failed, minute.late, minute.stalled), (1, 1, 1));
     assert_eq!(report.subjects, [("house-1".to_owned(), 2)]);
     assert_eq!(report.reasons["queue_full"], 1);
-    let later = ledger.report(Duration::from_secs(3_000));
+    let later = ledger.report(Duration::from_mins(50));
     assert_eq!(later.windows[&60]["upper"].ended, 0);
     assert_eq!(later.windows[&3_600]["upper"].ended, 102);
 }
--- a/crates/daemon/src/options/constants.rs
+++ b/crates/daemon/src/options/constants.rs
@@ -23,7 +23,7 @@
 /// Time for an agent to answer an offer. A frozen agent shows no other sign.
 pub const OFFER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Time that a planned stop waits for requests in flight.
-pub const DRAIN_TIMEOUT: Duration = Duration::from_secs(600);
+pub const DRAIN_TIMEOUT: Duration = Duration::from_mins(10);
 /// Adapter slots of an engine.
 pub const SLOTS: usize = 8;
 /// Requests that a target runs at once.
--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -25,7 +25,7 @@
 /// Key of the links between the processes of a test system.
 pub const TEST_KEY: &str = "5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a5a";
 /// Longest wait for a condition.
-pub const CONDITION_LIMIT: Duration = Duration::from_secs(60);
+pub const CONDITION_LIMIT: Duration = Duration::from_mins(1);
 /// Pause between looks at a condition.
 const LOOK_PAUSE: Duration = Duration::from_millis(20);
 /// Longest wait for a page of a process.
--- a/crates/standin/src/cluster/process.rs
+++ b/crates/standin/src/cluster/process.rs
@@ -19,7 +19,7 @@
 };
 
 /// Longest wait for a process to stop in order.
-const STOP_LIMIT: Duration = Duration::from_secs(60);
+const STOP_LIMIT: Duration = Duration::from_mins(1);
 
 /// A folder for the logs of one system, removed with it unless `PLANTAIN_KEEP_LOGS` is set.
 pub struct ClusterDirectory(PathBuf);
--- a/crates/standin/src/engine/control.rs
+++ b/crates/standin/src/engine/control.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 /// Longest time that a load may take.
-const LOAD_TIMEOUT: Duration = Duration::from_secs(60);
+const LOAD_TIMEOUT: Duration = Duration::from_mins(1);
 
 /// An order to load or unload an adapter.
 #[derive(Deserialize)]
