--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -255,7 +255,7 @@
     fn want_load(&mut self, record: &WorkRecord, now: Timestamp) {
         if let WorkItem::Completion { key, .. } = &record.offer.item
             && !self.residents.is_present(key)
-            && let Some(urgency) = self.loads.want(key, record.offer.priority, record.deadline, now)
+            && let Some(urgency) = self.loads.want(key, record.offer.priority, now)
         {
             self.actions.push(AgentAction::AskPermit { key: key.clone(), urgency });
         }
--- a/crates/core/src/agent/events.rs
+++ b/crates/core/src/agent/events.rs
@@ -1,7 +1,7 @@
 //! What an agent's state machine takes in and gives out.
 
 use crate::{
-    ids::{AdapterKey, CallerName, ConfigRevision, Timestamp},
+    ids::{AdapterKey, CallerName, ConfigRevision},
     outcome::Refusal,
     protocol::{Priority, WorkItem},
 };
@@ -168,6 +168,3 @@
         key: AdapterKey,
     },
 }
-
-/// A point in time by which a load is wanted.
-pub(crate) type LoadDeadline = Timestamp;
--- a/crates/core/src/agent/loads.rs
+++ b/crates/core/src/agent/loads.rs
@@ -1,7 +1,7 @@
 //! Adapters that accepted work waits for: one load, many waiters.
 
 use crate::{
-    agent::events::{LoadDeadline, LoadResult, LoadUrgency},
+    agent::events::{LoadResult, LoadUrgency},
     ids::{AdapterKey, Timestamp},
     protocol::Priority,
     stats::RunningMean,
@@ -35,7 +35,6 @@
 struct LoadRecord {
     phase: LoadPhase,
     priority: Priority,
-    deadline: LoadDeadline,
     waiters: u32,
     wanted: Timestamp,
     failures: u32,
@@ -85,7 +84,6 @@
         &mut self,
         key: &AdapterKey,
         priority: Priority,
-        deadline: LoadDeadline,
         now: Timestamp,
     ) -> Option<LoadUrgency> {
         let counter = &mut self.counter;
@@ -94,7 +92,6 @@
             LoadRecord {
                 phase: LoadPhase::Wanted(now),
                 priority,
-                deadline,
                 waiters: 0,
                 wanted: now,
                 failures: 0,
@@ -103,7 +100,6 @@
         });
         load.waiters += 1;
         load.priority = load.priority.min(priority);
-        load.deadline = load.deadline.min(deadline);
         (load.phase == LoadPhase::Asked).then(|| urgency(load, now))
     }
 
--- a/crates/core/src/agent/residency.rs
+++ b/crates/core/src/agent/residency.rs
@@ -121,11 +121,6 @@
         self.evictions
     }
 
-    /// Slots taken, by loads and evictions under way too.
-    pub fn occupied(&self) -> usize {
-        self.residents.len()
-    }
-
     /// Whether requests can run on `key` now.
     pub fn is_ready(&self, key: &AdapterKey) -> bool {
         self.residents.get(key).is_some_and(|slot| slot.phase == SlotPhase::Ready)
--- a/crates/daemon/src/entry/idempotency.rs
+++ b/crates/daemon/src/entry/idempotency.rs
@@ -1,7 +1,6 @@
 //! The idempotency duty of an entry: writes idempotency records to the platform, in batches.
 
-use crate::{options::EntrySettings, telemetry::names};
-use metrics::counter;
+use crate::{options::EntrySettings, watch::note_failure};
 use plantain_core::idempotency::{
     IdempotencyRecord, RecordChange, RecordShard, RecordVerdict, record_shard,
 };
@@ -9,7 +8,7 @@
     client::HttpClient,
     platform::{PlatformClient, PlatformError, PlatformResult, records::RECORD_KIND},
 };
-use slog::{Logger, warn};
+use slog::Logger;
 use std::{
     cell::RefCell,
     collections::HashMap,
@@ -112,9 +111,7 @@
                 let _ = job.reply.send(verdict);
             }
             if let Err(failure) = &verdicts {
-                counter!(names::PLATFORM_FAILURES).increment(1);
-                warn!(self.logger, "records not written"; "step" => "write records", "shard" => shard,
-                    "error" => %failure);
+                note_failure(&self.logger, "write records", failure);
                 *self.failed.borrow_mut() = Some(Instant::now());
             }
             sleep(BATCH_PAUSE).await;
