One guard counts what is under way

Cause: connections, offers, permit requests and streams were each counted by a guard of its own, or by hand. Change: CountGuard serves all four.

--- a/crates/daemon/src/agent/permits.rs
+++ b/crates/daemon/src/agent/permits.rs
@@ -13,7 +13,7 @@
     protocol::{GrantFrame, PeerFrame},
     rendezvous,
 };
-use plantain_net::platform::records::EntryRecord;
+use plantain_net::{count::CountGuard, platform::records::EntryRecord};
 use quinn::{Connection, Endpoint};
 use slog::{Logger, debug, info};
 use std::{
@@ -21,10 +21,7 @@
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, atomic::AtomicUsize},
     time::{Duration, Instant},
 };
 use tokio::{
@@ -122,15 +119,6 @@
     }
 }
 
-/// Counts a request that asks a broker, for as long as it does.
-struct RequestCount<'a>(&'a AtomicUsize);
-
-impl Drop for RequestCount<'_> {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// A request under way. Dropping it ends the request.
 struct OpenRequest {
     urgency: watch::Sender<LoadUrgency>,
@@ -178,8 +166,7 @@
         request: &PermitRequest,
         urgency: &mut watch::Receiver<LoadUrgency>,
     ) -> Option<quinn::SendStream> {
-        self.requests.fetch_add(1, Ordering::AcqRel);
-        let _count = RequestCount(&self.requests);
+        let _count = CountGuard::new(&self.requests);
         for _ in 0..BROKER_ATTEMPTS {
             match self.ask_broker(request, urgency).await {
                 Ok(permit) => return Some(permit),
--- a/crates/daemon/src/agent/streams.rs
+++ b/crates/daemon/src/agent/streams.rs
@@ -8,6 +8,7 @@
     ids::RequestId,
     protocol::{AgentFrame, EntryFrame, OfferFrame},
 };
+use plantain_net::count::CountGuard;
 use quinn::{Connection, Endpoint, Incoming, RecvStream, SendStream, VarInt};
 use slog::{Logger, debug, warn};
 use std::{
@@ -96,19 +97,14 @@
         peer: SocketAddr,
     ) {
         while let Ok((send, receive)) = connection.accept_bi().await {
-            let counts = [Arc::clone(in_flight), Arc::clone(&self.open)];
+            let counts = [CountGuard::new(in_flight), CountGuard::new(&self.open)];
             let server = self.clone();
             spawn_local(async move {
-                for count in &counts {
-                    count.fetch_add(1, Ordering::AcqRel);
-                }
+                let _counts = counts;
                 if let Err(error) = server.stream(send, receive).await {
                     debug!(server.logger, "offer ended early"; "step" => "stream",
                         "peer" => %peer, "error" => format!("{error:#}"));
                 }
-                for count in &counts {
-                    count.fetch_sub(1, Ordering::AcqRel);
-                }
             });
         }
     }
--- a/crates/daemon/src/entry/offers.rs
+++ b/crates/daemon/src/entry/offers.rs
@@ -9,6 +9,7 @@
     ids::RequestId,
     protocol::{AgentFrame, EntryFrame, OfferFrame},
 };
+use plantain_net::count::CountGuard;
 use quinn::{Connection, ConnectionError, Endpoint, RecvStream, SendStream, VarInt};
 use slog::{Logger, debug, error};
 use std::{
@@ -16,10 +17,7 @@
     collections::HashMap,
     net::SocketAddr,
     rc::Rc,
-    sync::{
-        Arc,
-        atomic::{AtomicUsize, Ordering},
-    },
+    sync::{Arc, atomic::AtomicUsize},
     time::Duration,
 };
 use tokio::{
@@ -125,7 +123,7 @@
             }
         };
         let OpenStream { connection, send, receive, in_flight } = opened;
-        let _guard = InFlight::new(in_flight);
+        let _guard = CountGuard::new(&in_flight);
         let heard = Cell::new(false);
         let carried = carry(send, receive, &offer, &events, &mut release, &heard).await;
         let Err(error) = carried else { return };
@@ -232,18 +230,3 @@
         Ok((connection, in_flight))
     }
 }
-
-struct InFlight(Arc<AtomicUsize>);
-
-impl InFlight {
-    fn new(count: Arc<AtomicUsize>) -> Self {
-        count.fetch_add(1, Ordering::AcqRel);
-        Self(count)
-    }
-}
-
-impl Drop for InFlight {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -4,5 +4,6 @@
 pub mod body;
 pub mod client;
 pub mod config_store;
+pub mod count;
 pub mod platform;
 pub mod server;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,7 +1,7 @@
 //! An HTTP server over hyper: time limits against slow callers, a connection limit, and a graceful
 //! stop that lets requests in flight end.
 
-use crate::body::ReplyBody;
+use crate::{body::ReplyBody, count::CountGuard};
 use eyre::{Result, WrapErr};
 use hyper::{
     Request, Response, StatusCode,
@@ -82,7 +82,7 @@
             sleep(ACCEPT_PAUSE).await;
             continue;
         };
-        let guard = ConnectionGuard::new(Arc::clone(&open));
+        let guard = CountGuard::new(&open);
         let (handler, stopping) = (handler.clone(), stopping.clone());
         tokio::spawn(async move {
             serve_connection(stream, peer, handler, stopping).await;
@@ -122,21 +122,6 @@
     let _ = connection.await;
 }
 
-struct ConnectionGuard(Arc<AtomicUsize>);
-
-impl ConnectionGuard {
-    fn new(open: Arc<AtomicUsize>) -> Self {
-        open.fetch_add(1, Ordering::AcqRel);
-        Self(open)
-    }
-}
-
-impl Drop for ConnectionGuard {
-    fn drop(&mut self) {
-        self.0.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
 /// An answer with a JSON body.
 pub fn json_reply<T: Serialize>(status: StatusCode, value: &T) -> HttpReply {
     let body = serde_json::to_vec(value).unwrap_or_default();
