--- /dev/null
+++ b/crates/core/src/direct.rs
@@ -0,0 +1,14 @@
+//! Decisions for targets that routers call directly: routes, choice of a target, what an answer
+//! proves, retries, and the loader's orders to the one engine beside it.
+
+pub mod budget;
+pub mod call;
+pub mod config;
+pub mod health;
+pub mod loader;
+pub mod membership;
+pub mod messages;
+pub mod proof;
+pub mod selection;
+pub mod snapshot;
+pub mod targets;
--- /dev/null
+++ b/crates/core/src/direct/budget.rs
@@ -0,0 +1,80 @@
+//! The fleet's budget of repeated sends to a service, kept by each router for its own share.
+
+use crate::ids::Timestamp;
+use std::time::Duration;
+
+/// Steps into which the window is cut; a step's counts leave the window together.
+const WINDOW_STEPS: usize = 20;
+/// Share of the fleet's allowance that is used: other routers' counts arrive late, and a router that
+/// has just started does not know its earlier repeats.
+const USED_SHARE: f64 = 0.8;
+
+/// What the whole fleet may repeat.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct RepeatAllowance {
+    /// Repeats for each first send in the window.
+    pub ratio: f64,
+    /// Repeats beyond that in one window, over all routers.
+    pub slack: f64,
+    /// Length of the window.
+    pub window: Duration,
+}
+
+#[derive(Clone, Copy, Debug, Default)]
+struct StepCounts {
+    number: u64,
+    calls: u32,
+    repeats: u32,
+}
+
+/// Counts calls and repeats of one service over a sliding window.
+#[derive(Clone, Debug)]
+pub struct RepeatBudget {
+    allowance: RepeatAllowance,
+    steps: [StepCounts; WINDOW_STEPS],
+}
+
+impl RepeatBudget {
+    /// Starts with nothing counted.
+    pub fn new(allowance: RepeatAllowance) -> Self {
+        Self { allowance, steps: [StepCounts::default(); WINDOW_STEPS] }
+    }
+
+    /// Counts a call of a caller.
+    pub fn record_call(&mut self, now: Timestamp) {
+        self.step(now).calls += 1;
+    }
+
+    /// Takes one repeat out of the budget, shared with `routers` routers in all, or refuses.
+    ///
+    /// The ratio follows this router's own calls, so shares need no agreement; only the slack is
+    /// divided. A router that knows of too few others would overdraw, which [`USED_SHARE`] covers.
+    pub fn try_repeat(&mut self, now: Timestamp, routers: usize) -> bool {
+        let first = self.step_number(now).saturating_sub(WINDOW_STEPS as u64 - 1);
+        let inside = self.steps.iter().filter(|step| step.number >= first);
+        let (calls, repeats) =
+            inside.fold((0, 0), |sum, step| (sum.0 + step.calls, sum.1 + step.repeats));
+        let slack = self.allowance.slack / routers.max(1) as f64;
+        let allowed = USED_SHARE * (self.allowance.ratio * f64::from(calls) + slack);
+        if f64::from(repeats) + 1.0 > allowed {
+            return false;
+        }
+        self.step(now).repeats += 1;
+        true
+    }
+
+    fn step_number(&self, now: Timestamp) -> u64 {
+        let length = self.allowance.window / WINDOW_STEPS as u32;
+        // Numbers start above the window, so that a fresh array counts as outside of it.
+        (now.as_nanos() / length.as_nanos().max(1)) as u64 + 2 * WINDOW_STEPS as u64
+    }
+
+    fn step(&mut self, now: Timestamp) -> &mut StepCounts {
+        let number = self.step_number(now);
+        let step = &mut self.steps[(number % WINDOW_STEPS as u64) as usize];
+        if step.number != number {
+            *step = StepCounts { number, calls: 0, repeats: 0 };
+        }
+        step
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/loader.rs
@@ -0,0 +1,434 @@
+//! The loader: the only process that orders loads and unloads at the one engine beside it.
+//!
+//! One host orders one engine, so orders need no lease: nobody else's can cross them. What remains
+//! is an order without an answer, which the engine may carry out seconds later. Each order names the
+//! order count that the engine must still have, so of all orders given on one count at most one takes
+//! effect, and the next report tells which.
+
+use super::{
+    call::AdapterId,
+    membership::{BaseHolding, InstanceId},
+    messages::{AdapterWish, BootId, LoaderReport, RouterNotice},
+};
+use crate::ids::{AdapterVersion, BaseName, Timestamp};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+/// Adapters that may be on their way to an engine at once, as the engines allow.
+pub const TRANSIT_LIMIT: usize = 4;
+/// Age after which a router's notice counts no more; routers send one at least each second.
+const NOTICE_LIFE: Duration = Duration::from_millis(2_500);
+/// Time for which a wish must have waited before an adapter in use gives way to it: unloading one in
+/// use stops its further calls until its runs end.
+const PATIENCE: Duration = Duration::from_millis(400);
+/// Pause between reports asked of the engine while something is on its way: a load from the host's
+/// memory takes 25 ms, and calls wait for it.
+const FAST_POLL: Duration = Duration::from_millis(12);
+/// The same once a load has lasted longer than one from the host's memory.
+const SLOW_POLL: Duration = Duration::from_millis(25);
+/// Time after an order for which [`FAST_POLL`] holds.
+const FAST_SPAN: Duration = Duration::from_millis(60);
+/// Pause between reports while nothing is on its way; tells of a leaving or restarted engine.
+const IDLE_POLL: Duration = Duration::from_millis(500);
+/// Pause after an engine did not answer.
+const DARK_POLL: Duration = Duration::from_millis(250);
+/// Pause after an order that the engine turned down, so that a refusal cannot become a busy loop.
+const REFUSED_PAUSE: Duration = Duration::from_millis(20);
+
+/// What the engine says of itself.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct EngineReport {
+    /// Base models and adapters held.
+    pub holdings: Vec<BaseHolding>,
+    /// Adapters on their way.
+    pub coming: Vec<(AdapterId, AdapterVersion)>,
+    /// Whether a load or unload of a base model is under way.
+    pub is_busy: bool,
+    /// Orders accepted since the engine's start.
+    pub order_count: u64,
+    /// Calls that run.
+    pub active: u16,
+    /// Calls that wait.
+    pub queued: u16,
+    /// Tokens of memory in use that cannot be given up.
+    pub kv_used: u32,
+    /// Whether the engine is leaving.
+    pub is_leaving: bool,
+}
+
+/// What an order does.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum OrderVerb {
+    /// Loads a base model.
+    LoadBase(BaseName),
+    /// Loads an adapter, or replaces it by a newer version.
+    LoadAdapter(AdapterId, AdapterVersion),
+    /// Unloads an adapter.
+    UnloadAdapter(AdapterId),
+}
+
+/// An order to the engine.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct EngineOrder {
+    /// What it does.
+    pub verb: OrderVerb,
+    /// Order count that the engine must have.
+    pub order_count: u64,
+    /// The engine's life for which it is meant.
+    pub instance: InstanceId,
+}
+
+/// What the engine answered to an order.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum OrderAnswer {
+    /// It is being carried out.
+    Accepted,
+    /// It is done, or held already.
+    Done,
+    /// Another order is under way, or the order count differs.
+    Conflict,
+    /// It went to another life of the engine.
+    WrongInstance,
+    /// It was refused for good.
+    Refused,
+    /// No answer: it may be carried out later.
+    Silent,
+}
+
+/// What the loader does next.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LoaderStep {
+    /// Ask which life of the engine this is.
+    Identify,
+    /// Ask for a report.
+    Poll,
+    /// Give an order.
+    Order(EngineOrder),
+    /// Wait for a notice, until this time at the latest.
+    Wait(Timestamp),
+}
+
+struct NoticeState {
+    notice: RouterNotice,
+    received: Timestamp,
+    /// When each wish was first seen.
+    wished: HashMap<AdapterId, Timestamp>,
+}
+
+/// The state machine.
+pub struct LoaderMachine {
+    boot: BootId,
+    sequence: u32,
+    instance: Option<InstanceId>,
+    report: Option<EngineReport>,
+    is_answering: bool,
+    polled: Timestamp,
+    next_poll: Timestamp,
+    not_before: Timestamp,
+    ordered: Timestamp,
+    notices: HashMap<SocketAddr, NoticeState>,
+    last_use: BTreeMap<AdapterId, Timestamp>,
+}
+
+impl LoaderMachine {
+    /// Starts knowing nothing; `boot` tells this start from others.
+    pub fn new(boot: BootId) -> Self {
+        Self {
+            boot,
+            sequence: 0,
+            instance: None,
+            report: None,
+            is_answering: false,
+            polled: Duration::ZERO,
+            next_poll: Duration::ZERO,
+            not_before: Duration::ZERO,
+            ordered: Duration::ZERO,
+            notices: HashMap::new(),
+            last_use: BTreeMap::new(),
+        }
+    }
+
+    /// The life of the engine that is ordered.
+    pub fn instance(&self) -> Option<&InstanceId> {
+        self.instance.as_ref()
+    }
+
+    /// Last report of the engine.
+    pub fn report(&self) -> Option<&EngineReport> {
+        self.report.as_ref()
+    }
+
+    /// Age of the last report at `now`.
+    pub fn report_age(&self, now: Timestamp) -> Duration {
+        now.saturating_sub(self.polled)
+    }
+
+    /// Takes a router's notice; an older one of the same start is dropped.
+    pub fn take_notice(&mut self, router: SocketAddr, notice: RouterNotice, now: Timestamp) {
+        let known = self.notices.get(&router);
+        let is_old = known.is_some_and(|state| {
+            state.notice.boot == notice.boot && state.notice.sequence >= notice.sequence
+        });
+        if is_old {
+            return;
+        }
+        for used in &notice.uses {
+            let adapter =
+                AdapterId { base: Arc::clone(&used.base), name: Arc::clone(&used.adapter) };
+            self.last_use.insert(adapter, now);
+        }
+        let earlier = known.map(|state| &state.wished);
+        let wished = notice.wishes.iter().map(|wish| {
+            let adapter = wish_adapter(wish);
+            let since = earlier.and_then(|wished| wished.get(&adapter)).copied().unwrap_or(now);
+            (adapter, since)
+        });
+        let wished = wished.collect();
+        self.notices.insert(router, NoticeState { notice, received: now, wished });
+    }
+
+    /// The engine told which life this is. A new life holds nothing that is known.
+    pub fn take_instance(&mut self, instance: InstanceId) {
+        if self.instance.as_ref() != Some(&instance) {
+            self.report = None;
+            self.next_poll = Duration::ZERO;
+        }
+        self.instance = Some(instance);
+    }
+
+    /// The engine reported.
+    pub fn take_report(&mut self, report: EngineReport, now: Timestamp) {
+        // The count of a life never falls: this is another life at the same address.
+        let is_reborn =
+            self.report.as_ref().is_some_and(|known| report.order_count < known.order_count);
+        if is_reborn || !self.is_answering {
+            self.instance = None;
+        }
+        self.is_answering = true;
+        self.polled = now;
+        let is_moving = !report.coming.is_empty() || report.is_busy;
+        let pause = match (is_moving, now.saturating_sub(self.ordered) < FAST_SPAN) {
+            (false, _) => IDLE_POLL,
+            (true, true) => FAST_POLL,
+            (true, false) => SLOW_POLL,
+        };
+        self.next_poll = now + pause;
+        self.report = Some(report);
+    }
+
+    /// The engine did not answer the question for a report or for its life.
+    pub fn note_silence(&mut self, now: Timestamp) {
+        self.is_answering = false;
+        self.polled = now;
+        self.next_poll = now + DARK_POLL;
+    }
+
+    /// The engine answered an order, or did not.
+    pub fn take_answer(&mut self, order: &EngineOrder, answer: OrderAnswer, now: Timestamp) {
+        match answer {
+            OrderAnswer::Accepted | OrderAnswer::Done => self.apply(order, answer, now),
+            OrderAnswer::WrongInstance => self.instance = None,
+            OrderAnswer::Conflict | OrderAnswer::Silent => {}
+            OrderAnswer::Refused => self.not_before = now + REFUSED_PAUSE,
+        }
+        let is_plain = matches!(answer, OrderAnswer::Accepted | OrderAnswer::Done);
+        if is_plain {
+            self.ordered = now;
+            self.next_poll = self.next_poll.min(now + FAST_POLL);
+        } else {
+            // Whatever is believed may be wrong now; the engine's own word comes first.
+            self.next_poll = now;
+            self.not_before = self.not_before.max(now + REFUSED_PAUSE);
+        }
+    }
+
+    /// Drops what has outlived its time and says what comes next.
+    pub fn next_step(&mut self, now: Timestamp) -> LoaderStep {
+        self.notices.retain(|_, state| now.saturating_sub(state.received) < NOTICE_LIFE);
+        if now >= self.next_poll {
+            return LoaderStep::Poll;
+        }
+        if !self.is_answering {
+            return LoaderStep::Wait(self.next_poll);
+        }
+        let Some(instance) = self.instance.clone() else { return LoaderStep::Identify };
+        if now < self.not_before {
+            return LoaderStep::Wait(self.not_before.min(self.next_poll));
+        }
+        let Some(report) = &self.report else { return LoaderStep::Poll };
+        let verb = if report.is_leaving || report.is_busy { None } else { self.next_order(now) };
+        match verb {
+            Some(verb) => {
+                let order_count = report.order_count;
+                LoaderStep::Order(EngineOrder { verb, order_count, instance })
+            }
+            None => LoaderStep::Wait(self.next_poll),
+        }
+    }
+
+    /// What routers are told.
+    pub fn make_report(&mut self) -> Option<LoaderReport> {
+        let instance = self.instance.clone()?;
+        let report = self.report.as_ref()?;
+        self.sequence += 1;
+        let coming = report.coming.iter();
+        let coming = coming.map(|(id, _)| (Arc::clone(&id.base), Arc::clone(&id.name)));
+        Some(LoaderReport {
+            boot: self.boot,
+            sequence: self.sequence,
+            instance,
+            is_answering: self.is_answering,
+            is_leaving: report.is_leaving,
+            holdings: report.holdings.clone(),
+            coming: coming.collect(),
+            active: report.active,
+            queued: report.queued,
+            kv_used: report.kv_used,
+            routers: self.notices.values().filter_map(|state| state.notice.peer_address).collect(),
+        })
+    }
+
+    /// Routers that sent a notice lately, and whether calls of theirs wait for an adapter.
+    pub fn routers(&self) -> impl Iterator<Item = (SocketAddr, bool)> {
+        self.notices.iter().map(|(router, state)| {
+            (*router, state.notice.wishes.iter().any(|wish| wish.waiting > 0))
+        })
+    }
+
+    fn apply(&mut self, order: &EngineOrder, answer: OrderAnswer, _now: Timestamp) {
+        let Some(report) = &mut self.report else { return };
+        report.order_count = order.order_count + 1;
+        match &order.verb {
+            OrderVerb::LoadBase(_) => report.is_busy = answer == OrderAnswer::Accepted,
+            OrderVerb::LoadAdapter(adapter, version) => {
+                if answer == OrderAnswer::Accepted {
+                    report.coming.push((adapter.clone(), *version));
+                } else if let Some(holding) = holding_of(&mut report.holdings, &adapter.base) {
+                    holding.adapters.insert(Arc::clone(&adapter.name), *version);
+                }
+            }
+            OrderVerb::UnloadAdapter(adapter) => {
+                if let Some(holding) = holding_of(&mut report.holdings, &adapter.base) {
+                    holding.adapters.remove(&adapter.name);
+                }
+                self.last_use.remove(adapter);
+            }
+        }
+    }
+
+    fn next_order(&self, now: Timestamp) -> Option<OrderVerb> {
+        let report = self.report.as_ref()?;
+        let newest = self.notices.values().max_by_key(|state| state.received)?;
+        if report.holdings.is_empty() {
+            return self.wanted_base(&newest.notice).map(OrderVerb::LoadBase);
+        }
+        let places = usize::from(newest.notice.adapter_places);
+        let wishes = self.open_wishes(report);
+        let (wish, since) = wishes.first()?;
+        if report.coming.len() >= TRANSIT_LIMIT {
+            return None;
+        }
+        let adapter = wish_adapter(wish);
+        let is_replacement = held(report, &adapter).is_some();
+        if is_replacement || occupied(report) < places {
+            return Some(OrderVerb::LoadAdapter(adapter, wish.version));
+        }
+        self.victim(report, &wishes, now.saturating_sub(*since)).map(OrderVerb::UnloadAdapter)
+    }
+
+    /// The base model to put on an empty engine: the one that most calls wait for, else the first.
+    fn wanted_base(&self, notice: &RouterNotice) -> Option<BaseName> {
+        let fitting = notice.bases.iter().filter(|base| base.weights_mb <= notice.memory_mb);
+        let waiting = |base: &BaseName| -> u32 {
+            let wishes = self.notices.values().flat_map(|state| &state.notice.wishes);
+            let own = wishes.filter(|wish| wish.base == *base);
+            own.map(|wish| u32::from(wish.waiting)).sum()
+        };
+        // Of equals the first: `max_by_key` would take the last.
+        let best = fitting.rev().max_by_key(|base| waiting(&base.base));
+        best.map(|base| Arc::clone(&base.base))
+    }
+
+    /// Wishes that nothing held or coming meets, most urgent first.
+    fn open_wishes(&self, report: &EngineReport) -> Vec<(&AdapterWish, Timestamp)> {
+        let mut wishes: Vec<(&AdapterWish, Timestamp)> = Vec::new();
+        for state in self.notices.values() {
+            for wish in &state.notice.wishes {
+                let adapter = wish_adapter(wish);
+                let is_met = held(report, &adapter).is_some_and(|version| version >= wish.version);
+                let is_coming = report.coming.iter().any(|(coming, _)| *coming == adapter);
+                let has_base = report.holdings.iter().any(|holding| holding.base == wish.base);
+                if !is_met && !is_coming && has_base {
+                    let since = state.wished.get(&adapter).copied().unwrap_or(state.received);
+                    wishes.push((wish, since));
+                }
+            }
+        }
+        wishes.sort_by_key(|(wish, since)| (wish.waiting == 0, wish.priority, *since));
+        wishes
+    }
+
+    /// The adapter that gives way: not in use, not wished for, unused for longest. One in use gives
+    /// way only to a call that has waited for longer than [`PATIENCE`].
+    fn victim(
+        &self,
+        report: &EngineReport,
+        wishes: &[(&AdapterWish, Timestamp)],
+        waited: Duration,
+    ) -> Option<AdapterId> {
+        let running = self.running();
+        let is_call = wishes.first().is_some_and(|(wish, _)| wish.waiting > 0);
+        let all = report.holdings.iter().flat_map(|holding| {
+            let names = holding.adapters.keys();
+            names.map(|name| AdapterId { base: Arc::clone(&holding.base), name: Arc::clone(name) })
+        });
+        let free = all.filter(|id| !report.coming.iter().any(|(coming, _)| coming == id));
+        let scored = free.map(|id| {
+            let in_use = running.get(&id).copied().unwrap_or(0);
+            let last = self.last_use.get(&id).copied().unwrap_or_default();
+            (in_use, last, id)
+        });
+        let (in_use, _, id) = scored.min()?;
+        let may_go = in_use == 0 || (is_call && waited > PATIENCE);
+        may_go.then_some(id)
+    }
+
+    fn running(&self) -> HashMap<AdapterId, u32> {
+        let mut running: HashMap<AdapterId, u32> = HashMap::new();
+        for state in self.notices.values() {
+            for used in &state.notice.uses {
+                let adapter =
+                    AdapterId { base: Arc::clone(&used.base), name: Arc::clone(&used.adapter) };
+                *running.entry(adapter).or_default() += u32::from(used.running);
+            }
+            for wish in state.notice.wishes.iter().filter(|wish| wish.waiting > 0) {
+                *running.entry(wish_adapter(wish)).or_default() += u32::from(wish.waiting);
+            }
+        }
+        running
+    }
+}
+
+fn wish_adapter(wish: &AdapterWish) -> AdapterId {
+    AdapterId { base: Arc::clone(&wish.base), name: Arc::clone(&wish.adapter) }
+}
+
+fn holding_of<'a>(holdings: &'a mut [BaseHolding], base: &str) -> Option<&'a mut BaseHolding> {
+    holdings.iter_mut().find(|holding| &*holding.base == base)
+}
+
+fn held(report: &EngineReport, adapter: &AdapterId) -> Option<AdapterVersion> {
+    let holding = report.holdings.iter().find(|holding| holding.base == adapter.base)?;
+    holding.adapters.get(&adapter.name).copied()
+}
+
+/// Places taken by adapters held and by those on their way.
+fn occupied(report: &EngineReport) -> usize {
+    let held: usize = report.holdings.iter().map(|holding| holding.adapters.len()).sum();
+    let coming = report.coming.iter();
+    held + coming.filter(|(id, _)| self::held(report, id).is_none()).count()
+}
--- /dev/null
+++ b/crates/core/src/direct/membership.rs
@@ -0,0 +1,152 @@
+//! Which targets there are, from a list that lags and that loses entries while its keeper is out.
+
+use crate::ids::{AdapterName, AdapterVersion, BaseName, ServiceName, Timestamp, ZoneName};
+use serde::{Deserialize, Serialize};
+use std::{
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+/// Id of one life of a target: a restart is a new one.
+pub type InstanceId = Arc<str>;
+
+/// Time for which an entry that is missing after an outage is still used. Entries lapse while the
+/// list's keeper is out and come back about two seconds after it does; dropping them at once would
+/// leave no targets at all, and keeping them longer would send work to targets that are gone.
+pub const LAPSE_HOLD: Duration = Duration::from_millis(2_200);
+
+/// A base model that a target holds, with adapters of it.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct BaseHolding {
+    /// The base model.
+    pub base: BaseName,
+    /// Version of its weights.
+    pub version: AdapterVersion,
+    /// Adapters and their versions.
+    pub adapters: BTreeMap<AdapterName, AdapterVersion>,
+}
+
+/// What the list says of a target.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetEntry {
+    /// Its id.
+    pub id: InstanceId,
+    /// Its service.
+    pub service: ServiceName,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Calls that it works on at once.
+    pub slots: u32,
+    /// Whether it is leaving and takes no new work.
+    pub is_leaving: bool,
+    /// Time for which it stays slow after its start.
+    pub cold: Duration,
+    /// What it holds, if it is an engine.
+    pub holdings: Vec<BaseHolding>,
+}
+
+/// A change of the list.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum ListChange {
+    /// An entry is new or changed.
+    Put(Arc<TargetEntry>),
+    /// An entry is gone.
+    Removed(InstanceId),
+}
+
+/// The list as a router uses it.
+#[derive(Debug, Default)]
+pub struct TargetList {
+    entries: HashMap<InstanceId, Arc<TargetEntry>>,
+    /// Entries missing since an outage, and until when they are used all the same.
+    lapsed: HashMap<InstanceId, Timestamp>,
+    hold_until: Timestamp,
+    is_out: bool,
+}
+
+impl TargetList {
+    /// The list's keeper cannot be reached; what is known stays in use.
+    pub fn note_outage(&mut self) {
+        self.is_out = true;
+    }
+
+    /// The keeper answers again at `now`.
+    pub fn note_contact(&mut self, now: Timestamp) {
+        if std::mem::take(&mut self.is_out) {
+            self.hold_until = now + LAPSE_HOLD;
+        }
+    }
+
+    /// Replaces the list by a whole new one.
+    pub fn replace(&mut self, entries: Vec<Arc<TargetEntry>>, now: Timestamp) {
+        let mut known = std::mem::take(&mut self.entries);
+        for entry in entries {
+            known.remove(&entry.id);
+            self.put(entry);
+        }
+        for (id, entry) in known {
+            self.entries.insert(Arc::clone(&id), entry);
+            self.remove(&id, now);
+        }
+    }
+
+    /// Applies one change.
+    pub fn apply(&mut self, change: &ListChange, now: Timestamp) {
+        match change {
+            ListChange::Put(entry) => self.put(Arc::clone(entry)),
+            ListChange::Removed(id) => self.remove(id, now),
+        }
+    }
+
+    /// Drops held entries whose time is over; returns whether any went.
+    pub fn expire(&mut self, now: Timestamp) -> bool {
+        let before = self.lapsed.len();
+        let entries = &mut self.entries;
+        self.lapsed.retain(|id, until| {
+            let is_held = now < *until;
+            if !is_held {
+                entries.remove(id);
+            }
+            is_held
+        });
+        before != self.lapsed.len()
+    }
+
+    /// All entries in use.
+    pub fn entries(&self) -> impl Iterator<Item = &Arc<TargetEntry>> {
+        self.entries.values()
+    }
+
+    /// Number of entries in use.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Whether no entry is in use.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    fn put(&mut self, entry: Arc<TargetEntry>) {
+        self.lapsed.remove(&entry.id);
+        // Two lives at one address: the older one cannot listen there any more.
+        self.entries.retain(|id, other| *id == entry.id || other.address != entry.address);
+        self.entries.insert(Arc::clone(&entry.id), entry);
+    }
+
+    fn remove(&mut self, id: &InstanceId, now: Timestamp) {
+        let is_held = self.is_out || now < self.hold_until;
+        let is_leaving = self.entries.get(id).is_none_or(|entry| entry.is_leaving);
+        if is_held && !is_leaving {
+            let until = self.hold_until.max(now);
+            self.lapsed.entry(Arc::clone(id)).or_insert(until);
+        } else {
+            self.lapsed.remove(id);
+            self.entries.remove(id);
+        }
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/messages.rs
@@ -0,0 +1,99 @@
+//! Messages between routers and loaders: whole states in single datagrams, so that a lost, doubled
+//! or reordered one costs time and nothing else.
+
+use super::membership::{BaseHolding, InstanceId};
+use crate::ids::{AdapterName, AdapterVersion, BaseName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Number drawn at a process's start; a restart is a new one.
+pub type BootId = u64;
+
+/// A router's wish for one adapter at the loader's engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AdapterWish {
+    /// The base model.
+    pub base: BaseName,
+    /// The adapter.
+    pub adapter: AdapterName,
+    /// Oldest version that serves.
+    pub version: AdapterVersion,
+    /// Calls that wait for it now; 0 where it is wanted ahead of calls.
+    pub waiting: u16,
+    /// Rank of the most urgent call that waits; 0 is first.
+    pub priority: u8,
+}
+
+/// Calls of a router that use an adapter at the loader's engine.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct AdapterUse {
+    /// The base model.
+    pub base: BaseName,
+    /// The adapter.
+    pub adapter: AdapterName,
+    /// Calls sent and not yet ended.
+    pub running: u16,
+    /// Calls sent since the last notice.
+    pub started: u16,
+}
+
+/// A base model that the loader may put on its engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct BaseOffer {
+    /// The base model.
+    pub base: BaseName,
+    /// Size of its weights in MB.
+    pub weights_mb: f32,
+    /// Size of one adapter in MB.
+    pub adapter_mb: f32,
+}
+
+/// What a router tells a loader: all of its wishes and uses there.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RouterNotice {
+    /// The router's start.
+    pub boot: BootId,
+    /// Grows with each notice of this start.
+    pub sequence: u32,
+    /// The target that the router believes to stand beside the loader.
+    pub instance: InstanceId,
+    /// Room for adapters at an engine of the service.
+    pub adapter_places: u16,
+    /// Room for weights and adapters in MB.
+    pub memory_mb: f32,
+    /// Base models of the service.
+    pub bases: Vec<BaseOffer>,
+    /// Adapters wanted.
+    pub wishes: Vec<AdapterWish>,
+    /// Adapters in use.
+    pub uses: Vec<AdapterUse>,
+    /// Where other routers can ask this one for the configuration and the list.
+    pub peer_address: Option<SocketAddr>,
+}
+
+/// What a loader tells routers of its engine.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LoaderReport {
+    /// The loader's start.
+    pub boot: BootId,
+    /// Grows with each report of this start.
+    pub sequence: u32,
+    /// The engine that the loader orders.
+    pub instance: InstanceId,
+    /// Whether the engine answers the loader.
+    pub is_answering: bool,
+    /// Whether the engine is leaving.
+    pub is_leaving: bool,
+    /// What the engine holds.
+    pub holdings: Vec<BaseHolding>,
+    /// Adapters on their way, or being replaced.
+    pub coming: Vec<(BaseName, AdapterName)>,
+    /// Calls that the engine runs.
+    pub active: u16,
+    /// Calls that wait at the engine.
+    pub queued: u16,
+    /// Tokens of memory in use that cannot be given up.
+    pub kv_used: u32,
+    /// Peer addresses of routers that sent a notice lately.
+    pub routers: Vec<SocketAddr>,
+}
--- /dev/null
+++ b/crates/core/src/direct/proof.rs
@@ -0,0 +1,88 @@
+//! What an answer, or its absence, proves about a call. This is the one place that decides it.
+
+use super::{call::CallId, config::CallKind};
+
+/// What a target's head of an answer says, decoded from the wire.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct AnswerHead {
+    /// HTTP status.
+    pub status: u16,
+    /// Id of the call that the target says it answers.
+    pub echoed_id: Option<CallId>,
+    /// Whether the target signed it as the outcome of a run.
+    pub is_signed: bool,
+    /// Whether the target states that it did not run the call.
+    pub states_not_run: bool,
+}
+
+/// Status of a call that met another target, version or model than it expected.
+pub const MISDIRECTED: u16 = 421;
+/// Statuses that promise a caller that its call was not run and never will be.
+const PROMISES: [u16; 4] = [408, MISDIRECTED, 429, 503];
+
+/// What is proven by an answer or by its absence.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RunProof {
+    /// The call ran and this is its success.
+    Succeeded,
+    /// The call ran and failed there; a repeat may succeed.
+    Failed,
+    /// The call did not run and will not.
+    NotRun,
+    /// The target did not run it because it is another target, or holds something else.
+    Misdirected,
+    /// Nothing is proven: it may have run.
+    Unknown,
+}
+
+/// What the head of an answer proves about the call `id`.
+///
+/// A target may deliver an earlier call's answer where the next one is due. Its id gives it away;
+/// without the check a caller would get somebody else's answer.
+pub fn judge_answer(id: &str, head: &AnswerHead) -> RunProof {
+    if head.echoed_id.as_deref().is_some_and(|echoed| echoed != id) {
+        return RunProof::Unknown;
+    }
+    if head.status == MISDIRECTED {
+        return RunProof::Misdirected;
+    }
+    if head.states_not_run {
+        return RunProof::NotRun;
+    }
+    match head.status {
+        200..=299 if head.is_signed && head.echoed_id.is_some() => RunProof::Succeeded,
+        200..=299 => RunProof::Unknown,
+        _ => RunProof::Failed,
+    }
+}
+
+/// How a failed run is told to the caller.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FailureReply {
+    /// The target's answer, unchanged.
+    AsIs,
+    /// A status of our own that promises nothing.
+    Unknown,
+}
+
+/// Whether a run's failure may be handed on.
+///
+/// A target's own 503 after it began to run a call would read as a promise that the call was not
+/// run, and the caller would send it again.
+pub fn failure_reply(kind: CallKind, status: u16) -> FailureReply {
+    if !kind.is_repeatable() && PROMISES.contains(&status) {
+        FailureReply::Unknown
+    } else {
+        FailureReply::AsIs
+    }
+}
+
+/// Whether a call may be sent to a further target after `proof`; `runs` counts the targets that ran
+/// it or may have.
+pub fn may_send_again(proof: RunProof, kind: CallKind, runs: u32, max_targets: u32) -> bool {
+    match proof {
+        RunProof::Succeeded => false,
+        RunProof::NotRun | RunProof::Misdirected => runs < max_targets.max(1),
+        RunProof::Failed | RunProof::Unknown => kind.is_repeatable() && runs < max_targets.max(1),
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/selection.rs
@@ -0,0 +1,208 @@
+//! Choice of a target: one cost in milliseconds of expected wait, and the order of preferred targets
+//! of an adapter.
+
+use super::{
+    call::{AdapterId, ModelCall},
+    membership::InstanceId,
+    targets::{TargetPool, TargetState},
+};
+use crate::{
+    ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
+    rendezvous::weight,
+};
+use std::{cmp::Ordering, sync::Arc};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Prompt tokens that an engine reads in a millisecond: the figure of the engines in use.
+const TOKENS_PER_MS: f64 = 38.0;
+/// Share of a router's unread tokens that stands for those of all routers at a target: calls for an
+/// adapter meet at its preferred targets from every router, but only this router's are known.
+const UNREAD_WEIGHT: f64 = 1.5;
+/// Cost of each call that an engine runs: a step takes 0.02 ms longer for each, over some 70 steps.
+const ACTIVE_MS: f64 = 1.4;
+/// Cost of each call that waits in an engine's queue: it waits for a place in the batch.
+const QUEUED_MS: f64 = 25.0;
+/// Cost of an engine whose batch is full.
+const FULL_MS: f64 = 400.0;
+/// Wait for an adapter that is on its way.
+const COMING_MS: f64 = 60.0;
+/// Wait for an adapter that must be loaded: between 25 ms from the host's memory and 250 ms.
+const LOAD_MS: f64 = 120.0;
+/// Further cost of loading elsewhere than at a preferred target: the host there is unlikely to have
+/// the adapter in its memory, and later calls go to the preferred ones.
+const STRAY_MS: f64 = 150.0;
+/// Cost of a target whose loader is silent, where a load is needed: nobody would order it.
+const NO_LOADER_MS: f64 = 5_000.0;
+/// Cost of a failed call: about the objective that it misses.
+const FAILURE_MS: f64 = 1_500.0;
+/// Cost of each call whose first byte is overdue.
+const OVERDUE_MS: f64 = 250.0;
+/// Cost of a target in another availability zone: two trips of some 1.5 ms, and bytes between zones.
+const ZONE_MS: f64 = 6.0;
+/// Cost of a call in flight at a plain service's target, for a target of 6 places and 60 ms a call
+/// that six routers share.
+const PLAIN_CALL_MS: f64 = 20.0;
+/// Range of the random part that spreads near ties over the targets.
+const TIE_MS: f64 = 4.0;
+/// Calls a second that one copy of an adapter carries before another is wanted.
+const CALLS_PER_COPY: f64 = 7.0;
+
+/// What a choice is made for.
+#[derive(Clone, Debug)]
+pub struct CallNeed<'a> {
+    /// The service.
+    pub service: &'a ServiceName,
+    /// The model call, if the service is one of engines.
+    pub model: Option<&'a ModelCall>,
+    /// The router's zone.
+    pub zone: &'a ZoneName,
+    /// Targets that had the call already.
+    pub excluded: &'a [InstanceId],
+    /// Routers in all.
+    pub routers: usize,
+}
+
+/// What to do with a call.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TargetChoice {
+    /// Send it; the version is what the target holds of the adapter.
+    Send(InstanceId, Option<AdapterVersion>),
+    /// Have the adapter loaded there, at this version at least, and send it then.
+    Load(InstanceId, AdapterId, AdapterVersion),
+    /// No target can take it.
+    Nowhere,
+}
+
+/// The adapter that a call needs, if it is more than the base model.
+pub fn adapter_of(call: &ModelCall) -> Option<AdapterId> {
+    let name = call.need.adapter.as_ref()?;
+    Some(AdapterId { base: Arc::clone(&call.need.base), name: Arc::clone(name) })
+}
+
+/// Chooses a target for a call; `draw` gives numbers uniform in 0 to 1.
+pub fn choose_target(
+    pool: &TargetPool,
+    need: &CallNeed<'_>,
+    now: Timestamp,
+    mut draw: impl FnMut() -> f64,
+) -> TargetChoice {
+    let adapter = need.model.and_then(adapter_of);
+    let preferred = adapter.as_ref().map(|adapter| preferred_targets(pool, need, adapter, now));
+    let usable = pool.service_targets(need.service).filter(|target| is_usable(target, need, now));
+    let costed = usable.map(|target| {
+        let cost = match need.model {
+            None => plain_cost(target, need, now),
+            Some(call) => {
+                let homes = preferred.as_deref().unwrap_or_default();
+                engine_cost(pool, target, call, adapter.as_ref(), homes, now)
+                    + zone_cost(target, need)
+            }
+        };
+        (cost + draw() * TIE_MS, target)
+    });
+    let best = costed.min_by(|a, b| a.0.partial_cmp(&b.0).unwrap_or(Ordering::Equal));
+    let Some((_, target)) = best else { return TargetChoice::Nowhere };
+    let id = Arc::clone(&target.entry.id);
+    let Some(adapter) = adapter else { return TargetChoice::Send(id, None) };
+    let newest = pool.newest_version(&adapter);
+    match target.held_version(&adapter, now) {
+        Some(held) if held >= newest => TargetChoice::Send(id, Some(held)),
+        _ => TargetChoice::Load(id, adapter, newest),
+    }
+}
+
+/// Targets where copies of an adapter belong, by rendezvous hashing: as many as its demand asks for.
+pub fn preferred_targets(
+    pool: &TargetPool,
+    need: &CallNeed<'_>,
+    adapter: &AdapterId,
+    now: Timestamp,
+) -> Vec<InstanceId> {
+    let rate = pool.demand_rate(adapter, now) * need.routers as f64;
+    let copies = 1 + (rate / CALLS_PER_COPY) as usize;
+    let key = adapter_key(adapter);
+    let usable = pool.service_targets(need.service).filter(|target| {
+        !target.is_leaving() && !target.health.is_resting(now) && !target.is_dark(now)
+    });
+    let mut weighted: Vec<(u64, &TargetState)> =
+        usable.map(|target| (weight(key, &target.entry.id), target)).collect();
+    weighted.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    weighted.truncate(copies);
+    weighted.into_iter().map(|(_, target)| Arc::clone(&target.entry.id)).collect()
+}
+
+fn adapter_key(adapter: &AdapterId) -> u64 {
+    xxh3_64(adapter.name.as_bytes()) ^ xxh3_64(adapter.base.as_bytes()).rotate_left(1)
+}
+
+fn is_usable(target: &TargetState, need: &CallNeed<'_>, now: Timestamp) -> bool {
+    !target.is_leaving()
+        && !target.is_dark(now)
+        && !need.excluded.contains(&target.entry.id)
+        && need.model.is_none_or(|call| target.holds_base(&call.need.base, now))
+}
+
+fn zone_cost(target: &TargetState, need: &CallNeed<'_>) -> f64 {
+    if target.entry.zone == *need.zone { 0.0 } else { ZONE_MS }
+}
+
+fn trouble_cost(target: &TargetState, now: Timestamp) -> f64 {
+    let rest = if target.health.is_resting(now) { 4.0 * FAILURE_MS } else { 0.0 };
+    target.health.failure_share(now) * FAILURE_MS
+        + f64::from(target.overdue) * OVERDUE_MS
+        + rest
+        + target.entry.cold.as_millis() as f64 / 100.0
+}
+
+fn plain_cost(target: &TargetState, need: &CallNeed<'_>, now: Timestamp) -> f64 {
+    f64::from(target.in_flight) * PLAIN_CALL_MS
+        + trouble_cost(target, now)
+        + zone_cost(target, need)
+}
+
+fn engine_cost(
+    pool: &TargetPool,
+    target: &TargetState,
+    call: &ModelCall,
+    adapter: Option<&AdapterId>,
+    preferred: &[InstanceId],
+    now: Timestamp,
+) -> f64 {
+    let unread = f64::from(target.unread_tokens) * UNREAD_WEIGHT / TOKENS_PER_MS;
+    let stall = adapter.map_or(0.0, |adapter| stall_cost(pool, target, adapter, preferred, now));
+    unread + stall + batch_cost(pool, target, call, now) + trouble_cost(target, now)
+}
+
+fn batch_cost(pool: &TargetPool, target: &TargetState, call: &ModelCall, now: Timestamp) -> f64 {
+    let report = target.fresh_report(now);
+    let active = report.map_or(0, |report| u32::from(report.active)).max(target.in_flight);
+    let queued = report.map_or(0, |report| report.queued);
+    let spec = pool.engine_of(target);
+    let is_full = spec.is_some_and(|spec| {
+        let used = report.map_or(0, |report| u64::from(report.kv_used));
+        let wanted = u64::from(call.tokens_in + call.tokens_out);
+        active >= spec.batch || used + wanted > spec.kv_tokens
+    });
+    f64::from(active) * ACTIVE_MS
+        + f64::from(queued) * QUEUED_MS
+        + if is_full { FULL_MS } else { 0.0 }
+}
+
+fn stall_cost(
+    pool: &TargetPool,
+    target: &TargetState,
+    adapter: &AdapterId,
+    preferred: &[InstanceId],
+    now: Timestamp,
+) -> f64 {
+    let newest = pool.newest_version(adapter);
+    if target.held_version(adapter, now).is_some_and(|held| held >= newest) {
+        return 0.0;
+    }
+    let is_preferred = preferred.contains(&target.entry.id);
+    let stray = if is_preferred { 0.0 } else { STRAY_MS };
+    if target.fresh_report(now).is_none() {
+        return stray + NO_LOADER_MS;
+    }
+    stray + if target.is_coming(adapter, now) { COMING_MS } else { LOAD_MS }
+}
--- /dev/null
+++ b/crates/core/src/direct/targets.rs
@@ -0,0 +1,455 @@
+//! The targets as one router sees them: the list, the loaders' reports, and its own calls.
+
+use super::{
+    call::{AdapterId, AdapterRelease},
+    config::{EngineSpec, RouteConfig},
+    health::{CallOutcome, TargetHealth},
+    membership::{BaseHolding, InstanceId, ListChange, TargetEntry, TargetList},
+    messages::{AdapterUse, AdapterWish, BaseOffer, LoaderReport},
+};
+use crate::{
+    demand::DecayedCount,
+    ids::{AdapterVersion, ServiceName, Timestamp},
+};
+use std::{
+    collections::{HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+/// Age after which a loader's report no longer says what its engine holds. Reports come at least
+/// every half second, so this is three lost ones in a row.
+pub const REPORT_LIFE: Duration = Duration::from_millis(1_600);
+/// Half-life of the demand for an adapter: some seconds of calls decide how many copies it gets.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(2);
+/// Adapters whose demand is remembered; beyond it the least wanted are forgotten. Bounds memory at
+/// about 100 bytes each.
+const DEMAND_LIMIT: usize = 4_096;
+
+/// What a loader last reported of its engine.
+#[derive(Clone, Debug)]
+pub struct LoaderView {
+    /// The report.
+    pub report: LoaderReport,
+    /// When it came.
+    pub received: Timestamp,
+}
+
+/// A router's own calls that use an adapter of a target.
+#[derive(Clone, Copy, Debug, Default)]
+struct UseCounts {
+    running: u16,
+    started: u16,
+}
+
+/// A router's wish for an adapter at a target.
+#[derive(Clone, Copy, Debug)]
+struct WishState {
+    version: AdapterVersion,
+    waiting: u16,
+    priority: u8,
+    made: Timestamp,
+}
+
+/// One target.
+#[derive(Debug)]
+pub struct TargetState {
+    /// What the list says.
+    pub entry: Arc<TargetEntry>,
+    /// Calls of this router that it has and has not ended.
+    pub in_flight: u32,
+    /// Prompt tokens of those of them that have no first event yet.
+    pub unread_tokens: u32,
+    /// Calls whose first byte is overdue.
+    pub overdue: u32,
+    /// How it did lately.
+    pub health: TargetHealth,
+    /// What its loader reported.
+    pub loader: Option<LoaderView>,
+    uses: HashMap<AdapterId, UseCounts>,
+    wishes: HashMap<AdapterId, WishState>,
+}
+
+impl TargetState {
+    fn new(entry: Arc<TargetEntry>) -> Self {
+        Self {
+            entry,
+            in_flight: 0,
+            unread_tokens: 0,
+            overdue: 0,
+            health: TargetHealth::default(),
+            loader: None,
+            uses: HashMap::new(),
+            wishes: HashMap::new(),
+        }
+    }
+
+    /// The loader's report, if it is fresh at `now`.
+    pub fn fresh_report(&self, now: Timestamp) -> Option<&LoaderReport> {
+        let view = self.loader.as_ref()?;
+        (now.saturating_sub(view.received) < REPORT_LIFE).then_some(&view.report)
+    }
+
+    /// What the target holds: by its loader if that is heard, else by the list.
+    pub fn holdings(&self, now: Timestamp) -> &[BaseHolding] {
+        self.fresh_report(now).map_or(&self.entry.holdings, |report| &report.holdings)
+    }
+
+    /// Whether the base model is there.
+    pub fn holds_base(&self, base: &str, now: Timestamp) -> bool {
+        self.holdings(now).iter().any(|holding| &*holding.base == base)
+    }
+
+    /// Version of an adapter that is there.
+    pub fn held_version(&self, adapter: &AdapterId, now: Timestamp) -> Option<AdapterVersion> {
+        let holdings = self.holdings(now).iter();
+        let holding = holdings.into_iter().find(|holding| holding.base == adapter.base)?;
+        holding.adapters.get(&adapter.name).copied()
+    }
+
+    /// Whether an adapter is on its way to the target, or being replaced there.
+    pub fn is_coming(&self, adapter: &AdapterId, now: Timestamp) -> bool {
+        self.fresh_report(now).is_some_and(|report| {
+            let mut coming = report.coming.iter();
+            coming.any(|(base, name)| *base == adapter.base && *name == adapter.name)
+        })
+    }
+
+    /// Whether it is leaving, by the list or by its loader.
+    pub fn is_leaving(&self) -> bool {
+        let by_loader = self.loader.as_ref().is_some_and(|view| view.report.is_leaving);
+        self.entry.is_leaving || by_loader
+    }
+
+    /// Whether its loader says that it does not answer.
+    pub fn is_dark(&self, now: Timestamp) -> bool {
+        self.fresh_report(now).is_some_and(|report| !report.is_answering)
+    }
+
+    /// Whether this router wishes for an adapter here.
+    pub fn has_wish(&self) -> bool {
+        !self.wishes.is_empty()
+    }
+
+    /// What the loader is told about this router's wishes.
+    pub fn wish_list(&self) -> Vec<AdapterWish> {
+        let wishes = self.wishes.iter().map(|(adapter, wish)| AdapterWish {
+            base: Arc::clone(&adapter.base),
+            adapter: Arc::clone(&adapter.name),
+            version: wish.version,
+            waiting: wish.waiting,
+            priority: wish.priority,
+        });
+        wishes.collect()
+    }
+
+    /// What the loader is told about this router's calls; counts of started calls begin anew.
+    pub fn take_uses(&mut self) -> Vec<AdapterUse> {
+        let uses = self.uses.iter_mut().map(|(adapter, counts)| AdapterUse {
+            base: Arc::clone(&adapter.base),
+            adapter: Arc::clone(&adapter.name),
+            running: counts.running,
+            started: std::mem::take(&mut counts.started),
+        });
+        let list = uses.collect();
+        self.uses.retain(|_, counts| counts.running > 0);
+        list
+    }
+}
+
+/// All targets of all services.
+#[derive(Debug)]
+pub struct TargetPool {
+    config: Arc<RouteConfig>,
+    list: TargetList,
+    targets: HashMap<InstanceId, TargetState>,
+    by_service: HashMap<ServiceName, Vec<InstanceId>>,
+    releases: HashMap<AdapterId, AdapterVersion>,
+    demand: HashMap<AdapterId, DecayedCount>,
+}
+
+impl Default for TargetPool {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+impl TargetPool {
+    /// Starts with no configuration and no target.
+    pub fn new() -> Self {
+        Self {
+            config: Arc::new(RouteConfig::default()),
+            list: TargetList::default(),
+            targets: HashMap::new(),
+            by_service: HashMap::new(),
+            releases: HashMap::new(),
+            demand: HashMap::new(),
+        }
+    }
+
+    /// The configuration in force.
+    pub fn config(&self) -> &Arc<RouteConfig> {
+        &self.config
+    }
+
+    /// Takes a configuration if it is newer; returns whether it was. An older one may come from a
+    /// peer that lags, and must never undo a change that callers have seen in force.
+    pub fn take_config(&mut self, config: Arc<RouteConfig>) -> bool {
+        if config.number <= self.config.number {
+            return false;
+        }
+        self.config = config;
+        true
+    }
+
+    /// Takes a release; versions never fall.
+    pub fn take_release(&mut self, release: AdapterRelease) {
+        let known = self.releases.entry(release.adapter).or_insert(release.version);
+        *known = release.version.max(*known);
+    }
+
+    /// Newest version of an adapter; 1 where none was announced.
+    pub fn newest_version(&self, adapter: &AdapterId) -> AdapterVersion {
+        self.releases.get(adapter).copied().unwrap_or(1)
+    }
+
+    /// All announced versions.
+    pub fn releases(&self) -> impl Iterator<Item = (&AdapterId, AdapterVersion)> {
+        self.releases.iter().map(|(adapter, version)| (adapter, *version))
+    }
+
+    /// The list's keeper cannot be reached.
+    pub fn note_outage(&mut self) {
+        self.list.note_outage();
+    }
+
+    /// The list's keeper answers again.
+    pub fn note_contact(&mut self, now: Timestamp) {
+        self.list.note_contact(now);
+    }
+
+    /// Replaces the list by a whole one.
+    pub fn replace_list(&mut self, entries: Vec<Arc<TargetEntry>>, now: Timestamp) {
+        self.list.replace(entries, now);
+        self.rebuild();
+    }
+
+    /// Applies changes of the list.
+    pub fn apply_changes(&mut self, changes: &[ListChange], now: Timestamp) {
+        for change in changes {
+            self.list.apply(change, now);
+        }
+        self.rebuild();
+    }
+
+    /// Drops what has outlived its time.
+    pub fn expire(&mut self, now: Timestamp) {
+        if self.list.expire(now) {
+            self.rebuild();
+        }
+        if self.demand.len() > DEMAND_LIMIT {
+            self.demand.retain(|_, count| count.read(now) > 0.1);
+        }
+    }
+
+    /// Entries of the list in use.
+    pub fn entries(&self) -> impl Iterator<Item = &Arc<TargetEntry>> {
+        self.list.entries()
+    }
+
+    /// One target.
+    pub fn target(&self, id: &str) -> Option<&TargetState> {
+        self.targets.get(id)
+    }
+
+    /// One target, to change it.
+    pub fn target_mut(&mut self, id: &str) -> Option<&mut TargetState> {
+        self.targets.get_mut(id)
+    }
+
+    /// Targets of a service.
+    pub fn service_targets(&self, service: &str) -> impl Iterator<Item = &TargetState> {
+        let ids = self.by_service.get(service).into_iter().flatten();
+        ids.filter_map(|id| self.targets.get(id))
+    }
+
+    /// Targets that are engines.
+    pub fn engine_ids(&self) -> Vec<InstanceId> {
+        let engines = self.targets.values().filter(|target| self.engine_of(target).is_some());
+        engines.map(|target| Arc::clone(&target.entry.id)).collect()
+    }
+
+    /// What engines of a target's service have, if it is an engine.
+    pub fn engine_of(&self, target: &TargetState) -> Option<&EngineSpec> {
+        self.config.services.get(&target.entry.service)?.engine.as_ref()
+    }
+
+    /// Base models that a loader may put on an engine of the service.
+    pub fn base_offers(spec: &EngineSpec) -> Vec<BaseOffer> {
+        let offers = spec.bases.iter().map(|base| BaseOffer {
+            base: Arc::clone(&base.name),
+            weights_mb: base.weights_mb as f32,
+            adapter_mb: base.adapter_mb as f32,
+        });
+        offers.collect()
+    }
+
+    /// Takes a loader's report; an older one than the last of the same start is dropped. Returns
+    /// whether it was news.
+    pub fn take_report(&mut self, report: LoaderReport, now: Timestamp) -> bool {
+        let Some(target) = self.targets.get_mut(&report.instance) else { return false };
+        let is_old = target.loader.as_ref().is_some_and(|view| {
+            view.report.boot == report.boot && view.report.sequence >= report.sequence
+        });
+        if is_old {
+            return false;
+        }
+        target.loader = Some(LoaderView { report, received: now });
+        let satisfied: HashSet<AdapterId> = target
+            .wishes
+            .iter()
+            .filter(|(adapter, wish)| {
+                target.held_version(adapter, now).is_some_and(|held| held >= wish.version)
+            })
+            .map(|(adapter, _)| adapter.clone())
+            .collect();
+        target.wishes.retain(|adapter, wish| wish.waiting > 0 || !satisfied.contains(adapter));
+        true
+    }
+
+    /// Counts a call for an adapter towards its demand.
+    pub fn record_demand(&mut self, adapter: &AdapterId, now: Timestamp) {
+        let count = self.demand.entry(adapter.clone());
+        count.or_insert_with(|| DecayedCount::new(DEMAND_HALF_LIFE)).record(now);
+    }
+
+    /// Calls a second for an adapter at this router.
+    pub fn demand_rate(&self, adapter: &AdapterId, now: Timestamp) -> f64 {
+        self.demand.get(adapter).map_or(0.0, |count| count.rate(now))
+    }
+
+    /// Adapters wanted at least `rate` times a second at this router.
+    pub fn wanted(&self, rate: f64, now: Timestamp) -> Vec<AdapterId> {
+        let wanted = self.demand.iter().filter(|(_, count)| count.rate(now) >= rate);
+        wanted.map(|(adapter, _)| adapter.clone()).collect()
+    }
+
+    /// A call goes out to a target.
+    pub fn call_started(&mut self, id: &str, adapter: Option<&AdapterId>, tokens: u32) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.in_flight += 1;
+        target.unread_tokens += tokens;
+        if let Some(adapter) = adapter {
+            let counts = target.uses.entry(adapter.clone()).or_default();
+            counts.running += 1;
+            counts.started += 1;
+        }
+    }
+
+    /// The first byte of a call's answer is there, so its prompt has been read.
+    pub fn call_answered(&mut self, id: &str, tokens: u32) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.unread_tokens = target.unread_tokens.saturating_sub(tokens);
+    }
+
+    /// A call ended; `tokens` if its first byte never came.
+    pub fn call_ended(&mut self, id: &str, adapter: Option<&AdapterId>, tokens: u32) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.in_flight = target.in_flight.saturating_sub(1);
+        target.unread_tokens = target.unread_tokens.saturating_sub(tokens);
+        if let Some(counts) = adapter.and_then(|adapter| target.uses.get_mut(adapter)) {
+            counts.running = counts.running.saturating_sub(1);
+        }
+    }
+
+    /// Counts what a call met.
+    pub fn record_outcome(&mut self, id: &str, outcome: CallOutcome, now: Timestamp) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.health.record(outcome, now);
+        }
+    }
+
+    /// Marks a call's first byte as overdue, or no longer so.
+    pub fn mark_overdue(&mut self, id: &str, is_overdue: bool) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        target.overdue =
+            if is_overdue { target.overdue + 1 } else { target.overdue.saturating_sub(1) };
+    }
+
+    /// Wishes for an adapter at a target, with one more call that waits for it.
+    pub fn add_waiter(
+        &mut self,
+        id: &str,
+        adapter: &AdapterId,
+        version: AdapterVersion,
+        priority: u8,
+        now: Timestamp,
+    ) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        let wish = target.wishes.entry(adapter.clone()).or_insert(WishState {
+            version,
+            waiting: 0,
+            priority,
+            made: now,
+        });
+        wish.waiting += 1;
+        wish.version = wish.version.max(version);
+        wish.priority = wish.priority.min(priority);
+    }
+
+    /// A call waits no longer.
+    pub fn remove_waiter(&mut self, id: &str, adapter: &AdapterId) {
+        let Some(target) = self.targets.get_mut(id) else { return };
+        if let Some(wish) = target.wishes.get_mut(adapter) {
+            wish.waiting = wish.waiting.saturating_sub(1);
+            if wish.waiting == 0 {
+                target.wishes.remove(adapter);
+            }
+        }
+    }
+
+    /// Wishes for an adapter ahead of calls; returns whether it is a new wish.
+    pub fn prefetch(
+        &mut self,
+        id: &str,
+        adapter: &AdapterId,
+        version: AdapterVersion,
+        now: Timestamp,
+    ) -> bool {
+        let Some(target) = self.targets.get_mut(id) else { return false };
+        if let Some(wish) = target.wishes.get_mut(adapter) {
+            wish.version = wish.version.max(version);
+            return false;
+        }
+        let wish = WishState { version, waiting: 0, priority: u8::MAX, made: now };
+        target.wishes.insert(adapter.clone(), wish);
+        true
+    }
+
+    /// Drops wishes ahead of calls that were not met within `life`.
+    pub fn drop_old_prefetches(&mut self, life: Duration, now: Timestamp) {
+        for target in self.targets.values_mut() {
+            target
+                .wishes
+                .retain(|_, wish| wish.waiting > 0 || now.saturating_sub(wish.made) < life);
+        }
+    }
+
+    /// Targets follow the list; what is known of those that stay is kept.
+    fn rebuild(&mut self) {
+        let mut old = std::mem::take(&mut self.targets);
+        self.by_service.clear();
+        for entry in self.list.entries() {
+            let state = match old.remove(&entry.id) {
+                Some(state) => TargetState { entry: Arc::clone(entry), ..state },
+                None => TargetState::new(Arc::clone(entry)),
+            };
+            let ids = self.by_service.entry(Arc::clone(&entry.service)).or_default();
+            ids.push(Arc::clone(&entry.id));
+            self.targets.insert(Arc::clone(&entry.id), state);
+        }
+        for ids in self.by_service.values_mut() {
+            ids.sort_unstable();
+        }
+    }
+}
--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod config;
 pub mod cost;
 pub mod demand;
+pub mod direct;
 pub mod entry;
 pub mod events;
 pub mod idempotency;
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,11 +1,19 @@
-//! The daemon of plantainroute: `entry` takes callers' requests, `agent` speaks for one target.
+//! The daemon of plantainroute.
+//!
+//! Where targets may only be reached through their agents, `entry` takes callers' requests and `agent`
+//! speaks for one target. Where targets may be called directly, `router` takes callers' requests and
+//! `loader` orders loads at one engine.
 
 pub mod agent;
+mod clock;
 pub mod duty;
 pub mod entry;
 pub mod link;
+pub mod loader;
 pub mod logging;
 pub mod options;
+mod reload;
+pub mod router;
 pub mod telemetry;
 mod watch;
 
@@ -36,6 +44,8 @@
     let result = match settings {
         DaemonSettings::Entry(settings) => entry::run(settings),
         DaemonSettings::Agent(settings) => agent::run(settings),
+        DaemonSettings::Router(settings) => router::run(settings),
+        DaemonSettings::Loader(settings) => loader::run(settings),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -10,12 +10,15 @@
 /// request for its log.
 const LOG_RING: usize = 4_096;
 
-/// A logger that names the process, and the guard that flushes it on exit.
+/// A logger of an entry or agent, and the guard that flushes it on exit.
 pub fn start(settings: &CommonSettings, role: &'static str) -> (Logger, AsyncGuard) {
+    start_named(&settings.name, settings.log_level, role)
+}
+
+/// A logger that names the process, and the guard that flushes it on exit.
+pub fn start_named(name: &str, level: Level, role: &'static str) -> (Logger, AsyncGuard) {
     let json = Json::new(io::stdout()).add_default_keys().build().fuse();
     let (drain, guard) = Async::new(json).chan_size(LOG_RING).build_with_guard();
-    let level: Level = settings.log_level;
     let filtered = LevelFilter::new(drain, level).fuse();
-    let name = settings.name.to_string();
-    (Logger::root(filtered, o!("role" => role, "name" => name)), guard)
+    (Logger::root(filtered, o!("role" => role, "name" => name.to_owned())), guard)
 }
--- a/crates/daemon/src/options/arguments.rs
+++ b/crates/daemon/src/options/arguments.rs
@@ -1,7 +1,7 @@
 //! Arguments and environment variables, as written.
 
 use bpaf::{Args, Bpaf, ParseFailure};
-use std::{net::SocketAddr, process::ExitCode};
+use std::{net::SocketAddr, path::PathBuf, process::ExitCode};
 
 /// Width of help texts.
 const HELP_WIDTH: usize = 100;
@@ -16,6 +16,35 @@
     /// Speaks for the one target beside it: an engine or a plain service
     #[bpaf(command("agent"))]
     Agent(#[bpaf(external(agent_arguments))] AgentArguments),
+    /// Takes callers' HTTP requests and calls targets directly
+    #[bpaf(command("router"))]
+    Router(#[bpaf(external(site_arguments))] SiteArguments),
+    /// Orders loads and unloads at the one engine beside it
+    #[bpaf(command("loader"))]
+    Loader(#[bpaf(external(site_arguments))] SiteArguments),
+}
+
+/// What routers and loaders are told; the rest stands in their settings file.
+#[derive(Clone, Debug, Bpaf)]
+#[bpaf(generate(site_arguments))]
+pub struct SiteArguments {
+    /// Settings file, in JSON; read again on SIGHUP and when it changes
+    #[bpaf(long, argument("FILE"), env("PLANTAIN_SETTINGS"))]
+    pub settings: PathBuf,
+    /// Address for /metrics, /status, /healthz and /readyz
+    #[bpaf(long, argument("ADDR"), env("PLANTAIN_METRICS"))]
+    pub metrics: SocketAddr,
+    /// Least important log lines to write: error, warning, info or debug (default: info)
+    #[bpaf(
+        long("log-level"),
+        argument("LEVEL"),
+        env("PLANTAIN_LOG_LEVEL"),
+        fallback("info".into())
+    )]
+    pub log_level: String,
+    /// Checks the settings and exits
+    #[bpaf(long, switch)]
+    pub check: bool,
 }
 
 /// What both roles are told.
@@ -164,6 +193,7 @@
         match self {
             Self::Entry(arguments) => arguments.common.check,
             Self::Agent(arguments) => arguments.common.check,
+            Self::Router(arguments) | Self::Loader(arguments) => arguments.check,
         }
     }
 }
--- a/crates/daemon/src/options/settings.rs
+++ b/crates/daemon/src/options/settings.rs
@@ -3,6 +3,7 @@
 use super::{
     arguments::{AgentArguments, CommonArguments, DaemonArguments, EntryArguments},
     constants,
+    site::{LoaderFile, RouterFile, SiteSettings},
 };
 use crate::link::keys::PeerKeys;
 use plantain_core::{
@@ -22,6 +23,10 @@
     Entry(EntrySettings),
     /// Of an agent.
     Agent(AgentSettings),
+    /// Of a router.
+    Router(SiteSettings<RouterFile>),
+    /// Of a loader.
+    Loader(SiteSettings<LoaderFile>),
 }
 
 /// Settings that both roles have.
@@ -101,6 +106,8 @@
         match arguments {
             DaemonArguments::Entry(arguments) => EntrySettings::new(&arguments).map(Self::Entry),
             DaemonArguments::Agent(arguments) => AgentSettings::new(&arguments).map(Self::Agent),
+            DaemonArguments::Router(arguments) => SiteSettings::new(arguments).map(Self::Router),
+            DaemonArguments::Loader(arguments) => SiteSettings::new(arguments).map(Self::Loader),
         }
     }
 
@@ -109,6 +116,8 @@
         let value = match self {
             Self::Entry(settings) => settings.describe(),
             Self::Agent(settings) => settings.describe(),
+            Self::Router(settings) => json!(&*settings.file),
+            Self::Loader(settings) => json!(&*settings.file),
         };
         serde_json::to_string_pretty(&value).unwrap_or_default()
     }
--- /dev/null
+++ b/crates/daemon/src/reload.rs
@@ -0,0 +1,62 @@
+//! Settings that change while the process runs: on SIGHUP, and when their file is seen to differ.
+
+use crate::options::site::{SiteFile, SiteSettings};
+use eyre::{Result, WrapErr};
+use slog::{Logger, info, warn};
+use std::{sync::Arc, time::Duration};
+use tokio::{
+    signal::unix::{SignalKind, signal},
+    sync::watch,
+    task::spawn_local,
+    time::{MissedTickBehavior, interval},
+};
+
+/// Pause between looks at the file, which may change without a signal.
+const LOOK_PAUSE: Duration = Duration::from_secs(2);
+
+/// Reads the settings again when they change; wrong ones are logged and leave the last good ones in
+/// force.
+pub(crate) fn follow<T>(
+    settings: &SiteSettings<T>,
+    logger: Logger,
+) -> Result<watch::Receiver<Arc<T>>>
+where
+    T: SiteFile + PartialEq + 'static,
+{
+    let mut hangup = signal(SignalKind::hangup()).wrap_err("listen for SIGHUP")?;
+    let path = settings.path.clone();
+    let (sender, receiver) = watch::channel(Arc::clone(&settings.file));
+    spawn_local(async move {
+        let mut looks = interval(LOOK_PAUSE);
+        looks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut last_fault = String::new();
+        loop {
+            let is_signal = tokio::select! {
+                _ = hangup.recv() => true,
+                _ = looks.tick() => false,
+            };
+            match T::read(&path) {
+                Ok(fresh) if fresh == **sender.borrow() => {
+                    last_fault.clear();
+                    if is_signal {
+                        info!(logger, "settings read again, unchanged"; "step" => "reload");
+                    }
+                }
+                Ok(fresh) => {
+                    last_fault.clear();
+                    sender.send_replace(Arc::new(fresh));
+                    info!(logger, "settings changed"; "step" => "reload", "signal" => is_signal);
+                }
+                Err(error) => {
+                    let fault = format!("{error:#}");
+                    if fault != last_fault {
+                        warn!(logger, "settings kept; the file is wrong"; "step" => "reload",
+                            "error" => &fault);
+                    }
+                    last_fault = fault;
+                }
+            }
+        }
+    });
+    Ok(receiver)
+}
--- /dev/null
+++ b/crates/daemon/src/router.rs
@@ -0,0 +1,183 @@
+//! The router role: takes callers' requests, chooses a target, and calls it directly.
+
+mod callers;
+mod connections;
+mod constants;
+mod context;
+mod control;
+mod exchange;
+mod follow;
+mod journal;
+mod links;
+mod peers;
+mod readiness;
+mod relay;
+
+use crate::{
+    clock, duty, logging,
+    options::site::{RouterFile, SiteSettings},
+    reload, telemetry,
+};
+use context::RouterContext;
+use control::{ControlEvent, ControlStart};
+use eyre::{Result, WrapErr};
+use plantain_core::ids::Timestamp;
+use plantain_net::server;
+use plantain_platform::objects::{FollowedChange, FollowedKind};
+use slog::{Logger, info, warn};
+use std::{
+    net::SocketAddr,
+    rc::Rc,
+    sync::{Arc, atomic::AtomicBool},
+};
+use tokio::{
+    net::UdpSocket,
+    runtime::Builder,
+    sync::{mpsc, watch},
+    task::{LocalSet, spawn_local},
+    time::interval,
+};
+
+/// Runs a router until it is told to stop and its calls in flight have ended.
+pub fn run(site: SiteSettings<RouterFile>) -> Result<()> {
+    let settings = Arc::clone(&site.file);
+    let (logger, _flush) = logging::start_named(&settings.name, site.log_level, "router");
+    let metrics = telemetry::install()?;
+    let runtime = Builder::new_current_thread().enable_all().build().wrap_err("start runtime")?;
+    LocalSet::new().block_on(&runtime, async {
+        let callers = server::bind(settings.listen, "callers' address").await?;
+        let ready = server::bind(settings.ready, "readiness address").await?;
+        let link_address = SocketAddr::new(settings.listen.ip(), settings.link_port);
+        let link = UdpSocket::bind(link_address).await.wrap_err("bind link to loaders")?;
+        let stopping = duty::stop_signal()?;
+        let is_ready = Arc::new(AtomicBool::new(false));
+        telemetry::start_site(site.metrics, metrics, Arc::clone(&is_ready), &logger).await?;
+        let context = RouterContext::new(Arc::clone(&settings), logger.clone(), is_ready, stopping);
+        let settings = reload::follow(&site, logger.clone())?;
+        let peers = watch::channel(Vec::new());
+        let events = start_control(&settings, peers.1, &logger).await?;
+
+        spawn_local(follow_settings(settings, Rc::clone(&context)));
+        spawn_local(take_events(events, Rc::clone(&context)));
+        spawn_local(keep_time(peers.0, Rc::clone(&context)));
+        spawn_local(readiness::serve(ready, Rc::clone(&context)));
+        spawn_local(links::run(link, Rc::clone(&context), rand::random()));
+        info!(logger, "router listens"; "step" => "start",
+            "listen" => %context.settings.borrow().listen);
+        callers::run(callers, Rc::clone(&context)).await;
+        info!(logger, "router ends"; "step" => "stop", "in_flight" => context.calls.get());
+        Ok(())
+    })
+}
+
+async fn start_control(
+    settings: &watch::Receiver<Arc<RouterFile>>,
+    peers: watch::Receiver<Vec<SocketAddr>>,
+    logger: &Logger,
+) -> Result<mpsc::Receiver<ControlEvent>> {
+    let address = settings.borrow().peer_listen;
+    let listener = server::bind(address, "peers' address").await?;
+    let listener = listener.into_std().wrap_err("hand over peers' address")?;
+    let (sender, events) = mpsc::channel(control::RING_DEPTH);
+    let start = ControlStart {
+        settings: settings.clone(),
+        peers,
+        events: sender,
+        listener,
+        logger: logger.clone(),
+    };
+    duty::start("control", move || control::run(start))?;
+    Ok(events)
+}
+
+async fn follow_settings(
+    mut settings: watch::Receiver<Arc<RouterFile>>,
+    context: Rc<RouterContext>,
+) {
+    while settings.changed().await.is_ok() {
+        let fresh = Arc::clone(&settings.borrow_and_update());
+        *context.settings.borrow_mut() = fresh;
+    }
+}
+
+/// Applies what the control thread tells.
+async fn take_events(mut events: mpsc::Receiver<ControlEvent>, context: Rc<RouterContext>) {
+    while let Some(event) = events.recv().await {
+        apply_event(event, &context);
+        context.changed.notify_waiters();
+        readiness::update(&context);
+    }
+}
+
+fn apply_event(event: ControlEvent, context: &RouterContext) {
+    let now = clock::now();
+    match event {
+        ControlEvent::Listed(FollowedKind::Targets, changes) => {
+            let entries = follow::listed_targets(&changes);
+            info!(context.logger, "list of targets"; "step" => "targets",
+                "targets" => entries.len());
+            context.pool.borrow_mut().replace_list(entries, now);
+        }
+        ControlEvent::Listed(_, changes) | ControlEvent::Changed(changes) => {
+            apply_changes(changes, context, now);
+        }
+        ControlEvent::Lost(FollowedKind::Targets) => context.pool.borrow_mut().note_outage(),
+        ControlEvent::Regained(FollowedKind::Targets) => {
+            context.pool.borrow_mut().note_contact(now);
+        }
+        ControlEvent::Lost(_) | ControlEvent::Regained(_) => {}
+    }
+}
+
+fn apply_changes(changes: Vec<FollowedChange>, context: &RouterContext, now: Timestamp) {
+    let mut pool = context.pool.borrow_mut();
+    let mut list = Vec::new();
+    for change in changes {
+        match change {
+            FollowedChange::Config(config) => {
+                let (number, routes) = (config.number, config.route_count());
+                if pool.take_config(config) {
+                    info!(context.logger, "configuration in force"; "step" => "config",
+                        "config" => number, "routes" => routes);
+                }
+            }
+            FollowedChange::Release(release) => {
+                info!(context.logger, "version announced"; "step" => "release",
+                    "adapter" => %release.adapter.name, "version" => release.version);
+                pool.take_release(release);
+            }
+            FollowedChange::Target(change) => list.push(change),
+        }
+    }
+    if !list.is_empty() {
+        pool.apply_changes(&list, now);
+    }
+}
+
+/// Drops what has outlived its time, looks for adapters that deserve more copies, and notices a
+/// suspension of the process.
+async fn keep_time(peers: watch::Sender<Vec<SocketAddr>>, context: Rc<RouterContext>) {
+    let mut ticks = interval(constants::TICK);
+    let mut last = clock::now();
+    loop {
+        ticks.tick().await;
+        let now = clock::now();
+        let gap = now.saturating_sub(last);
+        last = now;
+        if gap > constants::SUSPENSION {
+            warn!(context.logger, "process was held up"; "step" => "suspension",
+                "gap_ms" => gap.as_millis() as u64);
+            context.connections.clear();
+        }
+        context.pool.borrow_mut().expire(now);
+        context.connections.expire(now);
+        context.prefetch(now);
+        readiness::update(&context);
+        let known = context.peers();
+        peers.send_if_modified(|peers| {
+            let is_changed = *peers != known;
+            *peers = known;
+            is_changed
+        });
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router/callers.rs
@@ -0,0 +1,353 @@
+//! Callers' connections and requests.
+
+use super::{
+    connections::prepare,
+    constants,
+    context::RouterContext,
+    exchange::{CallExchange, GivenUp, Opened},
+    journal::{CallEnd, CallRecord},
+    relay::{PlainRead, read_plain, relay_stream},
+};
+use crate::clock;
+use bytes::Bytes;
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::{
+    Request, Response, StatusCode,
+    body::{Body, Frame, Incoming, SizeHint},
+    header::{CONNECTION, HeaderValue},
+    server::conn::http1,
+    service::service_fn,
+};
+use hyper_util::rt::TokioIo;
+use metrics::counter;
+use plantain_core::{
+    direct::{
+        call::CallHead,
+        config::{CallKind, RouteConfig, RouteRule},
+    },
+    ids::{ServiceName, Timestamp},
+};
+use plantain_net::{
+    body::{BodyAbort, ReplyBody},
+    server::json_reply,
+};
+use plantain_platform::calls;
+use serde::Serialize;
+use std::{
+    cell::Cell,
+    convert::Infallible,
+    pin::Pin,
+    rc::Rc,
+    sync::Arc,
+    task::{Context, Poll},
+    time::Duration,
+};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::{interval, sleep, timeout},
+};
+
+/// Smallest buffer that the HTTP library takes.
+const BUFFER_FLOOR: usize = 8 << 10;
+/// Pause after the listener failed, as when no descriptor is left.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// Takes callers' connections until the stop's linger is over; then waits for the calls in flight.
+pub(crate) async fn run(listener: TcpListener, context: Rc<RouterContext>) {
+    let mut stopping = context.stopping.clone();
+    let linger = async {
+        let _ = stopping.wait_for(|stop| *stop).await;
+        sleep(constants::STOP_LINGER).await;
+    };
+    tokio::pin!(linger);
+    let open = Rc::new(Cell::new(0_usize));
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = &mut linger => break,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let (context, open) = (Rc::clone(&context), Rc::clone(&open));
+                open.set(open.get() + 1);
+                spawn_local(async move {
+                    serve_connection(stream, context).await;
+                    open.set(open.get() - 1);
+                });
+            }
+            Err(_) => sleep(ACCEPT_PAUSE).await,
+        }
+    }
+    drop(listener);
+    let stop_time = context.settings.borrow().bounds.stop_time();
+    let rest = stop_time.saturating_sub(constants::STOP_LINGER + constants::STOP_RESERVE);
+    let drained = async {
+        while open.get() > 0 {
+            sleep(Duration::from_millis(10)).await;
+        }
+    };
+    let _ = timeout(rest, drained).await;
+}
+
+/// What a caller's connection is doing.
+#[derive(Default)]
+struct ConnectionState {
+    requests: Cell<u32>,
+    last_end: Cell<Timestamp>,
+}
+
+/// A request of a connection, under way for as long as this lives.
+struct RequestGuard {
+    connection: Rc<ConnectionState>,
+    context: Rc<RouterContext>,
+}
+
+impl RequestGuard {
+    fn new(connection: &Rc<ConnectionState>, context: &Rc<RouterContext>) -> Self {
+        connection.requests.set(connection.requests.get() + 1);
+        context.calls.set(context.calls.get() + 1);
+        Self { connection: Rc::clone(connection), context: Rc::clone(context) }
+    }
+}
+
+impl Drop for RequestGuard {
+    fn drop(&mut self) {
+        self.connection.requests.set(self.connection.requests.get() - 1);
+        self.connection.last_end.set(clock::now());
+        self.context.calls.set(self.context.calls.get() - 1);
+    }
+}
+
+/// A body that keeps its request's guard until it is sent or dropped.
+struct GuardedBody {
+    body: ReplyBody,
+    _guard: RequestGuard,
+}
+
+impl Body for GuardedBody {
+    type Data = Bytes;
+    type Error = BodyAbort;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        context: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, BodyAbort>>> {
+        Pin::new(&mut self.body).poll_frame(context)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.body.is_end_stream()
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        self.body.size_hint()
+    }
+}
+
+async fn serve_connection(stream: TcpStream, context: Rc<RouterContext>) {
+    if prepare(&stream).is_err() {
+        return;
+    }
+    let state = Rc::new(ConnectionState::default());
+    state.last_end.set(clock::now());
+    let header_bytes = context.pool.borrow().config().limits.header_bytes;
+    let (serving, connection_state) = (Rc::clone(&context), Rc::clone(&state));
+    let service = service_fn(move |request| {
+        let guard = RequestGuard::new(&connection_state, &serving);
+        let context = Rc::clone(&serving);
+        async move {
+            let mut reply = serve_request(request, &context).await;
+            if context.is_stopping() {
+                reply.headers_mut().insert(CONNECTION, HeaderValue::from_static("close"));
+            }
+            Ok::<_, Infallible>(reply.map(|body| GuardedBody { body, _guard: guard }))
+        }
+    });
+    let connection = http1::Builder::new()
+        .header_read_timeout(None)
+        .max_buf_size(header_bytes.max(BUFFER_FLOOR))
+        .serve_connection(TokioIo::new(stream), service);
+    tokio::pin!(connection);
+    let mut stopping = context.stopping.clone();
+    let lingered = async {
+        let _ = stopping.wait_for(|stop| *stop).await;
+        sleep(constants::STOP_LINGER).await;
+    };
+    tokio::pin!(lingered);
+    let mut looks = interval(constants::IDLE_LOOK);
+    loop {
+        tokio::select! {
+            _ = connection.as_mut() => return,
+            () = &mut lingered => break,
+            _ = looks.tick() => {
+                let limit = context.pool.borrow().config().limits.idle_timeout;
+                let unused = clock::now().saturating_sub(state.last_end.get());
+                if state.requests.get() == 0 && unused > limit {
+                    break;
+                }
+            }
+        }
+    }
+    connection.as_mut().graceful_shutdown();
+    let _ = connection.await;
+}
+
+async fn serve_request(
+    request: Request<Incoming>,
+    context: &Rc<RouterContext>,
+) -> Response<ReplyBody> {
+    let started = clock::now();
+    let (parts, body) = request.into_parts();
+    let head = calls::decode_call(&parts);
+    let config = Arc::clone(context.pool.borrow().config());
+    let (route, service) = match find_route(&config, &head) {
+        Ok(found) => found,
+        Err(rejection) => return reject(context, &head, &config, rejection, started),
+    };
+    let limit = config.limits.body_bytes;
+    let body = match timeout(constants::BODY_LIMIT, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => {
+            return reject(context, &head, &config, CallRejection::BodyTooLarge, started);
+        }
+        Ok(Err(_)) => {
+            return reject(context, &head, &config, CallRejection::BodyBroken, started);
+        }
+        Err(_) => return reject(context, &head, &config, CallRejection::BodySlow, started),
+    };
+    context.record_call(&service);
+    let request = (parts.method, parts.headers, body);
+    let exchange = CallExchange::new(context, head, request, route, service, started);
+    run_call(exchange).await
+}
+
+/// A caller that goes away ends its call, except one that may not be repeated and is on its way:
+/// breaking that off would leave nobody knowing whether it ran.
+async fn run_call(exchange: CallExchange) -> Response<ReplyBody> {
+    if exchange.route.kind == CallKind::NonIdempotent {
+        let running = spawn_local(answer_call(exchange));
+        return running.await.unwrap_or_else(|_| {
+            final_reply(StatusCode::INTERNAL_SERVER_ERROR, "router failed", "unknown")
+        });
+    }
+    answer_call(exchange).await
+}
+
+async fn answer_call(mut exchange: CallExchange) -> Response<ReplyBody> {
+    loop {
+        match exchange.open().await {
+            Opened::Success(answer) if exchange.route.kind.is_stream() => {
+                return relay_stream(exchange, answer);
+            }
+            Opened::Success(answer) => match read_plain(&mut exchange, answer).await {
+                PlainRead::Whole(reply) => {
+                    exchange.finish(CallEnd::Served, reply.status());
+                    return reply;
+                }
+                PlainRead::Broken(_) if exchange.may_repeat() => exchange.exclude_last(),
+                PlainRead::Broken(given_up) => return refuse(&exchange, given_up),
+            },
+            Opened::Failure(reply) => {
+                exchange.finish(CallEnd::TargetFailed, reply.status());
+                return reply;
+            }
+            Opened::Nothing(given_up) => return refuse(&exchange, given_up),
+        }
+    }
+}
+
+/// Why a request is not taken.
+#[derive(Clone, Copy, Debug)]
+enum CallRejection {
+    NoConfig,
+    NoRoute,
+    NoId,
+    BodyTooLarge,
+    BodyBroken,
+    BodySlow,
+}
+
+impl CallRejection {
+    fn reply(self) -> (StatusCode, &'static str) {
+        match self {
+            Self::NoConfig => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
+            Self::NoRoute => (StatusCode::NOT_FOUND, "no route takes this host and path"),
+            Self::NoId => (StatusCode::BAD_REQUEST, "the request has no id"),
+            Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+            Self::BodyBroken => (StatusCode::BAD_REQUEST, "the body broke off"),
+            Self::BodySlow => (StatusCode::REQUEST_TIMEOUT, "the body took too long"),
+        }
+    }
+}
+
+fn find_route(
+    config: &RouteConfig,
+    head: &CallHead,
+) -> Result<(Arc<RouteRule>, ServiceName), CallRejection> {
+    if config.number == 0 {
+        return Err(CallRejection::NoConfig);
+    }
+    let route = config.find(&head.host, &head.path).ok_or(CallRejection::NoRoute)?;
+    let service = route.pick_service(rand::random()).ok_or(CallRejection::NoRoute)?;
+    if head.id.is_none() {
+        return Err(CallRejection::NoId);
+    }
+    Ok((Arc::clone(route), Arc::clone(service)))
+}
+
+fn reject(
+    context: &RouterContext,
+    head: &CallHead,
+    config: &RouteConfig,
+    rejection: CallRejection,
+    started: Timestamp,
+) -> Response<ReplyBody> {
+    let (status, message) = rejection.reply();
+    let mut reply = final_reply(status, message, "not_run");
+    if status == StatusCode::SERVICE_UNAVAILABLE {
+        calls::set_retry_after(&mut reply, constants::RETURN_PAUSE);
+    }
+    let mut record =
+        CallRecord { id: head.id.clone(), config: config.number, ..CallRecord::default() };
+    let took = clock::now().saturating_sub(started);
+    record.note(took, &format!("{message}: {}{}", head.host, head.path));
+    context.journal.finish(&record, CallEnd::Rejected, status.as_u16(), took);
+    reply
+}
+
+fn refuse(exchange: &CallExchange, given_up: GivenUp) -> Response<ReplyBody> {
+    let (status, message, outcome, end) = match given_up {
+        GivenUp::NotRun(_) => {
+            (StatusCode::SERVICE_UNAVAILABLE, "not served now", "not_run", CallEnd::NotRun)
+        }
+        GivenUp::Unknown => {
+            (StatusCode::BAD_GATEWAY, "the target broke off", "unknown", CallEnd::Unknown)
+        }
+        GivenUp::TimedOut => {
+            (StatusCode::GATEWAY_TIMEOUT, "no answer in time", "unknown", CallEnd::Unknown)
+        }
+    };
+    counter!("plantain_refusals_total", "reason" => message).increment(1);
+    let mut reply = final_reply(status, message, outcome);
+    if let GivenUp::NotRun(pause) = given_up {
+        calls::set_retry_after(&mut reply, pause);
+    }
+    calls::set_call_id(&mut reply, exchange.head.id.as_deref().unwrap_or_default());
+    exchange.finish(end, status);
+    reply
+}
+
+#[derive(Serialize)]
+struct FinalWord {
+    message: &'static str,
+    outcome: &'static str,
+}
+
+fn final_reply(
+    status: StatusCode,
+    message: &'static str,
+    outcome: &'static str,
+) -> Response<ReplyBody> {
+    json_reply(status, &FinalWord { message, outcome })
+}
--- /dev/null
+++ b/crates/daemon/src/router/connections.rs
@@ -0,0 +1,172 @@
+//! Connections to targets, kept between calls.
+
+use super::constants;
+use crate::clock;
+use bytes::Bytes;
+use eyre::{Result, WrapErr};
+use http_body_util::Full;
+use hyper::{
+    Request, Response,
+    body::Incoming,
+    client::conn::http1::{self, SendRequest},
+};
+use hyper_util::rt::TokioIo;
+use metrics::counter;
+use plantain_core::{direct::membership::InstanceId, ids::Timestamp};
+use socket2::{SockRef, TcpKeepalive};
+use std::{
+    cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
+use tokio::{net::TcpStream, task::spawn_local, time::timeout};
+
+type CallSender = SendRequest<Full<Bytes>>;
+
+/// A connection in use by one call.
+pub(crate) struct TargetConnection {
+    sender: CallSender,
+    instance: InstanceId,
+}
+
+struct IdleConnection {
+    sender: CallSender,
+    until: Timestamp,
+}
+
+/// How a send ended.
+pub(crate) enum SendEnd {
+    /// The head of an answer came.
+    Answered(Response<Incoming>, TargetConnection),
+    /// No byte of the request can have reached the target.
+    Unsent(String),
+    /// It was sent, and no answer came.
+    Broken(String),
+}
+
+/// Unused connections by target. They are kept by the target's id and not its address: after a target
+/// has ended, its address may serve another service.
+#[derive(Clone, Default)]
+pub(crate) struct ConnectionPool {
+    idle: Rc<RefCell<HashMap<InstanceId, Vec<IdleConnection>>>>,
+}
+
+impl ConnectionPool {
+    /// Sends a request on a kept connection or a new one.
+    pub(crate) async fn send(
+        &self,
+        instance: &InstanceId,
+        address: SocketAddr,
+        mut request: Request<Full<Bytes>>,
+    ) -> SendEnd {
+        while let Some(mut sender) = self.take(instance) {
+            match sender.try_send_request(request).await {
+                Ok(answer) => return self.answered(answer, sender, instance),
+                // The connection closed before the request was written, and gives it back.
+                Err(mut error) => match error.take_message() {
+                    Some(unsent) => request = unsent,
+                    None => return SendEnd::Broken(error.into_error().to_string()),
+                },
+            }
+        }
+        let mut sender = match connect(address).await {
+            Ok(sender) => sender,
+            Err(error) => return SendEnd::Unsent(format!("{error:#}")),
+        };
+        match sender.try_send_request(request).await {
+            Ok(answer) => self.answered(answer, sender, instance),
+            Err(mut error) => {
+                let is_unsent = error.take_message().is_some();
+                let text = error.into_error().to_string();
+                if is_unsent { SendEnd::Unsent(text) } else { SendEnd::Broken(text) }
+            }
+        }
+    }
+
+    fn answered(
+        &self,
+        answer: Response<Incoming>,
+        sender: CallSender,
+        instance: &InstanceId,
+    ) -> SendEnd {
+        SendEnd::Answered(answer, TargetConnection { sender, instance: Arc::clone(instance) })
+    }
+
+    /// Keeps a connection whose answer was read whole, once it is free; `life` is what the target
+    /// said of how long it keeps it.
+    pub(crate) fn give_back(&self, connection: TargetConnection, life: Option<Duration>) {
+        let life = match life {
+            Some(stated) => stated.mul_f64(constants::LIFE_SHARE),
+            None => constants::UNSTATED_LIFE,
+        };
+        if life.is_zero() || connection.sender.is_closed() {
+            return;
+        }
+        let pool = self.clone();
+        spawn_local(async move {
+            let TargetConnection { mut sender, instance } = connection;
+            if let Ok(Ok(())) = timeout(constants::SETTLE_LIMIT, sender.ready()).await {
+                let until = clock::now() + life;
+                let mut idle = pool.idle.borrow_mut();
+                let kept = idle.entry(instance).or_default();
+                if kept.len() < constants::IDLE_CONNECTIONS {
+                    kept.push(IdleConnection { sender, until });
+                }
+            }
+        });
+    }
+
+    /// Closes connections that were unused for too long.
+    pub(crate) fn expire(&self, now: Timestamp) {
+        self.idle.borrow_mut().retain(|_, kept| {
+            kept.retain(|idle| now < idle.until && !idle.sender.is_closed());
+            !kept.is_empty()
+        });
+    }
+
+    /// Closes all unused connections, as after a suspension: their peers may have gone meanwhile.
+    pub(crate) fn clear(&self) {
+        self.idle.borrow_mut().clear();
+    }
+
+    /// The connection used last is the least likely to be closed by its target now.
+    fn take(&self, instance: &InstanceId) -> Option<CallSender> {
+        let now = clock::now();
+        let mut idle = self.idle.borrow_mut();
+        let kept = idle.get_mut(instance)?;
+        while let Some(connection) = kept.pop() {
+            if now < connection.until && connection.sender.is_ready() {
+                return Some(connection.sender);
+            }
+        }
+        None
+    }
+}
+
+async fn connect(address: SocketAddr) -> Result<CallSender> {
+    counter!("plantain_target_connections_total").increment(1);
+    let stream = timeout(constants::CONNECT_LIMIT, TcpStream::connect(address))
+        .await
+        .wrap_err_with(|| format!("connect to {address}: no answer"))?
+        .wrap_err_with(|| format!("connect to {address}"))?;
+    prepare(&stream).wrap_err_with(|| format!("prepare connection to {address}"))?;
+    let (sender, connection) = http1::Builder::new()
+        .handshake(TokioIo::new(stream))
+        .await
+        .wrap_err_with(|| format!("start HTTP with {address}"))?;
+    spawn_local(async move {
+        // Its error reaches the call that waits for an answer; an unused connection ends unseen.
+        let _ = connection.await;
+    });
+    Ok(sender)
+}
+
+/// Small writes go out at once, and a peer that fell silent is noticed by the kernel.
+pub(crate) fn prepare(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(constants::UNACKED_LIMIT))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(Duration::from_secs(1))
+        .with_interval(Duration::from_secs(1))
+        .with_retries(2);
+    socket.set_tcp_keepalive(&keepalive)
+}
--- /dev/null
+++ b/crates/daemon/src/router/constants.rs
@@ -0,0 +1,67 @@
+//! Limits of the router, with their grounds.
+
+use std::time::Duration;
+
+/// Longest wait for a connection to a target: trips take at most some ms and the handshake 1 ms, so
+/// one that lasts longer lost its opening packet, which is sent again only after a second or more.
+pub(crate) const CONNECT_LIMIT: Duration = Duration::from_millis(350);
+/// Time without acknowledgement after which the kernel gives up a connection to a target. A target
+/// that is cut off would otherwise hold its calls until their deadlines.
+pub(crate) const UNACKED_LIMIT: Duration = Duration::from_millis(1_500);
+/// Unused time after which a connection is not used again where the target does not say how long it
+/// keeps it: a call that may not be repeated must not meet a close on its way.
+pub(crate) const UNSTATED_LIFE: Duration = Duration::from_millis(700);
+/// Part of a stated life for which a connection is used.
+pub(crate) const LIFE_SHARE: f64 = 0.7;
+/// Unused connections kept for one target; more are closed.
+pub(crate) const IDLE_CONNECTIONS: usize = 32;
+/// Longest wait for a connection to be free again after its answer was read whole. It waits where
+/// the target answered before it had read the request's body.
+pub(crate) const SETTLE_LIMIT: Duration = Duration::from_millis(100);
+/// Largest failure that is read whole in order to be handed on; larger ones are not.
+pub(crate) const FAILURE_LIMIT: usize = 256 << 10;
+/// Largest plain answer that is read whole before it is handed on.
+pub(crate) const ANSWER_LIMIT: usize = 16 << 20;
+/// Time before the deadline at which a call that waits for an adapter is given up: less is not enough
+/// to read a prompt and answer.
+pub(crate) const SERVE_TIME: Duration = Duration::from_millis(150);
+/// Pause between looks at a load that a call waits for, beside the loader's reports.
+pub(crate) const LOAD_LOOK: Duration = Duration::from_millis(60);
+/// Time for which a wish ahead of calls is kept.
+pub(crate) const PREFETCH_LIFE: Duration = Duration::from_secs(2);
+/// Calls a second at one router from which an adapter is looked at for copies.
+pub(crate) const PREFETCH_RATE: f64 = 0.8;
+/// Pause between notices to a loader while nothing changes; it forgets a router after 2.5 s.
+pub(crate) const NOTICE_PAUSE: Duration = Duration::from_millis(400);
+/// Shortest pause between notices to one loader that a call's wish does not hurry.
+pub(crate) const NOTICE_GAP: Duration = Duration::from_millis(100);
+/// Pause after which a wish with waiting calls is told again: datagrams are lost at times.
+pub(crate) const WISH_PAUSE: Duration = Duration::from_millis(50);
+/// Largest datagram.
+pub(crate) const DATAGRAM_LIMIT: usize = 16 << 10;
+/// Suggested pause for callers where no target is known or reachable: the list and the rests of
+/// targets change within about a second.
+pub(crate) const RETURN_PAUSE: Duration = Duration::from_millis(400);
+/// Suggested pause for callers where targets were full, or the budget for repeats was spent.
+pub(crate) const BUSY_PAUSE: Duration = Duration::from_millis(150);
+/// Time that a stopping router goes on taking connections: the balancer asks once a second and sends
+/// new ones until the second miss.
+pub(crate) const STOP_LINGER: Duration = Duration::from_millis(2_600);
+/// Time before the kill at which a stopping router ends, whatever is still in flight.
+pub(crate) const STOP_RESERVE: Duration = Duration::from_millis(500);
+/// Pause between looks at whether a caller's connection is unused for too long.
+pub(crate) const IDLE_LOOK: Duration = Duration::from_millis(500);
+/// Gap between two ticks from which the process takes itself to have been suspended.
+pub(crate) const SUSPENSION: Duration = Duration::from_millis(700);
+/// Pause between ticks that look for a suspension and drop what has outlived its time.
+pub(crate) const TICK: Duration = Duration::from_millis(200);
+/// Depth of the ring from the control thread.
+pub(crate) const CONTROL_RING: usize = 256;
+/// Lines a second of the request log; beyond it lines are counted and dropped.
+pub(crate) const LOG_RATE: f64 = 150.0;
+/// Lines that may come at once.
+pub(crate) const LOG_BURST: f64 = 300.0;
+/// Time for which a router that a loader named counts as alive.
+pub(crate) const ROUTER_LIFE: Duration = Duration::from_secs(3);
+/// Time for which a body may take to arrive, from its head.
+pub(crate) const BODY_LIMIT: Duration = Duration::from_secs(5);
--- /dev/null
+++ b/crates/daemon/src/router/context.rs
@@ -0,0 +1,269 @@
+//! What the tasks of a router share. They run on one thread, so plain cells do.
+
+use super::{connections::ConnectionPool, constants, journal::RequestJournal};
+use crate::{clock, options::site::RouterFile};
+use plantain_core::{
+    direct::{
+        budget::RepeatBudget,
+        call::AdapterId,
+        membership::InstanceId,
+        selection::{CallNeed, preferred_targets},
+        targets::TargetPool,
+    },
+    ids::{AdapterVersion, ServiceName, Timestamp},
+};
+use slog::Logger;
+use std::{
+    cell::{Cell, RefCell},
+    collections::{HashMap, HashSet},
+    net::SocketAddr,
+    rc::Rc,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+};
+use tokio::sync::{Notify, watch};
+
+/// Shared state of a router's serving thread.
+pub(crate) struct RouterContext {
+    /// Settings, replaced when their file changes.
+    pub(crate) settings: RefCell<Arc<RouterFile>>,
+    /// Targets, configuration and versions.
+    pub(crate) pool: RefCell<TargetPool>,
+    /// Unused connections to targets.
+    pub(crate) connections: ConnectionPool,
+    /// Wakes calls that wait for an adapter.
+    pub(crate) changed: Notify,
+    /// Loaders to be told of a new wish at once.
+    pub(crate) hurried: RefCell<HashSet<InstanceId>>,
+    /// Wakes the link to loaders.
+    pub(crate) hurry: Notify,
+    /// The request log.
+    pub(crate) journal: RequestJournal,
+    /// All other logs.
+    pub(crate) logger: Logger,
+    /// Whether the balancer may send connections.
+    pub(crate) is_ready: Arc<AtomicBool>,
+    /// Calls in flight.
+    pub(crate) calls: Cell<usize>,
+    /// Turns true when the process is told to stop.
+    pub(crate) stopping: watch::Receiver<bool>,
+    budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
+    routers: RefCell<HashMap<SocketAddr, Timestamp>>,
+}
+
+impl RouterContext {
+    /// Starts with no target and no configuration.
+    pub(crate) fn new(
+        settings: Arc<RouterFile>,
+        logger: Logger,
+        is_ready: Arc<AtomicBool>,
+        stopping: watch::Receiver<bool>,
+    ) -> Rc<Self> {
+        Rc::new(Self {
+            settings: RefCell::new(settings),
+            pool: RefCell::new(TargetPool::new()),
+            connections: ConnectionPool::default(),
+            changed: Notify::new(),
+            hurried: RefCell::default(),
+            hurry: Notify::new(),
+            journal: RequestJournal::new(logger.clone()),
+            logger,
+            is_ready,
+            calls: Cell::new(0),
+            stopping,
+            budgets: RefCell::default(),
+            routers: RefCell::default(),
+        })
+    }
+
+    /// Whether the process was told to stop.
+    pub(crate) fn is_stopping(&self) -> bool {
+        *self.stopping.borrow()
+    }
+
+    /// Sets readiness and says whether it changed.
+    pub(crate) fn set_ready(&self, is_ready: bool) -> bool {
+        self.is_ready.swap(is_ready, Ordering::AcqRel) != is_ready
+    }
+
+    /// Counts a call towards the repeats that its service may get.
+    pub(crate) fn record_call(&self, service: &ServiceName) {
+        self.with_budget(service, |budget| budget.record_call(clock::now()));
+    }
+
+    /// Takes one repeat out of a service's budget.
+    pub(crate) fn try_repeat(&self, service: &ServiceName) -> bool {
+        let routers = self.router_count();
+        self.with_budget(service, |budget| budget.try_repeat(clock::now(), routers))
+    }
+
+    fn with_budget<T>(
+        &self,
+        service: &ServiceName,
+        action: impl FnOnce(&mut RepeatBudget) -> T,
+    ) -> T {
+        let mut budgets = self.budgets.borrow_mut();
+        let allowance = self.settings.borrow().bounds.allowance();
+        let budget =
+            budgets.entry(Arc::clone(service)).or_insert_with(|| RepeatBudget::new(allowance));
+        action(budget)
+    }
+
+    /// Notes routers that a loader named.
+    pub(crate) fn note_routers(&self, routers: &[SocketAddr], now: Timestamp) {
+        let mut known = self.routers.borrow_mut();
+        known.extend(routers.iter().map(|router| (*router, now)));
+        known.retain(|_, seen| now.saturating_sub(*seen) < constants::ROUTER_LIFE);
+    }
+
+    /// Other routers that are alive.
+    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
+        let own = self.settings.borrow().peer_listen;
+        self.routers.borrow().keys().copied().filter(|router| *router != own).collect()
+    }
+
+    /// Routers in all, this one counted.
+    pub(crate) fn router_count(&self) -> usize {
+        self.peers().len() + 1
+    }
+
+    /// Tells a target's loader of its wishes at once.
+    pub(crate) fn hurry(&self, id: &InstanceId) {
+        self.hurried.borrow_mut().insert(Arc::clone(id));
+        self.hurry.notify_one();
+    }
+
+    /// Wishes for copies of the adapters that are wanted often, where they are missing.
+    pub(crate) fn prefetch(&self, now: Timestamp) {
+        let mut pool = self.pool.borrow_mut();
+        pool.drop_old_prefetches(constants::PREFETCH_LIFE, now);
+        let zone = Arc::clone(&self.settings.borrow().zone);
+        let routers = self.router_count();
+        for adapter in pool.wanted(constants::PREFETCH_RATE, now) {
+            let Some(service) = service_of(&pool, &adapter) else { continue };
+            let need =
+                CallNeed { service: &service, model: None, zone: &zone, excluded: &[], routers };
+            for id in preferred_targets(&pool, &need, &adapter, now) {
+                let newest = pool.newest_version(&adapter);
+                if is_missing(&pool, &id, &adapter, newest, now) {
+                    pool.prefetch(&id, &adapter, newest, now);
+                }
+            }
+        }
+    }
+}
+
+/// The service whose engines hold the adapter's base model.
+fn service_of(pool: &TargetPool, adapter: &AdapterId) -> Option<ServiceName> {
+    let mut services = pool.config().services.iter();
+    let found = services.find(|(_, spec)| {
+        let bases = spec.engine.iter().flat_map(|engine| &engine.bases);
+        bases.into_iter().any(|base| base.name == adapter.base)
+    });
+    found.map(|(name, _)| Arc::clone(name))
+}
+
+fn is_missing(
+    pool: &TargetPool,
+    id: &str,
+    adapter: &AdapterId,
+    newest: AdapterVersion,
+    now: Timestamp,
+) -> bool {
+    pool.target(id).is_some_and(|target| {
+        target.holds_base(&adapter.base, now)
+            && !target.is_coming(adapter, now)
+            && target.held_version(adapter, now).is_none_or(|held| held < newest)
+    })
+}
+
+/// A call at a target, counted there for as long as this lives, however it ends.
+pub(crate) struct CallGuard {
+    context: Rc<RouterContext>,
+    instance: InstanceId,
+    adapter: Option<AdapterId>,
+    unread: u32,
+    is_overdue: bool,
+}
+
+impl CallGuard {
+    /// Counts a call whose prompt has `tokens`.
+    pub(crate) fn new(
+        context: &Rc<RouterContext>,
+        instance: &InstanceId,
+        adapter: Option<AdapterId>,
+        tokens: u32,
+    ) -> Self {
+        context.pool.borrow_mut().call_started(instance, adapter.as_ref(), tokens);
+        Self {
+            context: Rc::clone(context),
+            instance: Arc::clone(instance),
+            adapter,
+            unread: tokens,
+            is_overdue: false,
+        }
+    }
+
+    /// The first byte came.
+    pub(crate) fn answered(&mut self) {
+        let unread = std::mem::take(&mut self.unread);
+        self.context.pool.borrow_mut().call_answered(&self.instance, unread);
+        self.set_overdue(false);
+    }
+
+    /// Marks the first byte as overdue.
+    pub(crate) fn set_overdue(&mut self, is_overdue: bool) {
+        if self.is_overdue != is_overdue {
+            self.is_overdue = is_overdue;
+            self.context.pool.borrow_mut().mark_overdue(&self.instance, is_overdue);
+        }
+    }
+}
+
+impl Drop for CallGuard {
+    fn drop(&mut self) {
+        self.set_overdue(false);
+        let mut pool = self.context.pool.borrow_mut();
+        pool.call_ended(&self.instance, self.adapter.as_ref(), self.unread);
+    }
+}
+
+/// A call that waits for an adapter at a target, for as long as this lives.
+pub(crate) struct WaitGuard {
+    context: Rc<RouterContext>,
+    instance: InstanceId,
+    adapter: AdapterId,
+}
+
+impl WaitGuard {
+    /// Wishes for the adapter.
+    pub(crate) fn new(
+        context: &Rc<RouterContext>,
+        instance: &InstanceId,
+        adapter: &AdapterId,
+        version: AdapterVersion,
+        priority: u8,
+    ) -> Self {
+        let now = clock::now();
+        context.pool.borrow_mut().add_waiter(instance, adapter, version, priority, now);
+        context.hurry(instance);
+        Self {
+            context: Rc::clone(context),
+            instance: Arc::clone(instance),
+            adapter: adapter.clone(),
+        }
+    }
+
+    /// Whether it waits for this adapter at this target.
+    pub(crate) fn is_for(&self, instance: &InstanceId, adapter: &AdapterId) -> bool {
+        self.instance == *instance && self.adapter == *adapter
+    }
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.context.pool.borrow_mut().remove_waiter(&self.instance, &self.adapter);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router/control.rs
@@ -0,0 +1,131 @@
+//! The control thread: follows the store, and asks and answers other routers.
+
+use super::{constants, follow, peers};
+use crate::options::site::RouterFile;
+use plantain_core::direct::snapshot::FollowedState;
+use plantain_platform::objects::{FollowedChange, FollowedKind};
+use slog::Logger;
+use std::{
+    cell::{Cell, RefCell},
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+};
+use tokio::{
+    net::TcpListener,
+    sync::{mpsc, watch},
+    task::spawn_local,
+};
+
+/// What the control thread tells the serving thread.
+#[derive(Debug)]
+pub(crate) enum ControlEvent {
+    /// All objects of a kind.
+    Listed(FollowedKind, Vec<FollowedChange>),
+    /// Changes of objects.
+    Changed(Vec<FollowedChange>),
+    /// The store cannot be reached for a kind.
+    Lost(FollowedKind),
+    /// The store answers again for a kind.
+    Regained(FollowedKind),
+}
+
+/// What the duties of the control thread share.
+pub(crate) struct ControlLink {
+    pub(super) logger: Logger,
+    pub(super) state: RefCell<FollowedState>,
+    settings: watch::Receiver<Arc<RouterFile>>,
+    peers: watch::Receiver<Vec<SocketAddr>>,
+    events: mpsc::Sender<ControlEvent>,
+    lost: Cell<u32>,
+}
+
+impl ControlLink {
+    /// Address of the store.
+    pub(super) fn store(&self) -> SocketAddr {
+        self.settings.borrow().store
+    }
+
+    /// Routers that may be asked: those alive as far as is known, and those of the settings.
+    pub(super) fn peers(&self) -> Vec<SocketAddr> {
+        let settings = self.settings.borrow();
+        let mut peers = self.peers.borrow().clone();
+        peers.extend(&settings.peers);
+        peers.sort_unstable();
+        peers.dedup();
+        peers.retain(|peer| *peer != settings.peer_listen);
+        peers
+    }
+
+    /// Whether all kinds are followed without interruption.
+    pub(super) fn is_current(&self) -> bool {
+        self.lost.get() == 0 && self.state.borrow().is_complete()
+    }
+
+    /// Whether any kind is not followed now.
+    pub(super) fn is_lost(&self) -> bool {
+        self.lost.get() > 0 || !self.state.borrow().is_complete()
+    }
+
+    /// Keeps what an event tells, for peers, and hands it to the serving thread.
+    pub(super) async fn send(&self, event: ControlEvent) {
+        self.keep(&event);
+        // The serving thread ends only with the process.
+        let _ = self.events.send(event).await;
+    }
+
+    fn keep(&self, event: &ControlEvent) {
+        let mut state = self.state.borrow_mut();
+        match event {
+            ControlEvent::Listed(FollowedKind::Targets, changes) => {
+                state.take_list(&follow::listed_targets(changes));
+            }
+            ControlEvent::Listed(_, changes) | ControlEvent::Changed(changes) => {
+                for change in changes {
+                    match change {
+                        FollowedChange::Config(config) => state.take_config(config),
+                        FollowedChange::Target(change) => state.take_change(change),
+                        FollowedChange::Release(release) => state.take_release(release),
+                    }
+                }
+            }
+            ControlEvent::Lost(_) => self.lost.set(self.lost.get() + 1),
+            ControlEvent::Regained(_) => self.lost.set(self.lost.get().saturating_sub(1)),
+        }
+    }
+}
+
+/// What the control thread is started with.
+pub(crate) struct ControlStart {
+    /// Settings, which may change.
+    pub(crate) settings: watch::Receiver<Arc<RouterFile>>,
+    /// Other routers that are alive.
+    pub(crate) peers: watch::Receiver<Vec<SocketAddr>>,
+    /// Where events go.
+    pub(crate) events: mpsc::Sender<ControlEvent>,
+    /// Listener for other routers.
+    pub(crate) listener: std::net::TcpListener,
+    /// Logs.
+    pub(crate) logger: Logger,
+}
+
+/// Depth of the ring to the serving thread.
+pub(crate) const RING_DEPTH: usize = constants::CONTROL_RING;
+
+/// Runs the control thread's duties for as long as the process lives.
+pub(crate) async fn run(start: ControlStart) {
+    let link = Rc::new(ControlLink {
+        logger: start.logger,
+        state: RefCell::default(),
+        settings: start.settings,
+        peers: start.peers,
+        events: start.events,
+        lost: Cell::new(0),
+    });
+    for kind in [FollowedKind::Config, FollowedKind::Targets, FollowedKind::Releases] {
+        spawn_local(follow::run(kind, Rc::clone(&link)));
+    }
+    let listener = TcpListener::from_std(start.listener).expect("a bound, non-blocking listener");
+    spawn_local(peers::serve(listener, Rc::clone(&link)));
+    peers::ask(link).await;
+}
--- /dev/null
+++ b/crates/daemon/src/router/journal.rs
@@ -0,0 +1,160 @@
+//! The request log: one line for each call, bounded in volume, never blocking.
+
+use super::constants;
+use crate::clock;
+use metrics::{counter, histogram};
+use plantain_core::{
+    direct::{
+        call::{AdapterId, CallId},
+        config::ConfigNumber,
+        membership::InstanceId,
+    },
+    ids::{AdapterVersion, Timestamp},
+};
+use slog::{Logger, info, warn};
+use std::{
+    cell::{Cell, RefCell},
+    fmt::Write,
+    time::Duration,
+};
+
+/// How a call ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum CallEnd {
+    /// The target's success was handed on whole.
+    Served,
+    /// The target's failure was handed on.
+    TargetFailed,
+    /// It was not run; the caller was told so.
+    NotRun,
+    /// It may have run; the caller was told that nothing is known.
+    Unknown,
+    /// A stream broke off after its first byte.
+    BrokenOff,
+    /// The caller went away.
+    CallerLeft,
+    /// The caller's request was wrong.
+    Rejected,
+}
+
+impl CallEnd {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Served => "served",
+            Self::TargetFailed => "target_failed",
+            Self::NotRun => "not_run",
+            Self::Unknown => "unknown",
+            Self::BrokenOff => "broken_off",
+            Self::CallerLeft => "caller_left",
+            Self::Rejected => "rejected",
+        }
+    }
+}
+
+/// What a line about a call says.
+#[derive(Clone, Debug, Default)]
+pub(crate) struct CallRecord {
+    /// The caller's id for it.
+    pub(crate) id: Option<CallId>,
+    /// The route.
+    pub(crate) route: String,
+    /// Number of the configuration that decided.
+    pub(crate) config: ConfigNumber,
+    /// The adapter and the version that it was sent to.
+    pub(crate) adapter: Option<(AdapterId, Option<AdapterVersion>)>,
+    /// The last target.
+    pub(crate) target: Option<InstanceId>,
+    /// Targets that ran it or may have.
+    pub(crate) runs: u32,
+    /// Sends in all.
+    pub(crate) sends: u32,
+    /// Time spent waiting for an adapter.
+    pub(crate) load_wait: Duration,
+    /// Time to the first byte of the answer.
+    pub(crate) first_byte: Option<Duration>,
+    /// Each step with what decided it, oldest first.
+    pub(crate) trail: String,
+}
+
+impl CallRecord {
+    /// Adds a step to the trail.
+    pub(crate) fn note(&mut self, since: Duration, step: &str) {
+        let gap = if self.trail.is_empty() { "" } else { "; " };
+        let _ = write!(self.trail, "{gap}+{}ms {step}", since.as_millis());
+    }
+}
+
+/// Writes lines about calls.
+pub(crate) struct RequestJournal {
+    logger: Logger,
+    tokens: Cell<f64>,
+    refilled: Cell<Timestamp>,
+    dropped: Cell<u64>,
+    warned: RefCell<Timestamp>,
+}
+
+impl RequestJournal {
+    /// Starts with room for a burst of lines.
+    pub(crate) fn new(logger: Logger) -> Self {
+        Self {
+            logger,
+            tokens: Cell::new(constants::LOG_BURST),
+            refilled: Cell::new(clock::now()),
+            dropped: Cell::new(0),
+            warned: RefCell::new(Duration::ZERO),
+        }
+    }
+
+    /// Writes the line of a call that ended.
+    pub(crate) fn finish(&self, record: &CallRecord, end: CallEnd, status: u16, took: Duration) {
+        counter!("plantain_requests_total", "outcome" => end.name()).increment(1);
+        histogram!("plantain_request_seconds").record(took.as_secs_f64());
+        if let Some(first) = record.first_byte {
+            histogram!("plantain_first_byte_seconds").record(first.as_secs_f64());
+        }
+        if !record.load_wait.is_zero() {
+            histogram!("plantain_load_stall_seconds").record(record.load_wait.as_secs_f64());
+        }
+        if record.sends > 1 {
+            counter!("plantain_retries_total").increment(u64::from(record.sends - 1));
+        }
+        if !self.take_token() {
+            return;
+        }
+        let adapter = record.adapter.as_ref().map(|(id, version)| match version {
+            Some(version) => format!("{}/{}@{version}", id.base, id.name),
+            None => format!("{}/{}", id.base, id.name),
+        });
+        info!(self.logger, "call ended"; "step" => "call",
+            "id" => record.id.as_deref(), "outcome" => end.name(), "status" => status,
+            "route" => &record.route, "config" => record.config, "adapter" => adapter,
+            "target" => record.target.as_deref(), "sends" => record.sends, "runs" => record.runs,
+            "load_wait_ms" => record.load_wait.as_millis() as u64,
+            "first_byte_ms" => record.first_byte.map(|first| first.as_millis() as u64),
+            "took_ms" => took.as_millis() as u64, "trail" => &record.trail);
+    }
+
+    fn take_token(&self) -> bool {
+        let now = clock::now();
+        let passed = now.saturating_sub(self.refilled.replace(now)).as_secs_f64();
+        let tokens = (self.tokens.get() + passed * constants::LOG_RATE).min(constants::LOG_BURST);
+        if tokens < 1.0 {
+            self.tokens.set(tokens);
+            self.dropped.set(self.dropped.get() + 1);
+            counter!("plantain_log_lines_dropped_total").increment(1);
+            return false;
+        }
+        self.tokens.set(tokens - 1.0);
+        self.tell_dropped(now);
+        true
+    }
+
+    fn tell_dropped(&self, now: Timestamp) {
+        let mut warned = self.warned.borrow_mut();
+        if self.dropped.get() > 0 && now.saturating_sub(*warned) > Duration::from_secs(1) {
+            *warned = now;
+            warn!(self.logger, "log lines dropped"; "step" => "log",
+                "lines" => self.dropped.replace(0));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/router/peers.rs
@@ -0,0 +1,136 @@
+//! What routers tell each other while the store is out: the configuration, the list and the versions.
+
+use super::control::{ControlEvent, ControlLink};
+use crate::clock;
+use bytes::Bytes;
+use eyre::{Result, WrapErr, ensure};
+use http_body_util::Full;
+use hyper::{
+    Method, Request, Response, StatusCode, body::Incoming, server::conn::http1, service::service_fn,
+};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use plantain_core::direct::{
+    call::{AdapterId, AdapterRelease},
+    membership::ListChange,
+    snapshot::PeerSnapshot,
+};
+use plantain_net::client::{HttpClient, url};
+use plantain_platform::objects::{FollowedChange, FollowedKind};
+use rand::seq::IndexedRandom;
+use slog::{debug, info};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    task::spawn_local,
+    time::{interval, sleep, timeout},
+};
+
+/// Path at which a router is asked for what it knows.
+const SNAPSHOT_PATH: &str = "/snapshot";
+/// Pause between questions to peers while the store is out: a configuration must be in force within
+/// two seconds.
+const ASK_PAUSE: Duration = Duration::from_millis(400);
+/// Longest wait for a peer.
+const ASK_LIMIT: Duration = Duration::from_millis(400);
+/// Time given to the store at the start before peers are asked.
+const START_PAUSE: Duration = Duration::from_millis(250);
+/// Longest exchange with a peer that asks.
+const SERVE_LIMIT: Duration = Duration::from_secs(2);
+
+/// Asks peers for as long as the process lives, whenever the store is out.
+pub(super) async fn ask(link: Rc<ControlLink>) {
+    let client = HttpClient::new();
+    sleep(START_PAUSE).await;
+    let mut turns = interval(ASK_PAUSE);
+    loop {
+        turns.tick().await;
+        if !link.is_lost() {
+            continue;
+        }
+        let Some(peer) = link.peers().choose(&mut rand::rng()).copied() else { continue };
+        match fetch(&client, peer, &link).await {
+            Ok(snapshot) => take_snapshot(snapshot, peer, &link).await,
+            Err(error) => {
+                debug!(link.logger, "peer not heard"; "step" => "peers", "peer" => %peer,
+                    "error" => %format!("{error:#}"));
+            }
+        }
+    }
+}
+
+async fn fetch(client: &HttpClient, peer: SocketAddr, link: &ControlLink) -> Result<PeerSnapshot> {
+    let number = link.state.borrow().config_number();
+    let uri = url(peer, &format!("{SNAPSHOT_PATH}?config={number}"));
+    let answer = client.call(Method::GET, &uri, Bytes::new(), ASK_LIMIT).await?;
+    ensure!(answer.status.is_success(), "GET {uri}: {}", answer.status);
+    postcard::from_bytes(&answer.body).wrap_err_with(|| format!("decode snapshot of {peer}"))
+}
+
+async fn take_snapshot(snapshot: PeerSnapshot, peer: SocketAddr, link: &ControlLink) {
+    let mut changes = Vec::new();
+    if let Some(record) = snapshot.config {
+        let config = record.into_config();
+        info!(link.logger, "configuration from a peer"; "step" => "peers", "peer" => %peer,
+            "config" => config.number);
+        changes.push(FollowedChange::Config(Arc::new(config)));
+    }
+    changes.extend(snapshot.releases.into_iter().map(|(base, name, version)| {
+        FollowedChange::Release(AdapterRelease { adapter: AdapterId { base, name }, version })
+    }));
+    if !changes.is_empty() {
+        link.send(ControlEvent::Changed(changes)).await;
+    }
+    let Some(entries) = snapshot.targets else { return };
+    // A list that its teller could not follow lately is better than none, and worse than one's own.
+    if snapshot.is_current || !link.state.borrow().is_complete() {
+        let entries =
+            entries.into_iter().map(|entry| FollowedChange::Target(ListChange::Put(entry)));
+        link.send(ControlEvent::Listed(FollowedKind::Targets, entries.collect())).await;
+    }
+}
+
+/// Answers peers for as long as the process lives.
+pub(super) async fn serve(listener: TcpListener, link: Rc<ControlLink>) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                let link = Rc::clone(&link);
+                spawn_local(async move {
+                    let _ = timeout(SERVE_LIMIT, serve_peer(stream, link)).await;
+                });
+            }
+            Err(_) => sleep(Duration::from_millis(50)).await,
+        }
+    }
+}
+
+async fn serve_peer(stream: TcpStream, link: Rc<ControlLink>) {
+    let service = service_fn(move |request: Request<Incoming>| {
+        let link = Rc::clone(&link);
+        async move { Ok::<_, Infallible>(answer(&request, &link)) }
+    });
+    let _ = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .keep_alive(false)
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+fn answer(request: &Request<Incoming>, link: &ControlLink) -> Response<Full<Bytes>> {
+    let began = clock::now();
+    let mut reply = Response::new(Full::default());
+    if request.uri().path() != SNAPSHOT_PATH {
+        *reply.status_mut() = StatusCode::NOT_FOUND;
+        return reply;
+    }
+    let query = request.uri().query().and_then(|query| query.strip_prefix("config="));
+    let number = query.and_then(|number| number.parse().ok()).unwrap_or(0);
+    let snapshot = link.state.borrow().snapshot(number, link.is_current());
+    match postcard::to_allocvec(&snapshot) {
+        Ok(bytes) => *reply.body_mut() = Full::new(bytes.into()),
+        Err(_) => *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
+    }
+    debug!(link.logger, "peer answered"; "step" => "peers", "status" => reply.status().as_u16(),
+        "took_us" => clock::now().saturating_sub(began).as_micros() as u64);
+    reply
+}
--- /dev/null
+++ b/crates/daemon/src/router/relay.rs
@@ -0,0 +1,245 @@
+//! Bodies of successes on their way to callers: plain ones whole, streams event by event.
+
+use super::{
+    constants,
+    exchange::{CallExchange, GivenUp, OpenAnswer, Opened},
+    journal::CallEnd,
+};
+use crate::clock;
+use bytes::{Bytes, BytesMut};
+use http_body_util::{BodyExt, Limited};
+use hyper::{Response, StatusCode, body::Incoming};
+use metrics::counter;
+use plantain_core::direct::{
+    health::CallOutcome,
+    proof::{RunProof, may_send_again},
+};
+use plantain_net::body::{BodyAbort, BodySender, ReplyBody};
+use plantain_platform::calls;
+use std::time::Duration;
+use tokio::{
+    task::spawn_local,
+    time::{sleep, timeout},
+};
+
+/// Mark that ends an event of a stream.
+const EVENT_END: &[u8] = b"\n\n";
+/// Line of an event that carries its number.
+const EVENT_ID: &[u8] = b"id:";
+
+/// How the body of a plain answer was read.
+pub(crate) enum PlainRead {
+    /// Whole.
+    Whole(Response<ReplyBody>),
+    /// It broke off, or its time was over.
+    Broken(GivenUp),
+}
+
+/// Reads a plain answer whole before any of it goes to the caller, so that one that breaks off can
+/// still be replaced by another.
+pub(crate) async fn read_plain(exchange: &mut CallExchange, answer: OpenAnswer) -> PlainRead {
+    let OpenAnswer { head, body, connection, mut guard } = answer;
+    guard.answered();
+    exchange.record.first_byte.get_or_insert(exchange.age());
+    let whole = Limited::new(body, constants::ANSWER_LIMIT).collect();
+    let instance = exchange.record.target.clone().unwrap_or_default();
+    let read = timeout(exchange.time_left(), whole).await;
+    let (outcome, result) = match read {
+        Ok(Ok(whole)) => {
+            let life = calls::connection_life(head.headers());
+            exchange.context.connections.give_back(connection, life);
+            let bytes = whole.to_bytes();
+            (CallOutcome::Answered, PlainRead::Whole(head.map(|()| ReplyBody::new(bytes))))
+        }
+        Ok(Err(error)) => {
+            exchange.note(&format!("{instance} broke off its answer: {error}"));
+            (CallOutcome::Failed, PlainRead::Broken(GivenUp::Unknown))
+        }
+        Err(_) => {
+            exchange.note(&format!("{instance} did not end its answer in time"));
+            (CallOutcome::Silent, PlainRead::Broken(GivenUp::TimedOut))
+        }
+    };
+    exchange.context.pool.borrow_mut().record_outcome(&instance, outcome, clock::now());
+    result
+}
+
+/// Starts handing on a stream; returns the caller's answer.
+pub(crate) fn relay_stream(exchange: CallExchange, answer: OpenAnswer) -> Response<ReplyBody> {
+    let (sender, body) = ReplyBody::channel();
+    let status = answer.head.status();
+    let reply = answer.head.clone().map(|()| body);
+    let splitter = EventSplitter::new(exchange.route.kind.is_repeatable());
+    let relay = StreamRelay { exchange, sender, splitter, status };
+    spawn_local(relay.run(answer));
+    reply
+}
+
+/// Why a target's stream ended.
+enum StreamEnd {
+    Complete,
+    CallerLeft,
+    TimedOut,
+    Broken(String),
+}
+
+struct StreamRelay {
+    exchange: CallExchange,
+    sender: BodySender,
+    splitter: EventSplitter,
+    status: StatusCode,
+}
+
+impl StreamRelay {
+    async fn run(mut self, mut answer: OpenAnswer) {
+        loop {
+            let end = self.pass_events(&mut answer).await;
+            let instance = self.exchange.record.target.clone().unwrap_or_default();
+            let outcome = match &end {
+                StreamEnd::Complete | StreamEnd::CallerLeft => CallOutcome::Answered,
+                StreamEnd::TimedOut => CallOutcome::Silent,
+                StreamEnd::Broken(_) => CallOutcome::Failed,
+            };
+            self.exchange.context.pool.borrow_mut().record_outcome(
+                &instance,
+                outcome,
+                clock::now(),
+            );
+            match end {
+                StreamEnd::Complete => {
+                    let life = calls::connection_life(answer.head.headers());
+                    self.exchange.context.connections.give_back(answer.connection, life);
+                    self.exchange.finish(CallEnd::Served, self.status);
+                    return;
+                }
+                StreamEnd::CallerLeft => {
+                    // Dropping the connection is what tells the target to stop.
+                    self.exchange.finish(CallEnd::CallerLeft, self.status);
+                    return;
+                }
+                StreamEnd::TimedOut => return self.abort("time limit").await,
+                StreamEnd::Broken(reason) => {
+                    self.exchange.note(&format!("{instance} broke off its stream: {reason}"));
+                    drop(answer);
+                    match self.resume().await {
+                        Some(next) => answer = next,
+                        None => return self.abort("target broke off").await,
+                    }
+                }
+            }
+        }
+    }
+
+    /// Hands on a target's events until its stream ends.
+    async fn pass_events(&mut self, answer: &mut OpenAnswer) -> StreamEnd {
+        let deadline = sleep(self.exchange.time_left());
+        tokio::pin!(deadline);
+        loop {
+            let frame = tokio::select! {
+                frame = next_data(&mut answer.body) => frame,
+                () = self.sender.closed() => return StreamEnd::CallerLeft,
+                () = &mut deadline => return StreamEnd::TimedOut,
+            };
+            let data = match frame {
+                Some(Ok(data)) => data,
+                Some(Err(error)) => return StreamEnd::Broken(error.to_string()),
+                None if self.splitter.is_at_boundary() => return StreamEnd::Complete,
+                None => return StreamEnd::Broken("ended inside an event".into()),
+            };
+            answer.guard.answered();
+            self.exchange.record.first_byte.get_or_insert(self.exchange.age());
+            let Some(events) = self.splitter.push(data) else { continue };
+            tokio::select! {
+                sent = self.sender.send(Ok(events)) => {
+                    if sent.is_err() {
+                        return StreamEnd::CallerLeft;
+                    }
+                }
+                () = &mut deadline => return StreamEnd::TimedOut,
+            }
+        }
+    }
+
+    /// Has the run go on at another target after the last whole event, where the route allows it.
+    async fn resume(&mut self) -> Option<OpenAnswer> {
+        let exchange = &mut self.exchange;
+        let (kind, runs) = (exchange.route.kind, exchange.record.runs);
+        if !may_send_again(RunProof::Unknown, kind, runs, exchange.route.max_targets) {
+            return None;
+        }
+        self.splitter.drop_partial();
+        exchange.resume_after = self.splitter.last_id.or(exchange.resume_after);
+        exchange.exclude_last();
+        let opened = tokio::select! {
+            opened = exchange.open() => opened,
+            () = self.sender.closed() => return None,
+        };
+        let Opened::Success(answer) = opened else { return None };
+        counter!("plantain_streams_resumed_total").increment(1);
+        Some(answer)
+    }
+
+    /// Cuts the caller's stream, so that it cannot be taken for a whole one.
+    async fn abort(self, reason: &str) {
+        let cut = self.sender.send(Err(BodyAbort(reason.to_owned())));
+        let _ = timeout(Duration::from_millis(200), cut).await;
+        self.exchange.finish(CallEnd::BrokenOff, self.status);
+    }
+}
+
+async fn next_data(body: &mut Incoming) -> Option<Result<Bytes, hyper::Error>> {
+    loop {
+        match body.frame().await? {
+            Ok(frame) => {
+                if let Ok(data) = frame.into_data() {
+                    return Some(Ok(data));
+                }
+            }
+            Err(error) => return Some(Err(error)),
+        }
+    }
+}
+
+/// Splits a stream into whole events where it may go on elsewhere: half an event followed by another
+/// run's events would be garbage. Other streams pass as they come, and only their end is watched.
+struct EventSplitter {
+    keeps_whole: bool,
+    partial: BytesMut,
+    tail: [u8; 2],
+    last_id: Option<u64>,
+}
+
+impl EventSplitter {
+    fn new(keeps_whole: bool) -> Self {
+        Self { keeps_whole, partial: BytesMut::new(), tail: *b"\n\n", last_id: None }
+    }
+
+    fn push(&mut self, data: Bytes) -> Option<Bytes> {
+        for &byte in data.iter().rev().take(2).rev() {
+            self.tail = [self.tail[1], byte];
+        }
+        if !self.keeps_whole {
+            return Some(data);
+        }
+        self.partial.extend_from_slice(&data);
+        let end = self.partial.windows(2).rposition(|pair| pair == EVENT_END)? + 2;
+        let events = self.partial.split_to(end).freeze();
+        self.last_id = last_event_id(&events).or(self.last_id);
+        Some(events)
+    }
+
+    fn is_at_boundary(&self) -> bool {
+        self.tail == EVENT_END
+    }
+
+    fn drop_partial(&mut self) {
+        self.partial.clear();
+        self.tail = *b"\n\n";
+    }
+}
+
+fn last_event_id(events: &[u8]) -> Option<u64> {
+    let lines = events.split(|&byte| byte == b'\n');
+    let ids = lines.filter_map(|line| line.strip_prefix(EVENT_ID));
+    ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok()).last()
+}
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -2,14 +2,24 @@
 
 pub mod names;
 
+use crate::duty;
 use eyre::{Result, WrapErr};
 use hyper::{Method, Request, StatusCode, body::Incoming};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 use plantain_net::server::{
-    HttpHandler, HttpReply, ServerOptions, json_reply, serve, text_reply, typed_reply,
+    self, HttpHandler, HttpReply, ServerOptions, json_reply, serve, text_reply, typed_reply,
+};
+use serde_json::{Value, json};
+use slog::{Logger, warn};
+use std::{
+    future::Future,
+    net::SocketAddr,
+    sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    time::Duration,
 };
-use serde_json::Value;
-use std::{future::Future, net::SocketAddr, time::Duration};
 use tokio::{net::TcpListener, sync::watch, time::interval};
 
 /// Connections that the admin server holds.
@@ -42,6 +52,41 @@
         .wrap_err("install metrics recorder")
 }
 
+/// Status of a role whose settings stand in a file: its readiness alone.
+#[derive(Clone)]
+struct SiteStatus(Arc<AtomicBool>);
+
+impl StatusSource for SiteStatus {
+    fn is_ready(&self) -> bool {
+        self.0.load(Ordering::Acquire)
+    }
+
+    async fn status(&self) -> Value {
+        json!({ "ready": self.is_ready() })
+    }
+}
+
+/// Starts the thread that serves a router's or loader's admin pages until the process ends.
+pub async fn start_site(
+    address: SocketAddr,
+    metrics: PrometheusHandle,
+    is_ready: Arc<AtomicBool>,
+    logger: &Logger,
+) -> Result<()> {
+    let listener = server::bind(address, "metrics address").await?;
+    let listener = listener.into_std().wrap_err("hand over metrics address")?;
+    let logger = logger.clone();
+    duty::start("telemetry", move || async move {
+        // Nothing stops this duty before the process ends.
+        let (_keep, stopping) = watch::channel(false);
+        match TcpListener::from_std(listener) {
+            Ok(listener) => run(listener, metrics, SiteStatus(is_ready), stopping).await,
+            Err(error) => warn!(logger, "no metrics"; "step" => "telemetry", "error" => %error),
+        }
+    })?;
+    Ok(())
+}
+
 #[derive(Clone)]
 struct AdminHandler<S> {
     metrics: PrometheusHandle,
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -17,6 +17,10 @@
 /// Time that an unused connection is kept. Servers close idle ones too, many engines after 5 s, and a
 /// request sent on a connection in that moment fails with its outcome unknown; so ours goes first.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Pause between the kernel's probes of a connection on which a long answer is awaited.
+const PROBE_PAUSE: Duration = Duration::from_secs(1);
+/// Probes without an answer after which the kernel gives a connection up.
+const PROBE_COUNT: u32 = 2;
 /// Largest answer that is read whole.
 const ANSWER_LIMIT: usize = 64 << 20;
 
@@ -58,7 +62,20 @@
 impl HttpClient {
     /// A client with an empty pool. Must be used on one Tokio runtime only.
     pub fn new() -> Self {
+        Self::with_connector(HttpConnector::new())
+    }
+
+    /// A client for long waits: the kernel probes its connections, so that one that fell silent is
+    /// noticed within seconds although no byte is due on it.
+    pub fn with_probes() -> Self {
         let mut connector = HttpConnector::new();
+        connector.set_keepalive(Some(PROBE_PAUSE));
+        connector.set_keepalive_interval(Some(PROBE_PAUSE));
+        connector.set_keepalive_retries(Some(PROBE_COUNT));
+        Self::with_connector(connector)
+    }
+
+    fn with_connector(mut connector: HttpConnector) -> Self {
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
