--- /dev/null
+++ b/crates/core/tests/core/direct.rs
@@ -0,0 +1,10 @@
+//! The decisions for targets that routers call directly.
+
+mod budget;
+mod config;
+mod health;
+mod loader;
+mod membership;
+mod proof;
+mod selection;
+mod support;
--- /dev/null
+++ b/crates/core/tests/core/direct/loader.rs
@@ -0,0 +1,284 @@
+//! The loader's orders, against an engine that loses answers and carries orders out late.
+
+use super::support::{BASE, adapter, holding, ms};
+use plantain_core::direct::{
+    call::AdapterId,
+    loader::{EngineOrder, EngineReport, LoaderMachine, LoaderStep, OrderAnswer, OrderVerb},
+    messages::{AdapterUse, AdapterWish, BaseOffer, RouterNotice},
+};
+use quickcheck::QuickCheck;
+use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+
+const PLACES: u16 = 4;
+
+fn router(index: u16) -> SocketAddr {
+    ([127, 0, 0, 1], 9_000 + index).into()
+}
+
+fn wish(name: &str, waiting: u16) -> AdapterWish {
+    AdapterWish { base: BASE.into(), adapter: name.into(), version: 1, waiting, priority: 0 }
+}
+
+fn running(name: &str, count: u16) -> AdapterUse {
+    AdapterUse { base: BASE.into(), adapter: name.into(), running: count, started: count }
+}
+
+fn notice(sequence: u32, wishes: Vec<AdapterWish>, uses: Vec<AdapterUse>) -> RouterNotice {
+    RouterNotice {
+        boot: 1,
+        sequence,
+        instance: "e1".into(),
+        adapter_places: PLACES,
+        memory_mb: 80_000.0,
+        bases: vec![BaseOffer { base: BASE.into(), weights_mb: 70_000.0, adapter_mb: 60.0 }],
+        wishes,
+        uses,
+        peer_address: None,
+    }
+}
+
+fn report(order_count: u64, adapters: &[(&str, u32)]) -> EngineReport {
+    EngineReport { holdings: vec![holding(adapters)], order_count, ..EngineReport::default() }
+}
+
+/// A machine that knows its engine and what it holds.
+fn machine(order_count: u64, adapters: &[(&str, u32)]) -> LoaderMachine {
+    let mut machine = LoaderMachine::new(1);
+    machine.take_report(report(order_count, adapters), ms(0));
+    machine.take_instance("e1".into());
+    machine.take_report(report(order_count, adapters), ms(0));
+    machine
+}
+
+fn order_of(step: &LoaderStep) -> Option<&EngineOrder> {
+    match step {
+        LoaderStep::Order(order) => Some(order),
+        _ => None,
+    }
+}
+
+struct OrderCase {
+    name: &'static str,
+    held: &'static [(&'static str, u32)],
+    notice: RouterNotice,
+    at: u64,
+    verb: Option<OrderVerb>,
+}
+
+#[test]
+fn wishes_become_orders() {
+    let full = &[("a", 1), ("b", 1), ("c", 1), ("d", 1)];
+    let cases = [
+        OrderCase {
+            name: "nothing wished",
+            held: &[("a", 1)],
+            notice: notice(1, vec![], vec![]),
+            at: 1,
+            verb: None,
+        },
+        OrderCase {
+            name: "a free place",
+            held: &[("a", 1)],
+            notice: notice(1, vec![wish("z", 1)], vec![]),
+            at: 1,
+            verb: Some(OrderVerb::LoadAdapter(adapter("z"), 1)),
+        },
+        OrderCase {
+            name: "held already",
+            held: &[("z", 1)],
+            notice: notice(1, vec![wish("z", 1)], vec![]),
+            at: 1,
+            verb: None,
+        },
+        OrderCase {
+            name: "a newer version replaces the old in its place",
+            held: full,
+            notice: notice(1, vec![AdapterWish { version: 2, ..wish("b", 1) }], vec![]),
+            at: 1,
+            verb: Some(OrderVerb::LoadAdapter(adapter("b"), 2)),
+        },
+        OrderCase {
+            name: "full: the one not in use goes",
+            held: full,
+            notice: notice(
+                1,
+                vec![wish("z", 1)],
+                vec![running("a", 1), running("b", 1), running("d", 2)],
+            ),
+            at: 1,
+            verb: Some(OrderVerb::UnloadAdapter(adapter("c"))),
+        },
+        OrderCase {
+            name: "all in use: the wish waits",
+            held: full,
+            notice: notice(
+                1,
+                vec![wish("z", 1)],
+                vec![running("a", 1), running("b", 3), running("c", 1), running("d", 2)],
+            ),
+            at: 1,
+            verb: None,
+        },
+        OrderCase {
+            name: "a call before a wish ahead of calls",
+            held: &[],
+            notice: notice(1, vec![wish("y", 0), wish("z", 1)], vec![]),
+            at: 1,
+            verb: Some(OrderVerb::LoadAdapter(adapter("z"), 1)),
+        },
+    ];
+    for case in cases {
+        let mut machine = machine(7, case.held);
+        machine.take_notice(router(1), case.notice, ms(0));
+        let step = machine.next_step(ms(case.at));
+        let order = order_of(&step);
+        assert_eq!(order.map(|order| order.verb.clone()), case.verb, "{}", case.name);
+        assert!(order.is_none_or(|order| order.order_count == 7), "{}", case.name);
+    }
+}
+
+/// Every adapter of an engine is in use by somebody without pause, and a call for another waits: it
+/// would wait to its deadline. After a while the least used one gives way.
+#[test]
+fn a_call_that_waits_long_gets_a_place() {
+    let mut machine = machine(7, &[("a", 1), ("b", 1), ("c", 1), ("d", 1)]);
+    let uses = || vec![running("a", 2), running("b", 1), running("c", 3), running("d", 2)];
+    machine.take_notice(router(1), notice(1, vec![wish("z", 1)], uses()), ms(0));
+    machine.take_report(report(7, &[("a", 1), ("b", 1), ("c", 1), ("d", 1)]), ms(400));
+    machine.take_notice(router(1), notice(2, vec![wish("z", 1)], uses()), ms(450));
+    let step = machine.next_step(ms(450));
+    let verb = order_of(&step).map(|order| order.verb.clone());
+    assert_eq!(verb, Some(OrderVerb::UnloadAdapter(adapter("b"))));
+}
+
+/// An engine restarted empty at the same address. Orders meant for its earlier life would act on
+/// something else, so it is asked for its id first; then its base model is loaded.
+#[test]
+fn a_restarted_engine_is_identified_and_gets_its_base_model() {
+    let mut machine = machine(7, &[("a", 1)]);
+    machine.take_notice(router(1), notice(1, vec![wish("z", 1)], vec![]), ms(0));
+    machine.take_report(EngineReport::default(), ms(10));
+    assert_eq!(machine.next_step(ms(11)), LoaderStep::Identify);
+    machine.take_instance("e2".into());
+    assert_eq!(machine.next_step(ms(12)), LoaderStep::Poll);
+    machine.take_report(EngineReport::default(), ms(13));
+    let step = machine.next_step(ms(14));
+    let order = order_of(&step).expect("an order");
+    assert_eq!(order.verb, OrderVerb::LoadBase(BASE.into()));
+    assert_eq!((&*order.instance, order.order_count), ("e2", 0));
+}
+
+/// An engine that does not answer gets no orders, and its loader says so to routers.
+#[test]
+fn a_dark_engine_gets_no_orders() {
+    let mut machine = machine(7, &[("a", 1)]);
+    machine.take_notice(router(1), notice(1, vec![wish("z", 1)], vec![]), ms(0));
+    machine.note_silence(ms(5));
+    assert!(matches!(machine.next_step(ms(6)), LoaderStep::Wait(_)));
+    assert!(!machine.make_report().expect("a report").is_answering);
+}
+
+/// An engine as the loader meets it: it accepts an order only on its order count, loses answers, and
+/// carries some orders out later.
+struct FakeEngine {
+    order_count: u64,
+    held: BTreeMap<AdapterId, u32>,
+    coming: Vec<(AdapterId, u32)>,
+    late: Vec<EngineOrder>,
+    overfilled: bool,
+}
+
+impl FakeEngine {
+    fn occupied(&self) -> usize {
+        let new = self.coming.iter().filter(|(id, _)| !self.held.contains_key(id)).count();
+        self.held.len() + new
+    }
+
+    fn carry_out(&mut self, order: &EngineOrder) -> OrderAnswer {
+        if order.order_count != self.order_count {
+            return OrderAnswer::Conflict;
+        }
+        self.order_count += 1;
+        match &order.verb {
+            OrderVerb::LoadBase(_) => {}
+            OrderVerb::LoadAdapter(id, version) => {
+                self.coming.push((id.clone(), *version));
+                self.overfilled |= self.occupied() > usize::from(PLACES);
+            }
+            OrderVerb::UnloadAdapter(id) => {
+                self.held.remove(id);
+                return OrderAnswer::Done;
+            }
+        }
+        OrderAnswer::Accepted
+    }
+
+    fn report(&self) -> EngineReport {
+        let adapters = self.held.iter().map(|(id, version)| (id.name.clone(), *version));
+        let mut holding = holding(&[]);
+        holding.adapters = adapters.collect();
+        EngineReport {
+            holdings: vec![holding],
+            coming: self.coming.clone(),
+            order_count: self.order_count,
+            ..EngineReport::default()
+        }
+    }
+}
+
+/// An engine that is ordered to hold more than it has room for crashes, and with it every stream on
+/// it. However answers are lost and orders carried out late, that never happens.
+#[test]
+fn an_engine_is_never_ordered_to_hold_too_much() {
+    fn property(events: Vec<(u8, u8)>) -> bool {
+        let mut machine = machine(0, &[]);
+        let mut engine = FakeEngine {
+            order_count: 0,
+            held: BTreeMap::new(),
+            coming: Vec::new(),
+            late: Vec::new(),
+            overfilled: false,
+        };
+        let mut now = ms(1);
+        for (sequence, (kind, detail)) in events.into_iter().enumerate() {
+            now += Duration::from_millis(u64::from(detail % 40));
+            let name = format!("a{}", detail % 9);
+            if kind % 5 == 0 {
+                let wishes = vec![wish(&name, u16::from(kind % 2))];
+                machine.take_notice(router(1), notice(sequence as u32 + 1, wishes, vec![]), now);
+            }
+            if kind % 7 == 0 && !engine.late.is_empty() {
+                let order = engine.late.remove(0);
+                engine.carry_out(&order);
+            }
+            if kind % 3 == 0 && !engine.coming.is_empty() {
+                let (id, version) = engine.coming.remove(0);
+                engine.held.insert(id, version);
+            }
+            match machine.next_step(now) {
+                LoaderStep::Identify => machine.take_instance("e1".into()),
+                LoaderStep::Poll => machine.take_report(engine.report(), now),
+                LoaderStep::Wait(_) => {}
+                LoaderStep::Order(order) => {
+                    let answer = match kind % 4 {
+                        0 => {
+                            engine.late.push(order.clone());
+                            OrderAnswer::Silent
+                        }
+                        1 => {
+                            engine.carry_out(&order);
+                            OrderAnswer::Silent
+                        }
+                        _ => engine.carry_out(&order),
+                    };
+                    machine.take_answer(&order, answer, now);
+                }
+            }
+            if engine.overfilled {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new().tests(1_000).quickcheck(property as fn(Vec<(u8, u8)>) -> bool);
+}
--- /dev/null
+++ b/crates/core/tests/core/direct/selection.rs
@@ -0,0 +1,209 @@
+//! Choice of a target.
+
+use super::support::{BASE, DESK, ENGINES, adapter, config, model_call, ms, pool, report, target};
+use plantain_core::direct::{
+    call::{AdapterRelease, ModelCall},
+    health::CallOutcome,
+    membership::{InstanceId, ListChange, TargetEntry},
+    messages::LoaderReport,
+    selection::{CallNeed, TargetChoice, choose_target, preferred_targets},
+    targets::TargetPool,
+};
+use std::sync::Arc;
+
+fn choose(pool: &TargetPool, service: &str, model: Option<&ModelCall>, at: u64) -> TargetChoice {
+    choose_without(pool, service, model, at, &[])
+}
+
+fn choose_without(
+    pool: &TargetPool,
+    service: &str,
+    model: Option<&ModelCall>,
+    at: u64,
+    excluded: &[InstanceId],
+) -> TargetChoice {
+    let (service, zone) = (service.into(), "a".into());
+    let need = CallNeed { service: &service, model, zone: &zone, excluded, routers: 2 };
+    choose_target(pool, &need, ms(at), || 0.5)
+}
+
+fn sent_to(choice: &TargetChoice) -> Option<&str> {
+    match choice {
+        TargetChoice::Send(id, _) => Some(id),
+        _ => None,
+    }
+}
+
+#[test]
+fn a_plain_call_stays_in_its_zone_until_that_costs_time() {
+    let mut pool = pool();
+    assert_eq!(sent_to(&choose(&pool, DESK, None, 0)), Some("d1"));
+    pool.call_started("d1", None, 0);
+    assert_eq!(sent_to(&choose(&pool, DESK, None, 0)), Some("d2"));
+    pool.call_ended("d1", None, 0);
+    assert_eq!(sent_to(&choose(&pool, DESK, None, 0)), Some("d1"));
+}
+
+/// A target refuses or fails part of its calls while its health check is good. Callers see failures
+/// until its share of calls goes elsewhere, and it must get some again once it is well.
+#[test]
+fn a_failing_target_is_avoided_and_comes_back() {
+    let mut pool = pool();
+    for at in 0..6 {
+        pool.record_outcome("d1", CallOutcome::Failed, ms(at * 50));
+    }
+    assert_eq!(sent_to(&choose(&pool, DESK, None, 300)), Some("d2"));
+    assert_eq!(sent_to(&choose(&pool, DESK, None, 20_000)), Some("d1"));
+}
+
+#[test]
+fn a_resident_adapter_is_used_wherever_it_is() {
+    let mut pool = pool();
+    for (id, adapters) in [("e1", &[][..]), ("e2", &[]), ("e3", &[("h7", 1)])] {
+        pool.take_report(report(id, 1, adapters), ms(0));
+    }
+    let call = model_call(Some("h7"));
+    let choice = choose(&pool, ENGINES, Some(&call), 10);
+    assert_eq!(choice, TargetChoice::Send("e3".into(), Some(1)));
+}
+
+/// Two routers get calls for the same adapter that no engine holds. They must ask for it at the same
+/// engine without a word between them, or it is loaded twice.
+#[test]
+fn a_missing_adapter_is_loaded_at_its_preferred_target() {
+    let mut pool = pool();
+    for id in ["e1", "e2", "e3"] {
+        pool.take_report(report(id, 1, &[]), ms(0));
+    }
+    let call = model_call(Some("h7"));
+    let (service, zone) = (ENGINES.into(), "b".into());
+    let need =
+        CallNeed { service: &service, model: Some(&call), zone: &zone, excluded: &[], routers: 2 };
+    let preferred = preferred_targets(&pool, &need, &adapter("h7"), ms(10));
+    let choice = choose(&pool, ENGINES, Some(&call), 10);
+    assert_eq!(choice, TargetChoice::Load(preferred[0].clone(), adapter("h7"), 1));
+}
+
+/// The loader beside the preferred engine is gone, so nobody would carry out a load there: the call
+/// would wait to its deadline.
+#[test]
+fn an_engine_with_a_silent_loader_is_not_asked_to_load() {
+    let mut pool = pool();
+    let call = model_call(Some("h7"));
+    let loads_at = |pool: &TargetPool, at| match choose(pool, ENGINES, Some(&call), at) {
+        TargetChoice::Load(id, _, _) => id,
+        other => panic!("{other:?}"),
+    };
+    for id in ["e1", "e2", "e3"] {
+        pool.take_report(report(id, 1, &[]), ms(0));
+    }
+    let first = loads_at(&pool, 10);
+    for id in ["e1", "e2", "e3"].into_iter().filter(|id| *id != &*first) {
+        pool.take_report(report(id, 2, &[]), ms(3_000));
+    }
+    assert_ne!(loads_at(&pool, 3_010), first);
+}
+
+struct UnusableCase {
+    name: &'static str,
+    spoil: fn(&mut TargetPool),
+}
+
+#[test]
+fn unusable_targets_get_nothing() {
+    let cases = [
+        UnusableCase {
+            name: "leaving by the list",
+            spoil: |pool| {
+                let entry = TargetEntry { is_leaving: true, ..target("d1", DESK, "a", 4) };
+                pool.apply_changes(&[ListChange::Put(Arc::new(entry))], ms(0));
+            },
+        },
+        UnusableCase {
+            name: "gone from the list",
+            spoil: |pool| pool.apply_changes(&[ListChange::Removed("d1".into())], ms(0)),
+        },
+        UnusableCase {
+            name: "leaving by its loader",
+            spoil: |pool| {
+                let leaving = LoaderReport { is_leaving: true, ..report("d1", 1, &[]) };
+                pool.take_report(leaving, ms(0));
+            },
+        },
+        UnusableCase {
+            name: "dark by its loader",
+            spoil: |pool| {
+                let dark = LoaderReport { is_answering: false, ..report("d1", 1, &[]) };
+                pool.take_report(dark, ms(0));
+            },
+        },
+    ];
+    for case in cases {
+        let mut pool = pool();
+        (case.spoil)(&mut pool);
+        assert_eq!(sent_to(&choose(&pool, DESK, None, 10)), Some("d2"), "{}", case.name);
+        let alone = choose_without(&pool, DESK, None, 10, &["d2".into()]);
+        assert_eq!(alone, TargetChoice::Nowhere, "{}", case.name);
+    }
+}
+
+/// A new version was announced; engines still hold the old one. A call must run on the new version,
+/// so it waits for it rather than run on the old.
+#[test]
+fn an_old_version_is_replaced_before_it_is_used() {
+    let mut pool = pool();
+    for id in ["e1", "e2", "e3"] {
+        pool.take_report(report(id, 1, &[("h7", 1)]), ms(0));
+    }
+    pool.take_release(AdapterRelease { adapter: adapter("h7"), version: 2 });
+    let call = model_call(Some("h7"));
+    assert!(matches!(choose(&pool, ENGINES, Some(&call), 10), TargetChoice::Load(_, _, 2)));
+    pool.take_report(report("e2", 2, &[("h7", 2)]), ms(20));
+    let choice = choose(&pool, ENGINES, Some(&call), 30);
+    assert_eq!(choice, TargetChoice::Send("e2".into(), Some(2)));
+    pool.take_release(AdapterRelease { adapter: adapter("h7"), version: 1 });
+    assert_eq!(pool.newest_version(&adapter("h7")), 2, "versions never fall");
+}
+
+/// A router restarted an hour of changes ago reads an old configuration from a peer that lags.
+#[test]
+fn configurations_never_go_back() {
+    let mut pool = pool();
+    assert!(pool.take_config(Arc::new(config(9, Vec::new()))));
+    assert!(!pool.take_config(Arc::new(config(4, Vec::new()))));
+    assert!(!pool.take_config(Arc::new(config(9, Vec::new()))));
+    assert_eq!(pool.config().number, 9);
+}
+
+#[test]
+fn demand_makes_copies() {
+    let mut pool = pool();
+    let (service, zone) = (ENGINES.into(), "a".into());
+    let call = model_call(Some("h7"));
+    let need =
+        CallNeed { service: &service, model: Some(&call), zone: &zone, excluded: &[], routers: 2 };
+    assert_eq!(preferred_targets(&pool, &need, &adapter("h7"), ms(0)).len(), 1);
+    for call in 0..400 {
+        pool.record_demand(&adapter("h7"), ms(call * 10));
+    }
+    assert_eq!(preferred_targets(&pool, &need, &adapter("h7"), ms(4_000)).len(), 3);
+    assert_eq!(preferred_targets(&pool, &need, &adapter("h8"), ms(4_000)).len(), 1);
+}
+
+/// Reports are datagrams and may come doubled or out of order: an old one would bring back adapters
+/// that were evicted since.
+#[test]
+fn an_older_report_is_dropped() {
+    let mut pool = pool();
+    assert!(pool.take_report(report("e1", 5, &[("h7", 1)]), ms(0)));
+    assert!(!pool.take_report(report("e1", 4, &[]), ms(10)));
+    assert!(!pool.take_report(report("e1", 5, &[]), ms(10)));
+    let held = pool.target("e1").and_then(|target| target.held_version(&adapter("h7"), ms(20)));
+    assert_eq!(held, Some(1));
+    let restarted = LoaderReport { boot: 2, ..report("e1", 1, &[]) };
+    assert!(pool.take_report(restarted, ms(30)), "a restarted loader counts from one");
+    assert_eq!(
+        pool.config().services[ENGINES].engine.as_ref().map(|e| &*e.bases[0].name),
+        Some(BASE)
+    );
+}
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -3,6 +3,7 @@
 mod agent;
 mod burn;
 mod config;
+mod direct;
 mod entry;
 mod events;
 mod permits;
