Demand is counted, so that adapters wanted often get copies

Cause: nothing recorded demand, so each adapter had one preferred target and further copies came only from strays.

--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -216,7 +216,7 @@
         }
         Err(_) => return reject(context, &head, &config, CallRejection::BodySlow, started),
     };
-    context.record_call(&service);
+    context.record_call(&service, head.model.as_ref());
     let request = (parts.method, parts.headers, body);
     let exchange = CallExchange::new(context, head, request, route, service, started);
     run_call(exchange).await
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -5,9 +5,9 @@
 use plantain_core::{
     direct::{
         budget::RepeatBudget,
-        call::AdapterId,
+        call::{AdapterId, ModelCall},
         membership::InstanceId,
-        selection::{CallNeed, preferred_targets},
+        selection::{CallNeed, adapter_of, preferred_targets},
         targets::TargetPool,
     },
     ids::{AdapterVersion, ServiceName, Timestamp},
@@ -88,9 +88,13 @@
         self.is_ready.swap(is_ready, Ordering::AcqRel) != is_ready
     }
 
-    /// Counts a call towards the repeats that its service may get.
-    pub(crate) fn record_call(&self, service: &ServiceName) {
-        self.with_budget(service, |budget| budget.record_call(clock::now()));
+    /// Counts a call towards the repeats that its service may get, and its adapter's demand.
+    pub(crate) fn record_call(&self, service: &ServiceName, model: Option<&ModelCall>) {
+        let now = clock::now();
+        self.with_budget(service, |budget| budget.record_call(now));
+        if let Some(adapter) = model.and_then(adapter_of) {
+            self.pool.borrow_mut().record_demand(&adapter, now);
+        }
     }
 
     /// Takes one repeat out of a service's budget.
