Reports go to routers whose calls wait; a load counts as a use; one wake-up a report

Cause: on the grown site a router spent about half of its processor time on what grows with the fleet: 41 loaders told each of 22 routers of each change ten times a second, and each report woke every waiting call of the router. An adapter just loaded counted as never used and was evicted before its first call was heard of. Change: a report goes out at once only where the adapter that calls wait for is there, else every 0.4 s at most; calls wait per target; no keep-alive probes on target connections; a load counts as a use; demand fades in 1 s instead of 2.

--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -292,19 +292,28 @@
         })
     }
 
-    /// Routers that sent a notice lately, and whether calls of theirs wait for an adapter.
+    /// Routers that sent a notice lately, and whether an adapter that calls of theirs wait for is there.
     pub fn routers(&self) -> impl Iterator<Item = (SocketAddr, bool)> {
         self.notices.iter().map(|(router, state)| {
-            (*router, state.notice.wishes.iter().any(|wish| wish.waiting > 0))
+            let mut waiting = state.notice.wishes.iter().filter(|wish| wish.waiting > 0);
+            (*router, waiting.any(|wish| self.is_met(wish)))
         })
     }
 
-    fn apply(&mut self, order: &EngineOrder, answer: OrderAnswer, _now: Timestamp) {
+    fn is_met(&self, wish: &AdapterWish) -> bool {
+        let version = self.report.as_ref().and_then(|report| held(report, &wish_adapter(wish)));
+        version.is_some_and(|version| version >= wish.version)
+    }
+
+    fn apply(&mut self, order: &EngineOrder, answer: OrderAnswer, now: Timestamp) {
         let Some(report) = &mut self.report else { return };
         report.order_count = order.order_count + 1;
         match &order.verb {
             OrderVerb::LoadBase(_) => report.is_busy = answer == OrderAnswer::Accepted,
             OrderVerb::LoadAdapter(adapter, version) => {
+                // Routers tell of uses only now and then. Without this a new adapter would count as
+                // never used, and be the first to go before its first call was heard of.
+                self.last_use.insert(adapter.clone(), now);
                 if answer == OrderAnswer::Accepted {
                     report.coming.push((adapter.clone(), *version));
                 } else if let Some(holding) = holding_of(&mut report.holdings, &adapter.base) {
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -45,7 +45,7 @@
 /// Range of the random part that spreads near ties over the targets.
 const TIE_MS: f64 = 4.0;
 /// Calls a second that one copy of an adapter carries before another is wanted.
-const CALLS_PER_COPY: f64 = 7.0;
+const CALLS_PER_COPY: f64 = 10.0;
 
 /// What a choice is made for.
 #[derive(Clone, Debug)]
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -18,10 +18,11 @@
 };
 
 /// Age after which a loader's report no longer says what its engine holds. Reports come at least
-/// every half second, so this is three lost ones in a row.
-pub const REPORT_LIFE: Duration = Duration::from_millis(1_600);
-/// Half-life of the demand for an adapter: some seconds of calls decide how many copies it gets.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(2);
+/// every 0.8 s, so this is three lost ones in a row.
+pub const REPORT_LIFE: Duration = Duration::from_millis(2_500);
+/// Half-life of the demand for an adapter: the calls of about a second decide how many copies it gets.
+/// Popularity moves within seconds, and until copies follow, one engine gets all calls for an adapter.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(1);
 /// Adapters whose demand is remembered; beyond it the least wanted are forgotten. Bounds memory at
 /// about 100 bytes each.
 const DEMAND_LIMIT: usize = 4_096;
--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -151,6 +151,24 @@
     assert_eq!(verb, Some(OrderVerb::UnloadAdapter(adapter("b"))));
 }
 
+/// A call waits for an adapter at a full engine. It is loaded, but the router's word of its first use
+/// is half a second away, and the next wish would evict it again: two adapters would push each other
+/// out in turn while the caller waits.
+#[test]
+fn a_new_adapter_is_not_the_first_to_go() {
+    let mut machine = machine(7, &[("a", 1), ("b", 1), ("c", 1)]);
+    let uses = vec![running("a", 0), running("b", 0), running("c", 0)];
+    machine.take_notice(router(1), notice(1, vec![wish("z", 1)], uses), ms(10));
+    let step = machine.next_step(ms(11));
+    let order = order_of(&step).expect("a load").clone();
+    machine.take_answer(&order, OrderAnswer::Accepted, ms(12));
+    machine.take_report(report(8, &[("a", 1), ("b", 1), ("c", 1), ("z", 1)]), ms(40));
+    machine.take_notice(router(1), notice(2, vec![wish("y", 1)], vec![]), ms(41));
+    let step = machine.next_step(ms(42));
+    let verb = order_of(&step).map(|order| order.verb.clone());
+    assert_eq!(verb, Some(OrderVerb::UnloadAdapter(adapter("a"))));
+}
+
 /// An engine restarted empty at the same address. Orders meant for its earlier life would act on
 /// something else, so it is asked for its id first; then its base model is loaded.
 #[test]
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -34,10 +34,17 @@
 
 /// Largest datagram.
 const DATAGRAM_LIMIT: usize = 16 << 10;
-/// Pause between reports to a router while nothing changes; routers trust one for 1.6 s.
-const REPORT_PAUSE: Duration = Duration::from_millis(500);
-/// Shortest pause between reports to a router none of whose calls wait for an adapter.
-const REPORT_GAP: Duration = Duration::from_millis(100);
+/// Pause between reports to a router while nothing changes; routers trust one for 2.5 s.
+const REPORT_PAUSE: Duration = Duration::from_millis(800);
+/// Shortest pause between reports to a router none of whose calls wait for an adapter. Every loader
+/// tells every router, so this bounds what a small router spends on reading reports: 40 loaders at
+/// ten a second each took about a quarter of its processor time.
+const REPORT_GAP: Duration = Duration::from_millis(400);
+/// Pause after which a router is told again that an adapter is there for which its calls wait:
+/// datagrams are lost at times.
+const AWAITED_PAUSE: Duration = Duration::from_millis(50);
+/// Longest wait for a notice before the engine is looked at again.
+const NOTICE_WAIT: Duration = Duration::from_millis(100);
 /// Pause between lines about the engine not answering.
 const DARK_LOG_PAUSE: Duration = Duration::from_secs(2);
 
@@ -144,7 +151,7 @@
             },
             LoaderStep::Order(order) => self.give_order(order, engine).await,
             LoaderStep::Wait(until) => {
-                let pause = until.saturating_sub(clock::now()).min(REPORT_GAP);
+                let pause = until.saturating_sub(clock::now()).min(NOTICE_WAIT);
                 let received = timeout(pause, self.socket.recv_from(buffer)).await;
                 if let Ok(Ok((length, router))) = received {
                     self.take_datagram(&buffer[..length], router);
@@ -202,10 +209,12 @@
         let routers: Vec<(SocketAddr, bool)> = self.machine.routers().collect();
         self.sent.retain(|router, _| routers.iter().any(|(known, _)| known == router));
         let mut datagram = None;
-        for (router, is_waiting) in routers {
+        for (router, is_awaited) in routers {
             let is_due = self.sent.get(&router).is_none_or(|sent| {
                 let age = now.saturating_sub(sent.at);
-                age >= REPORT_PAUSE || (!sent.is_current && (is_waiting || age >= REPORT_GAP))
+                age >= REPORT_PAUSE
+                    || (!sent.is_current && (is_awaited || age >= REPORT_GAP))
+                    || (is_awaited && age >= AWAITED_PAUSE)
             });
             if !is_due {
                 continue;
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -104,7 +104,6 @@
 async fn take_events(mut events: mpsc::Receiver<ControlEvent>, context: Rc<RouterContext>) {
     while let Some(event) = events.recv().await {
         apply_event(event, &context);
-        context.changed.notify_waiters();
         readiness::update(&context);
     }
 }
--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -13,7 +13,7 @@
 use hyper_util::rt::TokioIo;
 use metrics::counter;
 use plantain_core::{direct::membership::InstanceId, ids::Timestamp};
-use socket2::{SockRef, TcpKeepalive};
+use socket2::SockRef;
 use std::{
     cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
 };
@@ -162,11 +162,5 @@
 /// Small writes go out at once, and a peer that fell silent is noticed by the kernel.
 pub(crate) fn prepare(stream: &TcpStream) -> std::io::Result<()> {
     stream.set_nodelay(true)?;
-    let socket = SockRef::from(stream);
-    socket.set_tcp_user_timeout(Some(constants::UNACKED_LIMIT))?;
-    let keepalive = TcpKeepalive::new()
-        .with_time(Duration::from_secs(1))
-        .with_interval(Duration::from_secs(1))
-        .with_retries(2);
-    socket.set_tcp_keepalive(&keepalive)
+    SockRef::from(stream).set_tcp_user_timeout(Some(constants::UNACKED_LIMIT))
 }
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -32,7 +32,7 @@
 /// Calls a second at one router from which an adapter is looked at for copies.
 pub(crate) const PREFETCH_RATE: f64 = 0.8;
 /// Pause between notices to a loader while nothing changes; it forgets a router after 2.5 s.
-pub(crate) const NOTICE_PAUSE: Duration = Duration::from_millis(400);
+pub(crate) const NOTICE_PAUSE: Duration = Duration::from_millis(600);
 /// Shortest pause between notices to one loader that a call's wish does not hurry.
 pub(crate) const NOTICE_GAP: Duration = Duration::from_millis(100);
 /// Pause after which a wish with waiting calls is told again: datagrams are lost at times.
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -22,8 +22,12 @@
         Arc,
         atomic::{AtomicBool, Ordering},
     },
+    time::Duration,
+};
+use tokio::{
+    sync::{Notify, watch},
+    time::timeout,
 };
-use tokio::sync::{Notify, watch};
 
 /// Shared state of a router's serving thread.
 pub(crate) struct RouterContext {
@@ -33,8 +37,8 @@
     pub(crate) pool: RefCell<TargetPool>,
     /// Unused connections to targets.
     pub(crate) connections: ConnectionPool,
-    /// Wakes calls that wait for an adapter.
-    pub(crate) changed: Notify,
+    /// Wakes calls that wait for an adapter at a target.
+    waiters: RefCell<HashMap<InstanceId, Rc<Notify>>>,
     /// Loaders to be told of a new wish at once.
     pub(crate) hurried: RefCell<HashSet<InstanceId>>,
     /// Wakes the link to loaders.
@@ -65,7 +69,7 @@
             settings: RefCell::new(settings),
             pool: RefCell::new(TargetPool::new()),
             connections: ConnectionPool::default(),
-            changed: Notify::new(),
+            waiters: RefCell::default(),
             hurried: RefCell::default(),
             hurry: Notify::new(),
             journal: RequestJournal::new(logger.clone()),
@@ -133,6 +137,23 @@
         self.peers().len() + 1
     }
 
+    /// Wakes the calls that wait for an adapter at a target. Only these: a report comes from each
+    /// loader several times a second, and each wake is a choice among all targets.
+    pub(crate) fn wake_waiters(&self, id: &InstanceId) {
+        let mut waiters = self.waiters.borrow_mut();
+        if let Some(notify) = waiters.get(id) {
+            if Rc::strong_count(notify) == 1 {
+                waiters.remove(id);
+            } else {
+                notify.notify_waiters();
+            }
+        }
+    }
+
+    fn waiter(&self, id: &InstanceId) -> Rc<Notify> {
+        Rc::clone(self.waiters.borrow_mut().entry(Arc::clone(id)).or_default())
+    }
+
     /// Tells a target's loader of its wishes at once.
     pub(crate) fn hurry(&self, id: &InstanceId) {
         self.hurried.borrow_mut().insert(Arc::clone(id));
@@ -237,6 +258,7 @@
 /// A call that waits for an adapter at a target, for as long as this lives.
 pub(crate) struct WaitGuard {
     context: Rc<RouterContext>,
+    woken: Rc<Notify>,
     instance: InstanceId,
     adapter: AdapterId,
 }
@@ -255,11 +277,17 @@
         context.hurry(instance);
         Self {
             context: Rc::clone(context),
+            woken: context.waiter(instance),
             instance: Arc::clone(instance),
             adapter: adapter.clone(),
         }
     }
 
+    /// Waits until the target's loader has news, or for `limit`.
+    pub(crate) async fn news(&self, limit: Duration) {
+        let _ = timeout(limit, self.woken.notified()).await;
+    }
+
     /// Whether it waits for this adapter at this target.
     pub(crate) fn is_for(&self, instance: &InstanceId, adapter: &AdapterId) -> bool {
         self.instance == *instance && self.adapter == *adapter
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -227,7 +227,9 @@
                         waiting =
                             Some(WaitGuard::new(context, &instance, &adapter, version, priority));
                     }
-                    let _ = timeout(constants::LOAD_LOOK, self.context.changed.notified()).await;
+                    if let Some(guard) = &waiting {
+                        guard.news(constants::LOAD_LOOK).await;
+                    }
                 }
             }
         }
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -49,8 +49,9 @@
         };
         let now = clock::now();
         self.context.note_routers(&report.routers, now);
+        let instance = Arc::clone(&report.instance);
         if self.context.pool.borrow_mut().take_report(report, now) {
-            self.context.changed.notify_waiters();
+            self.context.wake_waiters(&instance);
         }
     }
 
