An order without an answer is given up after 50 ms

Cause: orders are answered in 0 to 3 ms or not at all (measured over 11,000), yet each lost answer held up all further loads of its engine for 250 ms.

--- a/crates/daemon/src/loader/engine.rs
+++ b/crates/daemon/src/loader/engine.rs
@@ -14,6 +14,10 @@
 /// Longest wait for the engine's own answers: it stands on the same host and answers in about a
 /// millisecond, and calls wait for the loads that this holds up.
 const ANSWER_LIMIT: Duration = Duration::from_millis(250);
+/// Longest wait for the answer to an order, which comes in a few milliseconds or not at all. All other
+/// orders wait behind it, and with them the calls whose adapters they load; one that takes effect later
+/// can do so only while no further order was taken.
+const ORDER_LIMIT: Duration = Duration::from_millis(50);
 /// Longest wait for a health check, which waits for a place among the calls.
 const IDENTIFY_LIMIT: Duration = Duration::from_millis(1_000);
 
@@ -53,7 +57,7 @@
             Ok(request) => request,
             Err(error) => return (OrderAnswer::Refused, Some(format!("{error:#}"))),
         };
-        match self.call(address, request, ANSWER_LIMIT).await {
+        match self.call(address, request, ORDER_LIMIT).await {
             Ok(answer) => {
                 let decoded = engine::decode_order_answer(answer.status);
                 let is_plain = matches!(decoded, OrderAnswer::Accepted | OrderAnswer::Done);
