Adapters are kept by demand; a wish that was met asks no second time; calls stay where they wait

Cause: an engine of 14 places loaded a dozen rare adapters a second, so by last use even adapters wanted twice a second were evicted before their next call; routers take wishes back only with their next notice, and a wish met and evicted meanwhile was loaded again; calls that waited went to another engine at each look (up to ten loads for one call).

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -19,7 +19,12 @@
 
     /// Counts one more at `now`.
     pub fn record(&mut self, now: Timestamp) {
-        self.value = self.read(now) + 1.0;
+        self.add(1.0, now);
+    }
+
+    /// Counts `count` more at `now`.
+    pub fn add(&mut self, count: f64, now: Timestamp) {
+        self.value = self.read(now) + count;
         self.updated = now;
     }
 
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -10,9 +10,12 @@
     membership::{BaseHolding, InstanceId},
     messages::{AdapterWish, BootId, LoaderReport, RouterNotice},
 };
-use crate::ids::{AdapterVersion, BaseName, Timestamp};
+use crate::{
+    demand::DecayedCount,
+    ids::{AdapterVersion, BaseName, Timestamp},
+};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -25,6 +28,14 @@
 /// Time for which a wish must have waited before an adapter in use gives way to it: unloading one in
 /// use stops its further calls until its runs end.
 const PATIENCE: Duration = Duration::from_millis(400);
+/// Half-life of the demand by which adapters are kept. An engine has some 14 places and loads a dozen
+/// rare adapters a second: kept by their last use, even those wanted twice a second would be gone before
+/// their next call. Popularity moves within some seconds, so the memory must not be longer.
+const DEMAND_HALF_LIFE: Duration = Duration::from_secs(5);
+/// Adapters whose demand is remembered; beyond it the least wanted are forgotten.
+const DEMAND_LIMIT: usize = 1_024;
+/// Demand below which an adapter is forgotten when there are too many.
+const DEMAND_FLOOR: f64 = 0.1;
 /// Pause between reports asked of the engine while something is on its way: a load from the host's
 /// memory takes 25 ms, and calls wait for it.
 const FAST_POLL: Duration = Duration::from_millis(12);
@@ -117,6 +128,9 @@
     received: Timestamp,
     /// When each wish was first seen.
     wished: HashMap<AdapterId, Timestamp>,
+    /// Wishes met since the notice came. The router takes a wish back only with its next notice; until
+    /// then it must not ask for a load again when its adapter has been evicted meanwhile.
+    met: HashSet<AdapterId>,
 }
 
 /// The state machine.
@@ -131,7 +145,7 @@
     not_before: Timestamp,
     ordered: Timestamp,
     notices: HashMap<SocketAddr, NoticeState>,
-    last_use: BTreeMap<AdapterId, Timestamp>,
+    demand: HashMap<AdapterId, DecayedCount>,
 }
 
 impl LoaderMachine {
@@ -148,7 +162,7 @@
             not_before: Duration::ZERO,
             ordered: Duration::ZERO,
             notices: HashMap::new(),
-            last_use: BTreeMap::new(),
+            demand: HashMap::new(),
         }
     }
 
@@ -169,18 +183,22 @@
 
     /// Takes a router's notice; an older one of the same start is dropped.
     pub fn take_notice(&mut self, router: SocketAddr, notice: RouterNotice, now: Timestamp) {
-        let known = self.notices.get(&router);
-        let is_old = known.is_some_and(|state| {
+        let is_old = self.notices.get(&router).is_some_and(|state| {
             state.notice.boot == notice.boot && state.notice.sequence >= notice.sequence
         });
         if is_old {
             return;
         }
-        for used in &notice.uses {
+        let started = notice.uses.iter().filter(|used| used.started > 0);
+        let started = started.map(|used| {
             let adapter =
                 AdapterId { base: Arc::clone(&used.base), name: Arc::clone(&used.adapter) };
-            self.last_use.insert(adapter, now);
+            (adapter, used.started)
+        });
+        for (adapter, count) in started.collect::<Vec<_>>() {
+            self.record_demand(adapter, count, now);
         }
+        let known = self.notices.get(&router);
         let earlier = known.map(|state| &state.wished);
         let wished = notice.wishes.iter().map(|wish| {
             let adapter = wish_adapter(wish);
@@ -188,7 +206,8 @@
             (adapter, since)
         });
         let wished = wished.collect();
-        self.notices.insert(router, NoticeState { notice, received: now, wished });
+        let met = HashSet::new();
+        self.notices.insert(router, NoticeState { notice, received: now, wished, met });
     }
 
     /// The engine told which life this is. A new life holds nothing that is known.
@@ -217,9 +236,30 @@
             (true, false) => SLOW_POLL,
         };
         self.next_poll = now + pause;
+        self.note_met(&report);
         self.report = Some(report);
     }
 
+    fn note_met(&mut self, report: &EngineReport) {
+        for state in self.notices.values_mut() {
+            for wish in &state.notice.wishes {
+                let adapter = wish_adapter(wish);
+                if held(report, &adapter).is_some_and(|version| version >= wish.version) {
+                    state.met.insert(adapter);
+                }
+            }
+        }
+    }
+
+    fn record_demand(&mut self, adapter: AdapterId, count: u16, now: Timestamp) {
+        if self.demand.len() >= DEMAND_LIMIT {
+            self.demand.retain(|_, demand| demand.read(now) > DEMAND_FLOOR);
+        }
+        let demand =
+            self.demand.entry(adapter).or_insert_with(|| DecayedCount::new(DEMAND_HALF_LIFE));
+        demand.add(f64::from(count), now);
+    }
+
     /// The engine did not answer the question for a report or for its life.
     pub fn note_silence(&mut self, now: Timestamp) {
         self.is_answering = false;
@@ -308,12 +348,16 @@
     fn apply(&mut self, order: &EngineOrder, answer: OrderAnswer, now: Timestamp) {
         let Some(report) = &mut self.report else { return };
         report.order_count = order.order_count + 1;
+        if let OrderVerb::LoadAdapter(adapter, _) = &order.verb {
+            // Routers tell of uses only now and then. Without this a new adapter would count as never
+            // used, and be the first to go before its first call was heard of.
+            let adapter = adapter.clone();
+            self.record_demand(adapter, 1, now);
+        }
+        let Some(report) = &mut self.report else { return };
         match &order.verb {
             OrderVerb::LoadBase(_) => report.is_busy = answer == OrderAnswer::Accepted,
             OrderVerb::LoadAdapter(adapter, version) => {
-                // Routers tell of uses only now and then. Without this a new adapter would count as
-                // never used, and be the first to go before its first call was heard of.
-                self.last_use.insert(adapter.clone(), now);
                 if answer == OrderAnswer::Accepted {
                     report.coming.push((adapter.clone(), *version));
                 } else if let Some(holding) = holding_of(&mut report.holdings, &adapter.base) {
@@ -324,7 +368,6 @@
                 if let Some(holding) = holding_of(&mut report.holdings, &adapter.base) {
                     holding.adapters.remove(&adapter.name);
                 }
-                self.last_use.remove(adapter);
             }
         }
     }
@@ -346,7 +389,7 @@
         if is_replacement || occupied(report) < places {
             return Some(OrderVerb::LoadAdapter(adapter, wish.version));
         }
-        self.victim(report, &wishes, now.saturating_sub(*since)).map(OrderVerb::UnloadAdapter)
+        self.victim(report, &wishes, now.saturating_sub(*since), now).map(OrderVerb::UnloadAdapter)
     }
 
     /// The base model to put on an empty engine: the one that most calls wait for, else the first.
@@ -371,7 +414,7 @@
                 let is_met = held(report, &adapter).is_some_and(|version| version >= wish.version);
                 let is_coming = report.coming.iter().any(|(coming, _)| *coming == adapter);
                 let has_base = report.holdings.iter().any(|holding| holding.base == wish.base);
-                if !is_met && !is_coming && has_base {
+                if !is_met && !state.met.contains(&adapter) && !is_coming && has_base {
                     let since = state.wished.get(&adapter).copied().unwrap_or(state.received);
                     wishes.push((wish, since));
                 }
@@ -381,13 +424,14 @@
         wishes
     }
 
-    /// The adapter that gives way: not in use, not wished for, unused for longest. One in use gives
-    /// way only to a call that has waited for longer than [`PATIENCE`].
+    /// The adapter that gives way: not in use, not wished for, least wanted lately. One in use gives way
+    /// only to a call that has waited for longer than [`PATIENCE`].
     fn victim(
         &self,
         report: &EngineReport,
         wishes: &[(&AdapterWish, Timestamp)],
         waited: Duration,
+        now: Timestamp,
     ) -> Option<AdapterId> {
         let running = self.running();
         let is_call = wishes.first().is_some_and(|(wish, _)| wish.waiting > 0);
@@ -398,10 +442,13 @@
         let free = all.filter(|id| !report.coming.iter().any(|(coming, _)| coming == id));
         let scored = free.map(|id| {
             let in_use = running.get(&id).copied().unwrap_or(0);
-            let last = self.last_use.get(&id).copied().unwrap_or_default();
-            (in_use, last, id)
+            let wanted = self.demand.get(&id).map_or(0.0, |demand| demand.read(now));
+            (in_use, wanted, id)
         });
-        let (in_use, _, id) = scored.min()?;
+        let least = |a: &(u32, f64, AdapterId), b: &(u32, f64, AdapterId)| {
+            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then_with(|| a.2.cmp(&b.2))
+        };
+        let (in_use, _, id) = scored.min_by(least)?;
         let may_go = in_use == 0 || (is_call && waited > PATIENCE);
         may_go.then_some(id)
     }
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -3,6 +3,7 @@
 
 use super::{
     call::{AdapterId, ModelCall},
+    loader::TRANSIT_LIMIT,
     membership::InstanceId,
     targets::{TargetPool, TargetState},
 };
@@ -31,6 +32,13 @@
 /// Further cost of loading elsewhere than at a preferred target: the host there is unlikely to have
 /// the adapter in its memory, and later calls go to the preferred ones.
 const STRAY_MS: f64 = 150.0;
+/// The same at the target after the preferred ones, which gets what they cannot take.
+const SPARE_MS: f64 = 70.0;
+/// Cost of each adapter on its way beyond those that an engine takes at once.
+const LOAD_QUEUE_MS: f64 = 40.0;
+/// What another target must be better by for a call to leave the one where it waits for its adapter:
+/// the load there has begun, and one begun elsewhere starts over.
+const LEAVE_MS: f64 = 250.0;
 /// Cost of a target whose loader is silent, where a load is needed: nobody would order it.
 const NO_LOADER_MS: f64 = 5_000.0;
 /// Cost of a failed call: about the objective that it misses.
@@ -60,6 +68,8 @@
     pub excluded: &'a [InstanceId],
     /// Routers in all.
     pub routers: usize,
+    /// Target at which the call already waits for its adapter.
+    pub waiting_at: Option<&'a InstanceId>,
 }
 
 /// What to do with a call.
@@ -94,8 +104,10 @@
             None => plain_cost(target, need, now),
             Some(call) => {
                 let homes = preferred.as_deref().unwrap_or_default();
+                let is_waited = need.waiting_at == Some(&target.entry.id);
                 engine_cost(pool, target, call, adapter.as_ref(), homes, now)
                     + zone_cost(target, need)
+                    - if is_waited { LEAVE_MS } else { 0.0 }
             }
         };
         (cost + draw() * TIE_MS, target)
@@ -111,7 +123,8 @@
     }
 }
 
-/// Targets where copies of an adapter belong, by rendezvous hashing: as many as its demand asks for.
+/// Targets where copies of an adapter belong, by rendezvous hashing: as many as its demand asks for,
+/// and one to spare at the end.
 pub fn preferred_targets(
     pool: &TargetPool,
     need: &CallNeed<'_>,
@@ -127,7 +140,7 @@
     let mut weighted: Vec<(u64, &TargetState)> =
         usable.map(|target| (weight(key, &target.entry.id), target)).collect();
     weighted.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
-    weighted.truncate(copies);
+    weighted.truncate(copies + 1);
     weighted.into_iter().map(|(_, target)| Arc::clone(&target.entry.id)).collect()
 }
 
@@ -199,10 +212,15 @@
     if target.held_version(adapter, now).is_some_and(|held| held >= newest) {
         return 0.0;
     }
-    let is_preferred = preferred.contains(&target.entry.id);
-    let stray = if is_preferred { 0.0 } else { STRAY_MS };
-    if target.fresh_report(now).is_none() {
-        return stray + NO_LOADER_MS;
+    let stray = match preferred.iter().position(|id| *id == target.entry.id) {
+        Some(index) if index + 1 < preferred.len() => 0.0,
+        Some(_) => SPARE_MS,
+        None => STRAY_MS,
+    };
+    let Some(report) = target.fresh_report(now) else { return stray + NO_LOADER_MS };
+    if target.is_coming(adapter, now) {
+        return stray + COMING_MS;
     }
-    stray + if target.is_coming(adapter, now) { COMING_MS } else { LOAD_MS }
+    let queue = (report.coming.len() + target.waiting_wishes()).saturating_sub(TRANSIT_LIMIT);
+    stray + LOAD_MS + queue as f64 * LOAD_QUEUE_MS
 }
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -132,6 +132,16 @@
         !self.wishes.is_empty()
     }
 
+    /// Adapters for which calls of this router wait here.
+    pub fn waiting_wishes(&self) -> usize {
+        self.wishes.values().filter(|wish| wish.waiting > 0).count()
+    }
+
+    /// Whether the loader has not been told yet of calls that began here.
+    pub fn has_untold_calls(&self) -> bool {
+        self.uses.values().any(|counts| counts.started > 0)
+    }
+
     /// What the loader is told about this router's wishes.
     pub fn wish_list(&self) -> Vec<AdapterWish> {
         let wishes = self.wishes.iter().map(|(adapter, wish)| AdapterWish {
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -168,9 +168,17 @@
         let routers = self.router_count();
         for adapter in pool.wanted(constants::PREFETCH_RATE, now) {
             let Some(service) = service_of(&pool, &adapter) else { continue };
-            let need =
-                CallNeed { service: &service, model: None, zone: &zone, excluded: &[], routers };
-            for id in preferred_targets(&pool, &need, &adapter, now) {
+            let need = CallNeed {
+                service: &service,
+                model: None,
+                zone: &zone,
+                excluded: &[],
+                routers,
+                waiting_at: None,
+            };
+            let mut preferred = preferred_targets(&pool, &need, &adapter, now);
+            preferred.pop();
+            for id in preferred {
                 let newest = pool.newest_version(&adapter);
                 if is_missing(&pool, &id, &adapter, newest, now) {
                     pool.prefetch(&id, &adapter, newest, now);
@@ -283,6 +291,11 @@
         }
     }
 
+    /// The target.
+    pub(crate) fn target(&self) -> &InstanceId {
+        &self.instance
+    }
+
     /// Waits until the target's loader has news, or for `limit`.
     pub(crate) async fn news(&self, limit: Duration) {
         let _ = timeout(limit, self.woken.notified()).await;
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -208,7 +208,7 @@
                 self.note("given up: no time left to be served");
                 return Err(constants::RETURN_PAUSE);
             }
-            match self.choose_now() {
+            match self.choose_now(waiting.as_ref()) {
                 TargetChoice::Send(instance, version) => {
                     self.record.load_wait += clock::now().saturating_sub(began);
                     return Ok((instance, version));
@@ -235,7 +235,7 @@
         }
     }
 
-    fn choose_now(&self) -> TargetChoice {
+    fn choose_now(&self, waiting: Option<&WaitGuard>) -> TargetChoice {
         let settings = self.context.settings.borrow();
         let need = CallNeed {
             service: &self.service,
@@ -243,6 +243,7 @@
             zone: &settings.zone,
             excluded: &self.excluded,
             routers: self.context.router_count(),
+            waiting_at: waiting.map(WaitGuard::target),
         };
         let pool = self.context.pool.borrow();
         choose_target(&pool, &need, clock::now(), rand::random::<f64>)
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -71,8 +71,10 @@
                 self.sent.get(id).map_or(constants::NOTICE_PAUSE, |at| now.saturating_sub(*at));
             let gap = {
                 let pool = self.context.pool.borrow();
-                let has_wish = pool.target(id).is_some_and(|target| target.has_wish());
-                if has_wish { constants::NOTICE_GAP } else { constants::NOTICE_PAUSE }
+                let has_news = pool
+                    .target(id)
+                    .is_some_and(|target| target.has_wish() || target.has_untold_calls());
+                if has_news { constants::NOTICE_GAP } else { constants::NOTICE_PAUSE }
             };
             if since >= gap {
                 self.send(socket, id);
