Loaders hear at once of a call for an adapter that was idle

Cause: an unload of an adapter in use waits for its runs, and all further orders of its engine wait with it (1.1 s seen while runs hung); the loader's picture of uses was up to 0.6 s old.

--- a/crates/core/src/demand.rs
+++ b/crates/core/src/demand.rs
@@ -28,6 +28,11 @@
         self.updated = now;
     }
 
+    /// Time since the last count.
+    pub fn age(&self, now: Timestamp) -> Duration {
+        now.saturating_sub(self.updated)
+    }
+
     /// The faded count at `now`.
     pub fn read(&self, now: Timestamp) -> f64 {
         let age = now.saturating_sub(self.updated).as_secs_f64();
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -32,6 +32,9 @@
 /// rare adapters a second: kept by their last use, even those wanted twice a second would be gone before
 /// their next call. Popularity moves within some seconds, so the memory must not be longer.
 const DEMAND_HALF_LIFE: Duration = Duration::from_secs(5);
+/// Time for which an adapter counts as in use after a router told of a new call for it, beside those that
+/// routers say run: other calls may be on their way.
+const JUST_USED: Duration = Duration::from_millis(150);
 /// Adapters whose demand is remembered; beyond it the least wanted are forgotten.
 const DEMAND_LIMIT: usize = 1_024;
 /// Demand below which an adapter is forgotten when there are too many.
@@ -441,8 +444,10 @@
         });
         let free = all.filter(|id| !report.coming.iter().any(|(coming, _)| coming == id));
         let scored = free.map(|id| {
-            let in_use = running.get(&id).copied().unwrap_or(0);
-            let wanted = self.demand.get(&id).map_or(0.0, |demand| demand.read(now));
+            let demand = self.demand.get(&id);
+            let is_fresh = demand.is_some_and(|demand| demand.age(now) < JUST_USED);
+            let in_use = running.get(&id).copied().unwrap_or(0) + u32::from(is_fresh);
+            let wanted = demand.map_or(0.0, |demand| demand.read(now));
             (in_use, wanted, id)
         });
         let least = |a: &(u32, f64, AdapterId), b: &(u32, f64, AdapterId)| {
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -345,16 +345,16 @@
         wanted.map(|(adapter, _)| adapter.clone()).collect()
     }
 
-    /// A call goes out to a target.
-    pub fn call_started(&mut self, id: &str, adapter: Option<&AdapterId>, tokens: u32) {
-        let Some(target) = self.targets.get_mut(id) else { return };
+    /// A call goes out to a target; returns whether it is this router's only one there for its adapter.
+    pub fn call_started(&mut self, id: &str, adapter: Option<&AdapterId>, tokens: u32) -> bool {
+        let Some(target) = self.targets.get_mut(id) else { return false };
         target.in_flight += 1;
         target.unread_tokens += tokens;
-        if let Some(adapter) = adapter {
-            let counts = target.uses.entry(adapter.clone()).or_default();
-            counts.running += 1;
-            counts.started += 1;
-        }
+        let Some(adapter) = adapter else { return false };
+        let counts = target.uses.entry(adapter.clone()).or_default();
+        counts.running += 1;
+        counts.started += 1;
+        counts.running == 1
     }
 
     /// The first byte of a call's answer is there, so its prompt has been read.
--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -111,6 +111,33 @@
     assert_ne!(loads_at(&pool, 3_010), first);
 }
 
+/// A call waits for a load that has begun. Another target looks better by a little at each look; a call
+/// that followed would have its adapter loaded at one engine after another, and be served by none.
+#[test]
+fn a_call_stays_where_its_load_has_begun() {
+    let mut pool = pool();
+    for id in ["e1", "e2", "e3"] {
+        pool.take_report(report(id, 1, &[]), ms(0));
+    }
+    let call = model_call(Some("h7"));
+    let TargetChoice::Load(first, _, _) = choose(&pool, ENGINES, Some(&call), 10) else {
+        panic!("a load")
+    };
+    pool.call_started(&first, None, 5_000);
+    let (service, zone) = (ENGINES.into(), "a".into());
+    let need = CallNeed {
+        service: &service,
+        model: Some(&call),
+        zone: &zone,
+        excluded: &[],
+        routers: 2,
+        waiting_at: Some(&first),
+    };
+    let choice = choose_target(&pool, &need, ms(20), || 0.5);
+    assert_eq!(choice, TargetChoice::Load(first.clone(), adapter("h7"), 1));
+    assert_ne!(choose(&pool, ENGINES, Some(&call), 20), choice, "a new call goes elsewhere");
+}
+
 struct UnusableCase {
     name: &'static str,
     spoil: fn(&mut TargetPool),
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -229,7 +229,12 @@
         adapter: Option<AdapterId>,
         tokens: u32,
     ) -> Self {
-        context.pool.borrow_mut().call_started(instance, adapter.as_ref(), tokens);
+        let is_only = context.pool.borrow_mut().call_started(instance, adapter.as_ref(), tokens);
+        if is_only {
+            // The loader may be about to evict the adapter: an unload waits for the runs that use it,
+            // and holds up all further orders of its engine until they end.
+            context.hurry(instance);
+        }
         Self {
             context: Rc::clone(context),
             instance: Arc::clone(instance),
