Overloaded plain services turn away at once what is too much; adapters in use give way last

At engines, a wish that had waited 0.4 s evicted an adapter in use; the unload waited for runs of some seconds, and all loads with it. Change: each router turns away a share of a plain service's calls that grows with the smoothed time of its answers, with when to come back; failed runs are not repeated then; adapters in use give way after 1.5 s; calls that broke off count as in use for 1.5 s.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -8,6 +8,7 @@
 pub mod loader;
 pub mod membership;
 pub mod messages;
+pub mod pressure;
 pub mod proof;
 pub mod selection;
 pub mod snapshot;
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -25,9 +25,10 @@
 pub const TRANSIT_LIMIT: usize = 4;
 /// Age after which a router's notice counts no more; routers send one at least each second.
 const NOTICE_LIFE: Duration = Duration::from_millis(2_500);
-/// Time for which a wish must have waited before an adapter in use gives way to it: unloading one in
-/// use stops its further calls until its runs end.
-const PATIENCE: Duration = Duration::from_millis(400);
+/// Time for which a wish must have waited before an adapter in use gives way to it. The unload waits for
+/// the runs of the adapter, and all other loads of the engine wait for the unload, so this is the last
+/// resort: at 0.4 s, an engine whose runs had become slow stood still most of the time.
+const PATIENCE: Duration = Duration::from_millis(1_500);
 /// Half-life of the demand by which adapters are kept. An engine has some 14 places and loads a dozen
 /// rare adapters a second: kept by their last use, even those wanted twice a second would be gone before
 /// their next call. Popularity moves within some seconds, so the memory must not be longer.
--- /dev/null
+++ b/crates/core/src/direct/pressure.rs
@@ -0,0 +1,58 @@
+//! Load of plain targets, judged by how long their answers take, and how much of it to turn away.
+//!
+//! Pattern: a service loses some of its targets, or many callers come at once, and calls arrive faster
+//! than the rest can work. A target's own queue then stays full: as many calls are served as with a
+//! short one, but all of them late. With 6 places, a queue of 24 and 30 ms a call, the wait is 120 ms,
+//! which with the work itself is the whole of a 150 ms objective. Turning away what is too much at once
+//! keeps the wait short for the others, and tells those turned away at once when to come back.
+//!
+//! Many routers share few places, so that most have less than one call in flight at a target: a limit
+//! on calls in flight would not bind. Each turns away a share of its calls instead, by what it sees.
+
+use crate::ids::Timestamp;
+use std::time::Duration;
+
+/// Weight of a new sample. A router sees some ten answers a second of a target, and one in a hundred
+/// takes five times as long as others, which alone must not turn anybody away.
+const SAMPLE_WEIGHT: f64 = 0.15;
+/// Age up to which the estimate stands.
+const FRESH_AGE: Duration = Duration::from_millis(400);
+/// Time in which an older estimate falls to half, so that a target that is left alone gets calls again.
+const HALF_LIFE: Duration = Duration::from_millis(500);
+/// Expected time to an answer, as a part of the objective, from which calls are turned away. The work
+/// itself varies by about half and waits vary more, so that a mean of two thirds is in time for most.
+const SHED_START: f64 = 0.45;
+/// Share turned away for each part of the objective beyond that. Twice the calls that can be served
+/// then settle at 0.7 of the objective.
+const SHED_SLOPE: f64 = 2.0;
+/// Largest share turned away: some calls must go through, or nothing would be learnt.
+const SHED_LIMIT: f64 = 0.8;
+
+/// Smoothed time to an answer.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LatencyGauge {
+    millis: f64,
+    updated: Timestamp,
+}
+
+impl LatencyGauge {
+    /// Takes a sample.
+    pub fn record(&mut self, latency: Duration, now: Timestamp) {
+        let sample = latency.as_secs_f64() * 1_000.0;
+        let known = self.read_ms(now);
+        self.millis = known + (sample - known) * SAMPLE_WEIGHT;
+        self.updated = now;
+    }
+
+    /// The estimate in milliseconds; 0 without samples.
+    pub fn read_ms(&self, now: Timestamp) -> f64 {
+        let age = now.saturating_sub(self.updated).saturating_sub(FRESH_AGE).as_secs_f64();
+        self.millis * (-age / HALF_LIFE.as_secs_f64()).exp2()
+    }
+}
+
+/// Share of calls to turn away when the least loaded target is expected to take `expected_ms`.
+pub fn shed_share(expected_ms: f64, objective: Duration) -> f64 {
+    let part = expected_ms / (objective.as_secs_f64() * 1_000.0).max(1.0);
+    ((part - SHED_START) * SHED_SLOPE).clamp(0.0, SHED_LIMIT)
+}
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -47,9 +47,8 @@
 const OVERDUE_MS: f64 = 250.0;
 /// Cost of a target in another availability zone: two trips of some 1.5 ms, and bytes between zones.
 const ZONE_MS: f64 = 6.0;
-/// Cost of a call in flight at a plain service's target, for a target of 6 places and 60 ms a call
-/// that six routers share.
-const PLAIN_CALL_MS: f64 = 20.0;
+/// Cost of a call of this router in flight at a plain service's target, beside what its answers take.
+const PLAIN_CALL_MS: f64 = 15.0;
 /// Range of the random part that spreads near ties over the targets.
 const TIE_MS: f64 = 4.0;
 /// Calls a second that one copy of an adapter carries before another is wanted.
@@ -123,6 +122,13 @@
     }
 }
 
+/// Expected time to an answer of the least loaded target of a plain service, in milliseconds.
+pub fn expected_plain_ms(pool: &TargetPool, need: &CallNeed<'_>, now: Timestamp) -> f64 {
+    let usable = pool.service_targets(need.service).filter(|target| is_usable(target, need, now));
+    let expected = usable.map(|target| target.latency.read_ms(now)).min_by(f64::total_cmp);
+    expected.unwrap_or(0.0)
+}
+
 /// Targets where copies of an adapter belong, by rendezvous hashing: as many as its demand asks for,
 /// and one to spare at the end.
 pub fn preferred_targets(
@@ -169,6 +175,7 @@
 
 fn plain_cost(target: &TargetState, need: &CallNeed<'_>, now: Timestamp) -> f64 {
     f64::from(target.in_flight) * PLAIN_CALL_MS
+        + target.latency.read_ms(now)
         + trouble_cost(target, now)
         + zone_cost(target, need)
 }
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -6,6 +6,7 @@
     health::{CallOutcome, TargetHealth},
     membership::{BaseHolding, InstanceId, ListChange, TargetEntry, TargetList},
     messages::{AdapterUse, AdapterWish, BaseOffer, LoaderReport},
+    pressure::LatencyGauge,
 };
 use crate::{
     demand::DecayedCount,
@@ -65,6 +66,8 @@
     pub overdue: u32,
     /// How it did lately.
     pub health: TargetHealth,
+    /// How long its answers take.
+    pub latency: LatencyGauge,
     /// What its loader reported.
     pub loader: Option<LoaderView>,
     uses: HashMap<AdapterId, UseCounts>,
@@ -79,6 +82,7 @@
             unread_tokens: 0,
             overdue: 0,
             health: TargetHealth::default(),
+            latency: LatencyGauge::default(),
             loader: None,
             uses: HashMap::new(),
             wishes: HashMap::new(),
@@ -364,15 +368,27 @@
     }
 
     /// A call ended; `tokens` if its first byte never came.
-    pub fn call_ended(&mut self, id: &str, adapter: Option<&AdapterId>, tokens: u32) {
+    pub fn call_ended(&mut self, id: &str, tokens: u32) {
         let Some(target) = self.targets.get_mut(id) else { return };
         target.in_flight = target.in_flight.saturating_sub(1);
         target.unread_tokens = target.unread_tokens.saturating_sub(tokens);
-        if let Some(counts) = adapter.and_then(|adapter| target.uses.get_mut(adapter)) {
+    }
+
+    /// A call uses its adapter no longer.
+    pub fn use_ended(&mut self, id: &str, adapter: &AdapterId) {
+        let counts = self.targets.get_mut(id).and_then(|target| target.uses.get_mut(adapter));
+        if let Some(counts) = counts {
             counts.running = counts.running.saturating_sub(1);
         }
     }
 
+    /// Counts how long an answer took.
+    pub fn record_latency(&mut self, id: &str, latency: Duration, now: Timestamp) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.latency.record(latency, now);
+        }
+    }
+
     /// Counts what a call met.
     pub fn record_outcome(&mut self, id: &str, outcome: CallOutcome, now: Timestamp) {
         if let Some(target) = self.targets.get_mut(id) {
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -5,6 +5,7 @@
 mod health;
 mod loader;
 mod membership;
+mod pressure;
 mod proof;
 mod selection;
 mod support;
--- /dev/null
+++ b/crates/core/tests/core/direct/pressure.rs
@@ -0,0 +1,114 @@
+//! Load of plain targets: one of three is left, and calls come twice as fast as it can work.
+
+use super::support::ms;
+use plantain_core::direct::pressure::{LatencyGauge, shed_share};
+use std::{collections::VecDeque, time::Duration};
+
+const OBJECTIVE: Duration = Duration::from_millis(150);
+const WORK_MS: f64 = 30.0;
+const PLACES: usize = 6;
+const QUEUE: usize = 24;
+
+/// What became of the calls of some seconds.
+#[derive(Default)]
+struct LoadResult {
+    in_time: u32,
+    late: u32,
+    refused: u32,
+}
+
+/// Plays ten seconds of calls from `routers` routers to one target, `rate` a second in all.
+fn play(rate: f64, routers: usize, sheds: bool) -> LoadResult {
+    let mut gauges = vec![LatencyGauge::default(); routers];
+    let mut result = LoadResult::default();
+    let mut places = vec![0.0_f64; PLACES];
+    let mut ends: VecDeque<(f64, usize, f64)> = VecDeque::new();
+    let mut draw = 0.37_f64;
+    let mut next = || {
+        draw = (draw * 997.0 + 0.123).fract();
+        draw
+    };
+    let mut now = 0.0;
+    while now < 10_000.0 {
+        now += -1_000.0 / rate * (1.0 - next()).ln();
+        while ends.front().is_some_and(|(end, _, _)| *end <= now) {
+            let (end, router, took) = ends.pop_front().expect("one");
+            gauges[router].record(ms(took as u64), ms(end as u64));
+        }
+        let router = (next() * routers as f64) as usize % routers;
+        let expected = gauges[router].read_ms(ms(now as u64));
+        if sheds && next() < shed_share(expected, OBJECTIVE) {
+            result.refused += 1;
+            continue;
+        }
+        if ends.len() >= PLACES + QUEUE {
+            gauges[router].record(OBJECTIVE, ms(now as u64));
+            result.refused += 1;
+            continue;
+        }
+        let place = places.iter_mut().min_by(|a, b| a.total_cmp(b)).expect("places");
+        let end = place.max(now) + WORK_MS * (0.5 + next());
+        *place = end;
+        let at = ends.partition_point(|(other, _, _)| *other <= end);
+        ends.insert(at, (end, router, end - now));
+        if end - now <= 150.0 { result.in_time += 1 } else { result.late += 1 }
+    }
+    result
+}
+
+struct LoadCase {
+    name: &'static str,
+    rate: f64,
+    sheds: bool,
+    in_time: std::ops::Range<u32>,
+    late: std::ops::Range<u32>,
+}
+
+/// Callers see every answer late: the queue of the one target that is left is always full, so each
+/// call waits for all those in front of it. As many are served when some are turned away at once, but
+/// in time.
+#[test]
+fn turning_some_away_keeps_the_others_in_time() {
+    let cases = [
+        LoadCase { name: "calm", rate: 100.0, sheds: true, in_time: 900..1_200, late: 0..5 },
+        LoadCase {
+            name: "twice too much, nobody turned away",
+            rate: 400.0,
+            sheds: false,
+            in_time: 0..1_500,
+            late: 600..2_100,
+        },
+        LoadCase {
+            name: "twice too much",
+            rate: 400.0,
+            sheds: true,
+            in_time: 1_700..2_100,
+            late: 0..200,
+        },
+        LoadCase {
+            name: "a fifth too much",
+            rate: 240.0,
+            sheds: true,
+            in_time: 1_700..2_100,
+            late: 0..200,
+        },
+    ];
+    for case in cases {
+        let result = play(case.rate, 8, case.sheds);
+        let LoadResult { in_time, late, refused } = result;
+        assert!(case.in_time.contains(&in_time), "{}: {in_time}, {late}, {refused}", case.name);
+        assert!(case.late.contains(&late), "{}: {in_time}, {late}, {refused}", case.name);
+    }
+    assert_eq!(play(100.0, 8, true).refused, 0, "nobody is turned away in calm");
+}
+
+/// One answer in a hundred takes five times as long. It alone turns nobody away.
+#[test]
+fn one_slow_answer_turns_nobody_away() {
+    let mut gauge = LatencyGauge::default();
+    for at in 0..10 {
+        gauge.record(ms(35), ms(at * 50));
+    }
+    gauge.record(ms(220), ms(500));
+    assert!(shed_share(gauge.read_ms(ms(510)), OBJECTIVE) < 0.001);
+}
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -25,6 +25,12 @@
 /// Time before the deadline at which a call that waits for an adapter is given up: less is not enough
 /// to read a prompt and answer.
 pub(crate) const SERVE_TIME: Duration = Duration::from_millis(150);
+/// Time for which a call that broke off is taken to go on at its target: runs last 0.4 s on the mean and
+/// rarely more than 1.5 s.
+pub(crate) const RUN_ON_TIME: Duration = Duration::from_millis(1_500);
+/// Longest of the pauses suggested to callers turned away because a plain service is overloaded; each
+/// gets a part of it, so that they do not come back together.
+pub(crate) const SHED_PAUSE: Duration = Duration::from_millis(400);
 /// Pause between looks at a load that a call waits for, beside the loader's reports.
 pub(crate) const LOAD_LOOK: Duration = Duration::from_millis(60);
 /// Time for which a wish ahead of calls is kept.
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -26,7 +26,8 @@
 };
 use tokio::{
     sync::{Notify, watch},
-    time::timeout,
+    task::spawn_local,
+    time::{sleep, timeout},
 };
 
 /// Shared state of a router's serving thread.
@@ -219,6 +220,7 @@
     adapter: Option<AdapterId>,
     unread: u32,
     is_overdue: bool,
+    may_run_on: bool,
 }
 
 impl CallGuard {
@@ -241,9 +243,15 @@
             adapter,
             unread: tokens,
             is_overdue: false,
+            may_run_on: false,
         }
     }
 
+    /// The target did not say how the call ended, and may still run it.
+    pub(crate) fn set_may_run_on(&mut self) {
+        self.may_run_on = true;
+    }
+
     /// The first byte came.
     pub(crate) fn answered(&mut self) {
         let unread = std::mem::take(&mut self.unread);
@@ -263,8 +271,19 @@
 impl Drop for CallGuard {
     fn drop(&mut self) {
         self.set_overdue(false);
-        let mut pool = self.context.pool.borrow_mut();
-        pool.call_ended(&self.instance, self.adapter.as_ref(), self.unread);
+        self.context.pool.borrow_mut().call_ended(&self.instance, self.unread);
+        let Some(adapter) = self.adapter.take() else { return };
+        let (context, instance) = (Rc::clone(&self.context), Arc::clone(&self.instance));
+        if !self.may_run_on {
+            context.pool.borrow_mut().use_ended(&instance, &adapter);
+            return;
+        }
+        // An unload of an adapter that is in use holds up its engine, so it counts as in use until the
+        // run has most likely ended.
+        spawn_local(async move {
+            sleep(constants::RUN_ON_TIME).await;
+            context.pool.borrow_mut().use_ended(&instance, &adapter);
+        });
     }
 }
 
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -12,14 +12,15 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
 use plantain_core::{
     direct::{
-        call::{AdapterId, CallHead, OnwardTerms},
+        call::{CallHead, OnwardTerms},
         config::RouteRule,
         health::CallOutcome,
         membership::InstanceId,
+        pressure::shed_share,
         proof::{FailureReply, RunProof, failure_reply, judge_answer, may_send_again},
-        selection::{CallNeed, TargetChoice, adapter_of, choose_target},
+        selection::{CallNeed, TargetChoice, adapter_of, choose_target, expected_plain_ms},
     },
-    ids::{AdapterVersion, ServiceName, Timestamp},
+    ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
 };
 use plantain_net::body::ReplyBody;
 use plantain_platform::calls;
@@ -158,6 +159,9 @@
 
     /// Sends the call until a target answers or nothing more may be tried.
     pub(crate) async fn open(&mut self) -> Opened {
+        if let Some(pause) = self.shed() {
+            return Opened::Nothing(GivenUp::NotRun(pause));
+        }
         let mut last: Option<SendFailure> = None;
         loop {
             let (instance, version) = match self.choose().await {
@@ -175,6 +179,7 @@
             let (proof, kind) = (failure.proof, self.route.kind);
             last = Some(failure);
             if self.time_left() < constants::SERVE_TIME
+                || (proof == RunProof::Failed && self.is_pressed())
                 || !may_send_again(proof, kind, self.record.runs, self.route.max_targets)
             {
                 return self.give_up(last, constants::BUSY_PAUSE);
@@ -183,6 +188,44 @@
         }
     }
 
+    /// Whether the call is turned away because its plain service is overloaded; with when to come back.
+    fn shed(&mut self) -> Option<Duration> {
+        let expected = self.expected_plain_ms()?;
+        if rand::random::<f64>() >= shed_share(expected, self.route.objective) {
+            return None;
+        }
+        self.note(&format!("turned away: an answer is expected to take {expected:.0} ms"));
+        Some(constants::SHED_PAUSE.mul_f64(0.25 + 0.75 * rand::random::<f64>()))
+    }
+
+    /// Expected time to an answer of a plain service in milliseconds; `None` for engines.
+    fn expected_plain_ms(&self) -> Option<f64> {
+        if self.head.model.is_some() {
+            return None;
+        }
+        let settings = self.context.settings.borrow();
+        let need = self.need(&settings.zone, None);
+        Some(expected_plain_ms(&self.context.pool.borrow(), &need, clock::now()))
+    }
+
+    /// Whether a plain service is near its limit: repeating runs that failed, most of which fail again,
+    /// would take places from calls that have not run at all.
+    fn is_pressed(&self) -> bool {
+        let expected = self.expected_plain_ms();
+        expected.is_some_and(|expected| shed_share(expected, self.route.objective) > 0.0)
+    }
+
+    fn need<'a>(&'a self, zone: &'a ZoneName, waiting_at: Option<&'a InstanceId>) -> CallNeed<'a> {
+        CallNeed {
+            service: &self.service,
+            model: self.head.model.as_ref(),
+            zone,
+            excluded: &self.excluded,
+            routers: self.context.router_count(),
+            waiting_at,
+        }
+    }
+
     /// The final word on a call that no target answered with a success.
     fn give_up(&mut self, last: Option<SendFailure>, pause: Duration) -> Opened {
         if let Some(reply) = last.and_then(|failure| failure.reply) {
@@ -237,14 +280,7 @@
 
     fn choose_now(&self, waiting: Option<&WaitGuard>) -> TargetChoice {
         let settings = self.context.settings.borrow();
-        let need = CallNeed {
-            service: &self.service,
-            model: self.head.model.as_ref(),
-            zone: &settings.zone,
-            excluded: &self.excluded,
-            routers: self.context.router_count(),
-            waiting_at: waiting.map(WaitGuard::target),
-        };
+        let need = self.need(&settings.zone, waiting.map(WaitGuard::target));
         let pool = self.context.pool.borrow();
         choose_target(&pool, &need, clock::now(), rand::random::<f64>)
     }
@@ -263,18 +299,19 @@
             let pool = self.context.pool.borrow();
             pool.target(instance).map(|target| target.entry.address)
         };
+        let sent = clock::now();
         let request = self.target_request(instance, version);
         let (Some(address), Some(request)) = (address, request) else {
             return Err(SendFailure { proof: RunProof::NotRun, reply: None });
         };
-        let guard = CallGuard::new(&self.context, instance, adapter.clone(), tokens);
+        let mut guard = CallGuard::new(&self.context, instance, adapter.clone(), tokens);
         self.record.sends += 1;
         self.record.runs += 1;
-        let mut guard = guard;
         let end = self.await_answer(instance, address, request, &mut guard).await;
         let failure = match end {
             Some(SendEnd::Answered(answer, connection)) => {
-                return self.judge(answer, connection, guard, adapter).await;
+                let latency = clock::now().saturating_sub(sent);
+                return self.judge(answer, connection, guard, latency).await;
             }
             Some(SendEnd::Unsent(reason)) => {
                 self.record.runs -= 1;
@@ -282,10 +319,12 @@
                 SendFailure { proof: RunProof::NotRun, reply: None }
             }
             Some(SendEnd::Broken(reason)) => {
+                guard.set_may_run_on();
                 self.note(&format!("{instance} broke off: {reason}"));
                 SendFailure { proof: RunProof::Unknown, reply: None }
             }
             None => {
+                guard.set_may_run_on();
                 self.note(&format!("{instance} silent"));
                 SendFailure { proof: RunProof::Unknown, reply: None }
             }
@@ -348,12 +387,21 @@
         answer: Response<Incoming>,
         connection: TargetConnection,
         guard: CallGuard,
-        adapter: Option<AdapterId>,
+        latency: Duration,
     ) -> Result<OpenAnswer, SendFailure> {
         let instance = self.record.target.clone().unwrap_or_default();
         let (parts, body) = answer.into_parts();
         let head = calls::decode_answer(parts.status, &parts.headers);
         let proof = judge_answer(self.head.id.as_deref().unwrap_or_default(), &head);
+        let took = match proof {
+            RunProof::Succeeded | RunProof::Failed => Some(latency),
+            // A queue that is full takes about as long as the objective.
+            RunProof::NotRun => Some(self.route.objective),
+            RunProof::Misdirected | RunProof::Unknown => None,
+        };
+        if let Some(took) = took {
+            self.context.pool.borrow_mut().record_latency(&instance, took, clock::now());
+        }
         if proof == RunProof::Succeeded {
             let head = calls::relay_answer(parts.status, &parts.headers, ());
             return Ok(OpenAnswer { head, body, connection, guard });
@@ -368,9 +416,7 @@
             RunProof::NotRun => self.record.runs -= 1,
             RunProof::Misdirected => {
                 self.record.runs -= 1;
-                if adapter.is_some() {
-                    self.context.hurry(&instance);
-                }
+                self.context.hurry(&instance);
             }
             _ => {}
         }
