--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -41,6 +41,8 @@
     pub zone: ZoneName,
     /// Calls that it works on at once.
     pub slots: u32,
+    /// Grows from life to life: the later of two lives at one address has the higher number.
+    pub life: u64,
     /// Whether it is leaving and takes no new work.
     pub is_leaving: bool,
     /// Time for which it stays slow after its start.
@@ -133,8 +135,6 @@
 
     fn put(&mut self, entry: Arc<TargetEntry>) {
         self.lapsed.remove(&entry.id);
-        // Two lives at one address: the older one cannot listen there any more.
-        self.entries.retain(|id, other| *id == entry.id || other.address != entry.address);
         self.entries.insert(Arc::clone(&entry.id), entry);
     }
 
--- a/crates/core/src/direct/proof.rs
+++ b/crates/core/src/direct/proof.rs
@@ -1,6 +1,6 @@
 //! What an answer, or its absence, proves about a call. This is the one place that decides it.
 
-use super::{call::CallId, config::CallKind};
+use super::{call::CallId, config::CallKind, membership::InstanceId};
 
 /// What a target's head of an answer says, decoded from the wire.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -13,6 +13,8 @@
     pub is_signed: bool,
     /// Whether the target states that it did not run the call.
     pub states_not_run: bool,
+    /// The life of a target that answered, where it says so.
+    pub instance: Option<InstanceId>,
 }
 
 /// Status of a call that met another target, version or model than it expected.
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -141,7 +141,10 @@
     let copies = 1 + (rate / CALLS_PER_COPY) as usize;
     let key = adapter_key(adapter);
     let usable = pool.service_targets(need.service).filter(|target| {
-        !target.is_leaving() && !target.health.is_resting(now) && !target.is_dark(now)
+        !target.is_leaving()
+            && !target.has_ended()
+            && !target.health.is_resting(now)
+            && !target.is_dark(now)
     });
     let mut weighted: Vec<(u64, &TargetState)> =
         usable.map(|target| (weight(key, &target.entry.id), target)).collect();
@@ -156,6 +159,7 @@
 
 fn is_usable(target: &TargetState, need: &CallNeed<'_>, now: Timestamp) -> bool {
     !target.is_leaving()
+        && !target.has_ended()
         && !target.is_dark(now)
         && !need.excluded.contains(&target.entry.id)
         && need.model.is_none_or(|call| target.holds_base(&call.need.base, now))
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -14,6 +14,7 @@
 };
 use std::{
     collections::{HashMap, HashSet},
+    net::{IpAddr, SocketAddr},
     sync::Arc,
     time::Duration,
 };
@@ -70,6 +71,10 @@
     pub latency: LatencyGauge,
     /// What its loader reported.
     pub loader: Option<LoaderView>,
+    /// Whether another life was met at its address, so that this one has ended.
+    is_displaced: bool,
+    /// Whether the list shows a later life at its address.
+    is_superseded: bool,
     uses: HashMap<AdapterId, UseCounts>,
     wishes: HashMap<AdapterId, WishState>,
 }
@@ -84,6 +89,8 @@
             health: TargetHealth::default(),
             latency: LatencyGauge::default(),
             loader: None,
+            is_displaced: false,
+            is_superseded: false,
             uses: HashMap::new(),
             wishes: HashMap::new(),
         }
@@ -126,6 +133,11 @@
         self.entry.is_leaving || by_loader
     }
 
+    /// Whether this life has ended, as far as is known.
+    pub fn has_ended(&self) -> bool {
+        self.is_displaced || self.is_superseded
+    }
+
     /// Whether its loader says that it does not answer.
     pub fn is_dark(&self, now: Timestamp) -> bool {
         self.fresh_report(now).is_some_and(|report| !report.is_answering)
@@ -309,9 +321,10 @@
         offers.collect()
     }
 
-    /// Takes a loader's report; an older one than the last of the same start is dropped. Returns
-    /// whether it was news.
-    pub fn take_report(&mut self, report: LoaderReport, now: Timestamp) -> bool {
+    /// Takes the report of the loader on a host; an older one than the last of the same start is
+    /// dropped. Returns whether it was news.
+    pub fn take_report(&mut self, host: IpAddr, report: LoaderReport, now: Timestamp) -> bool {
+        self.displace_others(host, &report.instance);
         let Some(target) = self.targets.get_mut(&report.instance) else { return false };
         let is_old = target.loader.as_ref().is_some_and(|view| {
             view.report.boot == report.boot && view.report.sequence >= report.sequence
@@ -332,6 +345,22 @@
         true
     }
 
+    /// One engine stands on a host: any other entry there is of a life that has ended.
+    fn displace_others(&mut self, host: IpAddr, instance: &str) {
+        let mut has_news = false;
+        for target in self.targets.values_mut() {
+            let is_engine = !target.entry.holdings.is_empty() || target.loader.is_some();
+            let is_here = target.entry.address.ip() == host && *target.entry.id != *instance;
+            if is_engine && is_here && !target.is_displaced {
+                target.is_displaced = true;
+                has_news = true;
+            }
+        }
+        if has_news {
+            self.mark_superseded();
+        }
+    }
+
     /// Counts a call for an adapter towards its demand.
     pub fn record_demand(&mut self, adapter: &AdapterId, now: Timestamp) {
         let count = self.demand.entry(adapter.clone());
@@ -382,6 +411,29 @@
         }
     }
 
+    /// Another life answered at the address of this one.
+    pub fn note_displaced(&mut self, id: &str) {
+        if let Some(target) = self.targets.get_mut(id) {
+            target.is_displaced = true;
+            self.mark_superseded();
+        }
+    }
+
+    /// Two lives at one address: the older one cannot listen there any more, but its entry may stand in
+    /// the list for long, and lists come in no order of time. The later life is taken, until it is met
+    /// to have ended itself.
+    fn mark_superseded(&mut self) {
+        let mut latest: HashMap<SocketAddr, u64> = HashMap::new();
+        for target in self.targets.values().filter(|target| !target.is_displaced) {
+            let life = latest.entry(target.entry.address).or_default();
+            *life = target.entry.life.max(*life);
+        }
+        for target in self.targets.values_mut() {
+            let life = latest.get(&target.entry.address);
+            target.is_superseded = life.is_some_and(|life| *life > target.entry.life);
+        }
+    }
+
     /// Counts how long an answer took.
     pub fn record_latency(&mut self, id: &str, latency: Duration, now: Timestamp) {
         if let Some(target) = self.targets.get_mut(id) {
@@ -478,5 +530,6 @@
         for ids in self.by_service.values_mut() {
             ids.sort_unstable();
         }
+        self.mark_superseded();
     }
 }
--- a/crates/core/tests/core/direct/proof.rs
+++ b/crates/core/tests/core/direct/proof.rs
@@ -107,6 +107,7 @@
             echoed_id: case.echoed.map(Into::into),
             is_signed: case.signed,
             states_not_run: case.not_run,
+            instance: None,
         };
         assert_eq!(judge_answer("c1", &head), case.proof, "{}", case.name);
     }
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -21,7 +21,10 @@
 use context::RouterContext;
 use control::{ControlEvent, ControlStart};
 use eyre::{Result, WrapErr};
-use plantain_core::ids::Timestamp;
+use plantain_core::{
+    direct::{membership::ListChange, targets::TargetPool},
+    ids::Timestamp,
+};
 use plantain_net::server;
 use plantain_platform::objects::{FollowedChange, FollowedKind};
 use slog::{Logger, info, warn};
@@ -145,7 +148,10 @@
                     "adapter" => %release.adapter.name, "version" => release.version);
                 pool.take_release(release);
             }
-            FollowedChange::Target(change) => list.push(change),
+            FollowedChange::Target(change) => {
+                log_target(&change, &pool, context);
+                list.push(change);
+            }
         }
     }
     if !list.is_empty() {
@@ -153,6 +159,26 @@
     }
 }
 
+/// Writes a line where a change of the list changes which targets get calls.
+fn log_target(change: &ListChange, pool: &TargetPool, context: &RouterContext) {
+    let logger = &context.logger;
+    match change {
+        ListChange::Removed(id) => {
+            info!(logger, "target gone"; "step" => "targets", "target" => &**id);
+        }
+        ListChange::Put(entry) => match pool.target(&entry.id) {
+            None => {
+                info!(logger, "target new"; "step" => "targets", "target" => &*entry.id,
+                    "address" => %entry.address, "life" => entry.life);
+            }
+            Some(known) if entry.is_leaving && !known.entry.is_leaving => {
+                info!(logger, "target leaves"; "step" => "targets", "target" => &*entry.id);
+            }
+            Some(_) => {}
+        },
+    }
+}
+
 /// Drops what has outlived its time, looks for adapters that deserve more copies, and notices a
 /// suspension of the process.
 async fn keep_time(peers: watch::Sender<Vec<SocketAddr>>, context: Rc<RouterContext>) {
--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -10,6 +10,7 @@
     net::SocketAddr,
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
 use tokio::{
     net::TcpListener,
@@ -46,6 +47,11 @@
         self.settings.borrow().store
     }
 
+    /// Time from a target's leaving to the last call that may reach it.
+    pub(super) fn drain_time(&self) -> Duration {
+        Duration::from_millis(self.settings.borrow().bounds.drain_ms)
+    }
+
     /// Routers that may be asked: those alive as far as is known, and those of the settings.
     pub(super) fn peers(&self) -> Vec<SocketAddr> {
         let settings = self.settings.borrow();
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -416,6 +416,10 @@
             RunProof::NotRun => self.record.runs -= 1,
             RunProof::Misdirected => {
                 self.record.runs -= 1;
+                if head.instance.as_ref().is_some_and(|other| *other != instance) {
+                    self.note(&format!("{instance} has ended"));
+                    self.context.pool.borrow_mut().note_displaced(&instance);
+                }
                 self.context.hurry(&instance);
             }
             _ => {}
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -7,7 +7,7 @@
 use hyper::{Method, StatusCode};
 use metrics::counter;
 use plantain_net::{
-    backoff::{RetryBackoff, jitter},
+    backoff::RetryBackoff,
     client::{HttpClient, url},
 };
 use plantain_platform::objects::{self, FollowedChange, FollowedKind, FollowedPage, HISTORY_GONE};
@@ -23,10 +23,11 @@
 /// Longest wait for a list: the store answers in milliseconds, and in a spell of slowness in less
 /// than a second.
 const LIST_LIMIT: Duration = Duration::from_millis(1_500);
-/// Pause before the list of targets is watched again: each target's entry changes once a heartbeat
-/// while adapters come and go, and each answer is a call that costs. A target that leaves must be known
-/// within two seconds, so this stays well below.
-const GATHER_PAUSE: Duration = Duration::from_millis(900);
+/// Part of the time in which a leaving target must get no more calls, for which changes of the list
+/// gather before it is watched again: each target's entry changes once a heartbeat while adapters come
+/// and go, and each answer of the store is a call that costs. The rest is for the call itself and for
+/// the calls that are on their way.
+const GATHER_SHARE: f64 = 0.55;
 /// Shortest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls: a store that is back is noticed within this.
@@ -107,7 +108,7 @@
             let is_list = self.kind == FollowedKind::Targets;
             self.link.send(ControlEvent::Changed(page.changes)).await;
             if is_list {
-                sleep(jitter(GATHER_PAUSE)).await;
+                sleep(self.link.drain_time().mul_f64(GATHER_SHARE)).await;
             }
         }
         Ok(())
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -12,7 +12,12 @@
     ids::Timestamp,
 };
 use slog::warn;
-use std::{collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc};
+use std::{
+    collections::HashMap,
+    net::{IpAddr, SocketAddr},
+    rc::Rc,
+    sync::Arc,
+};
 use tokio::{net::UdpSocket, time::interval};
 
 /// Exchanges datagrams with the loaders for as long as the process lives.
@@ -24,8 +29,8 @@
     loop {
         tokio::select! {
             received = socket.recv_from(&mut buffer) => {
-                if let Ok((length, _)) = received {
-                    link.take_report(&buffer[..length]);
+                if let Ok((length, loader)) = received {
+                    link.take_report(&buffer[..length], loader.ip());
                 }
             }
             () = context.hurry.notified() => link.send_hurried(&socket),
@@ -42,7 +47,7 @@
 }
 
 impl LoaderLink {
-    fn take_report(&mut self, datagram: &[u8]) {
+    fn take_report(&mut self, datagram: &[u8], host: IpAddr) {
         let Ok(report) = postcard::from_bytes::<LoaderReport>(datagram) else {
             counter!("plantain_link_faults_total").increment(1);
             return;
@@ -50,7 +55,7 @@
         let now = clock::now();
         self.context.note_routers(&report.routers, now);
         let instance = Arc::clone(&report.instance);
-        if self.context.pool.borrow_mut().take_report(report, now) {
+        if self.context.pool.borrow_mut().take_report(host, report, now) {
             self.context.wake_waiters(&instance);
         }
     }
