After an outage the store is asked at once whether it is back

Cause: a watch that nothing ends told of the store's return only after 20 s; until then the router counted itself as cut off, asked its peers every 0.4 s, and held entries of the list by the wrong clock. Found by outages::entries_that_lapse_in_an_outage_cost_no_call.

--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -18,8 +18,10 @@
 /// Time for which a watch waits at the store; a silent connection is noticed by keep-alive probes
 /// long before, so that this only bounds the number of calls.
 const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// The same for a watch that asks whether the store is back.
+const PROBE_WAIT: Duration = Duration::from_millis(1);
 /// Longest wait for an answer of the store beyond what the watch itself waits.
-const ANSWER_SLACK: Duration = Duration::from_secs(3);
+const ANSWER_SLACK: Duration = Duration::from_millis(1_500);
 /// Longest wait for a list: the store answers in milliseconds, and in a spell of slowness in less
 /// than a second.
 const LIST_LIMIT: Duration = Duration::from_millis(1_500);
@@ -93,8 +95,11 @@
     }
 
     async fn watch(&mut self, revision: u64) -> Result<()> {
-        let path = objects::watch_path(self.kind, revision, WATCH_WAIT);
-        let Some(body) = self.get(&path, WATCH_WAIT + ANSWER_SLACK).await? else {
+        // After a failure the store is only asked whether it is back: a watch would tell so with the next
+        // change, and until then this router would count itself as cut off.
+        let wait = if self.failing_since.is_some() { PROBE_WAIT } else { WATCH_WAIT };
+        let path = objects::watch_path(self.kind, revision, wait);
+        let Some(body) = self.get(&path, wait + ANSWER_SLACK).await? else {
             info!(self.link.logger, "history gone; list again"; "step" => "follow",
                 "kind" => self.kind.name(), "revision" => revision);
             self.revision = None;
