--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -448,8 +448,8 @@
             let demand = self.demand.get(&id);
             let is_fresh = demand.is_some_and(|demand| demand.age(now) < JUST_USED);
             let in_use = running.get(&id).copied().unwrap_or(0) + u32::from(is_fresh);
-            let wanted = demand.map_or(0.0, |demand| demand.read(now));
-            (in_use, wanted, id)
+            let calls = demand.map_or(0.0, |demand| demand.read(now));
+            (in_use, calls, id)
         });
         let least = |a: &(u32, f64, AdapterId), b: &(u32, f64, AdapterId)| {
             a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then_with(|| a.2.cmp(&b.2))
--- a/crates/core/tests/core/direct/pressure.rs
+++ b/crates/core/tests/core/direct/pressure.rs
@@ -21,7 +21,7 @@
 fn play(rate: f64, routers: usize, sheds: bool) -> LoadResult {
     let mut gauges = vec![LatencyGauge::default(); routers];
     let mut result = LoadResult::default();
-    let mut places = vec![0.0_f64; PLACES];
+    let mut places = [0.0_f64; PLACES];
     let mut ends: VecDeque<(f64, usize, f64)> = VecDeque::new();
     let mut draw = 0.37_f64;
     let mut next = || {
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -44,8 +44,8 @@
     let result = match settings {
         DaemonSettings::Entry(settings) => entry::run(settings),
         DaemonSettings::Agent(settings) => agent::run(settings),
-        DaemonSettings::Router(settings) => router::run(settings),
-        DaemonSettings::Loader(settings) => loader::run(settings),
+        DaemonSettings::Router(settings) => router::run(&settings),
+        DaemonSettings::Loader(settings) => loader::run(&settings),
     };
     match result {
         Ok(()) => ExitCode::SUCCESS,
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -49,7 +49,7 @@
 const DARK_LOG_PAUSE: Duration = Duration::from_secs(2);
 
 /// Runs a loader until it is told to stop.
-pub fn run(site: SiteSettings<LoaderFile>) -> Result<()> {
+pub fn run(site: &SiteSettings<LoaderFile>) -> Result<()> {
     let settings = Arc::clone(&site.file);
     let (logger, _flush) = logging::start_named(&settings.name, site.log_level, "loader");
     let metrics = telemetry::install()?;
@@ -60,7 +60,7 @@
         let stopping = duty::stop_signal()?;
         let is_ready = Arc::new(AtomicBool::new(true));
         telemetry::start_site(site.metrics, metrics, is_ready, &logger).await?;
-        let settings = reload::follow(&site, logger.clone())?;
+        let settings = reload::follow(site, logger.clone())?;
         info!(logger, "loader listens"; "step" => "start", "listen" => %address,
             "engine" => %settings.borrow().engine);
         let duty = LoaderDuty::new(settings, socket, logger.clone());
--- a/crates/daemon/src/loader/engine.rs
+++ b/crates/daemon/src/loader/engine.rs
@@ -19,7 +19,7 @@
 /// can do so only while no further order was taken.
 const ORDER_LIMIT: Duration = Duration::from_millis(50);
 /// Longest wait for a health check, which waits for a place among the calls.
-const IDENTIFY_LIMIT: Duration = Duration::from_millis(1_000);
+const IDENTIFY_LIMIT: Duration = Duration::from_secs(1);
 
 /// A client of one engine.
 pub(crate) struct EngineClient {
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -42,7 +42,7 @@
 };
 
 /// Runs a router until it is told to stop and its calls in flight have ended.
-pub fn run(site: SiteSettings<RouterFile>) -> Result<()> {
+pub fn run(site: &SiteSettings<RouterFile>) -> Result<()> {
     let settings = Arc::clone(&site.file);
     let (logger, _flush) = logging::start_named(&settings.name, site.log_level, "router");
     let metrics = telemetry::install()?;
@@ -56,7 +56,7 @@
         let is_ready = Arc::new(AtomicBool::new(false));
         telemetry::start_site(site.metrics, metrics, Arc::clone(&is_ready), &logger).await?;
         let context = RouterContext::new(Arc::clone(&settings), logger.clone(), is_ready, stopping);
-        let settings = reload::follow(&site, logger.clone())?;
+        let settings = reload::follow(site, logger.clone())?;
         let peers = watch::channel(Vec::new());
         let events = start_control(&settings, peers.1, &logger).await?;
 
--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -59,7 +59,7 @@
     ) -> SendEnd {
         while let Some(mut sender) = self.take(instance) {
             match sender.try_send_request(request).await {
-                Ok(answer) => return self.answered(answer, sender, instance),
+                Ok(answer) => return answered(answer, sender, instance),
                 // The connection closed before the request was written, and gives it back.
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -72,7 +72,7 @@
             Err(error) => return SendEnd::Unsent(format!("{error:#}")),
         };
         match sender.try_send_request(request).await {
-            Ok(answer) => self.answered(answer, sender, instance),
+            Ok(answer) => answered(answer, sender, instance),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
                 let text = error.into_error().to_string();
@@ -81,15 +81,6 @@
         }
     }
 
-    fn answered(
-        &self,
-        answer: Response<Incoming>,
-        sender: CallSender,
-        instance: &InstanceId,
-    ) -> SendEnd {
-        SendEnd::Answered(answer, TargetConnection { sender, instance: Arc::clone(instance) })
-    }
-
     /// Keeps a connection whose answer was read whole, once it is free; `life` is what the target
     /// said of how long it keeps it.
     pub(crate) fn give_back(&self, connection: TargetConnection, life: Option<Duration>) {
@@ -141,6 +132,10 @@
     }
 }
 
+fn answered(answer: Response<Incoming>, sender: CallSender, instance: &InstanceId) -> SendEnd {
+    SendEnd::Answered(answer, TargetConnection { sender, instance: Arc::clone(instance) })
+}
+
 async fn connect(address: SocketAddr) -> Result<CallSender> {
     counter!("plantain_target_connections_total").increment(1);
     let stream = timeout(constants::CONNECT_LIMIT, TcpStream::connect(address))
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -111,6 +111,7 @@
             id: head.id.clone(),
             route: route.name.to_string(),
             config: context.pool.borrow().config().number,
+            adapter: head.model.as_ref().and_then(adapter_of).map(|adapter| (adapter, None)),
             ..CallRecord::default()
         };
         Self {
@@ -262,7 +263,11 @@
                     return Ok((instance, version));
                 }
                 TargetChoice::Nowhere => {
-                    self.note("no target can take it");
+                    let known = self.context.pool.borrow().service_targets(&self.service).count();
+                    let left_out = self.excluded.len();
+                    self.note(&format!(
+                        "no target can take it: {known} known, {left_out} had it already"
+                    ));
                     return Err(constants::RETURN_PAUSE);
                 }
                 TargetChoice::AwaitBase if !can_wait(began) => {
@@ -305,11 +310,14 @@
         let tokens = self.head.model.as_ref().map_or(0, |model| model.tokens_in);
         self.record.target = Some(Arc::clone(instance));
         self.record.adapter = adapter.clone().map(|adapter| (adapter, version));
+        let sent = clock::now();
         let address = {
             let pool = self.context.pool.borrow();
-            pool.target(instance).map(|target| target.entry.address)
+            let target = pool.target(instance);
+            let view = target.and_then(|target| target.loader.as_ref());
+            self.record.report_age = view.map(|view| sent.saturating_sub(view.received));
+            target.map(|target| target.entry.address)
         };
-        let sent = clock::now();
         let request = self.target_request(instance, version);
         let (Some(address), Some(request)) = (address, request) else {
             return Err(SendFailure { proof: RunProof::NotRun, reply: None });
@@ -318,7 +326,7 @@
         self.record.sends += 1;
         self.record.runs += 1;
         let end = self.await_answer(instance, address, request, &mut guard).await;
-        let failure = match end {
+        let (proof, outcome) = match end {
             Some(SendEnd::Answered(answer, connection)) => {
                 let latency = clock::now().saturating_sub(sent);
                 return self.judge(answer, connection, guard, latency).await;
@@ -326,21 +334,22 @@
             Some(SendEnd::Unsent(reason)) => {
                 self.record.runs -= 1;
                 self.note(&format!("{instance} not reached: {reason}"));
-                SendFailure { proof: RunProof::NotRun, reply: None }
+                (RunProof::NotRun, CallOutcome::Silent)
             }
+            // It answers connections, and loses answers: others need not be kept from it altogether.
             Some(SendEnd::Broken(reason)) => {
                 guard.set_may_run_on();
                 self.note(&format!("{instance} broke off: {reason}"));
-                SendFailure { proof: RunProof::Unknown, reply: None }
+                (RunProof::Unknown, CallOutcome::Failed)
             }
             None => {
                 guard.set_may_run_on();
                 self.note(&format!("{instance} silent"));
-                SendFailure { proof: RunProof::Unknown, reply: None }
+                (RunProof::Unknown, CallOutcome::Silent)
             }
         };
-        self.record_outcome(instance, CallOutcome::Silent);
-        Err(failure)
+        self.record_outcome(instance, outcome);
+        Err(SendFailure { proof, reply: None })
     }
 
     fn record_outcome(&self, instance: &str, outcome: CallOutcome) {
--- a/crates/daemon/src/router/journal.rs
+++ b/crates/daemon/src/router/journal.rs
@@ -64,6 +64,8 @@
     pub(crate) adapter: Option<(AdapterId, Option<AdapterVersion>)>,
     /// The last target.
     pub(crate) target: Option<InstanceId>,
+    /// Age of the report by which that target was chosen; `None` if no loader was heard.
+    pub(crate) report_age: Option<Duration>,
     /// Targets that ran it or may have.
     pub(crate) runs: u32,
     /// Sends in all.
@@ -129,6 +131,7 @@
             "id" => record.id.as_deref(), "outcome" => end.name(), "status" => status,
             "route" => &record.route, "config" => record.config, "adapter" => adapter,
             "target" => record.target.as_deref(), "sends" => record.sends, "runs" => record.runs,
+            "report_age_ms" => record.report_age.map(|age| age.as_millis() as u64),
             "load_wait_ms" => record.load_wait.as_millis() as u64,
             "first_byte_ms" => record.first_byte.map(|first| first.as_millis() as u64),
             "took_ms" => took.as_millis() as u64, "trail" => &record.trail);
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -180,7 +180,8 @@
     }
 
     /// Cuts the caller's stream, so that it cannot be taken for a whole one.
-    async fn abort(self, reason: &str) {
+    async fn abort(mut self, reason: &str) {
+        self.exchange.note(&format!("cut: {reason}"));
         let cut = self.sender.send(Err(BodyAbort(reason.to_owned())));
         let _ = timeout(Duration::from_millis(200), cut).await;
         self.exchange.finish(CallEnd::BrokenOff, self.status);
@@ -241,5 +242,5 @@
 fn last_event_id(events: &[u8]) -> Option<u64> {
     let lines = events.split(|&byte| byte == b'\n');
     let ids = lines.filter_map(|line| line.strip_prefix(EVENT_ID));
-    ids.filter_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok()).last()
+    ids.rev().find_map(|id| std::str::from_utf8(id).ok()?.trim().parse().ok())
 }
