While the store is out one kind asks whether it is back, and wakes the others

Cause: each of three followers asked for itself with pauses of up to 0.8 s, so that a router that started in an outage had its configuration up to a second before its targets, and refused all calls meanwhile; each refused call to the store costs.

--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -14,7 +14,7 @@
 };
 use tokio::{
     net::TcpListener,
-    sync::{mpsc, watch},
+    sync::{Notify, mpsc, watch},
     task::spawn_local,
 };
 
@@ -39,6 +39,8 @@
     peers: watch::Receiver<Vec<SocketAddr>>,
     events: mpsc::Sender<ControlEvent>,
     lost: Cell<u32>,
+    is_config_lost: Cell<bool>,
+    store_back: Notify,
 }
 
 impl ControlLink {
@@ -63,6 +65,16 @@
         peers
     }
 
+    /// Whether the configuration is not followed now.
+    pub(super) fn is_config_lost(&self) -> bool {
+        self.is_config_lost.get()
+    }
+
+    /// Wakes those who wait for the store.
+    pub(super) fn store_back(&self) -> &Notify {
+        &self.store_back
+    }
+
     /// Whether all kinds are followed without interruption.
     pub(super) fn is_current(&self) -> bool {
         self.lost.get() == 0 && self.state.borrow().is_complete()
@@ -95,8 +107,17 @@
                     }
                 }
             }
-            ControlEvent::Lost(_) => self.lost.set(self.lost.get() + 1),
-            ControlEvent::Regained(_) => self.lost.set(self.lost.get().saturating_sub(1)),
+            ControlEvent::Lost(kind) => {
+                self.lost.set(self.lost.get() + 1);
+                self.is_config_lost.set(self.is_config_lost() || *kind == FollowedKind::Config);
+            }
+            ControlEvent::Regained(kind) => {
+                self.lost.set(self.lost.get().saturating_sub(1));
+                if *kind == FollowedKind::Config {
+                    self.is_config_lost.set(false);
+                    self.store_back.notify_waiters();
+                }
+            }
         }
     }
 }
@@ -127,6 +148,8 @@
         peers: start.peers,
         events: start.events,
         lost: Cell::new(0),
+        is_config_lost: Cell::new(false),
+        store_back: Notify::new(),
     });
     for kind in [FollowedKind::Config, FollowedKind::Targets, FollowedKind::Releases] {
         spawn_local(follow::run(kind, Rc::clone(&link)));
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -13,7 +13,7 @@
 use plantain_platform::objects::{self, FollowedChange, FollowedKind, FollowedPage, HISTORY_GONE};
 use slog::{info, warn};
 use std::{net::SocketAddr, rc::Rc, time::Duration};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 /// Time for which a watch waits at the store; a silent connection is noticed by keep-alive probes
 /// long before, so that this only bounds the number of calls.
@@ -33,7 +33,9 @@
 /// Shortest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls: a store that is back is noticed within this.
-const LONGEST_PAUSE: Duration = Duration::from_millis(800);
+const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// Longest time for which a kind waits for another one to find the store back.
+const OTHERS_PAUSE: Duration = Duration::from_secs(3);
 
 /// Follows one kind for as long as the process lives.
 pub(super) async fn run(kind: FollowedKind, link: Rc<ControlLink>) {
@@ -156,7 +158,19 @@
                 "kind" => self.kind.name(), "error" => %format!("{error:#}"));
             self.link.send(ControlEvent::Lost(self.kind)).await;
         }
-        sleep(self.backoff.next_pause()).await;
+        self.pause().await;
+    }
+
+    /// While the store is out, the configuration's follower alone asks whether it is back, since each
+    /// call costs; the others go on as soon as it is, so that a router that starts in an outage has its
+    /// targets with its configuration and not up to a second later.
+    async fn pause(&mut self) {
+        let is_asked_for = self.kind != FollowedKind::Config && self.link.is_config_lost();
+        if is_asked_for {
+            let _ = timeout(OTHERS_PAUSE, self.link.store_back().notified()).await;
+        } else {
+            sleep(self.backoff.next_pause()).await;
+        }
     }
 }
 
