--- a/crates/daemon/src/telemetry/names.rs
+++ b/crates/daemon/src/telemetry/names.rs
@@ -1,4 +1,4 @@
-//! Names of the metrics; docs/OPERATING.md describes each.
+//! Names of the metrics; docs/OPERATIONS.md describes each.
 
 /// Requests ended, by kind and outcome.
 pub const REQUESTS: &str = "plantain_requests_total";
