Callers are turned away only where a plain service's places are taken

Cause: found in reading: targets that have become slow all look overloaded by their answers alone, and up to eight in ten callers would be turned away from free places. Change: calls in flight of all routers, taken to be like this one, must come near the places (slow_targets_with_free_places_turn_nobody_away).

--- a/crates/core/src/direct/pressure.rs
+++ b/crates/core/src/direct/pressure.rs
@@ -25,6 +25,10 @@
 /// Share turned away for each part of the objective beyond that. Twice the calls that can be served
 /// then settle at 0.7 of the objective.
 const SHED_SLOPE: f64 = 2.0;
+/// Weight of a new sample of the calls at a service's targets; a router has some ten calls a second.
+const CONCURRENCY_WEIGHT: f64 = 0.1;
+/// Part of the targets' places from which calls are taken to wait: they are not spread evenly.
+const QUEUE_SHARE: f64 = 0.8;
 /// Largest share turned away: some calls must go through, or nothing would be learnt.
 const SHED_LIMIT: f64 = 0.8;
 
@@ -51,6 +55,26 @@
     }
 }
 
+/// Smoothed number of calls of one router that are at a service's targets.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct ConcurrencyGauge {
+    calls: f64,
+}
+
+impl ConcurrencyGauge {
+    /// Takes a sample, at each call.
+    pub fn record(&mut self, in_flight: u32) {
+        self.calls += (f64::from(in_flight) - self.calls) * CONCURRENCY_WEIGHT;
+    }
+
+    /// Whether calls wait at the targets, as far as can be told: whether those of all routers together,
+    /// taken to be like this one, come near the targets' places. Without this, targets that have become
+    /// slow would look overloaded, and callers be turned away from places that are free.
+    pub fn shows_queue(&self, routers: usize, places: u32) -> bool {
+        self.calls * routers as f64 >= f64::from(places) * QUEUE_SHARE
+    }
+}
+
 /// Share of calls to turn away when the least loaded target is expected to take `expected_ms`.
 pub fn shed_share(expected_ms: f64, objective: Duration) -> f64 {
     let part = expected_ms / (objective.as_secs_f64() * 1_000.0).max(1.0);
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -130,8 +130,12 @@
     }
 }
 
-/// Expected time to an answer of the least loaded target of a plain service, in milliseconds.
-pub fn expected_plain_ms(pool: &TargetPool, need: &CallNeed<'_>, now: Timestamp) -> f64 {
+/// Expected time to an answer of a plain service whose calls wait, in milliseconds: that of its least
+/// loaded target. 0 where no calls wait.
+pub fn queued_plain_ms(pool: &TargetPool, need: &CallNeed<'_>, now: Timestamp) -> f64 {
+    if !pool.shows_queue(need.service, need.routers) {
+        return 0.0;
+    }
     let usable = pool.service_targets(need.service).filter(|target| is_usable(target, need, now));
     let expected = usable.map(|target| target.latency.read_ms(now)).min_by(f64::total_cmp);
     expected.unwrap_or(0.0)
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -6,7 +6,7 @@
     health::{CallOutcome, TargetHealth},
     membership::{BaseHolding, InstanceId, ListChange, TargetEntry, TargetList},
     messages::{AdapterUse, AdapterWish, BaseOffer, LoaderReport},
-    pressure::LatencyGauge,
+    pressure::{ConcurrencyGauge, LatencyGauge},
 };
 use crate::{
     demand::DecayedCount,
@@ -193,6 +193,7 @@
     by_service: HashMap<ServiceName, Vec<InstanceId>>,
     releases: HashMap<AdapterId, AdapterVersion>,
     demand: HashMap<AdapterId, DecayedCount>,
+    concurrency: HashMap<ServiceName, ConcurrencyGauge>,
 }
 
 impl Default for TargetPool {
@@ -211,6 +212,7 @@
             by_service: HashMap::new(),
             releases: HashMap::new(),
             demand: HashMap::new(),
+            concurrency: HashMap::new(),
         }
     }
 
@@ -367,6 +369,20 @@
         count.or_insert_with(|| DecayedCount::new(DEMAND_HALF_LIFE)).record(now);
     }
 
+    /// Counts the calls of this router at a service's targets, as a new one comes.
+    pub fn record_concurrency(&mut self, service: &ServiceName) {
+        let in_flight = self.service_targets(service).map(|target| target.in_flight).sum();
+        self.concurrency.entry(Arc::clone(service)).or_default().record(in_flight);
+    }
+
+    /// Whether calls wait at a service's targets, with `routers` routers in all.
+    pub fn shows_queue(&self, service: &str, routers: usize) -> bool {
+        let alive = self.service_targets(service).filter(|target| !target.has_ended());
+        let places = alive.map(|target| target.entry.slots).sum();
+        let gauge = self.concurrency.get(service);
+        gauge.is_some_and(|gauge| gauge.shows_queue(routers, places))
+    }
+
     /// Calls a second for an adapter at this router.
     pub fn demand_rate(&self, adapter: &AdapterId, now: Timestamp) -> f64 {
         self.demand.get(adapter).map_or(0.0, |count| count.rate(now))
--- a/crates/core/tests/core/direct/pressure.rs
+++ b/crates/core/tests/core/direct/pressure.rs
@@ -1,7 +1,7 @@
 //! Load of plain targets: one of three is left, and calls come twice as fast as it can work.
 
 use super::support::ms;
-use plantain_core::direct::pressure::{LatencyGauge, shed_share};
+use plantain_core::direct::pressure::{ConcurrencyGauge, LatencyGauge, shed_share};
 use std::{collections::VecDeque, time::Duration};
 
 const OBJECTIVE: Duration = Duration::from_millis(150);
@@ -102,6 +102,23 @@
     assert_eq!(play(100.0, 8, true).refused, 0, "nobody is turned away in calm");
 }
 
+/// All targets of a service work five times as long as usual, and two thirds of their places are free.
+/// Turning callers away would help nobody; with the same time to an answer and all places taken it does.
+#[test]
+fn slow_targets_with_free_places_turn_nobody_away() {
+    const ROUTERS: usize = 4;
+    let places = (PLACES * 4) as u32;
+    let mut gauge = ConcurrencyGauge::default();
+    for _ in 0..100 {
+        gauge.record(2);
+    }
+    assert!(!gauge.shows_queue(ROUTERS, places), "8 of 24 places");
+    for _ in 0..100 {
+        gauge.record(8);
+    }
+    assert!(gauge.shows_queue(ROUTERS, places), "32 calls at 24 places");
+}
+
 /// One answer in a hundred takes five times as long. It alone turns nobody away.
 #[test]
 fn one_slow_answer_turns_nobody_away() {
--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -6,7 +6,7 @@
     health::CallOutcome,
     membership::{InstanceId, ListChange, TargetEntry},
     messages::LoaderReport,
-    selection::{CallNeed, TargetChoice, choose_target, preferred_targets},
+    selection::{CallNeed, TargetChoice, choose_target, preferred_targets, queued_plain_ms},
     targets::TargetPool,
 };
 use std::{sync::Arc, time::Duration};
@@ -189,6 +189,35 @@
     assert_eq!(choose(&pool, ENGINES, Some(&call), 30), TargetChoice::AwaitBase);
 }
 
+/// Answers take long: turned into a reason to turn callers away only where calls wait for places.
+#[test]
+fn long_answers_count_as_a_queue_only_where_places_are_taken() {
+    let mut pool = pool();
+    let (service, zone) = (DESK.into(), "a".into());
+    for id in ["d1", "d2"] {
+        for at in 0..40 {
+            pool.record_latency(id, ms(140), ms(at * 20));
+        }
+    }
+    let need = CallNeed {
+        service: &service,
+        model: None,
+        zone: &zone,
+        excluded: &[],
+        routers: 2,
+        waiting_at: None,
+    };
+    pool.record_concurrency(&service);
+    assert!(queued_plain_ms(&pool, &need, ms(800)) < 0.001);
+    for call in 0..100 {
+        if call < 10 {
+            pool.call_started("d1", None, 0);
+        }
+        pool.record_concurrency(&service);
+    }
+    assert!(queued_plain_ms(&pool, &need, ms(800)) > 100.0, "20 calls at 16 places");
+}
+
 /// A target answers that it is another life than the one that was meant.
 #[test]
 fn a_displaced_target_gets_nothing() {
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -97,8 +97,14 @@
     pub(crate) fn record_call(&self, service: &ServiceName, model: Option<&ModelCall>) {
         let now = clock::now();
         self.with_budget(service, |budget| budget.record_call(now));
-        if let Some(adapter) = model.and_then(adapter_of) {
-            self.pool.borrow_mut().record_demand(&adapter, now);
+        let mut pool = self.pool.borrow_mut();
+        match model {
+            None => pool.record_concurrency(service),
+            Some(model) => {
+                if let Some(adapter) = adapter_of(model) {
+                    pool.record_demand(&adapter, now);
+                }
+            }
         }
     }
 
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -18,7 +18,7 @@
         membership::InstanceId,
         pressure::shed_share,
         proof::{FailureReply, RunProof, failure_reply, judge_answer, may_send_again},
-        selection::{CallNeed, TargetChoice, adapter_of, choose_target, expected_plain_ms},
+        selection::{CallNeed, TargetChoice, adapter_of, choose_target, queued_plain_ms},
     },
     ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
 };
@@ -196,7 +196,7 @@
 
     /// Whether the call is turned away because its plain service is overloaded; with when to come back.
     fn shed(&mut self) -> Option<Duration> {
-        let expected = self.expected_plain_ms()?;
+        let expected = self.queued_plain_ms()?;
         if rand::random::<f64>() >= shed_share(expected, self.route.objective) {
             return None;
         }
@@ -204,20 +204,21 @@
         Some(constants::SHED_PAUSE.mul_f64(0.25 + 0.75 * rand::random::<f64>()))
     }
 
-    /// Expected time to an answer of a plain service in milliseconds; `None` for engines.
-    fn expected_plain_ms(&self) -> Option<f64> {
+    /// Expected time to an answer of a plain service whose calls wait, in milliseconds; `None` for
+    /// engines.
+    fn queued_plain_ms(&self) -> Option<f64> {
         if self.head.model.is_some() {
             return None;
         }
         let settings = self.context.settings.borrow();
         let need = self.need(&settings.zone, None);
-        Some(expected_plain_ms(&self.context.pool.borrow(), &need, clock::now()))
+        Some(queued_plain_ms(&self.context.pool.borrow(), &need, clock::now()))
     }
 
     /// Whether a plain service is near its limit: repeating runs that failed, most of which fail again,
     /// would take places from calls that have not run at all.
     fn is_pressed(&self) -> bool {
-        let expected = self.expected_plain_ms();
+        let expected = self.queued_plain_ms();
         expected.is_some_and(|expected| shed_share(expected, self.route.objective) > 0.0)
     }
 
