--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -1,13 +1,16 @@
 //! Choice of a target.
 
 use super::support::{BASE, DESK, ENGINES, adapter, config, model_call, ms, pool, report, target};
-use plantain_core::direct::{
-    call::{AdapterRelease, ModelCall},
-    health::CallOutcome,
-    membership::{InstanceId, ListChange, TargetEntry},
-    messages::LoaderReport,
-    selection::{CallNeed, TargetChoice, choose_target, preferred_targets, queued_plain_ms},
-    targets::TargetPool,
+use plantain_core::{
+    direct::{
+        call::{AdapterRelease, ModelCall},
+        health::CallOutcome,
+        membership::{InstanceId, ListChange, TargetEntry},
+        messages::LoaderReport,
+        selection::{CallNeed, TargetChoice, choose_target, preferred_targets, queued_plain_ms},
+        targets::TargetPool,
+    },
+    ids::{ServiceName, ZoneName},
 };
 use std::{sync::Arc, time::Duration};
 
@@ -29,11 +32,19 @@
     excluded: &[InstanceId],
 ) -> TargetChoice {
     let (service, zone) = (service.into(), "a".into());
-    let need =
-        CallNeed { service: &service, model, zone: &zone, excluded, routers: 2, waiting_at: None };
+    let need = CallNeed { excluded, ..need(&service, &zone, model) };
     choose_target(pool, &need, ms(at), || 0.5)
 }
 
+/// What a call of one of two routers needs.
+fn need<'a>(
+    service: &'a ServiceName,
+    zone: &'a ZoneName,
+    model: Option<&'a ModelCall>,
+) -> CallNeed<'a> {
+    CallNeed { service, model, zone, excluded: &[], routers: 2, waiting_at: None }
+}
+
 fn sent_to(choice: &TargetChoice) -> Option<&str> {
     match choice {
         TargetChoice::Send(id, _) => Some(id),
@@ -84,14 +95,7 @@
     }
     let call = model_call(Some("h7"));
     let (service, zone) = (ENGINES.into(), "b".into());
-    let need = CallNeed {
-        service: &service,
-        model: Some(&call),
-        zone: &zone,
-        excluded: &[],
-        routers: 2,
-        waiting_at: None,
-    };
+    let need = need(&service, &zone, Some(&call));
     let preferred = preferred_targets(&pool, &need, &adapter("h7"), ms(10));
     let choice = choose(&pool, ENGINES, Some(&call), 10);
     assert_eq!(choice, TargetChoice::Load(preferred[0].clone(), adapter("h7"), 1));
@@ -131,14 +135,7 @@
     };
     pool.call_started(&first, None, 5_000);
     let (service, zone) = (ENGINES.into(), "a".into());
-    let need = CallNeed {
-        service: &service,
-        model: Some(&call),
-        zone: &zone,
-        excluded: &[],
-        routers: 2,
-        waiting_at: Some(&first),
-    };
+    let need = CallNeed { waiting_at: Some(&first), ..need(&service, &zone, Some(&call)) };
     let choice = choose_target(&pool, &need, ms(20), || 0.5);
     assert_eq!(choice, TargetChoice::Load(first.clone(), adapter("h7"), 1));
     assert_ne!(choose(&pool, ENGINES, Some(&call), 20), choice, "a new call goes elsewhere");
@@ -199,14 +196,7 @@
             pool.record_latency(id, ms(140), ms(at * 20));
         }
     }
-    let need = CallNeed {
-        service: &service,
-        model: None,
-        zone: &zone,
-        excluded: &[],
-        routers: 2,
-        waiting_at: None,
-    };
+    let need = need(&service, &zone, None);
     pool.record_concurrency(&service);
     assert!(queued_plain_ms(&pool, &need, ms(800)) < 0.001);
     for call in 0..100 {
@@ -302,14 +292,7 @@
     let mut pool = pool();
     let (service, zone) = (ENGINES.into(), "a".into());
     let call = model_call(Some("h7"));
-    let need = CallNeed {
-        service: &service,
-        model: Some(&call),
-        zone: &zone,
-        excluded: &[],
-        routers: 2,
-        waiting_at: None,
-    };
+    let need = need(&service, &zone, Some(&call));
     assert_eq!(preferred_targets(&pool, &need, &adapter("h7"), ms(0)).len(), 2, "one and a spare");
     for call in 0..400 {
         pool.record_demand(&adapter("h7"), ms(call * 10));
