--- a/crates/standin/src/cluster/process.rs
+++ b/crates/standin/src/cluster/process.rs
@@ -82,6 +82,11 @@
         self.child.id()
     }
 
+    /// Whether the process has ended, however.
+    pub fn has_ended(&mut self) -> bool {
+        !matches!(self.child.try_wait(), Ok(None))
+    }
+
     /// Sends a signal.
     pub fn signal(&self, signal: Signal) -> Result<()> {
         let id = self.id().ok_or_else(|| eyre!("{} has ended", self.name))?;
--- a/crates/standin/src/fault.rs
+++ b/crates/standin/src/fault.rs
@@ -19,6 +19,7 @@
     io::{AsyncReadExt, AsyncWriteExt},
     net::{TcpListener, TcpStream, UdpSocket},
     sync::watch,
+    task::JoinHandle,
     time::sleep,
 };
 
@@ -65,7 +66,7 @@
 #[derive(Clone, Copy, Debug, Default, Deserialize, PartialEq, Serialize)]
 #[serde(default)]
 pub struct ProxyFaults {
-    /// Connections are closed and refused; datagrams are dropped.
+    /// Connections are reset and refused; datagrams are dropped.
     pub cut: bool,
     /// Towards the upstream.
     pub up: DirectionFaults,
@@ -122,12 +123,55 @@
     }
 }
 
-#[derive(Clone)]
-struct ControlHandler {
+/// A proxy that runs for as long as this lives.
+pub struct FaultProxy {
     faults: watch::Sender<ProxyFaults>,
     state: ProxyState,
+    task: JoinHandle<()>,
+}
+
+impl FaultProxy {
+    /// Listens, and carries everything until it is dropped.
+    pub async fn start(
+        transport: ProxyTransport,
+        listen: SocketAddr,
+        upstream: SocketAddr,
+    ) -> Result<Self> {
+        let (faults, receiver) = watch::channel(ProxyFaults::default());
+        let state =
+            ProxyState { faults: receiver, passed_up: Arc::default(), passed_down: Arc::default() };
+        let carried = state.clone();
+        let task = match transport {
+            ProxyTransport::Tcp => {
+                let listener = server::bind(listen, "proxy").await?;
+                tokio::spawn(carry_tcp(listener, upstream, carried))
+            }
+            ProxyTransport::Udp => {
+                let socket = UdpSocket::bind(listen).await;
+                let socket = socket.wrap_err_with(|| format!("bind proxy on {listen}"))?;
+                tokio::spawn(carry_udp(socket, upstream, carried))
+            }
+        };
+        Ok(Self { faults, state, task })
+    }
+
+    /// Replaces the faults; bytes count anew towards a cut.
+    pub fn set(&self, faults: ProxyFaults) {
+        self.state.passed_up.store(0, Ordering::Release);
+        self.state.passed_down.store(0, Ordering::Release);
+        self.faults.send_replace(faults);
+    }
 }
 
+impl Drop for FaultProxy {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+#[derive(Clone)]
+struct ControlHandler(Arc<FaultProxy>);
+
 impl HttpHandler for ControlHandler {
     async fn handle(&self, request: Request<Incoming>, _peer: SocketAddr) -> HttpReply {
         let Ok(body) = request.into_body().collect().await else {
@@ -135,13 +179,11 @@
         };
         let body = body.to_bytes();
         if body.is_empty() {
-            return json_reply(StatusCode::OK, &*self.faults.borrow());
+            return json_reply(StatusCode::OK, &*self.0.faults.borrow());
         }
         match serde_json::from_slice::<ProxyFaults>(&body) {
             Ok(faults) => {
-                self.state.passed_up.store(0, Ordering::Release);
-                self.state.passed_down.store(0, Ordering::Release);
-                self.faults.send_replace(faults);
+                self.0.set(faults);
                 text_reply(StatusCode::OK, "set")
             }
             Err(error) => text_reply(StatusCode::BAD_REQUEST, error.to_string()),
@@ -149,31 +191,12 @@
     }
 }
 
-/// Runs the proxy until `stopping`.
+/// Runs a proxy, and the page that sets its faults, until `stopping`.
 pub async fn run(options: ProxyOptions, stopping: watch::Receiver<bool>) -> Result<()> {
-    let (sender, receiver) = watch::channel(ProxyFaults::default());
-    let state =
-        ProxyState { faults: receiver, passed_up: Arc::default(), passed_down: Arc::default() };
     let control = server::bind(options.control, "proxy control").await?;
-    let handler = ControlHandler { faults: sender, state: state.clone() };
-    let serving = server::serve(control, handler, ServerOptions { connections: 64 }, stopping);
-    match options.transport {
-        ProxyTransport::Tcp => {
-            let listener = server::bind(options.listen, "proxy").await?;
-            tokio::select! {
-                () = serving => {}
-                () = carry_tcp(listener, options.upstream, state) => {}
-            }
-        }
-        ProxyTransport::Udp => {
-            let socket = UdpSocket::bind(options.listen).await;
-            let socket = socket.wrap_err_with(|| format!("bind proxy on {}", options.listen))?;
-            tokio::select! {
-                () = serving => {}
-                () = carry_udp(socket, options.upstream, state) => {}
-            }
-        }
-    }
+    let proxy = FaultProxy::start(options.transport, options.listen, options.upstream).await?;
+    let handler = ControlHandler(Arc::new(proxy));
+    server::serve(control, handler, ServerOptions { connections: 64 }, stopping).await;
     Ok(())
 }
 
@@ -182,21 +205,27 @@
         if state.faults.borrow().cut {
             continue;
         }
-        let state = state.clone();
-        tokio::spawn(async move {
-            let Ok(server) = TcpStream::connect(upstream).await else { return };
-            let _ = (client.set_nodelay(true), server.set_nodelay(true));
-            let (client_read, client_write) = client.into_split();
-            let (server_read, server_write) = server.into_split();
-            let up = carry_stream(client_read, server_write, &state, ProxyDirection::Up);
-            let down = carry_stream(server_read, client_write, &state, ProxyDirection::Down);
-            let mut faults = state.faults.clone();
-            tokio::select! {
-                // A half-closed connection stays open in the other direction.
-                _ = async { tokio::join!(up, down) } => {}
-                _ = faults.wait_for(|faults| faults.cut) => {}
-            }
-        });
+        tokio::spawn(carry_connection(client, upstream, state.clone()));
+    }
+}
+
+async fn carry_connection(mut client: TcpStream, upstream: SocketAddr, state: ProxyState) {
+    let Ok(mut server) = TcpStream::connect(upstream).await else { return };
+    let _ = (client.set_nodelay(true), server.set_nodelay(true));
+    let is_cut = {
+        let (client_read, client_write) = client.split();
+        let (server_read, server_write) = server.split();
+        let up = carry_stream(client_read, server_write, &state, ProxyDirection::Up);
+        let down = carry_stream(server_read, client_write, &state, ProxyDirection::Down);
+        let mut faults = state.faults.clone();
+        tokio::select! {
+            // A half-closed connection stays open in the other direction.
+            _ = async { tokio::join!(up, down) } => false,
+            _ = faults.wait_for(|faults| faults.cut) => true,
+        }
+    };
+    if is_cut {
+        let _ = (client.set_zero_linger(), server.set_zero_linger());
     }
 }
 
