One router of a zone follows the store, and tells the others

Cause: each router watched all three kinds for itself. Change: a zone's routers name one watcher by rendezvous (core/direct/sharing.rs); it keeps the last 32 rounds of changes of each kind under the store's revisions, the others ask it (a question waits 0.3 s, a silent watcher costs half a second). A watcher that does not follow the store says so; a router can go on at the store at any time. Loaders name the routers of their own zone only, and count all, so that reports shrink by the number of zones. Found on the way: (1) a watch begun just as the store dropped its history heard nothing for its whole 20 s: watches of the list now wait 0.35 of the drain time, and a router follows itself only after two denials. (3) Targets that a peer's whole list changes now have their log lines. Ruled out: a connection per kind (three times the questions).

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -11,5 +11,6 @@
 pub mod pressure;
 pub mod proof;
 pub mod selection;
+pub mod sharing;
 pub mod snapshot;
 pub mod targets;
--- a/crates/core/src/direct/call.rs
+++ b/crates/core/src/direct/call.rs
@@ -1,6 +1,7 @@
 //! What a router knows of one call before it chooses a target.
 
 use crate::ids::{AdapterName, AdapterVersion, BaseName};
+use serde::{Deserialize, Serialize};
 use std::{sync::Arc, time::Duration};
 
 /// Id of a call as its caller sent it.
@@ -38,7 +39,7 @@
 }
 
 /// An adapter of a base model.
-#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct AdapterId {
     /// The base model.
     pub base: BaseName,
@@ -47,7 +48,7 @@
 }
 
 /// Newest announced version of an adapter.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AdapterRelease {
     /// The adapter.
     pub adapter: AdapterId,
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -12,7 +12,7 @@
 };
 use crate::{
     demand::DecayedCount,
-    ids::{AdapterVersion, BaseName, Timestamp},
+    ids::{AdapterVersion, BaseName, Timestamp, ZoneName},
 };
 use std::{
     collections::{HashMap, HashSet},
@@ -140,6 +140,7 @@
 /// The state machine.
 pub struct LoaderMachine {
     boot: BootId,
+    zone: ZoneName,
     sequence: u32,
     instance: Option<InstanceId>,
     report: Option<EngineReport>,
@@ -153,10 +154,11 @@
 }
 
 impl LoaderMachine {
-    /// Starts knowing nothing; `boot` tells this start from others.
-    pub fn new(boot: BootId) -> Self {
+    /// Starts knowing nothing in a zone; `boot` tells this start from others.
+    pub fn new(boot: BootId, zone: ZoneName) -> Self {
         Self {
             boot,
+            zone,
             sequence: 0,
             instance: None,
             report: None,
@@ -321,6 +323,8 @@
         self.sequence += 1;
         let coming = report.coming.iter();
         let coming = coming.map(|(id, _)| (Arc::clone(&id.base), Arc::clone(&id.name)));
+        let notices = self.notices.values().map(|state| &state.notice);
+        let near = notices.filter(|notice| notice.zone == self.zone);
         Some(LoaderReport {
             boot: self.boot,
             sequence: self.sequence,
@@ -332,7 +336,8 @@
             active: report.active,
             queued: report.queued,
             kv_used: report.kv_used,
-            routers: self.notices.values().filter_map(|state| state.notice.peer_address).collect(),
+            router_count: self.notices.len() as u16,
+            near_routers: near.filter_map(|notice| notice.peer_address).collect(),
         })
     }
 
--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -60,6 +60,16 @@
     Removed(InstanceId),
 }
 
+impl ListChange {
+    /// The target that changed.
+    pub fn target(&self) -> &InstanceId {
+        match self {
+            Self::Put(entry) => &entry.id,
+            Self::Removed(id) => id,
+        }
+    }
+}
+
 /// The list as a router uses it.
 #[derive(Debug, Default)]
 pub struct TargetList {
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -2,7 +2,7 @@
 //! or reordered one costs time and nothing else.
 
 use super::membership::{BaseHolding, InstanceId};
-use crate::ids::{AdapterName, AdapterVersion, BaseName};
+use crate::ids::{AdapterName, AdapterVersion, BaseName, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -67,6 +67,8 @@
     pub wishes: Vec<AdapterWish>,
     /// Adapters in use.
     pub uses: Vec<AdapterUse>,
+    /// The router's availability zone.
+    pub zone: ZoneName,
     /// Where other routers can ask this one for the configuration and the list.
     pub peer_address: Option<SocketAddr>,
 }
@@ -94,6 +96,9 @@
     pub queued: u16,
     /// Tokens of memory in use that cannot be given up.
     pub kv_used: u32,
-    /// Peer addresses of routers that sent a notice lately.
-    pub routers: Vec<SocketAddr>,
+    /// Routers that sent a notice lately.
+    pub router_count: u16,
+    /// Peer addresses of those of them in the loader's own availability zone. A router hears loaders of
+    /// all zones, and so of all routers, without each report naming all of them.
+    pub near_routers: Vec<SocketAddr>,
 }
--- a/crates/core/src/direct/snapshot.rs
+++ b/crates/core/src/direct/snapshot.rs
@@ -5,6 +5,7 @@
     call::{AdapterId, AdapterRelease},
     config::{CallerLimits, ConfigNumber, RouteConfig, RouteRule, ServiceSpec},
     membership::{InstanceId, ListChange, TargetEntry},
+    sharing::SharedChange,
 };
 use crate::ids::{AdapterVersion, ServiceName};
 use serde::{Deserialize, Serialize};
@@ -106,6 +107,27 @@
         *known = release.version.max(*known);
     }
 
+    /// The configuration, as a change.
+    pub fn whole_config(&self) -> Vec<SharedChange> {
+        let config = self.config.iter();
+        config.map(|config| SharedChange::Config(Arc::new(ConfigRecord::new(config)))).collect()
+    }
+
+    /// All targets, as changes.
+    pub fn whole_targets(&self) -> Vec<SharedChange> {
+        let entries = self.targets.values().cloned();
+        entries.map(|entry| SharedChange::Target(ListChange::Put(entry))).collect()
+    }
+
+    /// All newest versions, as changes.
+    pub fn whole_releases(&self) -> Vec<SharedChange> {
+        let releases = self.releases.iter().map(|(adapter, version)| AdapterRelease {
+            adapter: adapter.clone(),
+            version: *version,
+        });
+        releases.map(SharedChange::Release).collect()
+    }
+
     /// What a peer is told that has the configuration `number`.
     pub fn snapshot(&self, number: ConfigNumber, is_current: bool) -> PeerSnapshot {
         let newer = self.config.as_ref().filter(|config| config.number > number);
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -8,4 +8,5 @@
 mod pressure;
 mod proof;
 mod selection;
+mod sharing;
 mod support;
--- /dev/null
+++ b/crates/core/tests/core/direct/sharing.rs
@@ -0,0 +1,178 @@
+//! The list of targets, shared by the routers of a zone.
+
+use super::support::{DESK, target};
+use plantain_core::direct::{
+    membership::{InstanceId, ListChange},
+    sharing::{ChangeLog, SharedChange, zone_watcher},
+};
+use quickcheck::{Arbitrary, Gen, quickcheck};
+use std::{
+    collections::{BTreeMap, HashSet},
+    net::SocketAddr,
+    sync::Arc,
+};
+
+/// Targets of the keeper.
+const TARGETS: [&str; 4] = ["t0", "t1", "t2", "t3"];
+
+/// What happens next.
+#[derive(Clone, Copy, Debug)]
+enum ShareStep {
+    /// A target's entry changes, or goes.
+    Change { target: usize, is_removed: bool },
+    /// A router that watches reads the keeper.
+    Read { log: usize },
+    /// A router loses the keeper, or leaves the watch to another one.
+    Lose { log: usize },
+    /// The router under test asks another one.
+    Ask { log: usize },
+    /// The router under test reads the keeper.
+    Follow,
+}
+
+impl Arbitrary for ShareStep {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let log = usize::arbitrary(g) % 2;
+        match u8::arbitrary(g) % 16 {
+            0..=4 => {
+                Self::Change { target: usize::arbitrary(g) % 4, is_removed: bool::arbitrary(g) }
+            }
+            5..=8 => Self::Read { log },
+            9 => Self::Lose { log },
+            10..=14 => Self::Ask { log },
+            _ => Self::Follow,
+        }
+    }
+}
+
+/// The keeper: a change a revision.
+#[derive(Default)]
+struct Keeper(Vec<SharedChange>);
+
+impl Keeper {
+    fn revision(&self) -> u64 {
+        self.0.len() as u64
+    }
+
+    fn change(&mut self, index: usize, is_removed: bool) {
+        let id: InstanceId = TARGETS[index].into();
+        let change = if is_removed {
+            ListChange::Removed(id)
+        } else {
+            ListChange::Put(Arc::new(target(&id, DESK, "a", self.0.len() as u16 + 1)))
+        };
+        self.0.push(SharedChange::Target(change));
+    }
+
+    fn after(&self, revision: u64) -> Vec<SharedChange> {
+        self.0[revision as usize..].to_vec()
+    }
+
+    fn list_at(&self, revision: u64) -> BTreeMap<InstanceId, u64> {
+        let mut list = BTreeMap::new();
+        apply(&mut list, &self.0[..revision as usize]);
+        list
+    }
+}
+
+fn apply(list: &mut BTreeMap<InstanceId, u64>, changes: &[SharedChange]) {
+    for change in changes {
+        let SharedChange::Target(change) = change else { continue };
+        match change {
+            ListChange::Put(entry) => list.insert(Arc::clone(&entry.id), entry.life),
+            ListChange::Removed(id) => list.remove(id),
+        };
+    }
+}
+
+/// A router follows the keeper now and then, and otherwise asks one of two others that lose the keeper
+/// and find it again. If it took a list that lacks a change, a target that has left would get calls for
+/// as long as its entry does not change again. Whatever the order, its list is the keeper's own at the
+/// revision that it was told, and its revision never falls.
+#[test]
+fn a_shared_list_is_the_keepers() {
+    fn holds(steps: Vec<ShareStep>) -> bool {
+        let mut keeper = Keeper::default();
+        let mut logs = [(ChangeLog::default(), 0), (ChangeLog::default(), 0)];
+        let (mut list, mut revision) = (BTreeMap::new(), 0);
+        for step in steps {
+            match step {
+                ShareStep::Change { target, is_removed } => keeper.change(target, is_removed),
+                ShareStep::Read { log } => {
+                    let (log, known) = &mut logs[log];
+                    log.append(*known, keeper.revision(), keeper.after(*known));
+                    *known = keeper.revision();
+                }
+                ShareStep::Lose { log } => {
+                    logs[log].0.stop();
+                    logs[log].1 = keeper.revision();
+                }
+                ShareStep::Ask { log } => {
+                    let Some(news) = logs[log].0.since(revision) else { continue };
+                    apply(&mut list, &news.changes);
+                    if news.revision < revision || list != keeper.list_at(news.revision) {
+                        return false;
+                    }
+                    revision = news.revision;
+                }
+                ShareStep::Follow => {
+                    apply(&mut list, &keeper.after(revision));
+                    revision = keeper.revision();
+                }
+            }
+        }
+        true
+    }
+    quickcheck(holds as fn(Vec<ShareStep>) -> bool);
+}
+
+struct LogCase {
+    name: &'static str,
+    rounds: u64,
+    since: u64,
+    /// Changes told; `None` if the asker must read the whole list.
+    told: Option<usize>,
+}
+
+/// A router that was away for long asks from a revision of which the log knows no more. Told "nothing",
+/// it would keep entries of targets that are gone.
+#[test]
+fn one_that_is_too_far_behind_reads_the_whole_list() {
+    let cases = [
+        LogCase { name: "nothing new", rounds: 3, since: 3, told: Some(0) },
+        LogCase { name: "one round", rounds: 3, since: 2, told: Some(1) },
+        LogCase { name: "ahead", rounds: 3, since: 9, told: Some(0) },
+        LogCase { name: "from the start", rounds: 3, since: 0, told: Some(3) },
+        LogCase { name: "before the log", rounds: 40, since: 2, told: None },
+        LogCase { name: "just in the log", rounds: 40, since: 8, told: Some(4) },
+    ];
+    for case in cases {
+        let mut keeper = Keeper::default();
+        let mut log = ChangeLog::default();
+        log.restart(0);
+        for round in 0..case.rounds {
+            keeper.change(round as usize % TARGETS.len(), false);
+            log.append(round, round + 1, keeper.after(round));
+        }
+        let told = log.since(case.since).map(|news| news.changes.len());
+        assert_eq!(told, case.told, "{}", case.name);
+    }
+    assert!(ChangeLog::default().since(0).is_none(), "one that does not follow the keeper");
+}
+
+/// Every router of a zone must name the same watcher, whatever the order in which it heard of the
+/// others; with two, the keeper gets twice the calls, and with none the list stands still.
+#[test]
+fn all_routers_of_a_zone_name_the_same_watcher() {
+    let routers: Vec<SocketAddr> =
+        (1..9).map(|host| SocketAddr::from(([10, 0, 0, host], 8_144))).collect();
+    let named: HashSet<SocketAddr> = routers
+        .iter()
+        .map(|own| {
+            let others = routers.iter().rev().copied().filter(|other| other != own);
+            zone_watcher(*own, others)
+        })
+        .collect();
+    assert_eq!(named.len(), 1);
+    assert_eq!(zone_watcher(routers[0], std::iter::empty()), routers[0], "one alone");
+}
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -90,8 +90,9 @@
 
 impl LoaderDuty {
     fn new(settings: watch::Receiver<Arc<LoaderFile>>, socket: UdpSocket, logger: Logger) -> Self {
+        let zone = Arc::clone(&settings.borrow().zone);
         Self {
-            machine: LoaderMachine::new(rand::random()),
+            machine: LoaderMachine::new(rand::random(), zone),
             engine: EngineClient::new(),
             settings,
             socket,
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -11,7 +11,9 @@
 mod links;
 mod peers;
 mod readiness;
+mod register;
 mod relay;
+mod sharing;
 
 use crate::{
     clock, duty, logging,
@@ -22,13 +24,18 @@
 use control::{ControlEvent, ControlStart};
 use eyre::{Result, WrapErr};
 use plantain_core::{
-    direct::{membership::ListChange, targets::TargetPool},
+    direct::{
+        membership::{InstanceId, ListChange, TargetEntry},
+        targets::TargetPool,
+    },
     ids::Timestamp,
 };
 use plantain_net::server;
 use plantain_platform::objects::{FollowedChange, FollowedKind};
+use register::PeerRouter;
 use slog::{Logger, info, warn};
 use std::{
+    collections::HashSet,
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, atomic::AtomicBool},
@@ -75,7 +82,7 @@
 
 async fn start_control(
     settings: &watch::Receiver<Arc<RouterFile>>,
-    peers: watch::Receiver<Vec<SocketAddr>>,
+    peers: watch::Receiver<Vec<PeerRouter>>,
     logger: &Logger,
 ) -> Result<mpsc::Receiver<ControlEvent>> {
     let address = settings.borrow().peer_listen;
@@ -116,8 +123,7 @@
     match event {
         ControlEvent::Listed(FollowedKind::Targets, changes) => {
             let entries = follow::listed_targets(&changes);
-            info!(context.logger, "list of targets"; "step" => "targets",
-                "targets" => entries.len());
+            log_list(&entries, context);
             context.pool.borrow_mut().replace_list(entries, now);
         }
         ControlEvent::Listed(_, changes) | ControlEvent::Changed(changes) => {
@@ -159,6 +165,23 @@
     }
 }
 
+/// Writes a line for each target that a whole list changes, but one in all for the first list.
+fn log_list(entries: &[Arc<TargetEntry>], context: &RouterContext) {
+    info!(context.logger, "list of targets"; "step" => "targets", "targets" => entries.len());
+    let pool = context.pool.borrow();
+    let mut gone: HashSet<&InstanceId> = pool.entries().map(|entry| &entry.id).collect();
+    if gone.is_empty() {
+        return;
+    }
+    for entry in entries {
+        gone.remove(&entry.id);
+        log_target(&ListChange::Put(Arc::clone(entry)), &pool, context);
+    }
+    for id in gone {
+        log_target(&ListChange::Removed(Arc::clone(id)), &pool, context);
+    }
+}
+
 /// Writes a line where a change of the list changes which targets get calls.
 fn log_target(change: &ListChange, pool: &TargetPool, context: &RouterContext) {
     let logger = &context.logger;
@@ -181,7 +204,7 @@
 
 /// Drops what has outlived its time, looks for adapters that deserve more copies, and notices a
 /// suspension of the process.
-async fn keep_time(peers: watch::Sender<Vec<SocketAddr>>, context: Rc<RouterContext>) {
+async fn keep_time(peers: watch::Sender<Vec<PeerRouter>>, context: Rc<RouterContext>) {
     let mut ticks = interval(constants::TICK);
     let mut last = clock::now();
     loop {
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -1,12 +1,18 @@
 //! What the tasks of a router share. They run on one thread, so plain cells do.
 
-use super::{connections::ConnectionPool, constants, journal::RequestJournal};
+use super::{
+    connections::ConnectionPool,
+    constants,
+    journal::RequestJournal,
+    register::{PeerRouter, RouterRegister},
+};
 use crate::{clock, options::site::RouterFile};
 use plantain_core::{
     direct::{
         budget::RepeatBudget,
         call::{AdapterId, ModelCall},
         membership::InstanceId,
+        messages::LoaderReport,
         selection::{CallNeed, adapter_of, preferred_targets},
         targets::TargetPool,
     },
@@ -16,7 +22,6 @@
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
-    net::SocketAddr,
     rc::Rc,
     sync::{
         Arc,
@@ -55,7 +60,7 @@
     /// Turns true when the process is told to stop.
     pub(crate) stopping: watch::Receiver<bool>,
     budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
-    routers: RefCell<HashMap<SocketAddr, Timestamp>>,
+    routers: RefCell<RouterRegister>,
 }
 
 impl RouterContext {
@@ -126,22 +131,23 @@
         action(budget)
     }
 
-    /// Notes routers that a loader named.
-    pub(crate) fn note_routers(&self, routers: &[SocketAddr], now: Timestamp) {
-        let mut known = self.routers.borrow_mut();
-        known.extend(routers.iter().map(|router| (*router, now)));
-        known.retain(|_, seen| now.saturating_sub(*seen) < constants::ROUTER_LIFE);
+    /// Notes the routers that a loader names.
+    pub(crate) fn note_routers(&self, report: &LoaderReport, now: Timestamp) {
+        let pool = self.pool.borrow();
+        let target = pool.target(&report.instance);
+        let is_near = target.is_some_and(|target| target.entry.zone == self.settings.borrow().zone);
+        self.routers.borrow_mut().note(report, is_near, now);
     }
 
     /// Other routers that are alive.
-    pub(crate) fn peers(&self) -> Vec<SocketAddr> {
-        let own = self.settings.borrow().peer_listen;
-        self.routers.borrow().keys().copied().filter(|router| *router != own).collect()
+    pub(crate) fn peers(&self) -> Vec<PeerRouter> {
+        self.routers.borrow().peers(self.settings.borrow().peer_listen)
     }
 
     /// Routers in all, this one counted.
     pub(crate) fn router_count(&self) -> usize {
-        self.peers().len() + 1
+        let own = self.settings.borrow().peer_listen;
+        self.routers.borrow().count(own, clock::now())
     }
 
     /// Wakes the calls that wait for an adapter at a target. Only these: a report comes from each
--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -1,10 +1,13 @@
 //! The control thread: follows the store, and asks and answers other routers.
 
-use super::{constants, follow, peers};
-use crate::options::site::RouterFile;
-use plantain_core::direct::snapshot::FollowedState;
+use super::{constants, follow, peers, register::PeerRouter, sharing};
+use crate::{clock, options::site::RouterFile};
+use plantain_core::direct::{
+    sharing::{ChangeLog, SharedChange, zone_watcher},
+    snapshot::FollowedState,
+};
 use plantain_platform::objects::{FollowedChange, FollowedKind};
-use slog::Logger;
+use slog::{Logger, info};
 use std::{
     cell::{Cell, RefCell},
     net::SocketAddr,
@@ -31,12 +34,29 @@
     Regained(FollowedKind),
 }
 
+/// How far one kind is followed.
+#[derive(Debug, Default)]
+pub(crate) struct KindProgress {
+    /// Revision up to which it is known; none before it was read.
+    pub(super) revision: Cell<Option<u64>>,
+    /// Since when it cannot be followed.
+    pub(super) failing_since: Cell<Option<Duration>>,
+}
+
 /// What the duties of the control thread share.
 pub(crate) struct ControlLink {
     pub(super) logger: Logger,
     pub(super) state: RefCell<FollowedState>,
+    /// How far each kind is followed.
+    progress: [KindProgress; 3],
+    /// Latest changes of each kind, for other routers of this zone.
+    pub(super) logs: RefCell<[ChangeLog; 3]>,
+    /// Wakes those who wait for changes.
+    pub(super) log_changed: Notify,
+    /// Whether another router follows the store for this one.
+    is_shared: watch::Sender<bool>,
     settings: watch::Receiver<Arc<RouterFile>>,
-    peers: watch::Receiver<Vec<SocketAddr>>,
+    peers: watch::Receiver<Vec<PeerRouter>>,
     events: mpsc::Sender<ControlEvent>,
     lost: Cell<u32>,
     is_config_lost: Cell<bool>,
@@ -57,7 +77,8 @@
     /// Routers that may be asked: those alive as far as is known, and those of the settings.
     pub(super) fn peers(&self) -> Vec<SocketAddr> {
         let settings = self.settings.borrow();
-        let mut peers = self.peers.borrow().clone();
+        let alive = self.peers.borrow();
+        let mut peers: Vec<SocketAddr> = alive.iter().map(|peer| peer.address).collect();
         peers.extend(&settings.peers);
         peers.sort_unstable();
         peers.dedup();
@@ -65,6 +86,61 @@
         peers
     }
 
+    /// How far a kind is followed.
+    pub(super) fn progress(&self, kind: FollowedKind) -> &KindProgress {
+        &self.progress[kind as usize]
+    }
+
+    /// Revisions of all kinds; none before all of them were read.
+    pub(super) fn revisions(&self) -> Option<Vec<u64>> {
+        self.progress.iter().map(|progress| progress.revision.get()).collect()
+    }
+
+    /// Whether another router follows the store for this one.
+    pub(super) fn is_shared(&self) -> bool {
+        *self.is_shared.borrow()
+    }
+
+    /// Waits until another router follows the store for this one, or does so no longer.
+    pub(super) async fn shared_becomes(&self, is_shared: bool) {
+        let _ = self.is_shared.subscribe().wait_for(|shared| *shared == is_shared).await;
+    }
+
+    /// Has another router follow the store for this one, or no longer; whether that is a change.
+    pub(super) fn set_shared(&self, is_shared: bool) -> bool {
+        if is_shared {
+            for log in self.logs.borrow_mut().iter_mut() {
+                log.stop();
+            }
+            self.log_changed.notify_waiters();
+        }
+        self.is_shared.send_replace(is_shared) != is_shared
+    }
+
+    /// The router of this zone that follows the store, if it is another one.
+    pub(super) fn zone_watcher(&self) -> Option<SocketAddr> {
+        let own = self.settings.borrow().peer_listen;
+        let peers = self.peers.borrow();
+        let near = peers.iter().filter(|peer| peer.is_near).map(|peer| peer.address);
+        let watcher = zone_watcher(own, near);
+        (watcher != own).then_some(watcher)
+    }
+
+    /// Changes the log of a kind, and wakes those who wait for it.
+    pub(super) fn change_log(&self, kind: FollowedKind, change: impl FnOnce(&mut ChangeLog)) {
+        change(&mut self.logs.borrow_mut()[kind as usize]);
+        self.log_changed.notify_waiters();
+    }
+
+    /// The store, or a router that follows it, has told of a kind.
+    pub(super) async fn note_contact(&self, kind: FollowedKind) {
+        let Some(since) = self.progress(kind).failing_since.take() else { return };
+        let out_for = clock::now().saturating_sub(since);
+        info!(self.logger, "store regained"; "step" => "follow", "kind" => kind.name(),
+            "out_ms" => out_for.as_millis() as u64);
+        self.send(ControlEvent::Regained(kind)).await;
+    }
+
     /// Whether the configuration is not followed now.
     pub(super) fn is_config_lost(&self) -> bool {
         self.is_config_lost.get()
@@ -92,6 +168,16 @@
         let _ = self.events.send(event).await;
     }
 
+    /// All that is known of a kind, as changes.
+    pub(super) fn whole(&self, kind: FollowedKind) -> Vec<SharedChange> {
+        let state = self.state.borrow();
+        match kind {
+            FollowedKind::Config => state.whole_config(),
+            FollowedKind::Targets => state.whole_targets(),
+            FollowedKind::Releases => state.whole_releases(),
+        }
+    }
+
     fn keep(&self, event: &ControlEvent) {
         let mut state = self.state.borrow_mut();
         match event {
@@ -127,7 +213,7 @@
     /// Settings, which may change.
     pub(crate) settings: watch::Receiver<Arc<RouterFile>>,
     /// Other routers that are alive.
-    pub(crate) peers: watch::Receiver<Vec<SocketAddr>>,
+    pub(crate) peers: watch::Receiver<Vec<PeerRouter>>,
     /// Where events go.
     pub(crate) events: mpsc::Sender<ControlEvent>,
     /// Listener for other routers.
@@ -144,6 +230,10 @@
     let link = Rc::new(ControlLink {
         logger: start.logger,
         state: RefCell::default(),
+        progress: Default::default(),
+        logs: RefCell::default(),
+        log_changed: Notify::new(),
+        is_shared: watch::channel(false).0,
         settings: start.settings,
         peers: start.peers,
         events: start.events,
@@ -151,9 +241,10 @@
         is_config_lost: Cell::new(false),
         store_back: Notify::new(),
     });
-    for kind in [FollowedKind::Config, FollowedKind::Targets, FollowedKind::Releases] {
+    for kind in FollowedKind::ALL {
         spawn_local(follow::run(kind, Rc::clone(&link)));
     }
+    spawn_local(sharing::run(Rc::clone(&link)));
     let listener = TcpListener::from_std(start.listener).expect("a bound, non-blocking listener");
     spawn_local(peers::serve(listener, Rc::clone(&link)));
     peers::ask(link).await;
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -1,19 +1,24 @@
 //! Follows the platform's objects by watches, on the control thread.
 
-use super::control::{ControlEvent, ControlLink};
+use super::control::{ControlEvent, ControlLink, KindProgress};
 use crate::clock;
 use bytes::Bytes;
 use eyre::{Result, eyre};
 use hyper::{Method, StatusCode};
 use metrics::counter;
+use plantain_core::direct::{
+    membership::{ListChange, TargetEntry},
+    sharing::{ChangeLog, SharedChange, SharedNews},
+    snapshot::ConfigRecord,
+};
 use plantain_net::{
     backoff::RetryBackoff,
     client::{HttpClient, url},
 };
 use plantain_platform::objects::{self, FollowedChange, FollowedKind, FollowedPage, HISTORY_GONE};
 use slog::{info, warn};
-use std::{net::SocketAddr, rc::Rc, time::Duration};
-use tokio::time::{sleep, timeout};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use tokio::time::sleep;
 
 /// Time for which a watch waits at the store; a silent connection is noticed by keep-alive probes
 /// long before, so that this only bounds the number of calls.
@@ -30,10 +35,17 @@
 /// and go, and each answer of the store is a call that costs. The rest is for the call itself and for
 /// the calls that are on their way.
 const GATHER_SHARE: f64 = 0.55;
+/// Part of that time for which a watch of the list waits. The store may cut watches while it drops its
+/// history, and one that is begun in that moment hears nothing: it was seen to wait out all of its time,
+/// 20 s, in which targets came and went.
+const LIST_WAIT_SHARE: f64 = 0.35;
 /// Shortest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls: a store that is back is noticed within this.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
+/// The same for a router that another one tells when the store is back: it asks itself only in case that
+/// it is reached by the store and the other one is not.
+const SHARED_PAUSE: Duration = Duration::from_millis(1_500);
 /// Longest time for which a kind waits for another one to find the store back.
 const OTHERS_PAUSE: Duration = Duration::from_secs(3);
 
@@ -43,8 +55,6 @@
         kind,
         client: HttpClient::with_probes(),
         backoff: RetryBackoff::new(FIRST_PAUSE, LONGEST_PAUSE),
-        revision: None,
-        failing_since: None,
         link,
     };
     loop {
@@ -52,19 +62,42 @@
     }
 }
 
+/// Takes what another router has heard of the store.
+pub(super) async fn take_shared(news: SharedNews, link: &ControlLink) {
+    for (kind, news) in FollowedKind::ALL.into_iter().zip(news) {
+        let known = &link.progress(kind).revision;
+        if known.get().is_some_and(|known| known > news.revision) {
+            // A watch of this router's own was answered meanwhile; older changes would undo it.
+            continue;
+        }
+        known.set(Some(news.revision));
+        link.note_contact(kind).await;
+        let changes: Vec<FollowedChange> = news.changes.into_iter().map(from_shared).collect();
+        if news.is_whole {
+            info!(link.logger, "read whole through a router"; "step" => "follow",
+                "kind" => kind.name(), "revision" => news.revision);
+            link.send(ControlEvent::Listed(kind, changes)).await;
+        } else if !changes.is_empty() {
+            link.send(ControlEvent::Changed(changes)).await;
+        }
+    }
+}
+
 struct KindFollower {
     kind: FollowedKind,
     client: HttpClient,
     backoff: RetryBackoff,
-    revision: Option<u64>,
-    failing_since: Option<Duration>,
     link: Rc<ControlLink>,
 }
 
 impl KindFollower {
     async fn step(&mut self) {
-        let result = match self.revision {
+        let result = match self.progress().revision.get() {
             None => self.list().await,
+            Some(_) if self.link.is_shared() => {
+                self.link.shared_becomes(false).await;
+                return;
+            }
             Some(revision) => self.watch(revision).await,
         };
         match result {
@@ -73,54 +106,80 @@
         }
     }
 
+    fn progress(&self) -> &KindProgress {
+        self.link.progress(self.kind)
+    }
+
     async fn list(&mut self) -> Result<()> {
         let mut changes = Vec::new();
         let mut after: Option<String> = None;
-        loop {
+        // The first page's revision: what changes while further pages are read comes again. It is kept
+        // only once all pages are there: a list that was broken off would lack targets for good.
+        let mut first = None;
+        let revision = loop {
             let path = objects::list_path(self.kind, after.as_deref());
             let body = self.get(&path, LIST_LIMIT).await?;
             let body = body.ok_or_else(|| eyre!("{path}: history gone"))?;
             let page = objects::decode_list(self.kind, &body)?;
             self.tell_faults(&page);
             changes.extend(page.changes);
-            // The first page's revision: what changed while further pages were read comes again.
-            let revision = *self.revision.get_or_insert(page.revision);
+            let revision = *first.get_or_insert(page.revision);
             after = page.next;
             if after.is_none() {
-                self.revision = Some(revision);
-                break;
+                break revision;
             }
-        }
+        };
+        self.progress().revision.set(Some(revision));
         self.note_contact().await;
         self.link.send(ControlEvent::Listed(self.kind, changes)).await;
+        if !self.link.is_shared() {
+            self.link.change_log(self.kind, |log| log.restart(revision));
+        }
         Ok(())
     }
 
     async fn watch(&mut self, revision: u64) -> Result<()> {
-        // After a failure the store is only asked whether it is back: a watch would tell so with the next
-        // change, and until then this router would count itself as cut off.
-        let wait = if self.failing_since.is_some() { PROBE_WAIT } else { WATCH_WAIT };
+        let wait = self.watch_wait();
         let path = objects::watch_path(self.kind, revision, wait);
-        let Some(body) = self.get(&path, wait + ANSWER_SLACK).await? else {
+        let link = Rc::clone(&self.link);
+        let body = tokio::select! {
+            body = self.get(&path, wait + ANSWER_SLACK) => body?,
+            () = link.shared_becomes(true) => return Ok(()),
+        };
+        let Some(body) = body else {
             info!(self.link.logger, "history gone; list again"; "step" => "follow",
                 "kind" => self.kind.name(), "revision" => revision);
-            self.revision = None;
+            self.progress().revision.set(None);
             return Ok(());
         };
         let page = objects::decode_watch(self.kind, &body)?;
         self.tell_faults(&page);
-        self.revision = Some(page.revision);
+        self.progress().revision.set(Some(page.revision));
         self.note_contact().await;
-        if !page.changes.is_empty() {
-            let is_list = self.kind == FollowedKind::Targets;
+        let shared: Vec<SharedChange> = page.changes.iter().map(to_shared).collect();
+        let is_change = !page.changes.is_empty();
+        if is_change {
             self.link.send(ControlEvent::Changed(page.changes)).await;
-            if is_list {
-                sleep(self.link.drain_time().mul_f64(GATHER_SHARE)).await;
-            }
+        }
+        self.link.change_log(self.kind, |log| log.append(revision, page.revision, shared));
+        if is_change && self.kind == FollowedKind::Targets {
+            sleep(self.link.drain_time().mul_f64(GATHER_SHARE)).await;
         }
         Ok(())
     }
 
+    fn watch_wait(&self) -> Duration {
+        // After a failure the store is only asked whether it is back: a watch would tell so with the next
+        // change, and until then this router would count itself as cut off.
+        if self.progress().failing_since.get().is_some() {
+            return PROBE_WAIT;
+        }
+        match self.kind {
+            FollowedKind::Targets => self.link.drain_time().mul_f64(LIST_WAIT_SHARE),
+            FollowedKind::Config | FollowedKind::Releases => WATCH_WAIT,
+        }
+    }
+
     /// Gets a path; `None` where the history is gone.
     async fn get(&self, path: &str, limit: Duration) -> Result<Option<Bytes>> {
         counter!("plantain_store_calls_total", "kind" => self.kind.name()).increment(1);
@@ -142,18 +201,15 @@
 
     async fn note_contact(&mut self) {
         self.backoff.reset();
-        if let Some(since) = self.failing_since.take() {
-            let out_for = clock::now().saturating_sub(since);
-            info!(self.link.logger, "store regained"; "step" => "follow",
-                "kind" => self.kind.name(), "out_ms" => out_for.as_millis() as u64);
-            self.link.send(ControlEvent::Regained(self.kind)).await;
-        }
+        self.link.note_contact(self.kind).await;
     }
 
     async fn note_failure(&mut self, error: &eyre::Report) {
         counter!("plantain_platform_failures_total").increment(1);
-        if self.failing_since.is_none() {
-            self.failing_since = Some(clock::now());
+        self.link.change_log(self.kind, ChangeLog::stop);
+        let failing_since = &self.progress().failing_since;
+        if failing_since.get().is_none() {
+            failing_since.set(Some(clock::now()));
             warn!(self.link.logger, "store lost"; "step" => "follow",
                 "kind" => self.kind.name(), "error" => %format!("{error:#}"));
             self.link.send(ControlEvent::Lost(self.kind)).await;
@@ -166,22 +222,44 @@
     /// targets with its configuration and not up to a second later.
     async fn pause(&mut self) {
         let is_asked_for = self.kind != FollowedKind::Config && self.link.is_config_lost();
-        if is_asked_for {
-            let _ = timeout(OTHERS_PAUSE, self.link.store_back().notified()).await;
+        let pause = if is_asked_for {
+            OTHERS_PAUSE
+        } else if self.link.zone_watcher().is_some() && self.link.revisions().is_some() {
+            self.backoff.next_pause().max(SHARED_PAUSE)
         } else {
-            sleep(self.backoff.next_pause()).await;
+            self.backoff.next_pause()
+        };
+        tokio::select! {
+            () = sleep(pause) => {}
+            () = self.link.store_back().notified(), if is_asked_for => {}
+            () = self.link.shared_becomes(true) => {}
         }
     }
 }
 
 /// The list that changes make up, for a kind whose whole list was read.
-pub(super) fn listed_targets(
-    changes: &[FollowedChange],
-) -> Vec<std::sync::Arc<plantain_core::direct::membership::TargetEntry>> {
-    use plantain_core::direct::membership::ListChange;
+pub(super) fn listed_targets(changes: &[FollowedChange]) -> Vec<Arc<TargetEntry>> {
     let entries = changes.iter().filter_map(|change| match change {
-        FollowedChange::Target(ListChange::Put(entry)) => Some(std::sync::Arc::clone(entry)),
+        FollowedChange::Target(ListChange::Put(entry)) => Some(Arc::clone(entry)),
         _ => None,
     });
     entries.collect()
 }
+
+fn to_shared(change: &FollowedChange) -> SharedChange {
+    match change {
+        FollowedChange::Config(config) => SharedChange::Config(Arc::new(ConfigRecord::new(config))),
+        FollowedChange::Target(change) => SharedChange::Target(change.clone()),
+        FollowedChange::Release(release) => SharedChange::Release(release.clone()),
+    }
+}
+
+fn from_shared(change: SharedChange) -> FollowedChange {
+    match change {
+        SharedChange::Config(record) => {
+            FollowedChange::Config(Arc::new(ConfigRecord::clone(&record).into_config()))
+        }
+        SharedChange::Target(change) => FollowedChange::Target(change),
+        SharedChange::Release(release) => FollowedChange::Release(release),
+    }
+}
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -53,8 +53,8 @@
             return;
         };
         let now = clock::now();
-        self.context.note_routers(&report.routers, now);
         let instance = Arc::clone(&report.instance);
+        self.context.note_routers(&report, now);
         if self.context.pool.borrow_mut().take_report(host, report, now) {
             self.context.wake_waiters(&instance);
         }
@@ -120,6 +120,7 @@
             bases,
             wishes: target.wish_list(),
             uses: target.take_uses(),
+            zone: Arc::clone(&settings.zone),
             peer_address: Some(settings.peer_listen),
         };
         Some((address, notice))
--- a/crates/daemon/src/router/peers.rs
+++ b/crates/daemon/src/router/peers.rs
@@ -1,6 +1,9 @@
 //! What routers tell each other while the store is out: the configuration, the list and the versions.
 
-use super::control::{ControlEvent, ControlLink};
+use super::{
+    control::{ControlEvent, ControlLink},
+    sharing::{self, CHANGES_PATH},
+};
 use crate::clock;
 use bytes::Bytes;
 use eyre::{Result, WrapErr, ensure};
@@ -11,6 +14,7 @@
 use hyper_util::rt::{TokioIo, TokioTimer};
 use plantain_core::direct::{
     call::{AdapterId, AdapterRelease},
+    config::ConfigNumber,
     membership::ListChange,
     snapshot::PeerSnapshot,
 };
@@ -22,7 +26,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
-    time::{interval, sleep, timeout},
+    time::{interval, sleep},
 };
 
 /// Path at which a router is asked for what it knows.
@@ -34,8 +38,9 @@
 const ASK_LIMIT: Duration = Duration::from_millis(400);
 /// Time given to the store at the start before peers are asked.
 const START_PAUSE: Duration = Duration::from_millis(250);
-/// Longest exchange with a peer that asks.
-const SERVE_LIMIT: Duration = Duration::from_secs(2);
+/// Time after which an unused connection of a peer is closed. Those that ask for changes of the list do
+/// so several times a second; those that ask for a snapshot use another one next time.
+const IDLE_LIMIT: Duration = Duration::from_secs(5);
 
 /// Asks peers for as long as the process lives, whenever the store is out.
 pub(super) async fn ask(link: Rc<ControlLink>) {
@@ -95,9 +100,7 @@
         match listener.accept().await {
             Ok((stream, _)) => {
                 let link = Rc::clone(&link);
-                spawn_local(async move {
-                    let _ = timeout(SERVE_LIMIT, serve_peer(stream, link)).await;
-                });
+                spawn_local(serve_peer(stream, link));
             }
             Err(_) => sleep(Duration::from_millis(50)).await,
         }
@@ -107,24 +110,38 @@
 async fn serve_peer(stream: TcpStream, link: Rc<ControlLink>) {
     let service = service_fn(move |request: Request<Incoming>| {
         let link = Rc::clone(&link);
-        async move { Ok::<_, Infallible>(answer(&request, &link)) }
+        async move { Ok::<_, Infallible>(answer(&request, &link).await) }
     });
     let _ = http1::Builder::new()
         .timer(TokioTimer::new())
-        .keep_alive(false)
+        .header_read_timeout(IDLE_LIMIT)
         .serve_connection(TokioIo::new(stream), service)
         .await;
 }
 
-fn answer(request: &Request<Incoming>, link: &ControlLink) -> Response<Full<Bytes>> {
+async fn answer(request: &Request<Incoming>, link: &ControlLink) -> Response<Full<Bytes>> {
+    let query = request.uri().query().unwrap_or_default();
+    let value = query.split_once('=').map_or("", |(_, value)| value);
+    if request.uri().path() == CHANGES_PATH {
+        let (status, body) = sharing::answer(link, value).await;
+        let mut reply = Response::new(Full::new(body));
+        *reply.status_mut() = status;
+        return reply;
+    }
+    tell_snapshot(request, value.parse().unwrap_or(0), link)
+}
+
+fn tell_snapshot(
+    request: &Request<Incoming>,
+    number: ConfigNumber,
+    link: &ControlLink,
+) -> Response<Full<Bytes>> {
     let began = clock::now();
     let mut reply = Response::new(Full::default());
     if request.uri().path() != SNAPSHOT_PATH {
         *reply.status_mut() = StatusCode::NOT_FOUND;
         return reply;
     }
-    let query = request.uri().query().and_then(|query| query.strip_prefix("config="));
-    let number = query.and_then(|number| number.parse().ok()).unwrap_or(0);
     let snapshot = link.state.borrow().snapshot(number, link.is_current());
     match postcard::to_allocvec(&snapshot) {
         Ok(bytes) => *reply.body_mut() = Full::new(bytes.into()),
