Copies follow what loaders report, not one router's calls times the routers

Cause: the demand for an adapter was this router's decayed count, the call at hand included, times the routers. Change: loaders, who hear of all calls at their engine, report how often each adapter held is wanted (two bytes each); a router sums that up.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub mod call;
 pub mod config;
+pub mod demand;
 pub mod health;
 pub mod loader;
 pub mod membership;
--- /dev/null
+++ b/crates/core/src/direct/demand.rs
@@ -0,0 +1,80 @@
+//! How much adapters are wanted over the fleet, as one router can tell.
+//!
+//! Pattern: thirty routers share the calls, and each sees a thirtieth of those for an adapter. What one
+//! router sees, times their number, is right on the mean and useless for a single adapter: a call that has
+//! just come would count as twenty a second, and every rare adapter would get three copies. The loader of
+//! an engine hears of all calls for the adapters there, so its word goes first. A router's own count only
+//! tells of an adapter that has become wanted within the last moments, once several calls came together.
+
+use super::{call::AdapterId, messages::LoaderReport};
+use crate::{demand::DecayedCount, ids::Timestamp};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+/// Half-life of counts that decide how many copies an adapter gets: popularity moves within seconds, and
+/// until copies follow, one engine gets all calls for an adapter.
+pub const RECENT_HALF_LIFE: Duration = Duration::from_secs(1);
+/// Adapters whose calls are counted; beyond it the least wanted are forgotten. Bounds memory at about
+/// 100 bytes each.
+const COUNT_LIMIT: usize = 4_096;
+/// Count below which an adapter is forgotten when there are too many.
+const COUNT_FLOOR: f64 = 0.1;
+/// Reported rates are in tenths of a call a second.
+const RATE_STEP: f64 = 0.1;
+
+/// A rate as reports carry it.
+pub fn encode_rate(calls_a_second: f64) -> u16 {
+    (calls_a_second / RATE_STEP).round().clamp(0.0, f64::from(u16::MAX)) as u16
+}
+
+/// Counts of this router, and rates that loaders report.
+#[derive(Debug, Default)]
+pub struct FleetDemand {
+    own: HashMap<AdapterId, DecayedCount>,
+    reported: HashMap<AdapterId, f64>,
+}
+
+impl FleetDemand {
+    /// Counts a call that came to this router.
+    pub fn record(&mut self, adapter: &AdapterId, now: Timestamp) {
+        let count = self.own.entry(adapter.clone());
+        count.or_insert_with(|| DecayedCount::new(RECENT_HALF_LIFE)).record(now);
+    }
+
+    /// Forgets what is wanted least, if there is too much.
+    pub fn expire(&mut self, now: Timestamp) {
+        if self.own.len() > COUNT_LIMIT {
+            self.own.retain(|_, count| count.read(now) > COUNT_FLOOR);
+        }
+    }
+
+    /// Sums up the rates that the loaders report, which replace the earlier ones.
+    pub fn take_reports<'a>(&mut self, reports: impl Iterator<Item = &'a LoaderReport>) {
+        self.reported.clear();
+        for report in reports {
+            let adapters = report.holdings.iter().flat_map(|holding| {
+                let names = holding.adapters.keys();
+                names.map(|name| (Arc::clone(&holding.base), Arc::clone(name)))
+            });
+            for ((base, name), rate) in adapters.zip(&report.rates).filter(|(_, rate)| **rate > 0) {
+                let sum = self.reported.entry(AdapterId { base, name }).or_default();
+                *sum += f64::from(*rate) * RATE_STEP;
+            }
+        }
+    }
+
+    /// Calls a second for an adapter over the fleet of `routers`.
+    pub fn rate(&self, adapter: &AdapterId, routers: usize, now: Timestamp) -> f64 {
+        let reported = self.reported.get(adapter).copied().unwrap_or(0.0);
+        // The call for which this is asked says nothing of others.
+        let others = self.own.get(adapter).map_or(0.0, |count| (count.read(now) - 1.0).max(0.0));
+        let own = others * std::f64::consts::LN_2 / RECENT_HALF_LIFE.as_secs_f64();
+        reported.max(own * routers as f64)
+    }
+
+    /// Adapters wanted at least `rate` times a second over the fleet of `routers`.
+    pub fn wanted(&self, rate: f64, routers: usize, now: Timestamp) -> Vec<AdapterId> {
+        let counted = self.own.keys().filter(|adapter| !self.reported.contains_key(*adapter));
+        let all = self.reported.keys().chain(counted);
+        all.filter(|adapter| self.rate(adapter, routers, now) >= rate).cloned().collect()
+    }
+}
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -7,6 +7,7 @@
 
 use super::{
     call::AdapterId,
+    demand::{RECENT_HALF_LIFE, encode_rate},
     membership::{BaseHolding, InstanceId},
     messages::{AdapterWish, BootId, LoaderReport, RouterNotice},
 };
@@ -137,6 +138,28 @@
     met: HashSet<AdapterId>,
 }
 
+/// How much an adapter was wanted at the engine.
+struct AdapterDemand {
+    /// Decides what is kept.
+    lasting: DecayedCount,
+    /// Decides how many engines hold it.
+    recent: DecayedCount,
+}
+
+impl Default for AdapterDemand {
+    fn default() -> Self {
+        let (lasting, recent) = (DEMAND_HALF_LIFE, RECENT_HALF_LIFE);
+        Self { lasting: DecayedCount::new(lasting), recent: DecayedCount::new(recent) }
+    }
+}
+
+impl AdapterDemand {
+    fn add(&mut self, count: f64, now: Timestamp) {
+        self.lasting.add(count, now);
+        self.recent.add(count, now);
+    }
+}
+
 /// The state machine.
 pub struct LoaderMachine {
     boot: BootId,
@@ -150,7 +173,7 @@
     not_before: Timestamp,
     ordered: Timestamp,
     notices: HashMap<SocketAddr, NoticeState>,
-    demand: HashMap<AdapterId, DecayedCount>,
+    demand: HashMap<AdapterId, AdapterDemand>,
 }
 
 impl LoaderMachine {
@@ -259,11 +282,9 @@
 
     fn record_demand(&mut self, adapter: AdapterId, count: u16, now: Timestamp) {
         if self.demand.len() >= DEMAND_LIMIT {
-            self.demand.retain(|_, demand| demand.read(now) > DEMAND_FLOOR);
+            self.demand.retain(|_, demand| demand.lasting.read(now) > DEMAND_FLOOR);
         }
-        let demand =
-            self.demand.entry(adapter).or_insert_with(|| DecayedCount::new(DEMAND_HALF_LIFE));
-        demand.add(f64::from(count), now);
+        self.demand.entry(adapter).or_default().add(f64::from(count), now);
     }
 
     /// The engine did not answer the question for a report or for its life.
@@ -316,8 +337,25 @@
         }
     }
 
+    /// Calls a second for an adapter, those counted that wait for it.
+    fn rate(&self, adapter: &AdapterId, now: Timestamp) -> f64 {
+        let wishes = self.notices.values().flat_map(|state| &state.notice.wishes);
+        let own = wishes.filter(|wish| wish_adapter(wish) == *adapter);
+        let waiting: u32 = own.map(|wish| u32::from(wish.waiting)).sum();
+        let started = self.demand.get(adapter).map_or(0.0, |demand| demand.recent.rate(now));
+        started + f64::from(waiting)
+    }
+
+    fn rates(&self, holdings: &[BaseHolding], now: Timestamp) -> Vec<u16> {
+        let adapters = holdings.iter().flat_map(|holding| {
+            let names = holding.adapters.keys();
+            names.map(|name| AdapterId { base: Arc::clone(&holding.base), name: Arc::clone(name) })
+        });
+        adapters.map(|adapter| encode_rate(self.rate(&adapter, now))).collect()
+    }
+
     /// What routers are told.
-    pub fn make_report(&mut self) -> Option<LoaderReport> {
+    pub fn make_report(&mut self, now: Timestamp) -> Option<LoaderReport> {
         let instance = self.instance.clone()?;
         let report = self.report.as_ref()?;
         self.sequence += 1;
@@ -331,6 +369,7 @@
             instance,
             is_answering: self.is_answering,
             is_leaving: report.is_leaving,
+            rates: self.rates(&report.holdings, now),
             holdings: report.holdings.clone(),
             coming: coming.collect(),
             active: report.active,
@@ -451,9 +490,9 @@
         let free = all.filter(|id| !report.coming.iter().any(|(coming, _)| coming == id));
         let scored = free.map(|id| {
             let demand = self.demand.get(&id);
-            let is_fresh = demand.is_some_and(|demand| demand.age(now) < JUST_USED);
+            let is_fresh = demand.is_some_and(|demand| demand.lasting.age(now) < JUST_USED);
             let in_use = running.get(&id).copied().unwrap_or(0) + u32::from(is_fresh);
-            let calls = demand.map_or(0.0, |demand| demand.read(now));
+            let calls = demand.map_or(0.0, |demand| demand.lasting.read(now));
             (in_use, calls, id)
         });
         let least = |a: &(u32, f64, AdapterId), b: &(u32, f64, AdapterId)| {
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -88,6 +88,10 @@
     pub is_leaving: bool,
     /// What the engine holds.
     pub holdings: Vec<BaseHolding>,
+    /// How often each of their adapters is wanted here, as [`encode_rate`] gives it, in the same order.
+    ///
+    /// [`encode_rate`]: super::demand::encode_rate
+    pub rates: Vec<u16>,
     /// Adapters on their way, or being replaced.
     pub coming: Vec<(BaseName, AdapterName)>,
     /// Calls that the engine runs.
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -149,7 +149,7 @@
     adapter: &AdapterId,
     now: Timestamp,
 ) -> Vec<InstanceId> {
-    let rate = pool.demand_rate(adapter, now) * need.routers as f64;
+    let rate = pool.demand().rate(adapter, need.routers, now);
     let copies = 1 + (rate / CALLS_PER_COPY) as usize;
     let key = adapter_key(adapter);
     let usable = pool.service_targets(need.service).filter(|target| {
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -3,15 +3,13 @@
 use super::{
     call::{AdapterId, AdapterRelease},
     config::{EngineSpec, RouteConfig},
+    demand::FleetDemand,
     health::{CallOutcome, TargetHealth},
     membership::{BaseHolding, InstanceId, ListChange, TargetEntry, TargetList},
     messages::{AdapterUse, AdapterWish, BaseOffer, LoaderReport},
     pressure::{ConcurrencyGauge, LatencyGauge},
 };
-use crate::{
-    demand::DecayedCount,
-    ids::{AdapterVersion, ServiceName, Timestamp},
-};
+use crate::ids::{AdapterVersion, ServiceName, Timestamp};
 use std::{
     collections::{HashMap, HashSet},
     net::{IpAddr, SocketAddr},
@@ -22,12 +20,6 @@
 /// Age after which a loader's report no longer says what its engine holds. Reports come at least
 /// every 0.8 s, so this is three lost ones in a row.
 pub const REPORT_LIFE: Duration = Duration::from_millis(2_500);
-/// Half-life of the demand for an adapter: the calls of about a second decide how many copies it gets.
-/// Popularity moves within seconds, and until copies follow, one engine gets all calls for an adapter.
-const DEMAND_HALF_LIFE: Duration = Duration::from_secs(1);
-/// Adapters whose demand is remembered; beyond it the least wanted are forgotten. Bounds memory at
-/// about 100 bytes each.
-const DEMAND_LIMIT: usize = 4_096;
 
 /// What a loader last reported of its engine.
 #[derive(Clone, Debug)]
@@ -192,7 +184,7 @@
     targets: HashMap<InstanceId, TargetState>,
     by_service: HashMap<ServiceName, Vec<InstanceId>>,
     releases: HashMap<AdapterId, AdapterVersion>,
-    demand: HashMap<AdapterId, DecayedCount>,
+    demand: FleetDemand,
     concurrency: HashMap<ServiceName, ConcurrencyGauge>,
 }
 
@@ -211,7 +203,7 @@
             targets: HashMap::new(),
             by_service: HashMap::new(),
             releases: HashMap::new(),
-            demand: HashMap::new(),
+            demand: FleetDemand::default(),
             concurrency: HashMap::new(),
         }
     }
@@ -276,9 +268,9 @@
         if self.list.expire(now) {
             self.rebuild();
         }
-        if self.demand.len() > DEMAND_LIMIT {
-            self.demand.retain(|_, count| count.read(now) > 0.1);
-        }
+        self.demand.expire(now);
+        let fresh = self.targets.values().filter_map(|target| target.fresh_report(now));
+        self.demand.take_reports(fresh);
     }
 
     /// Entries of the list in use.
@@ -365,8 +357,7 @@
 
     /// Counts a call for an adapter towards its demand.
     pub fn record_demand(&mut self, adapter: &AdapterId, now: Timestamp) {
-        let count = self.demand.entry(adapter.clone());
-        count.or_insert_with(|| DecayedCount::new(DEMAND_HALF_LIFE)).record(now);
+        self.demand.record(adapter, now);
     }
 
     /// Counts the calls of this router at a service's targets, as a new one comes.
@@ -383,15 +374,9 @@
         gauge.is_some_and(|gauge| gauge.shows_queue(routers, places))
     }
 
-    /// Calls a second for an adapter at this router.
-    pub fn demand_rate(&self, adapter: &AdapterId, now: Timestamp) -> f64 {
-        self.demand.get(adapter).map_or(0.0, |count| count.rate(now))
-    }
-
-    /// Adapters wanted at least `rate` times a second at this router.
-    pub fn wanted(&self, rate: f64, now: Timestamp) -> Vec<AdapterId> {
-        let wanted = self.demand.iter().filter(|(_, count)| count.rate(now) >= rate);
-        wanted.map(|(adapter, _)| adapter.clone()).collect()
+    /// How much adapters are wanted over the fleet.
+    pub fn demand(&self) -> &FleetDemand {
+        &self.demand
     }
 
     /// A call goes out to a target; returns whether it is this router's only one there for its adapter.
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -2,6 +2,7 @@
 
 mod budget;
 mod config;
+mod demand;
 mod health;
 mod loader;
 mod membership;
--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -242,7 +242,7 @@
     machine.take_notice(router(1), notice(1, vec![wish("z", 1)], vec![]), ms(0));
     machine.note_silence(ms(5));
     assert!(matches!(machine.next_step(ms(6)), LoaderStep::Wait(_)));
-    assert!(!machine.make_report().expect("a report").is_answering);
+    assert!(!machine.make_report(ms(0)).expect("a report").is_answering);
 }
 
 /// An engine as the loader meets it: it accepts an order only on its order count, loses answers, and
--- a/crates/core/tests/core/direct/support.rs
+++ b/crates/core/tests/core/direct/support.rs
@@ -103,6 +103,7 @@
         is_answering: true,
         is_leaving: false,
         holdings: vec![holding(adapters)],
+        rates: Vec::new(),
         coming: Vec::new(),
         active: 0,
         queued: 0,
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -200,7 +200,7 @@
     /// Tells routers what changed, and all of it now and then.
     fn publish(&mut self) {
         let now = clock::now();
-        let Some(report) = self.machine.make_report() else { return };
+        let Some(report) = self.machine.make_report(now) else { return };
         let is_news = self.last.as_ref().is_none_or(|last| !is_same(last, &report));
         if is_news {
             for sent in self.sent.values_mut() {
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -38,8 +38,9 @@
 pub(crate) const LOAD_LOOK: Duration = Duration::from_millis(60);
 /// Time for which a wish ahead of calls is kept.
 pub(crate) const PREFETCH_LIFE: Duration = Duration::from_secs(2);
-/// Calls a second at one router from which an adapter is looked at for copies.
-pub(crate) const PREFETCH_RATE: f64 = 0.8;
+/// Calls a second over the fleet from which an adapter is looked at for copies: one copy carries twice
+/// as many.
+pub(crate) const PREFETCH_RATE: f64 = 5.0;
 /// Pause between notices to a loader while nothing changes; it forgets a router after 2.5 s.
 pub(crate) const NOTICE_PAUSE: Duration = Duration::from_millis(600);
 /// Shortest pause between notices to one loader that a call's wish does not hurry.
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -179,7 +179,7 @@
         pool.drop_old_prefetches(constants::PREFETCH_LIFE, now);
         let zone = Arc::clone(&self.settings.borrow().zone);
         let routers = self.router_count();
-        for adapter in pool.wanted(constants::PREFETCH_RATE, now) {
+        for adapter in pool.demand().wanted(constants::PREFETCH_RATE, routers, now) {
             let Some(service) = service_of(&pool, &adapter) else { continue };
             let need = CallNeed {
                 service: &service,
