--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -197,6 +197,9 @@
             Some(known) if entry.is_leaving && !known.entry.is_leaving => {
                 info!(logger, "target leaves"; "step" => "targets", "target" => &*entry.id);
             }
+            Some(known) if known.entry.is_leaving && !entry.is_leaving => {
+                info!(logger, "target stays"; "step" => "targets", "target" => &*entry.id);
+            }
             Some(_) => {}
         },
     }
