Watches of the list wait longer, and are answered at once after anything failed

Change: the wait is 0.9 of the drain time; what the short wait was for, a watch begun as the store drops its history, is met by asking without a wait after any kind's failure and when a watcher is left.

--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -41,6 +41,9 @@
     pub(super) revision: Cell<Option<u64>>,
     /// Since when it cannot be followed.
     pub(super) failing_since: Cell<Option<Duration>>,
+    /// Whether the next watch must be answered at once: a call of any kind failed, so that the store may
+    /// be about to drop its history.
+    pub(super) is_doubtful: Cell<bool>,
 }
 
 /// What the duties of the control thread share.
@@ -96,6 +99,13 @@
         self.progress.iter().map(|progress| progress.revision.get()).collect()
     }
 
+    /// Has the next watch of each kind answered at once.
+    pub(super) fn set_doubtful(&self) {
+        for progress in &self.progress {
+            progress.is_doubtful.set(true);
+        }
+    }
+
     /// Whether another router follows the store for this one.
     pub(super) fn is_shared(&self) -> bool {
         *self.is_shared.borrow()
@@ -108,6 +118,9 @@
 
     /// Has another router follow the store for this one, or no longer; whether that is a change.
     pub(super) fn set_shared(&self, is_shared: bool) -> bool {
+        if !is_shared && self.is_shared() {
+            self.set_doubtful();
+        }
         if is_shared {
             for log in self.logs.borrow_mut().iter_mut() {
                 log.stop();
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -37,8 +37,8 @@
 const GATHER_SHARE: f64 = 0.55;
 /// Part of that time for which a watch of the list waits. The store may cut watches while it drops its
 /// history, and one that is begun in that moment hears nothing: it was seen to wait out all of its time,
-/// 20 s, in which targets came and went.
-const LIST_WAIT_SHARE: f64 = 0.35;
+/// 20 s, in which targets came and went. Most lists change more often than this, so it costs few calls.
+const LIST_WAIT_SHARE: f64 = 0.9;
 /// Shortest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls: a store that is back is noticed within this.
@@ -169,9 +169,10 @@
     }
 
     fn watch_wait(&self) -> Duration {
-        // After a failure the store is only asked whether it is back: a watch would tell so with the next
-        // change, and until then this router would count itself as cut off.
-        if self.progress().failing_since.get().is_some() {
+        // After a failure the store is only asked what is new: a watch would tell that it is back with the
+        // next change, and until then this router would count itself as cut off.
+        let is_doubtful = self.progress().is_doubtful.take();
+        if is_doubtful || self.progress().failing_since.get().is_some() {
             return PROBE_WAIT;
         }
         match self.kind {
@@ -207,6 +208,7 @@
     async fn note_failure(&mut self, error: &eyre::Report) {
         counter!("plantain_platform_failures_total").increment(1);
         self.link.change_log(self.kind, ChangeLog::stop);
+        self.link.set_doubtful();
         let failing_since = &self.progress().failing_since;
         if failing_since.get().is_none() {
             failing_since.set(Some(clock::now()));
