Messages of the core depend on no state machine

Cause: protocol took types from agent, permits, entry and outcome, which take protocol's: five circles, in which no file could be read first. Change: priorities and load urgency in priority, what a target is in target, reasons of refusals beside outcomes, the permit that is asked for among the messages. No type changed.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -18,11 +18,12 @@
         residency::{EvictionPolicy, ResidentTable},
     },
     config::PresetRecord,
-    ids::{AdapterDigest, AdapterKey, BaseName, ConfigRevision, ServiceName, Timestamp},
-    protocol::{RefusalReason, TargetReport, WorkItem},
+    ids::{AdapterDigest, AdapterKey, ConfigRevision, Timestamp},
+    outcome::RefusalReason,
+    protocol::{TargetReport, WorkItem},
     stats::RunningMean,
+    target::TargetKind,
 };
-use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, time::Duration};
 
 /// Time after which a reservation that was never released lapses. It only has to outlast the
@@ -35,16 +36,6 @@
 /// Demand that stands for that of the victim when all adapters are in use.
 const PINNED_DEMAND: f64 = 50.0;
 
-/// What a target serves.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum TargetKind {
-    /// A model engine with this base model.
-    Engine(BaseName),
-    /// A replica of this plain service.
-    Service(ServiceName),
-}
-
 /// Fixed properties of an agent and its target.
 #[derive(Clone, Debug)]
 pub struct AgentOptions {
--- a/crates/core/src/agent/admission.rs
+++ b/crates/core/src/agent/admission.rs
@@ -1,10 +1,12 @@
 //! Whether an offer is taken: at once, and with when to come back if not.
 
 use crate::{
-    agent::{AgentState, TargetKind, events::OfferSummary},
+    agent::{AgentState, events::OfferSummary},
     ids::Timestamp,
-    outcome::Refusal,
-    protocol::{Priority, RefusalReason, WorkItem},
+    outcome::{Refusal, RefusalReason},
+    priority::Priority,
+    protocol::WorkItem,
+    target::TargetKind,
 };
 use std::time::Duration;
 
--- a/crates/core/src/agent/events.rs
+++ b/crates/core/src/agent/events.rs
@@ -3,9 +3,9 @@
 use crate::{
     ids::{AdapterKey, CallerName, ConfigRevision},
     outcome::Refusal,
-    protocol::{Priority, WorkItem},
+    priority::{LoadUrgency, Priority},
+    protocol::WorkItem,
 };
-use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
 /// Number of an offer, unique in one agent process.
@@ -50,17 +50,6 @@
     StoreBusy,
 }
 
-/// How much a load is wanted; greater is more urgent.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
-pub struct LoadUrgency {
-    /// Priority of the most important waiter, as `2 - rank`.
-    pub importance: u8,
-    /// Requests that wait.
-    pub waiters: u32,
-    /// Time that the first of them has waited.
-    pub waited: Duration,
-}
-
 /// Events of an agent.
 #[derive(Clone, Debug, PartialEq)]
 pub enum AgentEvent {
--- a/crates/core/src/agent/loads.rs
+++ b/crates/core/src/agent/loads.rs
@@ -1,9 +1,9 @@
 //! Adapters that accepted work waits for: one load, many waiters.
 
 use crate::{
-    agent::events::{LoadResult, LoadUrgency},
+    agent::events::LoadResult,
     ids::{AdapterKey, Timestamp},
-    protocol::Priority,
+    priority::{LoadUrgency, Priority},
     stats::RunningMean,
 };
 use std::{collections::HashMap, time::Duration};
--- a/crates/core/src/agent/queue.rs
+++ b/crates/core/src/agent/queue.rs
@@ -3,7 +3,8 @@
 use crate::{
     agent::events::{OfferSummary, WorkId},
     ids::CallerName,
-    protocol::{Priority, WorkItem},
+    priority::Priority,
+    protocol::WorkItem,
 };
 use std::collections::HashMap;
 
--- a/crates/core/src/burn.rs
+++ b/crates/core/src/burn.rs
@@ -2,7 +2,7 @@
 
 use crate::{
     ids::{CallerName, Timestamp},
-    protocol::Priority,
+    priority::Priority,
 };
 use serde::{Deserialize, Serialize};
 use std::{
--- a/crates/core/src/config/records.rs
+++ b/crates/core/src/config/records.rs
@@ -3,7 +3,7 @@
 use crate::{
     burn::ServiceObjectives,
     ids::{AdapterName, AdapterVersion, BaseName, CallerName, PresetName, ServiceName, check_name},
-    protocol::Priority,
+    priority::Priority,
 };
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -3,18 +3,18 @@
 pub mod targets;
 
 use crate::{
-    agent::TargetKind,
     config::PresetRecord,
     cost::CostWeights,
     demand::DecayedCount,
-    entry::targets::{TargetRecord, TargetTable},
+    entry::targets::TargetTable,
     ids::{AdapterDigest, RegionName, TargetName, Timestamp, ZoneName},
-    outcome::{NotRunProof, Refusal},
+    outcome::{NotRunProof, Refusal, RefusalReason},
     policy::{PolicyCandidate, TargetPolicy},
-    protocol::{RefusalReason, TargetReport, WorkItem},
+    protocol::{TargetReport, WorkItem},
     rendezvous,
     retry::RetryBudget,
     stats::RunningMean,
+    target::{TargetKind, TargetRecord},
 };
 use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
--- a/crates/core/src/entry/targets.rs
+++ b/crates/core/src/entry/targets.rs
@@ -1,15 +1,13 @@
 //! What an entry believes of the targets. All of it may be stale; that costs time, never a promise.
 
 use crate::{
-    agent::TargetKind,
     cost::TargetOutlook,
-    ids::{AdapterDigest, RegionName, TargetName, Timestamp, ZoneName},
+    ids::{AdapterDigest, TargetName, Timestamp},
     protocol::TargetReport,
+    target::{TargetKind, TargetRecord},
 };
-use serde::{Deserialize, Serialize};
 use std::{
     collections::{HashMap, HashSet},
-    net::SocketAddr,
     time::Duration,
 };
 
@@ -22,26 +20,6 @@
 /// Assumed batch size of a target that has not reported.
 const BATCH_LIMIT_GUESS: u32 = 8;
 
-/// A target as its agent announces it on the platform.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct TargetRecord {
-    /// Its name.
-    pub name: TargetName,
-    /// What it serves.
-    pub kind: TargetKind,
-    /// Address of its agent.
-    pub peer: SocketAddr,
-    /// Grows with each process that takes the slot; also the fencing number of its orders.
-    pub epoch: u64,
-    /// Its region.
-    pub region: RegionName,
-    /// Its availability zone.
-    pub zone: ZoneName,
-    /// Whether it is leaving.
-    #[serde(default)]
-    pub leaving: bool,
-}
-
 /// The view of one target.
 #[derive(Debug)]
 pub struct TargetView {
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -1,6 +1,5 @@
 //! What is known of a request that did not end with its target's answer.
 
-use crate::protocol::RefusalReason;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
@@ -14,6 +13,59 @@
     Unknown,
 }
 
+/// Why an agent, or the entry itself, did not run a request.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum RefusalReason {
+    /// The target or the process is stopping.
+    Leaving,
+    /// No queue place is free at this priority.
+    QueueFull,
+    /// The deadline cannot be met.
+    TooLate,
+    /// The adapter could not be loaded.
+    LoadFailed,
+    /// The sender's configuration is older than the agent's.
+    ConfigBehind,
+    /// The agent does not serve this base model or service.
+    WrongTarget,
+    /// The two ends speak different protocol versions.
+    WrongProtocol,
+    /// The target does not answer.
+    TargetDown,
+    /// No target is known, or none could be reached.
+    Unreachable,
+    /// The preset in force does not admit this priority.
+    PresetClosed,
+    /// The retry budget is used up.
+    RetryBudget,
+    /// The entry has as many requests as it may hold.
+    EntryBusy,
+    /// The agent holds no lease for its target.
+    NoLease,
+}
+
+impl RefusalReason {
+    /// The name used in errors, logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Leaving => "leaving",
+            Self::QueueFull => "queue_full",
+            Self::TooLate => "too_late",
+            Self::LoadFailed => "load_failed",
+            Self::ConfigBehind => "config_behind",
+            Self::WrongTarget => "wrong_target",
+            Self::WrongProtocol => "wrong_protocol",
+            Self::TargetDown => "target_down",
+            Self::Unreachable => "unreachable",
+            Self::PresetClosed => "preset_closed",
+            Self::RetryBudget => "retry_budget",
+            Self::EntryBusy => "entry_busy",
+            Self::NoLease => "no_lease",
+        }
+    }
+}
+
 /// Evidence that a request was not run.
 ///
 /// The fields are private: the only ways to make one are the constructors below, each of which
--- a/crates/core/src/permits.rs
+++ b/crates/core/src/permits.rs
@@ -1,10 +1,6 @@
 //! Load permits: a rate and a number at once, the most urgent request first.
 
-use crate::{
-    agent::events::LoadUrgency,
-    ids::{AdapterKey, TargetName, Timestamp},
-};
-use serde::{Deserialize, Serialize};
+use crate::{ids::Timestamp, priority::LoadUrgency, protocol::PermitRequest};
 use std::time::Duration;
 
 /// Time after which a granted permit counts as given back, whatever became of its holder.
@@ -50,15 +46,6 @@
     pub order: PermitOrder,
 }
 
-/// A permit that was asked for or granted.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
-pub struct PermitRequest {
-    /// Who loads.
-    pub target: TargetName,
-    /// What.
-    pub key: AdapterKey,
-}
-
 /// Grants permits within limits. Two pools for the same store only slow loads down, so nothing is
 /// kept or agreed on.
 #[derive(Debug)]
--- a/crates/core/src/protocol.rs
+++ b/crates/core/src/protocol.rs
@@ -5,13 +5,13 @@
 //! carry the answer. Every frame names its request, and an answer without `End` is incomplete.
 
 use crate::{
-    agent::events::LoadUrgency,
-    entry::targets::TargetRecord,
     ids::{
         AdapterDigest, AdapterKey, BaseName, CallerName, ConfigRevision, RequestId, ServiceName,
+        TargetName,
     },
     outcome::{Refusal, RunOutcome},
-    permits::PermitRequest,
+    priority::{LoadUrgency, Priority},
+    target::TargetRecord,
 };
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -20,50 +20,6 @@
 /// Version of these messages; both ends must agree on it.
 pub const PROTOCOL_VERSION: u16 = 1;
 
-/// Importance of a request, most important first.
-#[derive(
-    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
-)]
-#[serde(rename_all = "lowercase")]
-pub enum Priority {
-    /// Somebody waits at a gate or on a show floor.
-    Upper,
-    /// The ordinary case.
-    #[default]
-    Normal,
-    /// May wait, and is shed first.
-    Lower,
-}
-
-impl Priority {
-    /// All priorities, most important first.
-    pub const ALL: [Self; 3] = [Self::Upper, Self::Normal, Self::Lower];
-
-    /// Position in [`Priority::ALL`]; also the number that engines sort by, smallest first.
-    pub fn rank(self) -> usize {
-        self as usize
-    }
-
-    /// Parses `upper`, `normal` or `lower`.
-    pub fn parse(text: &str) -> Result<Self, String> {
-        match text {
-            "upper" => Ok(Self::Upper),
-            "normal" => Ok(Self::Normal),
-            "lower" => Ok(Self::Lower),
-            _ => Err(format!("priority `{text}` is not one of upper, normal, lower")),
-        }
-    }
-
-    /// The name that [`Priority::parse`] reads.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Upper => "upper",
-            Self::Normal => "normal",
-            Self::Lower => "lower",
-        }
-    }
-}
-
 /// What a request asks a target for.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum WorkItem {
@@ -169,59 +125,6 @@
     },
 }
 
-/// Why an agent, or the entry itself, did not run a request.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum RefusalReason {
-    /// The target or the process is stopping.
-    Leaving,
-    /// No queue place is free at this priority.
-    QueueFull,
-    /// The deadline cannot be met.
-    TooLate,
-    /// The adapter could not be loaded.
-    LoadFailed,
-    /// The sender's configuration is older than the agent's.
-    ConfigBehind,
-    /// The agent does not serve this base model or service.
-    WrongTarget,
-    /// The two ends speak different protocol versions.
-    WrongProtocol,
-    /// The target does not answer.
-    TargetDown,
-    /// No target is known, or none could be reached.
-    Unreachable,
-    /// The preset in force does not admit this priority.
-    PresetClosed,
-    /// The retry budget is used up.
-    RetryBudget,
-    /// The entry has as many requests as it may hold.
-    EntryBusy,
-    /// The agent holds no lease for its target.
-    NoLease,
-}
-
-impl RefusalReason {
-    /// The name used in errors, logs and metrics.
-    pub fn name(self) -> &'static str {
-        match self {
-            Self::Leaving => "leaving",
-            Self::QueueFull => "queue_full",
-            Self::TooLate => "too_late",
-            Self::LoadFailed => "load_failed",
-            Self::ConfigBehind => "config_behind",
-            Self::WrongTarget => "wrong_target",
-            Self::WrongProtocol => "wrong_protocol",
-            Self::TargetDown => "target_down",
-            Self::Unreachable => "unreachable",
-            Self::PresetClosed => "preset_closed",
-            Self::RetryBudget => "retry_budget",
-            Self::EntryBusy => "entry_busy",
-            Self::NoLease => "no_lease",
-        }
-    }
-}
-
 /// An agent's state, sent back on every exchange. Soft: it may be stale on arrival.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetReport {
@@ -324,3 +227,12 @@
         }
     }
 }
+
+/// A permit that was asked for or granted.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+pub struct PermitRequest {
+    /// Who loads.
+    pub target: TargetName,
+    /// What.
+    pub key: AdapterKey,
+}
--- /dev/null
+++ b/crates/core/src/target.rs
@@ -0,0 +1,35 @@
+//! A target as its agent announces it.
+
+use crate::ids::{BaseName, RegionName, ServiceName, TargetName, ZoneName};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// What a target serves.
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum TargetKind {
+    /// A model engine with this base model.
+    Engine(BaseName),
+    /// A replica of this plain service.
+    Service(ServiceName),
+}
+
+/// A target as its agent announces it on the platform.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct TargetRecord {
+    /// Its name.
+    pub name: TargetName,
+    /// What it serves.
+    pub kind: TargetKind,
+    /// Address of its agent.
+    pub peer: SocketAddr,
+    /// Grows with each process that takes the slot; also the fencing number of its orders.
+    pub epoch: u64,
+    /// Its region.
+    pub region: RegionName,
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Whether it is leaving.
+    #[serde(default)]
+    pub leaving: bool,
+}
--- a/crates/core/tests/core/agent.rs
+++ b/crates/core/tests/core/agent.rs
@@ -4,12 +4,15 @@
 
 use plantain_core::{
     agent::{
-        AgentOptions, AgentState, TargetKind,
+        AgentOptions, AgentState,
         events::{AgentAction, AgentEvent, LoadResult, OfferSummary, WorkId},
         residency::EvictionPolicy,
     },
     ids::AdapterKey,
-    protocol::{Priority, RefusalReason, WorkItem},
+    outcome::RefusalReason,
+    priority::Priority,
+    protocol::WorkItem,
+    target::TargetKind,
 };
 use std::time::Duration;
 
--- a/crates/core/tests/core/agent/history.rs
+++ b/crates/core/tests/core/agent/history.rs
@@ -7,7 +7,7 @@
         events::{AgentAction, AgentEvent, LoadResult, OfferSummary, WorkId},
     },
     ids::{AdapterKey, Timestamp},
-    protocol::Priority,
+    priority::Priority,
 };
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use std::{
--- a/crates/core/tests/core/burn.rs
+++ b/crates/core/tests/core/burn.rs
@@ -2,7 +2,7 @@
 
 use plantain_core::{
     burn::{BurnCounts, BurnLedger, RequestOutcome, ServiceObjectives},
-    protocol::Priority,
+    priority::Priority,
 };
 use std::time::Duration;
 
--- a/crates/core/tests/core/entry.rs
+++ b/crates/core/tests/core/entry.rs
@@ -1,13 +1,13 @@
 //! The entry's choice of a target.
 
 use plantain_core::{
-    agent::TargetKind,
-    entry::{EntryOptions, EntryState, RouteQuery, ZoneTrips, targets::TargetRecord},
+    entry::{EntryOptions, EntryState, RouteQuery, ZoneTrips},
     ids::AdapterKey,
-    outcome::Refusal,
+    outcome::{Refusal, RefusalReason},
     policy::RoutingPolicy,
-    protocol::{RefusalReason, TargetReport, WorkItem},
+    protocol::{TargetReport, WorkItem},
     rendezvous,
+    target::{TargetKind, TargetRecord},
 };
 use std::{collections::BTreeMap, time::Duration};
 
--- a/crates/core/tests/core/permits.rs
+++ b/crates/core/tests/core/permits.rs
@@ -1,9 +1,10 @@
 //! Load permits.
 
 use plantain_core::{
-    agent::events::LoadUrgency,
     ids::AdapterKey,
-    permits::{PermitLimits, PermitOrder, PermitPool, PermitRequest},
+    permits::{PermitLimits, PermitOrder, PermitPool},
+    priority::LoadUrgency,
+    protocol::PermitRequest,
 };
 use quickcheck::QuickCheck;
 use std::time::Duration;
--- a/crates/ctl/src/commands/callers.rs
+++ b/crates/ctl/src/commands/callers.rs
@@ -7,7 +7,7 @@
 };
 use plantain_core::{
     config::{CallerRecord, ConfigEdit},
-    protocol::Priority,
+    priority::Priority,
 };
 use sha2::{Digest, Sha256};
 
--- a/crates/ctl/src/commands/presets.rs
+++ b/crates/ctl/src/commands/presets.rs
@@ -7,7 +7,7 @@
 };
 use plantain_core::{
     config::{ConfigEdit, PresetRecord},
-    protocol::Priority,
+    priority::Priority,
 };
 use serde::Serialize;
 
--- a/crates/daemon/src/agent/decisions.rs
+++ b/crates/daemon/src/agent/decisions.rs
@@ -9,12 +9,13 @@
 use metrics::{counter, gauge, histogram};
 use plantain_core::{
     agent::{
-        AgentOptions, AgentState, TargetKind,
+        AgentOptions, AgentState,
         events::{AgentAction, AgentEvent, LoadResult, OfferSummary, WorkId},
     },
     ids::{AdapterKey, Timestamp},
-    outcome::Refusal,
-    protocol::{AgentFrame, OfferFrame, PROTOCOL_VERSION, RefusalReason, TargetReport},
+    outcome::{Refusal, RefusalReason},
+    protocol::{AgentFrame, OfferFrame, PROTOCOL_VERSION, TargetReport},
+    target::TargetKind,
 };
 use serde_json::{Value, json};
 use slog::{Logger, debug, info};
--- a/crates/daemon/src/agent/permits.rs
+++ b/crates/daemon/src/agent/permits.rs
@@ -7,10 +7,11 @@
 };
 use eyre::{Result, WrapErr, eyre};
 use plantain_core::{
-    agent::events::{AgentEvent, LoadUrgency},
+    agent::events::AgentEvent,
     ids::AdapterKey,
-    permits::{PermitLimits, PermitOrder, PermitPool, PermitRequest},
-    protocol::{GrantFrame, PeerFrame},
+    permits::{PermitLimits, PermitOrder, PermitPool},
+    priority::LoadUrgency,
+    protocol::{GrantFrame, PeerFrame, PermitRequest},
     rendezvous,
 };
 use plantain_net::{count::CountGuard, platform::records::EntryRecord};
--- a/crates/daemon/src/agent/platform.rs
+++ b/crates/daemon/src/agent/platform.rs
@@ -10,7 +10,7 @@
 use plantain_core::{
     agent::events::AgentEvent,
     config::{ConfigRoot, PresetRecord, parts::PRESETS_PART},
-    entry::targets::TargetRecord,
+    target::TargetRecord,
 };
 use plantain_net::{
     backoff::jitter,
--- a/crates/daemon/src/agent/targets.rs
+++ b/crates/daemon/src/agent/targets.rs
@@ -15,14 +15,12 @@
     header::{CONTENT_TYPE, HOST},
 };
 use plantain_core::{
-    agent::{
-        TargetKind,
-        events::{AgentEvent, WorkId},
-    },
+    agent::events::{AgentEvent, WorkId},
     events::{EventScanner, check_answer},
     ids::AdapterKey,
     outcome::RunOutcome,
     protocol::{AgentFrame, OfferFrame, WorkItem},
+    target::TargetKind,
 };
 use plantain_net::client::{HttpClient, url};
 use slog::{Logger, warn};
--- a/crates/daemon/src/entry/broker.rs
+++ b/crates/daemon/src/entry/broker.rs
@@ -16,8 +16,8 @@
 use metrics::{counter, gauge};
 use plantain_core::{
     config::ConfigSnapshot,
-    permits::{PermitPool, PermitRequest},
-    protocol::{GrantFrame, PeerFrame},
+    permits::PermitPool,
+    protocol::{GrantFrame, PeerFrame, PermitRequest},
 };
 use quinn::{Connection, RecvStream, SendStream};
 use slog::{Logger, debug, error};
--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -29,7 +29,8 @@
     idempotency::{RecordChange, RecordKey, RecordVerdict},
     ids::{CallerName, RequestId},
     outcome::RunOutcome,
-    protocol::{Priority, WorkItem},
+    priority::Priority,
+    protocol::WorkItem,
 };
 use plantain_net::server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply};
 use serde_json::json;
--- a/crates/daemon/src/entry/decisions.rs
+++ b/crates/daemon/src/entry/decisions.rs
@@ -4,11 +4,12 @@
 use metrics::{counter, gauge};
 use plantain_core::{
     config::PresetRecord,
-    entry::{EntryOptions, EntryState, RouteChoice, RouteQuery, ZoneTrips, targets::TargetRecord},
+    entry::{EntryOptions, EntryState, RouteChoice, RouteQuery, ZoneTrips},
     ids::TargetName,
-    outcome::{NotRunProof, Refusal},
+    outcome::{NotRunProof, Refusal, RefusalReason},
     policy::RoutingPolicy,
-    protocol::{RefusalReason, TargetReport, WorkItem},
+    protocol::{TargetReport, WorkItem},
+    target::TargetRecord,
 };
 use serde_json::{Value, json};
 use std::{sync::Arc, time::Instant};
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -19,8 +19,8 @@
 use plantain_core::{
     entry::RouteChoice,
     ids::{AdapterKey, ConfigRevision, RequestId, TargetName},
-    outcome::NotRunProof,
-    protocol::{AgentFrame, OfferFrame, PROTOCOL_VERSION, RefusalReason, WorkItem},
+    outcome::{NotRunProof, RefusalReason},
+    protocol::{AgentFrame, OfferFrame, PROTOCOL_VERSION, WorkItem},
 };
 use plantain_net::{body::ReplyBody, server::HttpReply};
 use slog::{Logger, info, warn};
--- a/crates/daemon/src/entry/join.rs
+++ b/crates/daemon/src/entry/join.rs
@@ -15,8 +15,8 @@
 use eyre::{Result, WrapErr, eyre};
 use plantain_core::{
     config::{ConfigPart, ConfigRoot, ConfigSnapshot},
-    entry::targets::TargetRecord,
     protocol::{JoinFrame, PeerFrame},
+    target::TargetRecord,
 };
 use quinn::Endpoint;
 use ractor::ActorRef;
--- a/crates/daemon/src/entry/platform.rs
+++ b/crates/daemon/src/entry/platform.rs
@@ -13,7 +13,7 @@
 use metrics::gauge;
 use plantain_core::{
     config::{ConfigRoot, ConfigSnapshot},
-    entry::targets::TargetRecord,
+    target::TargetRecord,
 };
 use plantain_net::{
     backoff::{RetryBackoff, jitter},
--- a/crates/daemon/src/entry/reply.rs
+++ b/crates/daemon/src/entry/reply.rs
@@ -7,8 +7,7 @@
 };
 use plantain_core::{
     ids::{AdapterVersion, ModelSelector},
-    outcome::{NotRunProof, RunOutcome},
-    protocol::RefusalReason,
+    outcome::{NotRunProof, RefusalReason, RunOutcome},
 };
 use plantain_net::server::{HttpReply, json_reply};
 use serde_json::{Value, json};
--- a/crates/daemon/src/entry/request.rs
+++ b/crates/daemon/src/entry/request.rs
@@ -11,8 +11,9 @@
     config::{CallerRecord, ConfigSnapshot, ResolveError, records::DEADLINE_LIMIT_MS},
     idempotency::{RecordKey, record_key},
     ids::{CallerName, ModelSelector},
-    outcome::NotRunProof,
-    protocol::{Priority, RefusalReason, RequestHead, WorkItem},
+    outcome::{NotRunProof, RefusalReason},
+    priority::Priority,
+    protocol::{RequestHead, WorkItem},
 };
 use serde::Deserialize;
 use serde_json::Value;
--- a/crates/daemon/src/options/settings.rs
+++ b/crates/daemon/src/options/settings.rs
@@ -7,10 +7,11 @@
 };
 use crate::link::keys::PeerKeys;
 use plantain_core::{
-    agent::{TargetKind, residency::EvictionPolicy},
+    agent::residency::EvictionPolicy,
     ids::check_name,
     permits::{PermitLimits, PermitOrder},
     policy::RoutingPolicy,
+    target::TargetKind,
 };
 use serde_json::json;
 use slog::Level;
--- a/crates/net/src/platform/records.rs
+++ b/crates/net/src/platform/records.rs
@@ -1,8 +1,8 @@
 //! What the platform sends and holds.
 
 use plantain_core::{
-    entry::targets::TargetRecord,
     ids::{RegionName, ZoneName},
+    target::TargetRecord,
 };
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
--- a/crates/standin/src/bench/driver.rs
+++ b/crates/standin/src/bench/driver.rs
@@ -8,7 +8,7 @@
 use bytes::BytesMut;
 use eyre::Result;
 use http_body_util::BodyExt;
-use plantain_core::protocol::Priority;
+use plantain_core::priority::Priority;
 use plantain_net::client::HttpClient;
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 use tokio::{
--- a/crates/standin/src/bench/report.rs
+++ b/crates/standin/src/bench/report.rs
@@ -3,7 +3,7 @@
 use super::{SystemCounts, driver::RequestSample, workload::Workload};
 use comfy_table::{Table, presets};
 use hdrhistogram::Histogram;
-use plantain_core::{policy::RoutingPolicy, protocol::Priority};
+use plantain_core::{policy::RoutingPolicy, priority::Priority};
 use serde::Serialize;
 use std::time::Duration;
 
--- a/crates/standin/src/bench/workload.rs
+++ b/crates/standin/src/bench/workload.rs
@@ -2,7 +2,7 @@
 
 use crate::options::BenchArguments;
 use eyre::{Result, bail, ensure};
-use plantain_core::protocol::Priority;
+use plantain_core::priority::Priority;
 use rand::{RngExt, SeedableRng, rngs::StdRng, seq::SliceRandom};
 use std::time::Duration;
 
