A watcher that has not heard of the store for too long is left

Its connections stayed open, its watches ran out 4 s (list) and 21 s (configuration) later, and until then six routers that reached the store waited for it and answered 404 on a route that had been in force for 3 s. Change: a watcher tells changes only while the store answered it within 0.75 of the drain time; with others that rely on it, its watch of the list comes round in 0.65 of that time. A router that is told so follows the store itself at once.

--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -2,9 +2,12 @@
 
 use super::{constants, follow, peers, register::PeerRouter, sharing};
 use crate::{clock, options::site::RouterFile};
-use plantain_core::direct::{
-    sharing::{ChangeLog, SharedChange, zone_watcher},
-    snapshot::FollowedState,
+use plantain_core::{
+    direct::{
+        sharing::{ChangeLog, SharedChange, zone_watcher},
+        snapshot::FollowedState,
+    },
+    ids::Timestamp,
 };
 use plantain_platform::objects::{FollowedChange, FollowedKind};
 use slog::{Logger, info};
@@ -56,6 +59,8 @@
     pub(super) logs: RefCell<[ChangeLog; 3]>,
     /// Wakes those who wait for changes.
     pub(super) log_changed: Notify,
+    /// When the store last answered this router.
+    pub(super) heard_at: Cell<Timestamp>,
     /// Whether another router follows the store for this one.
     is_shared: watch::Sender<bool>,
     settings: watch::Receiver<Arc<RouterFile>>,
@@ -130,6 +135,18 @@
         self.is_shared.send_replace(is_shared) != is_shared
     }
 
+    /// Whether other routers of this zone may rely on this one.
+    pub(super) fn has_near_peers(&self) -> bool {
+        let own = self.settings.borrow().peer_listen;
+        self.peers.borrow().iter().any(|peer| peer.is_near && peer.address != own)
+    }
+
+    /// How much longer others may rely on this router if the store stays silent.
+    pub(super) fn fresh_for(&self) -> Duration {
+        let limit = self.drain_time().mul_f64(follow::FRESH_SHARE);
+        limit.saturating_sub(clock::now().saturating_sub(self.heard_at.get()))
+    }
+
     /// The router of this zone that follows the store, if it is another one.
     pub(super) fn zone_watcher(&self) -> Option<SocketAddr> {
         let own = self.settings.borrow().peer_listen;
@@ -246,6 +263,7 @@
         progress: Default::default(),
         logs: RefCell::default(),
         log_changed: Notify::new(),
+        heard_at: Cell::default(),
         is_shared: watch::channel(false).0,
         settings: start.settings,
         peers: start.peers,
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -35,6 +35,15 @@
 /// and go, and each answer of the store is a call that costs. The rest is for the call itself and for
 /// the calls that are on their way.
 const GATHER_SHARE: f64 = 0.55;
+/// The same for a router on which others rely. With [`RELIED_WAIT_SHARE`] it has word of the store at least
+/// each 0.65 of that time, and the others leave it at [`FRESH_SHARE`].
+const RELIED_GATHER_SHARE: f64 = 0.45;
+/// Part of that time for which a watch of the list waits at a router on which others rely.
+const RELIED_WAIT_SHARE: f64 = 0.2;
+/// Part of that time for which others rely on a router that has no word of the store. The store may fall
+/// silent to one router and serve the rest: its connections stay open, and its own watches take seconds
+/// to run out. What is left of the time is for the others' own calls.
+pub(super) const FRESH_SHARE: f64 = 0.75;
 /// Part of that time for which a watch of the list waits. The store may cut watches while it drops its
 /// history, and one that is begun in that moment hears nothing: it was seen to wait out all of its time,
 /// 20 s, in which targets came and went. Most lists change more often than this, so it costs few calls.
@@ -163,7 +172,9 @@
         }
         self.link.change_log(self.kind, |log| log.append(revision, page.revision, shared));
         if is_change && self.kind == FollowedKind::Targets {
-            sleep(self.link.drain_time().mul_f64(GATHER_SHARE)).await;
+            let is_relied_on = self.link.has_near_peers();
+            let share = if is_relied_on { RELIED_GATHER_SHARE } else { GATHER_SHARE };
+            sleep(self.link.drain_time().mul_f64(share)).await;
         }
         Ok(())
     }
@@ -176,6 +187,9 @@
             return PROBE_WAIT;
         }
         match self.kind {
+            FollowedKind::Targets if self.link.has_near_peers() => {
+                self.link.drain_time().mul_f64(RELIED_WAIT_SHARE)
+            }
             FollowedKind::Targets => self.link.drain_time().mul_f64(LIST_WAIT_SHARE),
             FollowedKind::Config | FollowedKind::Releases => WATCH_WAIT,
         }
@@ -186,6 +200,7 @@
         counter!("plantain_store_calls_total", "kind" => self.kind.name()).increment(1);
         let store: SocketAddr = self.link.store();
         let answer = self.client.call(Method::GET, &url(store, path), Bytes::new(), limit).await?;
+        self.link.heard_at.set(clock::now());
         match answer.status {
             StatusCode::OK => Ok(Some(answer.body)),
             status if status.as_u16() == HISTORY_GONE => Ok(None),
--- a/crates/daemon/src/router/sharing.rs
+++ b/crates/daemon/src/router/sharing.rs
@@ -14,6 +14,10 @@
 
 /// Path at which a router is asked for changes.
 pub(super) const CHANGES_PATH: &str = "/changes";
+/// Status of an answer by a router that does not follow the store.
+const DENIED: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
+/// Status of an answer by one that has not heard of it for too long.
+const STALE: StatusCode = StatusCode::GATEWAY_TIMEOUT;
 /// Time for which a question waits for changes. With [`ANSWER_LIMIT`] it bounds how long a watcher that
 /// has frozen goes unnoticed: half a second, which with the watcher's own pause and a call to the store
 /// is less than the time in which a leaving target must be known.
@@ -48,7 +52,7 @@
             continue;
         };
         match ask(&client, watcher, &revisions).await {
-            Ok(Some(news)) => {
+            Ok(Heard::News(news)) => {
                 denials = 0;
                 if link.set_shared(true) {
                     info!(link.logger, "store followed through a router"; "step" => "sharing",
@@ -56,7 +60,11 @@
                 }
                 follow::take_shared(news, &link).await;
             }
-            Ok(None) => {
+            Ok(Heard::Stale) => {
+                leave(&link, "the watcher has not heard of it for too long");
+                sleep(RETRY_PAUSE).await;
+            }
+            Ok(Heard::Denied) => {
                 denials += 1;
                 if denials >= DENIALS {
                     leave(&link, "the watcher does not follow it");
@@ -79,25 +87,32 @@
     }
 }
 
-/// Asks for changes after the revisions of the kinds; `None` if the watcher does not follow the store.
-async fn ask(
-    client: &HttpClient,
-    watcher: SocketAddr,
-    revisions: &[u64],
-) -> Result<Option<SharedNews>> {
+/// What a watcher answers.
+enum Heard {
+    /// Changes.
+    News(SharedNews),
+    /// It does not follow the store.
+    Denied,
+    /// It has not heard of the store for too long to be relied on.
+    Stale,
+}
+
+/// Asks for changes after the revisions of the kinds.
+async fn ask(client: &HttpClient, watcher: SocketAddr, revisions: &[u64]) -> Result<Heard> {
     counter!("plantain_sharing_calls_total").increment(1);
     let since: Vec<String> = revisions.iter().map(u64::to_string).collect();
     let uri = url(watcher, &format!("{CHANGES_PATH}?since={}", since.join(",")));
     let limit = WAIT_LIMIT + ANSWER_LIMIT;
     let answer = client.call(Method::GET, &uri, Bytes::new(), limit).await?;
-    if answer.status == StatusCode::SERVICE_UNAVAILABLE {
-        return Ok(None);
+    match answer.status {
+        DENIED => return Ok(Heard::Denied),
+        STALE => return Ok(Heard::Stale),
+        status => ensure!(status == StatusCode::OK, "GET {uri}: {status}"),
     }
-    ensure!(answer.status == StatusCode::OK, "GET {uri}: {}", answer.status);
     let news: SharedNews = postcard::from_bytes(&answer.body)
         .wrap_err_with(|| format!("decode changes of {watcher}"))?;
     ensure!(news.len() == revisions.len(), "{watcher} told of {} kinds", news.len());
-    Ok(Some(news))
+    Ok(Heard::News(news))
 }
 
 /// Answers another router's question for changes after `since`, as soon as there are any.
@@ -117,10 +132,13 @@
             woken.await;
         }
     };
-    let _ = timeout(WAIT_LIMIT, changed).await;
+    let _ = timeout(WAIT_LIMIT.min(link.fresh_for()), changed).await;
+    if link.fresh_for().is_zero() {
+        return (STALE, Bytes::new());
+    }
     let logs = link.logs.borrow();
     if logs.iter().any(|log| !log.is_direct()) {
-        return (StatusCode::SERVICE_UNAVAILABLE, Bytes::new());
+        return (DENIED, Bytes::new());
     }
     let kinds = FollowedKind::ALL.into_iter().zip(logs.iter()).zip(&revisions);
     let news = kinds.map(|((kind, log), revision)| {
