--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -10,10 +10,11 @@
     demand::{RECENT_HALF_LIFE, encode_rate},
     membership::{BaseHolding, InstanceId},
     messages::{AdapterWish, BootId, LoaderReport, RouterNotice},
+    orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
 };
 use crate::{
     demand::DecayedCount,
-    ids::{AdapterVersion, BaseName, Timestamp, ZoneName},
+    ids::{BaseName, Timestamp, ZoneName},
 };
 use std::{
     collections::{HashMap, HashSet},
@@ -55,66 +56,6 @@
 /// Pause after an order that the engine turned down, so that a refusal cannot become a busy loop.
 const REFUSED_PAUSE: Duration = Duration::from_millis(20);
 
-/// What the engine says of itself.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct EngineReport {
-    /// Base models and adapters held.
-    pub holdings: Vec<BaseHolding>,
-    /// Adapters on their way.
-    pub coming: Vec<(AdapterId, AdapterVersion)>,
-    /// Whether a load or unload of a base model is under way.
-    pub is_busy: bool,
-    /// Orders accepted since the engine's start.
-    pub order_count: u64,
-    /// Calls that run.
-    pub active: u16,
-    /// Calls that wait.
-    pub queued: u16,
-    /// Tokens of memory in use that cannot be given up.
-    pub kv_used: u32,
-    /// Whether the engine is leaving.
-    pub is_leaving: bool,
-}
-
-/// What an order does.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum OrderVerb {
-    /// Loads a base model.
-    LoadBase(BaseName),
-    /// Loads an adapter, or replaces it by a newer version.
-    LoadAdapter(AdapterId, AdapterVersion),
-    /// Unloads an adapter.
-    UnloadAdapter(AdapterId),
-}
-
-/// An order to the engine.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct EngineOrder {
-    /// What it does.
-    pub verb: OrderVerb,
-    /// Order count that the engine must have.
-    pub order_count: u64,
-    /// The engine's life for which it is meant.
-    pub instance: InstanceId,
-}
-
-/// What the engine answered to an order.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum OrderAnswer {
-    /// It is being carried out.
-    Accepted,
-    /// It is done, or held already.
-    Done,
-    /// Another order is under way, or the order count differs.
-    Conflict,
-    /// It went to another life of the engine.
-    WrongInstance,
-    /// It was refused for good.
-    Refused,
-    /// No answer: it may be carried out later.
-    Silent,
-}
-
 /// What the loader does next.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum LoaderStep {
@@ -273,7 +214,7 @@
         for state in self.notices.values_mut() {
             for wish in &state.notice.wishes {
                 let adapter = wish_adapter(wish);
-                if held(report, &adapter).is_some_and(|version| version >= wish.version) {
+                if report.held(&adapter).is_some_and(|version| version >= wish.version) {
                     state.met.insert(adapter);
                 }
             }
@@ -351,10 +292,10 @@
         let newest = self.notices.values().max_by_key(|state| state.received);
         let places = newest.map_or(0, |state| usize::from(state.notice.adapter_places));
         let running = self.running();
-        let all = held_adapters(report);
+        let all = report.settled_adapters();
         let idle = all.filter(|id| self.uses(id, &running, now) == 0).count();
         let waiting = self.open_wishes(report).iter().filter(|(wish, _)| wish.waiting > 0).count();
-        let taken = occupied(report) + waiting;
+        let taken = report.occupied() + waiting;
         i32::from((places + idle) as u16) - i32::from(taken as u16)
     }
 
@@ -409,7 +350,7 @@
     }
 
     fn is_met(&self, wish: &AdapterWish) -> bool {
-        let version = self.report.as_ref().and_then(|report| held(report, &wish_adapter(wish)));
+        let version = self.report.as_ref().and_then(|report| report.held(&wish_adapter(wish)));
         version.is_some_and(|version| version >= wish.version)
     }
 
@@ -428,12 +369,12 @@
             OrderVerb::LoadAdapter(adapter, version) => {
                 if answer == OrderAnswer::Accepted {
                     report.coming.push((adapter.clone(), *version));
-                } else if let Some(holding) = holding_of(&mut report.holdings, &adapter.base) {
+                } else if let Some(holding) = report.holding_mut(&adapter.base) {
                     holding.adapters.insert(Arc::clone(&adapter.name), *version);
                 }
             }
             OrderVerb::UnloadAdapter(adapter) => {
-                if let Some(holding) = holding_of(&mut report.holdings, &adapter.base) {
+                if let Some(holding) = report.holding_mut(&adapter.base) {
                     holding.adapters.remove(&adapter.name);
                 }
             }
@@ -453,8 +394,8 @@
             return None;
         }
         let adapter = wish_adapter(wish);
-        let is_replacement = held(report, &adapter).is_some();
-        if is_replacement || occupied(report) < places {
+        let is_replacement = report.held(&adapter).is_some();
+        if is_replacement || report.occupied() < places {
             return Some(OrderVerb::LoadAdapter(adapter, wish.version));
         }
         self.victim(report, &wishes, now.saturating_sub(*since), now).map(OrderVerb::UnloadAdapter)
@@ -479,8 +420,8 @@
         for state in self.notices.values() {
             for wish in &state.notice.wishes {
                 let adapter = wish_adapter(wish);
-                let is_met = held(report, &adapter).is_some_and(|version| version >= wish.version);
-                let is_coming = report.coming.iter().any(|(coming, _)| *coming == adapter);
+                let is_met = report.held(&adapter).is_some_and(|version| version >= wish.version);
+                let is_coming = report.is_coming(&adapter);
                 let has_base = report.holdings.iter().any(|holding| holding.base == wish.base);
                 if !is_met && !state.met.contains(&adapter) && !is_coming && has_base {
                     let since = state.wished.get(&adapter).copied().unwrap_or(state.received);
@@ -503,7 +444,7 @@
     ) -> Option<AdapterId> {
         let running = self.running();
         let is_call = wishes.first().is_some_and(|(wish, _)| wish.waiting > 0);
-        let scored = held_adapters(report).map(|id| {
+        let scored = report.settled_adapters().map(|id| {
             let in_use = self.uses(&id, &running, now);
             let calls = self.demand.get(&id).map_or(0.0, |demand| demand.lasting.read(now));
             (in_use, calls, id)
@@ -535,28 +476,3 @@
 fn wish_adapter(wish: &AdapterWish) -> AdapterId {
     AdapterId { base: Arc::clone(&wish.base), name: Arc::clone(&wish.adapter) }
 }
-
-fn holding_of<'a>(holdings: &'a mut [BaseHolding], base: &str) -> Option<&'a mut BaseHolding> {
-    holdings.iter_mut().find(|holding| &*holding.base == base)
-}
-
-/// Adapters held that are not being replaced.
-fn held_adapters(report: &EngineReport) -> impl Iterator<Item = AdapterId> {
-    let all = report.holdings.iter().flat_map(|holding| {
-        let names = holding.adapters.keys();
-        names.map(|name| AdapterId { base: Arc::clone(&holding.base), name: Arc::clone(name) })
-    });
-    all.filter(|id| !report.coming.iter().any(|(coming, _)| coming == id))
-}
-
-fn held(report: &EngineReport, adapter: &AdapterId) -> Option<AdapterVersion> {
-    let holding = report.holdings.iter().find(|holding| holding.base == adapter.base)?;
-    holding.adapters.get(&adapter.name).copied()
-}
-
-/// Places taken by adapters held and by those on their way.
-fn occupied(report: &EngineReport) -> usize {
-    let held: usize = report.holdings.iter().map(|holding| holding.adapters.len()).sum();
-    let coming = report.coming.iter();
-    held + coming.filter(|(id, _)| self::held(report, id).is_none()).count()
-}
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -5,7 +5,8 @@
     call::{AdapterId, ModelCall},
     loader::TRANSIT_LIMIT,
     membership::InstanceId,
-    targets::{TargetPool, TargetState},
+    target::TargetState,
+    targets::TargetPool,
 };
 use crate::{
     ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -4,10 +4,11 @@
     call::{AdapterId, AdapterRelease},
     config::{EngineSpec, RouteConfig},
     demand::FleetDemand,
-    health::{CallOutcome, TargetHealth},
-    membership::{BaseHolding, InstanceId, ListChange, TargetEntry, TargetList},
-    messages::{AdapterUse, AdapterWish, BaseOffer, LoaderReport},
-    pressure::{ConcurrencyGauge, LatencyGauge},
+    health::CallOutcome,
+    membership::{InstanceId, ListChange, TargetEntry, TargetList},
+    messages::{BaseOffer, LoaderReport},
+    pressure::ConcurrencyGauge,
+    target::{LoaderView, TargetState, WishState},
 };
 use crate::ids::{AdapterVersion, ServiceName, Timestamp};
 use std::{
@@ -17,165 +18,6 @@
     time::Duration,
 };
 
-/// Age after which a loader's report no longer says what its engine holds. Reports come at least
-/// every 0.8 s, so this is three lost ones in a row.
-pub const REPORT_LIFE: Duration = Duration::from_millis(2_500);
-
-/// What a loader last reported of its engine.
-#[derive(Clone, Debug)]
-pub struct LoaderView {
-    /// The report.
-    pub report: LoaderReport,
-    /// When it came.
-    pub received: Timestamp,
-}
-
-/// A router's own calls that use an adapter of a target.
-#[derive(Clone, Copy, Debug, Default)]
-struct UseCounts {
-    running: u16,
-    started: u16,
-}
-
-/// A router's wish for an adapter at a target.
-#[derive(Clone, Copy, Debug)]
-struct WishState {
-    version: AdapterVersion,
-    waiting: u16,
-    priority: u8,
-    made: Timestamp,
-}
-
-/// One target.
-#[derive(Debug)]
-pub struct TargetState {
-    /// What the list says.
-    pub entry: Arc<TargetEntry>,
-    /// Calls of this router that it has and has not ended.
-    pub in_flight: u32,
-    /// Prompt tokens of those of them that have no first event yet.
-    pub unread_tokens: u32,
-    /// Calls whose first byte is overdue.
-    pub overdue: u32,
-    /// How it did lately.
-    pub health: TargetHealth,
-    /// How long its answers take.
-    pub latency: LatencyGauge,
-    /// What its loader reported.
-    pub loader: Option<LoaderView>,
-    /// Whether another life was met at its address, so that this one has ended.
-    is_displaced: bool,
-    /// Whether the list shows a later life at its address.
-    is_superseded: bool,
-    uses: HashMap<AdapterId, UseCounts>,
-    wishes: HashMap<AdapterId, WishState>,
-}
-
-impl TargetState {
-    fn new(entry: Arc<TargetEntry>) -> Self {
-        Self {
-            entry,
-            in_flight: 0,
-            unread_tokens: 0,
-            overdue: 0,
-            health: TargetHealth::default(),
-            latency: LatencyGauge::default(),
-            loader: None,
-            is_displaced: false,
-            is_superseded: false,
-            uses: HashMap::new(),
-            wishes: HashMap::new(),
-        }
-    }
-
-    /// The loader's report, if it is fresh at `now`.
-    pub fn fresh_report(&self, now: Timestamp) -> Option<&LoaderReport> {
-        let view = self.loader.as_ref()?;
-        (now.saturating_sub(view.received) < REPORT_LIFE).then_some(&view.report)
-    }
-
-    /// What the target holds: by its loader if that is heard, else by the list.
-    pub fn holdings(&self, now: Timestamp) -> &[BaseHolding] {
-        self.fresh_report(now).map_or(&self.entry.holdings, |report| &report.holdings)
-    }
-
-    /// Whether the base model is there.
-    pub fn holds_base(&self, base: &str, now: Timestamp) -> bool {
-        self.holdings(now).iter().any(|holding| &*holding.base == base)
-    }
-
-    /// Version of an adapter that is there.
-    pub fn held_version(&self, adapter: &AdapterId, now: Timestamp) -> Option<AdapterVersion> {
-        let holdings = self.holdings(now).iter();
-        let holding = holdings.into_iter().find(|holding| holding.base == adapter.base)?;
-        holding.adapters.get(&adapter.name).copied()
-    }
-
-    /// Whether an adapter is on its way to the target, or being replaced there.
-    pub fn is_coming(&self, adapter: &AdapterId, now: Timestamp) -> bool {
-        self.fresh_report(now).is_some_and(|report| {
-            let mut coming = report.coming.iter();
-            coming.any(|(base, name)| *base == adapter.base && *name == adapter.name)
-        })
-    }
-
-    /// Whether it is leaving, by the list or by its loader.
-    pub fn is_leaving(&self) -> bool {
-        let by_loader = self.loader.as_ref().is_some_and(|view| view.report.is_leaving);
-        self.entry.is_leaving || by_loader
-    }
-
-    /// Whether this life has ended, as far as is known.
-    pub fn has_ended(&self) -> bool {
-        self.is_displaced || self.is_superseded
-    }
-
-    /// Whether its loader says that it does not answer.
-    pub fn is_dark(&self, now: Timestamp) -> bool {
-        self.fresh_report(now).is_some_and(|report| !report.is_answering)
-    }
-
-    /// Whether this router wishes for an adapter here.
-    pub fn has_wish(&self) -> bool {
-        !self.wishes.is_empty()
-    }
-
-    /// Adapters for which calls of this router wait here.
-    pub fn waiting_wishes(&self) -> usize {
-        self.wishes.values().filter(|wish| wish.waiting > 0).count()
-    }
-
-    /// Whether the loader has not been told yet of calls that began here.
-    pub fn has_untold_calls(&self) -> bool {
-        self.uses.values().any(|counts| counts.started > 0)
-    }
-
-    /// What the loader is told about this router's wishes.
-    pub fn wish_list(&self) -> Vec<AdapterWish> {
-        let wishes = self.wishes.iter().map(|(adapter, wish)| AdapterWish {
-            base: Arc::clone(&adapter.base),
-            adapter: Arc::clone(&adapter.name),
-            version: wish.version,
-            waiting: wish.waiting,
-            priority: wish.priority,
-        });
-        wishes.collect()
-    }
-
-    /// What the loader is told about this router's calls; counts of started calls begin anew.
-    pub fn take_uses(&mut self) -> Vec<AdapterUse> {
-        let uses = self.uses.iter_mut().map(|(adapter, counts)| AdapterUse {
-            base: Arc::clone(&adapter.base),
-            adapter: Arc::clone(&adapter.name),
-            running: counts.running,
-            started: std::mem::take(&mut counts.started),
-        });
-        let list = uses.collect();
-        self.uses.retain(|_, counts| counts.running > 0);
-        list
-    }
-}
-
 /// All targets of all services.
 #[derive(Debug)]
 pub struct TargetPool {
--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -3,8 +3,9 @@
 use super::support::{BASE, adapter, holding, ms};
 use plantain_core::direct::{
     call::AdapterId,
-    loader::{EngineOrder, EngineReport, LoaderMachine, LoaderStep, OrderAnswer, OrderVerb},
+    loader::{LoaderMachine, LoaderStep},
     messages::{AdapterUse, AdapterWish, BaseOffer, RouterNotice},
+    orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
 };
 use quickcheck::QuickCheck;
 use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -12,8 +12,9 @@
 use metrics::{counter, gauge, histogram};
 use plantain_core::{
     direct::{
-        loader::{EngineOrder, LoaderMachine, LoaderStep, OrderAnswer, OrderVerb},
+        loader::{LoaderMachine, LoaderStep},
         messages::{LoaderReport, RouterNotice},
+        orders::{EngineOrder, OrderAnswer, OrderVerb},
     },
     ids::Timestamp,
 };
--- a/crates/daemon/src/loader/engine.rs
+++ b/crates/daemon/src/loader/engine.rs
@@ -4,8 +4,8 @@
 use http_body_util::Full;
 use hyper::{Request, Uri, header::HOST};
 use plantain_core::direct::{
-    loader::{EngineOrder, EngineReport, OrderAnswer},
     membership::InstanceId,
+    orders::{EngineOrder, EngineReport, OrderAnswer},
 };
 use plantain_net::client::{HttpAnswer, HttpClient, url};
 use plantain_platform::engine;
