A router that has just started has one repeat, not a share of the slack

All routers had been killed while the targets failed; each new life took the fleet's slack again, and, as no loader had told of the others yet, the whole of it. Change: within a window of its start a router may repeat once beyond its ratio; the part of the allowance that is used falls from 0.8 to 0.7, and the rest covers those. Ruled out: no slack at all for a fresh router (a first refused call had no second try).

--- a/crates/core/src/direct/budget.rs
+++ b/crates/core/src/direct/budget.rs
@@ -5,9 +5,13 @@
 
 /// Steps into which the window is cut; a step's counts leave the window together.
 const WINDOW_STEPS: usize = 20;
-/// Share of the fleet's allowance that is used: other routers' counts arrive late, and a router that
-/// has just started does not know its earlier repeats.
-const USED_SHARE: f64 = 0.8;
+/// Share of the fleet's allowance that is used: other routers' counts arrive late, and the rest is for
+/// routers that have just started.
+const USED_SHARE: f64 = 0.7;
+/// Repeats beyond the ratio at a router that has just started, in place of its share of the slack: enough
+/// for a first call that is refused. Thirty routers that start together take thirty, which the unused part
+/// of the allowance covers from 50 calls a second on.
+const FRESH_SLACK: f64 = 1.0;
 
 /// What the whole fleet may repeat.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -31,13 +35,14 @@
 #[derive(Clone, Debug)]
 pub struct RepeatBudget {
     allowance: RepeatAllowance,
+    started: Timestamp,
     steps: [StepCounts; WINDOW_STEPS],
 }
 
 impl RepeatBudget {
-    /// Starts with nothing counted.
-    pub fn new(allowance: RepeatAllowance) -> Self {
-        Self { allowance, steps: [StepCounts::default(); WINDOW_STEPS] }
+    /// Starts with nothing counted, at a router that started at `started`.
+    pub fn new(allowance: RepeatAllowance, started: Timestamp) -> Self {
+        Self { allowance, started, steps: [StepCounts::default(); WINDOW_STEPS] }
     }
 
     /// Counts a call of a caller.
@@ -49,13 +54,19 @@
     ///
     /// The ratio follows this router's own calls, so shares need no agreement; only the slack is
     /// divided. A router that knows of too few others would overdraw, which [`USED_SHARE`] covers.
+    ///
+    /// Within a window of its start a router has no share of the slack: it does not know yet how many
+    /// there are, nor what its life before took. Routers that were killed together while targets failed
+    /// would otherwise each take all of it, again.
     pub fn try_repeat(&mut self, now: Timestamp, routers: usize) -> bool {
         let first = self.step_number(now).saturating_sub(WINDOW_STEPS as u64 - 1);
         let inside = self.steps.iter().filter(|step| step.number >= first);
         let (calls, repeats) =
             inside.fold((0, 0), |sum, step| (sum.0 + step.calls, sum.1 + step.repeats));
-        let slack = self.allowance.slack / routers.max(1) as f64;
-        let allowed = USED_SHARE * (self.allowance.ratio * f64::from(calls) + slack);
+        let is_fresh = now.saturating_sub(self.started) < self.allowance.window;
+        let share = USED_SHARE * self.allowance.slack / routers.max(1) as f64;
+        let slack = if is_fresh { FRESH_SLACK.min(share) } else { share };
+        let allowed = USED_SHARE * self.allowance.ratio * f64::from(calls) + slack;
         if f64::from(repeats) + 1.0 > allowed {
             return false;
         }
--- a/crates/core/tests/core/direct/budget.rs
+++ b/crates/core/tests/core/direct/budget.rs
@@ -15,8 +15,8 @@
 fn routers_together_never_pass_the_allowance() {
     fn property(steps: Vec<(u8, u16)>) -> bool {
         const ROUTERS: usize = 3;
-        let mut budgets = vec![RepeatBudget::new(ALLOWANCE); ROUTERS];
-        let (mut now, mut calls, mut repeats) = (Duration::ZERO, Vec::new(), Vec::new());
+        let mut budgets = vec![RepeatBudget::new(ALLOWANCE, Duration::ZERO); ROUTERS];
+        let (mut now, mut calls, mut repeats) = (ALLOWANCE.window, Vec::new(), Vec::new());
         for (choice, pause) in steps {
             now += ms(u64::from(pause % 200));
             let budget = &mut budgets[usize::from(choice) % ROUTERS];
@@ -39,11 +39,55 @@
     QuickCheck::new().tests(300).quickcheck(property as fn(Vec<(u8, u16)>) -> bool);
 }
 
+/// All routers are killed at once while targets refuse everything, and each starts again knowing neither
+/// the others nor its own earlier repeats. If each took the slack anew, and the whole of it, the fleet
+/// would repeat several times what it may, just as everything starts cold.
+#[test]
+fn routers_that_restart_get_no_slack_anew() {
+    fn property(steps: Vec<(u8, u16)>) -> bool {
+        const ROUTERS: usize = 3;
+        const LONELY: Duration = Duration::from_millis(1_500);
+        let mut now = ALLOWANCE.window;
+        let mut lives =
+            vec![(RepeatBudget::new(ALLOWANCE, Duration::ZERO), Duration::ZERO); ROUTERS];
+        let (mut calls, mut repeats, mut killed) = (Vec::new(), Vec::new(), Duration::ZERO);
+        for (choice, pause) in steps {
+            now += ms(u64::from(pause % 200));
+            let (budget, started) = &mut lives[usize::from(choice) % ROUTERS];
+            let is_lonely = now.saturating_sub(*started) < LONELY;
+            let known = if is_lonely { 1 } else { ROUTERS };
+            match choice % 16 {
+                0..=3 => {
+                    budget.record_call(now);
+                    calls.push(now);
+                }
+                4 if now.saturating_sub(killed) >= ALLOWANCE.window => {
+                    lives.fill((RepeatBudget::new(ALLOWANCE, now), now));
+                    killed = now;
+                }
+                _ if budget.try_repeat(now, known) => repeats.push(now),
+                _ => {}
+            }
+            let inside = |times: &[Duration]| {
+                times.iter().filter(|time| now.saturating_sub(**time) < ALLOWANCE.window).count()
+            };
+            let allowed = ALLOWANCE.ratio * inside(&calls) as f64 + ALLOWANCE.slack;
+            if inside(&repeats) as f64 > allowed {
+                return false;
+            }
+        }
+        true
+    }
+    QuickCheck::new().tests(1_000).quickcheck(property as fn(Vec<(u8, u16)>) -> bool);
+}
+
 #[test]
 fn an_idle_router_has_its_share_of_the_slack_and_gets_it_back() {
-    let mut budget = RepeatBudget::new(ALLOWANCE);
-    let taken = (0..100).filter(|_| budget.try_repeat(ms(0), 2)).count();
-    assert_eq!(taken, 4, "0.8 of 12, shared by two");
-    assert!(!budget.try_repeat(ms(5_000), 2));
-    assert!(budget.try_repeat(ms(10_500), 2), "the window has passed");
+    let mut budget = RepeatBudget::new(ALLOWANCE, ms(0));
+    assert!(budget.try_repeat(ms(9_800), 2), "one while it is fresh");
+    assert!(!budget.try_repeat(ms(9_900), 2), "it has not lived for a window");
+    let taken = (0..100).filter(|_| budget.try_repeat(ms(20_500), 2)).count();
+    assert_eq!(taken, 4, "0.7 of 12, shared by two");
+    assert!(!budget.try_repeat(ms(25_000), 2));
+    assert!(budget.try_repeat(ms(31_000), 2), "the window has passed");
 }
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -59,6 +59,7 @@
     pub(crate) calls: Cell<usize>,
     /// Turns true when the process is told to stop.
     pub(crate) stopping: watch::Receiver<bool>,
+    started: Timestamp,
     budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
     routers: RefCell<RouterRegister>,
 }
@@ -83,6 +84,7 @@
             is_ready,
             calls: Cell::new(0),
             stopping,
+            started: clock::now(),
             budgets: RefCell::default(),
             routers: RefCell::default(),
         })
@@ -126,8 +128,9 @@
     ) -> T {
         let mut budgets = self.budgets.borrow_mut();
         let allowance = self.settings.borrow().bounds.allowance();
-        let budget =
-            budgets.entry(Arc::clone(service)).or_insert_with(|| RepeatBudget::new(allowance));
+        let budget = budgets
+            .entry(Arc::clone(service))
+            .or_insert_with(|| RepeatBudget::new(allowance, self.started));
         action(budget)
     }
 
