A router that has just lost the store asks again soon, also where another one would tell it

Cause, by review: a router that leaves a frozen or stale watcher and whose own first call of the store fails (one reset is enough) waited 1.5 s for the next, and with the watcher's own limit 1.5 s before it was past the 2 s in which a configuration must be in force. Change: the long pause begins after 1.5 s of failures. Not shown by a test of its own; the site tests and the soak run over it.

--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -52,8 +52,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls: a store that is back is noticed within this.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-/// The same for a router that another one tells when the store is back: it asks itself only in case that
-/// it is reached by the store and the other one is not.
+/// The same for a router that another one tells when the store is back, once it has failed for as long: it
+/// goes on asking only in case that the store serves it and not the other one.
 const SHARED_PAUSE: Duration = Duration::from_millis(1_500);
 /// Longest time for which a kind waits for another one to find the store back.
 const OTHERS_PAUSE: Duration = Duration::from_secs(3);
@@ -241,7 +241,7 @@
         let is_asked_for = self.kind != FollowedKind::Config && self.link.is_config_lost();
         let pause = if is_asked_for {
             OTHERS_PAUSE
-        } else if self.link.zone_watcher().is_some() && self.link.revisions().is_some() {
+        } else if self.is_told_by_others() {
             self.backoff.next_pause().max(SHARED_PAUSE)
         } else {
             self.backoff.next_pause()
@@ -252,6 +252,13 @@
             () = self.link.shared_becomes(true) => {}
         }
     }
+
+    fn is_told_by_others(&self) -> bool {
+        let failing_since = self.progress().failing_since.get();
+        let has_lasted =
+            failing_since.is_some_and(|since| clock::now().saturating_sub(since) >= SHARED_PAUSE);
+        has_lasted && self.link.zone_watcher().is_some() && self.link.revisions().is_some()
+    }
 }
 
 /// The list that changes make up, for a kind whose whole list was read.
