Loads share the weight store: a window from observed transit times, calls in time first

Cause: loads of all engines share the weight store's transit. Each loader kept up to four on their way: 48 shared what 8 can use, each took 1.5 s instead of 0.25 s, and every call missed its objective.

Change: a loader measures its loads and keeps a window of them on their way, which shrinks when they take 1.3 times the shortest and grows otherwise; loads from the host's memory are told apart and pass. Wishes say how long a call can still wait; those in time go first, late ones next, those ahead of calls last and only while the store is not congested. Reports tell the expected time of a load and the queue before one for a call in time, in place of constants of one customer's engines.

The store is full for the first ten seconds after any cold start; what remains late there is bound by its rate. Tests: windows under drawn and changing stores, turns of wishes, host's memory.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -7,7 +7,6 @@
 pub mod demand;
 pub mod health;
 pub mod loader;
-mod lost_orders;
 pub mod membership;
 pub mod messages;
 pub mod orders;
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -5,10 +5,13 @@
 //! order count that the engine must still have, so of all orders given on one count at most one takes
 //! effect, and the next report tells which.
 
+mod host_memory;
+mod lost_orders;
+pub mod transit;
+
 use super::{
     call::AdapterId,
     demand::{RECENT_HALF_LIFE, encode_rate},
-    lost_orders::LostOrders,
     membership::{BaseHolding, InstanceId, TargetLife},
     messages::{AdapterWish, BootId, LoaderReport, RouterNotice},
     orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
@@ -17,12 +20,15 @@
     demand::DecayedCount,
     ids::{BaseName, Timestamp, ZoneName},
 };
+use host_memory::HostMemory;
+use lost_orders::LostOrders;
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
 };
+use transit::{LoadStart, TransitGauge};
 
 /// Adapters that may be on their way to an engine at once, as the engines allow.
 pub const TRANSIT_LIMIT: usize = 4;
@@ -43,6 +49,10 @@
 const DEMAND_LIMIT: usize = 1_024;
 /// Demand below which an adapter is forgotten when there are too many.
 const DEMAND_FLOOR: f64 = 0.1;
+/// Time of a load from the host's memory as a part of one from the weight store, as the engines state.
+const NEAR_SHARE: f64 = 0.1;
+/// Part of the time of a load from the weight store from which one cannot have come from the host's memory.
+const FAR_SHARE: f64 = 0.5;
 /// Pause between reports asked of the engine while something is on its way: a load from the host's
 /// memory takes 25 ms, and calls wait for it.
 const FAST_POLL: Duration = Duration::from_millis(12);
@@ -117,6 +127,10 @@
     notices: HashMap<SocketAddr, NoticeState>,
     demand: HashMap<AdapterId, AdapterDemand>,
     lost: LostOrders,
+    /// Loads on their way.
+    loading: HashMap<AdapterId, LoadStart>,
+    transit: TransitGauge,
+    memory: HostMemory,
 }
 
 impl LoaderMachine {
@@ -136,6 +150,9 @@
             notices: HashMap::new(),
             demand: HashMap::new(),
             lost: LostOrders::default(),
+            loading: HashMap::new(),
+            transit: TransitGauge::new(TRANSIT_LIMIT),
+            memory: HostMemory::default(),
         }
     }
 
@@ -212,6 +229,7 @@
         };
         self.next_poll = now + pause;
         self.note_met(&report);
+        self.note_loaded(&report, now);
         self.report = Some(report);
     }
 
@@ -219,11 +237,38 @@
     fn begin_life(&mut self) {
         self.instance = None;
         self.lost.begin_life();
+        self.loading.clear();
+        self.memory = HostMemory::default();
         for state in self.notices.values_mut() {
             state.met.clear();
         }
     }
 
+    /// Learns from loads that have ended.
+    fn note_loaded(&mut self, report: &EngineReport, now: Timestamp) {
+        let ended: Vec<AdapterId> =
+            self.loading.keys().filter(|id| !report.is_coming(id)).cloned().collect();
+        for id in ended {
+            let Some(start) = self.loading.remove(&id) else { continue };
+            if report.held(&id).is_none() {
+                continue;
+            }
+            let time = now.saturating_sub(start.at);
+            if !start.is_near {
+                self.transit.record(time);
+            } else if time > self.transit.expected().mul_f64(FAR_SHARE) {
+                self.memory.forget_older(&id);
+            }
+            self.memory.note(id, now);
+        }
+    }
+
+    /// How long a load that begins now is expected to take.
+    fn expected_load(&self, id: &AdapterId) -> Duration {
+        let time = self.transit.expected();
+        if self.memory.holds(id) { time.mul_f64(NEAR_SHARE) } else { time }
+    }
+
     fn note_met(&mut self, report: &EngineReport) {
         for state in self.notices.values_mut() {
             for wish in &state.notice.wishes {
@@ -313,11 +358,28 @@
         let running = self.running();
         let all = report.settled_adapters();
         let idle = all.filter(|id| self.uses(id, &running, now) == 0).count();
-        let waiting = self.open_wishes(report).iter().filter(|(wish, _)| wish.waiting > 0).count();
+        let waiting =
+            self.open_wishes(report, now).iter().filter(|(wish, _)| wish.waiting > 0).count();
         let taken = report.occupied() + waiting;
         i32::from((places + idle) as u16) - i32::from(taken as u16)
     }
 
+    /// Wait before a load from the weight store can begin for a call that can still meet its objective;
+    /// it goes before those that cannot.
+    fn load_queue(&self, report: &EngineReport, now: Timestamp) -> Duration {
+        let wishes = self.open_wishes(report, now);
+        let waiting = wishes.iter().filter(|(wish, _)| {
+            wish.waiting > 0
+                && self.is_in_time(wish, now)
+                && !self.memory.holds(&wish_adapter(wish))
+        });
+        let before = waiting.count() + self.far_loads();
+        let window = self.transit.window();
+        // With room in the window, a load begins at once.
+        let turns = (before + 1).saturating_sub(window) as f64 / window as f64;
+        self.transit.expected().mul_f64(turns)
+    }
+
     /// Calls that use an adapter now, as far as is known.
     fn uses(&self, id: &AdapterId, running: &HashMap<AdapterId, u32>, now: Timestamp) -> u32 {
         let demand = self.demand.get(id);
@@ -352,6 +414,8 @@
             room: self.room(report, now),
             holdings: report.holdings.clone(),
             coming: coming.collect(),
+            load_ms: as_millis(self.transit.expected()),
+            queue_ms: as_millis(self.load_queue(report, now)),
             active: report.active,
             queued: report.queued,
             kv_used: report.kv_used,
@@ -387,12 +451,15 @@
             OrderVerb::LoadBase(_) => report.is_busy = answer == OrderAnswer::Accepted,
             OrderVerb::LoadAdapter(adapter, version) => {
                 if answer == OrderAnswer::Accepted {
+                    let is_near = self.memory.holds(adapter);
+                    self.loading.insert(adapter.clone(), LoadStart { at: now, is_near });
                     report.coming.push((adapter.clone(), *version));
                 } else if let Some(holding) = report.holding_mut(&adapter.base) {
                     holding.adapters.insert(Arc::clone(&adapter.name), *version);
                 }
             }
             OrderVerb::UnloadAdapter(adapter) => {
+                self.memory.note(adapter.clone(), now);
                 if let Some(holding) = report.holding_mut(&adapter.base) {
                     holding.adapters.remove(&adapter.name);
                 }
@@ -407,11 +474,12 @@
             return self.wanted_base(&newest.notice).map(OrderVerb::LoadBase);
         }
         let places = usize::from(newest.notice.adapter_places);
-        let wishes = self.open_wishes(report);
-        let (wish, since) = wishes.first()?;
         if report.coming.len() >= TRANSIT_LIMIT {
             return None;
         }
+        let wishes = self.open_wishes(report, now);
+        let far = self.far_loads();
+        let (wish, since) = wishes.iter().find(|(wish, _)| self.may_begin(wish, far))?;
         let adapter = wish_adapter(wish);
         let is_replacement = report.held(&adapter).is_some();
         let reserved = self.reserved_places(report);
@@ -421,6 +489,20 @@
         self.victim(report, &wishes, now.saturating_sub(*since), now).map(OrderVerb::UnloadAdapter)
     }
 
+    /// Loads on their way from the weight store.
+    fn far_loads(&self) -> usize {
+        self.loading.values().filter(|start| !start.is_near).count()
+    }
+
+    /// Whether a load may begin while `far` others are on their way from the weight store. One from the
+    /// host's memory takes nothing of the store, and one ahead of calls waits while others need it.
+    fn may_begin(&self, wish: &AdapterWish, far: usize) -> bool {
+        if self.memory.holds(&wish_adapter(wish)) {
+            return true;
+        }
+        far < self.transit.window() && (wish.waiting > 0 || !self.transit.is_congested())
+    }
+
     /// Places kept free for loads that an earlier life of the engine never answered.
     fn reserved_places(&self, report: &EngineReport) -> usize {
         self.instance.as_ref().map_or(0, |id| self.lost.places(id, report.order_count))
@@ -439,8 +521,10 @@
         best.map(|base| Arc::clone(&base.base))
     }
 
-    /// Wishes that nothing held or coming meets, most urgent first.
-    fn open_wishes(&self, report: &EngineReport) -> Vec<(&AdapterWish, Timestamp)> {
+    /// Wishes that nothing held or coming meets, in the order of their loads: first those of calls that
+    /// can still meet their objective, then those of calls that are late already, then those ahead of
+    /// calls. While the weight store is overloaded, a load for a late call makes another one late too.
+    fn open_wishes(&self, report: &EngineReport, now: Timestamp) -> Vec<(&AdapterWish, Timestamp)> {
         let mut wishes: Vec<(&AdapterWish, Timestamp)> = Vec::new();
         for state in self.notices.values() {
             for wish in &state.notice.wishes {
@@ -454,10 +538,26 @@
                 }
             }
         }
-        wishes.sort_by_key(|(wish, since)| (wish.waiting == 0, wish.priority, *since));
+        wishes.sort_by_cached_key(|(wish, since)| {
+            (wish.waiting == 0, !self.is_in_time(wish, now), wish.priority, *since)
+        });
         wishes
     }
 
+    /// Whether a call that waits meets its objective if its adapter is loaded now.
+    fn is_in_time(&self, wish: &AdapterWish, now: Timestamp) -> bool {
+        let adapter = wish_adapter(wish);
+        let load = self.expected_load(&adapter);
+        let mut states = self.notices.values();
+        states.any(|state| {
+            let own = state.notice.wishes.iter().find(|own| wish_adapter(own) == adapter);
+            own.is_some_and(|own| {
+                own.slack_ms > 0
+                    && now + load < state.received + Duration::from_millis(own.slack_ms.into())
+            })
+        })
+    }
+
     /// The adapter that gives way: not in use, not wished for, least wanted lately. One in use gives way
     /// only to a call that has waited for longer than [`PATIENCE`].
     fn victim(
@@ -508,6 +608,10 @@
     is_other_start || report.order_count < known.order_count
 }
 
+fn as_millis(time: Duration) -> u16 {
+    u16::try_from(time.as_millis()).unwrap_or(u16::MAX)
+}
+
 fn wish_adapter(wish: &AdapterWish) -> AdapterId {
     AdapterId { base: Arc::clone(&wish.base), name: Arc::clone(&wish.adapter) }
 }
--- a/crates/core/src/direct/lost_orders.rs
+++ b/crates/core/src/direct/loader/lost_orders.rs
@@ -5,8 +5,7 @@
 //! from 0, passes the same counts once more, and a load that was lost before may then take effect on top
 //! of what the loader has ordered since. An engine that is made to hold more than it has room for crashes.
 
-use super::membership::InstanceId;
-use crate::ids::Timestamp;
+use crate::{direct::membership::InstanceId, ids::Timestamp};
 use std::{collections::BTreeSet, sync::Arc, time::Duration};
 
 /// Time after which an order that got no answer is taken to be gone for good. They are carried out some
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -22,6 +22,9 @@
     pub waiting: u16,
     /// Rank of the most urgent call that waits; 0 is first.
     pub priority: u8,
+    /// Time in ms within which the adapter must be there for a call that waits to meet its objective, of
+    /// the call that has most of it; 0 if all are late.
+    pub slack_ms: u16,
 }
 
 /// Calls of a router that use an adapter at the loader's engine.
@@ -97,6 +100,10 @@
     pub room: i32,
     /// Adapters on their way, or being replaced.
     pub coming: Vec<(BaseName, AdapterName)>,
+    /// Expected time in ms of a load from the weight store.
+    pub load_ms: u16,
+    /// Wait in ms before one could begin.
+    pub queue_ms: u16,
     /// Calls that the engine runs.
     pub active: u16,
     /// Calls that wait at the engine.
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -3,7 +3,6 @@
 
 use super::{
     call::{AdapterId, ModelCall},
-    loader::TRANSIT_LIMIT,
     membership::TargetLife,
     target::TargetState,
     targets::TargetPool,
@@ -26,17 +25,13 @@
 const QUEUED_MS: f64 = 25.0;
 /// Cost of an engine whose batch is full.
 const FULL_MS: f64 = 400.0;
-/// Wait for an adapter that is on its way.
-const COMING_MS: f64 = 60.0;
-/// Wait for an adapter that must be loaded: between 25 ms from the host's memory and 250 ms.
-const LOAD_MS: f64 = 120.0;
+/// Part of a load's time for which an adapter that is on its way is waited for, on the mean.
+const COMING_SHARE: f64 = 0.5;
 /// Further cost of loading elsewhere than at a preferred target: the host there is unlikely to have
 /// the adapter in its memory, and later calls go to the preferred ones.
 const STRAY_MS: f64 = 150.0;
 /// The same at the target after the preferred ones, which gets what they cannot take.
 const SPARE_MS: f64 = 70.0;
-/// Cost of each adapter on its way beyond those that an engine takes at once.
-const LOAD_QUEUE_MS: f64 = 40.0;
 /// Cost of each load that must wait for a place at an engine all of whose adapters are in use. Runs last
 /// 0.4 s on the mean, and of ten adapters in use some two are shared by other calls, so that a place comes
 /// free about this often.
@@ -111,7 +106,7 @@
             Some(call) => {
                 let homes = preferred.as_deref().unwrap_or_default();
                 let is_waited = need.waiting_at == Some(&target.entry.life);
-                engine_cost(pool, target, call, adapter.as_ref(), homes, now)
+                engine_cost(pool, target, call, adapter.as_ref(), homes, is_waited, now)
                     + zone_cost(target, need)
                     + if is_waited { -LEAVE_MS } else { place_cost(target, adapter.as_ref(), now) }
             }
@@ -221,10 +216,12 @@
     call: &ModelCall,
     adapter: Option<&AdapterId>,
     preferred: &[TargetLife],
+    is_waited: bool,
     now: Timestamp,
 ) -> f64 {
     let unread = f64::from(target.unread_tokens) * UNREAD_WEIGHT / TOKENS_PER_MS;
-    let stall = adapter.map_or(0.0, |adapter| stall_cost(pool, target, adapter, preferred, now));
+    let stall =
+        adapter.map_or(0.0, |adapter| stall_cost(pool, target, adapter, preferred, is_waited, now));
     unread + stall + batch_cost(pool, target, call, now) + trouble_cost(target, now)
 }
 
@@ -248,6 +245,7 @@
     target: &TargetState,
     adapter: &AdapterId,
     preferred: &[TargetLife],
+    is_waited: bool,
     now: Timestamp,
 ) -> f64 {
     let newest = pool.newest_version(adapter);
@@ -260,11 +258,13 @@
         None => STRAY_MS,
     };
     let Some(report) = target.fresh_report(now) else { return stray + NO_LOADER_MS };
+    let load = f64::from(report.load_ms);
     if target.is_coming(adapter, now) {
-        return stray + COMING_MS;
+        return stray + load * COMING_SHARE;
     }
-    let queue = (report.coming.len() + target.waiting_wishes()).saturating_sub(TRANSIT_LIMIT);
-    stray + LOAD_MS + queue as f64 * LOAD_QUEUE_MS
+    // The queue in which the call has its turn already holds itself.
+    let queue = if is_waited { 0.0 } else { f64::from(report.queue_ms) };
+    stray + load + queue
 }
 
 /// Wait for a place for an adapter that must be loaded. It counts only where a call does not wait yet:
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -31,14 +31,26 @@
 }
 
 /// A router's wish for an adapter at a target.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub(super) struct WishState {
     pub(super) version: AdapterVersion,
-    pub(super) waiting: u16,
+    /// When the adapter must be there for each call that waits to meet its objective.
+    pub(super) waiters: Vec<Timestamp>,
     pub(super) priority: u8,
     pub(super) made: Timestamp,
 }
 
+impl WishState {
+    pub(super) fn is_awaited(&self) -> bool {
+        !self.waiters.is_empty()
+    }
+
+    fn slack_ms(&self, now: Timestamp) -> u16 {
+        let latest = self.waiters.iter().max().copied().unwrap_or_default();
+        u16::try_from(latest.saturating_sub(now).as_millis()).unwrap_or(u16::MAX)
+    }
+}
+
 /// One target.
 #[derive(Debug)]
 pub struct TargetState {
@@ -135,7 +147,7 @@
 
     /// Adapters for which calls of this router wait here.
     pub fn waiting_wishes(&self) -> usize {
-        self.wishes.values().filter(|wish| wish.waiting > 0).count()
+        self.wishes.values().filter(|wish| wish.is_awaited()).count()
     }
 
     /// Whether the loader has not been told yet of calls that began here.
@@ -144,13 +156,14 @@
     }
 
     /// What the loader is told about this router's wishes.
-    pub fn wish_list(&self) -> Vec<AdapterWish> {
+    pub fn wish_list(&self, now: Timestamp) -> Vec<AdapterWish> {
         let wishes = self.wishes.iter().map(|(adapter, wish)| AdapterWish {
             base: Arc::clone(&adapter.base),
             adapter: Arc::clone(&adapter.name),
             version: wish.version,
-            waiting: wish.waiting,
+            waiting: wish.waiters.len() as u16,
             priority: wish.priority,
+            slack_ms: wish.slack_ms(now),
         });
         wishes.collect()
     }
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -179,7 +179,7 @@
             })
             .map(|(adapter, _)| adapter.clone())
             .collect();
-        target.wishes.retain(|adapter, wish| wish.waiting > 0 || !satisfied.contains(adapter));
+        target.wishes.retain(|adapter, wish| wish.is_awaited() || !satisfied.contains(adapter));
         true
     }
 
@@ -311,33 +311,37 @@
             if is_overdue { target.overdue + 1 } else { target.overdue.saturating_sub(1) };
     }
 
-    /// Wishes for an adapter at a target, with one more call that waits for it.
+    /// Wishes for an adapter at a target, with one more call that waits for it, and that meets its
+    /// objective if the adapter is there by `due`.
     pub fn add_waiter(
         &mut self,
         life: &TargetLife,
         adapter: &AdapterId,
         version: AdapterVersion,
         priority: u8,
+        due: Timestamp,
         now: Timestamp,
     ) {
         let Some(target) = self.target_mut(life) else { return };
         let wish = target.wishes.entry(adapter.clone()).or_insert(WishState {
             version,
-            waiting: 0,
+            waiters: Vec::new(),
             priority,
             made: now,
         });
-        wish.waiting += 1;
+        wish.waiters.push(due);
         wish.version = wish.version.max(version);
         wish.priority = wish.priority.min(priority);
     }
 
-    /// A call waits no longer.
-    pub fn remove_waiter(&mut self, life: &TargetLife, adapter: &AdapterId) {
+    /// A call that was due then waits no longer.
+    pub fn remove_waiter(&mut self, life: &TargetLife, adapter: &AdapterId, due: Timestamp) {
         let Some(target) = self.target_mut(life) else { return };
         if let Some(wish) = target.wishes.get_mut(adapter) {
-            wish.waiting = wish.waiting.saturating_sub(1);
-            if wish.waiting == 0 {
+            if let Some(index) = wish.waiters.iter().position(|own| *own == due) {
+                wish.waiters.swap_remove(index);
+            }
+            if !wish.is_awaited() {
                 target.wishes.remove(adapter);
             }
         }
@@ -356,7 +360,7 @@
             wish.version = wish.version.max(version);
             return false;
         }
-        let wish = WishState { version, waiting: 0, priority: u8::MAX, made: now };
+        let wish = WishState { version, waiters: Vec::new(), priority: u8::MAX, made: now };
         target.wishes.insert(adapter.clone(), wish);
         true
     }
@@ -366,7 +370,7 @@
         for target in self.targets.values_mut() {
             target
                 .wishes
-                .retain(|_, wish| wish.waiting > 0 || now.saturating_sub(wish.made) < life);
+                .retain(|_, wish| wish.is_awaited() || now.saturating_sub(wish.made) < life);
         }
     }
 
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -11,3 +11,4 @@
 mod selection;
 mod sharing;
 mod support;
+mod transit;
--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -161,7 +161,7 @@
     let choice = choose_target(&pool, &need, ms(20), || 0.5);
     assert_eq!(choice, TargetChoice::Load(first.clone(), adapter("h7"), 1));
     assert_ne!(choose(&pool, ENGINES, Some(&call), 20), choice, "a new call goes elsewhere");
-    let crowded = LoaderReport { room: -5, ..report(&first.id, 2, &[]) };
+    let crowded = LoaderReport { room: -5, queue_ms: 900, ..report(&first.id, 2, &[]) };
     take_report(&mut pool, crowded, ms(20));
     let choice = choose_target(&pool, &need, ms(20), || 0.5);
     assert_eq!(choice, TargetChoice::Load(first, adapter("h7"), 1), "it has its turn for a place");
--- a/crates/core/tests/core/direct/support.rs
+++ b/crates/core/tests/core/direct/support.rs
@@ -106,6 +106,8 @@
         rates: Vec::new(),
         room: 4,
         coming: Vec::new(),
+        load_ms: 120,
+        queue_ms: 0,
         active: 0,
         queued: 0,
         kv_used: 0,
--- /dev/null
+++ b/crates/core/tests/core/direct/transit.rs
@@ -0,0 +1,119 @@
+//! The window of loads that a loader keeps on their way, against a weight store that all loaders share.
+
+use super::support::ms;
+use plantain_core::direct::loader::transit::TransitGauge;
+use quickcheck::QuickCheck;
+use std::time::Duration;
+
+/// Loads that an engine takes at once.
+const LIMIT: usize = 4;
+/// Rounds after which windows have settled.
+const ROUNDS: usize = 200;
+
+/// A weight store that gives each load its full speed while no more than `free` are on their way, and all
+/// of them a fair share beyond.
+struct SharedStore {
+    free: usize,
+    time: Duration,
+}
+
+impl SharedStore {
+    fn load_time(&self, on_their_way: usize) -> Duration {
+        self.time.mul_f64((on_their_way as f64 / self.free as f64).max(1.0))
+    }
+}
+
+/// All loaders keep their windows full for a while; returns how many loads are then on their way.
+fn settle(loaders: &mut [TransitGauge], store: &SharedStore) -> usize {
+    for _ in 0..ROUNDS {
+        let time = store.load_time(on_their_way(loaders));
+        for loader in loaders.iter_mut() {
+            loader.record(time);
+        }
+    }
+    on_their_way(loaders)
+}
+
+fn on_their_way(loaders: &[TransitGauge]) -> usize {
+    loaders.iter().map(TransitGauge::window).sum()
+}
+
+fn gauges(count: usize) -> Vec<TransitGauge> {
+    (0..count).map(|_| TransitGauge::new(LIMIT)).collect()
+}
+
+/// Whatever the store allows and however many engines share it: loads are not slowed down much beyond what
+/// one load an engine costs, and what the store can give is not left unused.
+#[test]
+fn windows_follow_what_the_store_gives() {
+    fn property(engines: u8, free: u8, time: u16) -> bool {
+        let engines = usize::from(engines % 60) + 1;
+        let store = SharedStore {
+            free: usize::from(free % 60) + 1,
+            time: ms(u64::from(time % 2_000) + 20),
+        };
+        let mut loaders = gauges(engines);
+        let count = settle(&mut loaders, &store);
+        let one_each = store.load_time(engines);
+        let is_short = store.load_time(count) <= one_each.max(store.time.mul_f64(1.3)).mul_f64(2.1);
+        let useful = store.free.min(engines * LIMIT);
+        let is_used = count * 2 >= useful;
+        is_short && is_used
+    }
+    QuickCheck::new().quickcheck(property as fn(u8, u8, u16) -> bool);
+}
+
+struct ChangeCase {
+    name: &'static str,
+    before: SharedStore,
+    after: SharedStore,
+    /// Loads of eight engines on their way in the end.
+    least: usize,
+    most: usize,
+}
+
+/// The store changes while it is used: what was learnt of it before must not hold for ever.
+#[test]
+fn windows_follow_a_store_that_changes() {
+    let store = |free, time| SharedStore { free, time: ms(time) };
+    let cases = [
+        ChangeCase {
+            name: "slower for good",
+            before: store(32, 250),
+            after: store(32, 1_250),
+            least: 24,
+            most: 32,
+        },
+        ChangeCase {
+            name: "shared with others",
+            before: store(32, 250),
+            after: store(8, 250),
+            least: 8,
+            most: 16,
+        },
+        ChangeCase {
+            name: "given back",
+            before: store(8, 250),
+            after: store(32, 250),
+            least: 16,
+            most: 32,
+        },
+    ];
+    for case in cases {
+        let mut loaders = gauges(8);
+        settle(&mut loaders, &case.before);
+        let count = settle(&mut loaders, &case.after);
+        assert!((case.least..=case.most).contains(&count), "{}: {count}", case.name);
+    }
+}
+
+/// The first load of a life tells more than any assumption.
+#[test]
+fn the_first_load_replaces_the_prior() {
+    let mut gauge = TransitGauge::new(LIMIT);
+    gauge.record(ms(40));
+    assert_eq!(gauge.expected(), ms(40));
+    assert!(!gauge.is_congested());
+    gauge.record(ms(400));
+    assert!(gauge.is_congested());
+}
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -313,6 +313,19 @@
     woken: Rc<Notify>,
     instance: TargetLife,
     adapter: AdapterId,
+    due: Timestamp,
+}
+
+/// An adapter that a call needs.
+pub(crate) struct AdapterNeed<'a> {
+    /// The adapter.
+    pub(crate) adapter: &'a AdapterId,
+    /// Oldest version that serves.
+    pub(crate) version: AdapterVersion,
+    /// Rank of the call; 0 is first.
+    pub(crate) priority: u8,
+    /// When it must be there for the call to meet its objective.
+    pub(crate) due: Timestamp,
 }
 
 impl WaitGuard {
@@ -320,18 +333,18 @@
     pub(crate) fn new(
         context: &Rc<RouterContext>,
         instance: &TargetLife,
-        adapter: &AdapterId,
-        version: AdapterVersion,
-        priority: u8,
+        need: &AdapterNeed<'_>,
     ) -> Self {
+        let AdapterNeed { adapter, version, priority, due } = *need;
         let now = clock::now();
-        context.pool.borrow_mut().add_waiter(instance, adapter, version, priority, now);
+        context.pool.borrow_mut().add_waiter(instance, adapter, version, priority, due, now);
         context.hurry(instance);
         Self {
             context: Rc::clone(context),
             woken: context.waiter(instance),
             instance: instance.clone(),
             adapter: adapter.clone(),
+            due,
         }
     }
 
@@ -353,6 +366,6 @@
 
 impl Drop for WaitGuard {
     fn drop(&mut self) {
-        self.context.pool.borrow_mut().remove_waiter(&self.instance, &self.adapter);
+        self.context.pool.borrow_mut().remove_waiter(&self.instance, &self.adapter, self.due);
     }
 }
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -3,7 +3,7 @@
 use super::{
     connections::{SendEnd, TargetConnection},
     constants,
-    context::{CallGuard, RouterContext, WaitGuard},
+    context::{AdapterNeed, CallGuard, RouterContext, WaitGuard},
     journal::{CallEnd, CallRecord},
 };
 use crate::clock;
@@ -12,7 +12,7 @@
 use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
 use plantain_core::{
     direct::{
-        call::{CallHead, OnwardTerms},
+        call::{AdapterId, CallHead, OnwardTerms},
         config::RouteRule,
         health::CallOutcome,
         membership::TargetLife,
@@ -281,10 +281,7 @@
                         waiting.as_ref().is_some_and(|guard| guard.is_for(&instance, &adapter));
                     if !is_same {
                         self.note(&format!("load {}@{version} at {instance}", adapter.name));
-                        let priority = self.route.priority;
-                        let context = &self.context;
-                        waiting =
-                            Some(WaitGuard::new(context, &instance, &adapter, version, priority));
+                        waiting = Some(self.wait_for(&instance, &adapter, version));
                     }
                     if let Some(guard) = &waiting {
                         guard.news(constants::LOAD_LOOK).await;
@@ -294,6 +291,24 @@
         }
     }
 
+    /// Wishes for an adapter. It is due so long before the call's objective as the target needs to begin
+    /// its answer, by what its answers took lately.
+    fn wait_for(
+        &self,
+        instance: &TargetLife,
+        adapter: &AdapterId,
+        version: AdapterVersion,
+    ) -> WaitGuard {
+        let answer_ms = {
+            let pool = self.context.pool.borrow();
+            pool.target(instance).map_or(0.0, |target| target.latency.read_ms(clock::now()))
+        };
+        let objective = self.started + self.route.objective;
+        let due = objective.saturating_sub(Duration::from_secs_f64(answer_ms / 1_000.0));
+        let wish = AdapterNeed { adapter, version, priority: self.route.priority, due };
+        WaitGuard::new(&self.context, instance, &wish)
+    }
+
     fn choose_now(&self, waiting: Option<&WaitGuard>) -> TargetChoice {
         let settings = self.context.settings.borrow();
         let need = self.need(&settings.zone, waiting.map(WaitGuard::target));
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -118,7 +118,7 @@
             adapter_places: places,
             memory_mb,
             bases,
-            wishes: target.wish_list(),
+            wishes: target.wish_list(clock::now()),
             uses: target.take_uses(),
             zone: Arc::clone(&settings.zone),
             peer_address: Some(settings.peer_listen),
