Loader: planning and reports in files of their own; replacements are no measure of the store

A replacement waits for the runs of the old version: its time would close the window of loads for seconds.

--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -7,18 +7,20 @@
 
 mod host_memory;
 mod lost_orders;
+mod plan;
+mod report;
 pub mod transit;
 
 use super::{
     call::AdapterId,
-    demand::{RECENT_HALF_LIFE, encode_rate},
-    membership::{BaseHolding, InstanceId, TargetLife},
-    messages::{AdapterWish, BootId, LoaderReport, RouterNotice},
+    demand::RECENT_HALF_LIFE,
+    membership::{InstanceId, TargetLife},
+    messages::{AdapterWish, BootId, RouterNotice},
     orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
 };
 use crate::{
     demand::DecayedCount,
-    ids::{BaseName, Timestamp, ZoneName},
+    ids::{Timestamp, ZoneName},
 };
 use host_memory::HostMemory;
 use lost_orders::LostOrders;
@@ -342,44 +344,6 @@
         }
     }
 
-    /// Calls a second for an adapter, those counted that wait for it.
-    fn rate(&self, adapter: &AdapterId, now: Timestamp) -> f64 {
-        let wishes = self.notices.values().flat_map(|state| &state.notice.wishes);
-        let own = wishes.filter(|wish| wish_adapter(wish) == *adapter);
-        let waiting: u32 = own.map(|wish| u32::from(wish.waiting)).sum();
-        let started = self.demand.get(adapter).map_or(0.0, |demand| demand.recent.rate(now));
-        started + f64::from(waiting)
-    }
-
-    /// Places that are free or held by adapters that nobody uses, less the loads that wait for one.
-    fn room(&self, report: &EngineReport, now: Timestamp) -> i32 {
-        let newest = self.notices.values().max_by_key(|state| state.received);
-        let places = newest.map_or(0, |state| usize::from(state.notice.adapter_places));
-        let running = self.running();
-        let all = report.settled_adapters();
-        let idle = all.filter(|id| self.uses(id, &running, now) == 0).count();
-        let waiting =
-            self.open_wishes(report, now).iter().filter(|(wish, _)| wish.waiting > 0).count();
-        let taken = report.occupied() + waiting;
-        i32::from((places + idle) as u16) - i32::from(taken as u16)
-    }
-
-    /// Wait before a load from the weight store can begin for a call that can still meet its objective;
-    /// it goes before those that cannot.
-    fn load_queue(&self, report: &EngineReport, now: Timestamp) -> Duration {
-        let wishes = self.open_wishes(report, now);
-        let waiting = wishes.iter().filter(|(wish, _)| {
-            wish.waiting > 0
-                && self.is_in_time(wish, now)
-                && !self.memory.holds(&wish_adapter(wish))
-        });
-        let before = waiting.count() + self.far_loads();
-        let window = self.transit.window();
-        // With room in the window, a load begins at once.
-        let turns = (before + 1).saturating_sub(window) as f64 / window as f64;
-        self.transit.expected().mul_f64(turns)
-    }
-
     /// Calls that use an adapter now, as far as is known.
     fn uses(&self, id: &AdapterId, running: &HashMap<AdapterId, u32>, now: Timestamp) -> u32 {
         let demand = self.demand.get(id);
@@ -387,43 +351,6 @@
         running.get(id).copied().unwrap_or(0) + u32::from(is_fresh)
     }
 
-    fn rates(&self, holdings: &[BaseHolding], now: Timestamp) -> Vec<u16> {
-        let adapters = holdings.iter().flat_map(|holding| {
-            let names = holding.adapters.keys();
-            names.map(|name| AdapterId { base: Arc::clone(&holding.base), name: Arc::clone(name) })
-        });
-        adapters.map(|adapter| encode_rate(self.rate(&adapter, now))).collect()
-    }
-
-    /// What routers are told.
-    pub fn make_report(&mut self, now: Timestamp) -> Option<LoaderReport> {
-        let life = self.life()?;
-        let report = self.report.as_ref()?;
-        self.sequence += 1;
-        let coming = report.coming.iter();
-        let coming = coming.map(|(id, _)| (Arc::clone(&id.base), Arc::clone(&id.name)));
-        let notices = self.notices.values().map(|state| &state.notice);
-        let near = notices.filter(|notice| notice.zone == self.zone);
-        Some(LoaderReport {
-            boot: self.boot,
-            sequence: self.sequence,
-            life,
-            is_answering: self.is_answering,
-            is_leaving: report.is_leaving,
-            rates: self.rates(&report.holdings, now),
-            room: self.room(report, now),
-            holdings: report.holdings.clone(),
-            coming: coming.collect(),
-            load_ms: as_millis(self.transit.expected()),
-            queue_ms: as_millis(self.load_queue(report, now)),
-            active: report.active,
-            queued: report.queued,
-            kv_used: report.kv_used,
-            router_count: self.notices.len() as u16,
-            near_routers: near.filter_map(|notice| notice.peer_address).collect(),
-        })
-    }
-
     /// Routers that sent a notice lately, and whether an adapter that calls of theirs wait for is there.
     pub fn routers(&self) -> impl Iterator<Item = (SocketAddr, bool)> {
         self.notices.iter().map(|(router, state)| {
@@ -451,8 +378,12 @@
             OrderVerb::LoadBase(_) => report.is_busy = answer == OrderAnswer::Accepted,
             OrderVerb::LoadAdapter(adapter, version) => {
                 if answer == OrderAnswer::Accepted {
-                    let is_near = self.memory.holds(adapter);
-                    self.loading.insert(adapter.clone(), LoadStart { at: now, is_near });
+                    // A replacement waits for the runs of the old version, so its time says nothing of the
+                    // weight store.
+                    if report.held(adapter).is_none() {
+                        let is_near = self.memory.holds(adapter);
+                        self.loading.insert(adapter.clone(), LoadStart { at: now, is_near });
+                    }
                     report.coming.push((adapter.clone(), *version));
                 } else if let Some(holding) = report.holding_mut(&adapter.base) {
                     holding.adapters.insert(Arc::clone(&adapter.name), *version);
@@ -467,121 +398,6 @@
         }
     }
 
-    fn next_order(&self, now: Timestamp) -> Option<OrderVerb> {
-        let report = self.report.as_ref()?;
-        let newest = self.notices.values().max_by_key(|state| state.received)?;
-        if report.holdings.is_empty() {
-            return self.wanted_base(&newest.notice).map(OrderVerb::LoadBase);
-        }
-        let places = usize::from(newest.notice.adapter_places);
-        if report.coming.len() >= TRANSIT_LIMIT {
-            return None;
-        }
-        let wishes = self.open_wishes(report, now);
-        let far = self.far_loads();
-        let (wish, since) = wishes.iter().find(|(wish, _)| self.may_begin(wish, far))?;
-        let adapter = wish_adapter(wish);
-        let is_replacement = report.held(&adapter).is_some();
-        let reserved = self.reserved_places(report);
-        if is_replacement || report.occupied() + reserved < places {
-            return Some(OrderVerb::LoadAdapter(adapter, wish.version));
-        }
-        self.victim(report, &wishes, now.saturating_sub(*since), now).map(OrderVerb::UnloadAdapter)
-    }
-
-    /// Loads on their way from the weight store.
-    fn far_loads(&self) -> usize {
-        self.loading.values().filter(|start| !start.is_near).count()
-    }
-
-    /// Whether a load may begin while `far` others are on their way from the weight store. One from the
-    /// host's memory takes nothing of the store, and one ahead of calls waits while others need it.
-    fn may_begin(&self, wish: &AdapterWish, far: usize) -> bool {
-        if self.memory.holds(&wish_adapter(wish)) {
-            return true;
-        }
-        far < self.transit.window() && (wish.waiting > 0 || !self.transit.is_congested())
-    }
-
-    /// Places kept free for loads that an earlier life of the engine never answered.
-    fn reserved_places(&self, report: &EngineReport) -> usize {
-        self.instance.as_ref().map_or(0, |id| self.lost.places(id, report.order_count))
-    }
-
-    /// The base model to put on an empty engine: the one that most calls wait for, else the first.
-    fn wanted_base(&self, notice: &RouterNotice) -> Option<BaseName> {
-        let fitting = notice.bases.iter().filter(|base| base.weights_mb <= notice.memory_mb);
-        let waiting = |base: &BaseName| -> u32 {
-            let wishes = self.notices.values().flat_map(|state| &state.notice.wishes);
-            let own = wishes.filter(|wish| wish.base == *base);
-            own.map(|wish| u32::from(wish.waiting)).sum()
-        };
-        // Of equals the first: `max_by_key` would take the last.
-        let best = fitting.rev().max_by_key(|base| waiting(&base.base));
-        best.map(|base| Arc::clone(&base.base))
-    }
-
-    /// Wishes that nothing held or coming meets, in the order of their loads: first those of calls that
-    /// can still meet their objective, then those of calls that are late already, then those ahead of
-    /// calls. While the weight store is overloaded, a load for a late call makes another one late too.
-    fn open_wishes(&self, report: &EngineReport, now: Timestamp) -> Vec<(&AdapterWish, Timestamp)> {
-        let mut wishes: Vec<(&AdapterWish, Timestamp)> = Vec::new();
-        for state in self.notices.values() {
-            for wish in &state.notice.wishes {
-                let adapter = wish_adapter(wish);
-                let is_met = report.held(&adapter).is_some_and(|version| version >= wish.version);
-                let is_coming = report.is_coming(&adapter);
-                let has_base = report.holdings.iter().any(|holding| holding.base == wish.base);
-                if !is_met && !state.met.contains(&adapter) && !is_coming && has_base {
-                    let since = state.wished.get(&adapter).copied().unwrap_or(state.received);
-                    wishes.push((wish, since));
-                }
-            }
-        }
-        wishes.sort_by_cached_key(|(wish, since)| {
-            (wish.waiting == 0, !self.is_in_time(wish, now), wish.priority, *since)
-        });
-        wishes
-    }
-
-    /// Whether a call that waits meets its objective if its adapter is loaded now.
-    fn is_in_time(&self, wish: &AdapterWish, now: Timestamp) -> bool {
-        let adapter = wish_adapter(wish);
-        let load = self.expected_load(&adapter);
-        let mut states = self.notices.values();
-        states.any(|state| {
-            let own = state.notice.wishes.iter().find(|own| wish_adapter(own) == adapter);
-            own.is_some_and(|own| {
-                own.slack_ms > 0
-                    && now + load < state.received + Duration::from_millis(own.slack_ms.into())
-            })
-        })
-    }
-
-    /// The adapter that gives way: not in use, not wished for, least wanted lately. One in use gives way
-    /// only to a call that has waited for longer than [`PATIENCE`].
-    fn victim(
-        &self,
-        report: &EngineReport,
-        wishes: &[(&AdapterWish, Timestamp)],
-        waited: Duration,
-        now: Timestamp,
-    ) -> Option<AdapterId> {
-        let running = self.running();
-        let is_call = wishes.first().is_some_and(|(wish, _)| wish.waiting > 0);
-        let scored = report.settled_adapters().map(|id| {
-            let in_use = self.uses(&id, &running, now);
-            let calls = self.demand.get(&id).map_or(0.0, |demand| demand.lasting.read(now));
-            (in_use, calls, id)
-        });
-        let least = |a: &(u32, f64, AdapterId), b: &(u32, f64, AdapterId)| {
-            a.0.cmp(&b.0).then(a.1.total_cmp(&b.1)).then_with(|| a.2.cmp(&b.2))
-        };
-        let (in_use, _, id) = scored.min_by(least)?;
-        let may_go = in_use == 0 || (is_call && waited > PATIENCE);
-        may_go.then_some(id)
-    }
-
     fn running(&self) -> HashMap<AdapterId, u32> {
         let mut running: HashMap<AdapterId, u32> = HashMap::new();
         for state in self.notices.values() {
--- /dev/null
+++ b/crates/core/src/direct/loader/report.rs
@@ -0,0 +1,88 @@
+//! What routers are told of the engine.
+
+use super::{LoaderMachine, as_millis, wish_adapter};
+use crate::{
+    direct::{
+        call::AdapterId, demand::encode_rate, membership::BaseHolding, messages::LoaderReport,
+        orders::EngineReport,
+    },
+    ids::Timestamp,
+};
+use std::{sync::Arc, time::Duration};
+
+impl LoaderMachine {
+    /// What routers are told.
+    pub fn make_report(&mut self, now: Timestamp) -> Option<LoaderReport> {
+        let life = self.life()?;
+        let report = self.report.as_ref()?;
+        self.sequence += 1;
+        let coming = report.coming.iter();
+        let coming = coming.map(|(id, _)| (Arc::clone(&id.base), Arc::clone(&id.name)));
+        let notices = self.notices.values().map(|state| &state.notice);
+        let near = notices.filter(|notice| notice.zone == self.zone);
+        Some(LoaderReport {
+            boot: self.boot,
+            sequence: self.sequence,
+            life,
+            is_answering: self.is_answering,
+            is_leaving: report.is_leaving,
+            rates: self.rates(&report.holdings, now),
+            room: self.room(report, now),
+            holdings: report.holdings.clone(),
+            coming: coming.collect(),
+            load_ms: as_millis(self.transit.expected()),
+            queue_ms: as_millis(self.load_queue(report, now)),
+            active: report.active,
+            queued: report.queued,
+            kv_used: report.kv_used,
+            router_count: self.notices.len() as u16,
+            near_routers: near.filter_map(|notice| notice.peer_address).collect(),
+        })
+    }
+
+    /// Calls a second for an adapter, those counted that wait for it.
+    fn rate(&self, adapter: &AdapterId, now: Timestamp) -> f64 {
+        let wishes = self.notices.values().flat_map(|state| &state.notice.wishes);
+        let own = wishes.filter(|wish| wish_adapter(wish) == *adapter);
+        let waiting: u32 = own.map(|wish| u32::from(wish.waiting)).sum();
+        let started = self.demand.get(adapter).map_or(0.0, |demand| demand.recent.rate(now));
+        started + f64::from(waiting)
+    }
+
+    /// Places that are free or held by adapters that nobody uses, less the loads that wait for one.
+    fn room(&self, report: &EngineReport, now: Timestamp) -> i32 {
+        let newest = self.notices.values().max_by_key(|state| state.received);
+        let places = newest.map_or(0, |state| usize::from(state.notice.adapter_places));
+        let running = self.running();
+        let all = report.settled_adapters();
+        let idle = all.filter(|id| self.uses(id, &running, now) == 0).count();
+        let waiting =
+            self.open_wishes(report, now).iter().filter(|(wish, _)| wish.waiting > 0).count();
+        let taken = report.occupied() + waiting;
+        i32::from((places + idle) as u16) - i32::from(taken as u16)
+    }
+
+    fn rates(&self, holdings: &[BaseHolding], now: Timestamp) -> Vec<u16> {
+        let adapters = holdings.iter().flat_map(|holding| {
+            let names = holding.adapters.keys();
+            names.map(|name| AdapterId { base: Arc::clone(&holding.base), name: Arc::clone(name) })
+        });
+        adapters.map(|adapter| encode_rate(self.rate(&adapter, now))).collect()
+    }
+
+    /// Wait before a load from the weight store can begin for a call that can still meet its objective;
+    /// it goes before those that cannot.
+    fn load_queue(&self, report: &EngineReport, now: Timestamp) -> Duration {
+        let wishes = self.open_wishes(report, now);
+        let waiting = wishes.iter().filter(|(wish, _)| {
+            wish.waiting > 0
+                && self.is_in_time(wish, now)
+                && !self.memory.holds(&wish_adapter(wish))
+        });
+        let before = waiting.count() + self.far_loads();
+        let window = self.transit.window();
+        // With room in the window, a load begins at once.
+        let turns = (before + 1).saturating_sub(window) as f64 / window as f64;
+        self.transit.expected().mul_f64(turns)
+    }
+}
--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -344,6 +344,25 @@
     assert_eq!(verb, Some(OrderVerb::LoadAdapter(adapter("y"), 1)));
 }
 
+/// A new version replaces an adapter whose runs last for seconds, and is on its way all that time. Taken for
+/// a slow load, it would close the window for the calls that wait for other adapters.
+#[test]
+fn a_replacement_that_waits_for_runs_holds_up_no_load() {
+    let mut machine = machine(7, &[("a", 1)]);
+    let newer = AdapterWish { version: 2, ..wish("a", 1) };
+    machine.take_notice(router(1), notice(1, vec![newer], vec![running("a", 3)]), ms(0));
+    let step = machine.next_step(ms(1));
+    machine.take_answer(order_of(&step).expect("a replacement"), OrderAnswer::Accepted, ms(2));
+    machine.take_report(coming(8, &[("a", 1)], &["a"]), ms(20));
+    machine.take_notice(router(1), notice(2, vec![wish("y", 1)], vec![running("a", 3)]), ms(21));
+    let step = machine.next_step(ms(22));
+    let verb = order_of(&step).map(|order| order.verb.clone());
+    assert_eq!(verb, Some(OrderVerb::LoadAdapter(adapter("y"), 1)));
+    let before = machine.make_report(ms(23)).expect("a report").load_ms;
+    machine.take_report(report(8, &[("a", 2)]), ms(4_000));
+    assert_eq!(machine.make_report(ms(4_001)).expect("a report").load_ms, before);
+}
+
 /// The window is full, and a call waits for an adapter that was evicted a moment ago and is still in the
 /// host's memory. It must not wait for loads from the weight store, of which it needs nothing.
 #[test]
