--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -133,6 +133,10 @@
     loading: HashMap<AdapterId, LoadStart>,
     transit: TransitGauge,
     memory: HostMemory,
+    /// Whether the engine has reported since this process started.
+    has_met: bool,
+    /// Loads for calls in time since the last one for a late call.
+    timely_loads: u8,
 }
 
 impl LoaderMachine {
@@ -155,6 +159,8 @@
             loading: HashMap::new(),
             transit: TransitGauge::new(TRANSIT_LIMIT),
             memory: HostMemory::default(),
+            has_met: false,
+            timely_loads: 0,
         }
     }
 
@@ -169,6 +175,11 @@
         self.report.as_ref()
     }
 
+    /// Loads on their way from the weight store, and the gauge that bounds them.
+    pub fn transit(&self) -> (usize, &TransitGauge) {
+        (self.far_loads(), &self.transit)
+    }
+
     /// Age of the last report at `now`.
     pub fn report_age(&self, now: Timestamp) -> Duration {
         now.saturating_sub(self.polled)
@@ -221,6 +232,9 @@
             // Without its start, a life that has ordered as much as the last one looks the same.
             self.instance = None;
         }
+        if !std::mem::replace(&mut self.has_met, true) && report.order_count > 0 {
+            self.transit = TransitGauge::new(TRANSIT_LIMIT).with_unknown_memory();
+        }
         self.is_answering = true;
         self.polled = now;
         let is_moving = !report.coming.is_empty() || report.is_busy;
@@ -370,8 +384,8 @@
         if let OrderVerb::LoadAdapter(adapter, _) = &order.verb {
             // Routers tell of uses only now and then. Without this a new adapter would count as never
             // used, and be the first to go before its first call was heard of.
-            let adapter = adapter.clone();
-            self.record_demand(adapter, 1, now);
+            self.count_turn(adapter, now);
+            self.record_demand(adapter.clone(), 1, now);
         }
         let Some(report) = &mut self.report else { return };
         match &order.verb {
--- a/crates/core/src/direct/loader/plan.rs
+++ b/crates/core/src/direct/loader/plan.rs
@@ -9,9 +9,21 @@
     },
     ids::{BaseName, Timestamp},
 };
-use std::{sync::Arc, time::Duration};
+use std::{cmp::Reverse, sync::Arc, time::Duration};
+
+/// Loads for calls in time after which a late call has its turn. Without it late calls wait until their
+/// callers leave: of the calls in the ten seconds after a cold start 4 in 100 more were not served at all.
+const TIMELY_LOADS: u8 = 3;
 
 impl LoaderMachine {
+    /// Counts a load towards the turn of late calls.
+    pub(super) fn count_turn(&mut self, adapter: &AdapterId, now: Timestamp) {
+        let wishes = self.notices.values().flat_map(|state| &state.notice.wishes);
+        let mut own = wishes.filter(|wish| wish_adapter(wish) == *adapter && wish.waiting > 0);
+        let is_timely = own.any(|wish| self.is_in_time(wish, now));
+        self.timely_loads = if is_timely { self.timely_loads.saturating_add(1) } else { 0 };
+    }
+
     pub(super) fn next_order(&self, now: Timestamp) -> Option<OrderVerb> {
         let report = self.report.as_ref()?;
         let newest = self.notices.values().max_by_key(|state| state.received)?;
@@ -68,7 +80,8 @@
 
     /// Wishes that nothing held or coming meets, in the order of their loads: first those of calls that
     /// can still meet their objective, then those of calls that are late already, then those ahead of
-    /// calls. While the weight store is overloaded, a load for a late call makes another one late too.
+    /// calls. While the weight store is overloaded, a load for a late call makes another one late too; but
+    /// late calls have their turn now and then.
     pub(super) fn open_wishes(
         &self,
         report: &EngineReport,
@@ -87,12 +100,22 @@
                 }
             }
         }
+        let is_late_turn = self.timely_loads >= TIMELY_LOADS;
         wishes.sort_by_cached_key(|(wish, since)| {
-            (wish.waiting == 0, !self.is_in_time(wish, now), wish.priority, *since)
+            let callers = Reverse(self.waiting_calls(wish));
+            let is_behind = self.is_in_time(wish, now) == is_late_turn;
+            (wish.waiting == 0, is_behind, callers, wish.priority, *since)
         });
         wishes
     }
 
+    /// Calls of all routers that wait for a wish's adapter.
+    fn waiting_calls(&self, wish: &AdapterWish) -> u32 {
+        let all = self.notices.values().flat_map(|state| &state.notice.wishes);
+        let own = all.filter(|own| own.adapter == wish.adapter && own.base == wish.base);
+        own.map(|own| u32::from(own.waiting)).sum()
+    }
+
     /// Whether a call that waits meets its objective if its adapter is loaded now.
     pub(super) fn is_in_time(&self, wish: &AdapterWish, now: Timestamp) -> bool {
         let adapter = wish_adapter(wish);
