--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -110,6 +110,7 @@
         let record = CallRecord {
             id: head.id.clone(),
             route: route.name.to_string(),
+            objective: route.objective,
             config: context.pool.borrow().config().number,
             adapter: head.model.as_ref().and_then(adapter_of).map(|adapter| (adapter, None)),
             ..CallRecord::default()
--- a/crates/daemon/src/router/journal.rs
+++ b/crates/daemon/src/router/journal.rs
@@ -58,6 +58,8 @@
     pub(crate) id: Option<CallId>,
     /// The route.
     pub(crate) route: String,
+    /// Time to the first byte that the route aims at.
+    pub(crate) objective: Duration,
     /// Number of the configuration that decided.
     pub(crate) config: ConfigNumber,
     /// The adapter and the version that it was sent to.
@@ -129,8 +131,10 @@
         });
         info!(self.logger, "call ended"; "step" => "call",
             "id" => record.id.as_deref(), "outcome" => end.name(), "status" => status,
-            "route" => &record.route, "config" => record.config, "adapter" => adapter,
-            "target" => record.target.as_ref().map(|life| &*life.id), "sends" => record.sends, "runs" => record.runs,
+            "route" => &record.route, "objective_ms" => record.objective.as_millis() as u64,
+            "config" => record.config, "adapter" => adapter,
+            "target" => record.target.as_ref().map(|life| &*life.id),
+            "sends" => record.sends, "runs" => record.runs,
             "report_age_ms" => record.report_age.map(|age| age.as_millis() as u64),
             "load_wait_ms" => record.load_wait.as_millis() as u64,
             "first_byte_ms" => record.first_byte.map(|first| first.as_millis() as u64),
