plantainctl losses: where calls were late or lost, from routers' logs

Sums up the lines of calls by cause: late for the adapter or at the target, refused, cut, left. Needs no platform; a log with bytes or lines of other programs is read all the same.

--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -2,6 +2,7 @@
 
 pub mod adapters;
 pub mod callers;
+pub mod losses;
 pub mod presets;
 pub mod report;
 pub mod services;
@@ -73,8 +74,11 @@
     settings: &ControlSettings,
     command: ControlCommand,
 ) -> Result<(), CommandError> {
+    let Some(platform) = settings.platform else {
+        return carry_out_alone(settings, command);
+    };
     let http = HttpClient::new();
-    let platform = PlatformClient::new(settings.platform, http.clone());
+    let platform = PlatformClient::new(platform, http.clone());
     let store = ConfigStore::new(platform.clone());
     let context = CommandContext { settings, platform, store, http };
     match command {
@@ -83,10 +87,22 @@
         ControlCommand::Service(command) => services::carry_out(&context, command).await,
         ControlCommand::Preset(command) => presets::carry_out(&context, command).await,
         ControlCommand::Report { html } => report::carry_out(&context, html.as_deref()).await,
+        ControlCommand::Losses { files } => losses::carry_out(&files, settings.json),
         ControlCommand::Status => status::carry_out(&context).await,
     }
 }
 
+/// Carries out a command that needs no platform.
+fn carry_out_alone(
+    settings: &ControlSettings,
+    command: ControlCommand,
+) -> Result<(), CommandError> {
+    match command {
+        ControlCommand::Losses { files } => losses::carry_out(&files, settings.json),
+        _ => Err(CommandError::Invalid("--platform: needed for this command".into())),
+    }
+}
+
 impl CommandContext<'_> {
     /// The configuration in force.
     pub async fn snapshot(&self) -> Result<ConfigSnapshot, CommandError> {
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -11,8 +11,8 @@
 /// Checked settings of every command.
 #[derive(Clone, Debug)]
 pub struct ControlSettings {
-    /// The platform's address.
-    pub platform: SocketAddr,
+    /// The platform's address, where the command needs it.
+    pub platform: Option<SocketAddr>,
     /// Whether to print JSON.
     pub json: bool,
     /// Who makes a change.
@@ -28,6 +28,10 @@
         if author.is_empty() || author.chars().any(char::is_control) {
             return Err("--author: expected a name without control characters".into());
         }
+        let needs_platform = !matches!(arguments.command, ControlCommand::Losses { .. });
+        if needs_platform && arguments.platform.is_none() {
+            return Err("--platform: expected the address of the platform's object API".into());
+        }
         let wait = match arguments.wait {
             Some(seconds) if !(seconds > 0.0 && seconds <= 3_600.0) => {
                 return Err("--wait: expected seconds from above 0 to 3600".into());
--- a/crates/ctl/src/options/arguments.rs
+++ b/crates/ctl/src/options/arguments.rs
@@ -10,9 +10,9 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, generate(control_arguments))]
 pub struct ControlArguments {
-    /// Address of the platform's object API
+    /// Address of the platform's object API; not needed for losses
     #[bpaf(long, argument("ADDR"), env("PLANTAIN_PLATFORM"))]
-    pub platform: SocketAddr,
+    pub platform: Option<SocketAddr>,
     /// Prints JSON in place of tables
     #[bpaf(long, switch)]
     pub json: bool,
@@ -50,6 +50,13 @@
         #[bpaf(argument("FILE"))]
         html: Option<PathBuf>,
     },
+    /// Sums up from routers' logs where calls were late or lost, and why
+    #[bpaf(command("losses"))]
+    Losses {
+        /// Logs; standard input if there are none
+        #[bpaf(positional("FILE"), many)]
+        files: Vec<PathBuf>,
+    },
     /// Shows the configuration in force, the processes and what they report
     #[bpaf(command("status"))]
     Status,
--- a/crates/ctl/tests/control/main.rs
+++ b/crates/ctl/tests/control/main.rs
@@ -1,5 +1,7 @@
 //! Tests of the command-line tool by itself.
 
+mod losses;
+
 use std::process::{Command, Output};
 
 fn run(arguments: &[&str]) -> Output {
@@ -35,6 +37,8 @@
             says: "--route",
         },
         BadCommand { arguments: &["status"], status: 1, says: "platform" },
+        BadCommand { arguments: &["losses", "/nowhere"], status: 2, says: "/nowhere" },
+        BadCommand { arguments: &["losses", "/dev/null"], status: 2, says: "no line" },
     ];
     for case in cases {
         let output = run(case.arguments);
