--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -48,6 +48,9 @@
 /// history, and one that is begun in that moment hears nothing: it was seen to wait out all of its time,
 /// 20 s, in which targets came and went. Most lists change more often than this, so it costs few calls.
 const LIST_WAIT_SHARE: f64 = 0.9;
+/// Lines about objects of one page that cannot be read: other programs may write hundreds of them, and each
+/// page that comes would name them all again.
+const FAULT_LINES: usize = 5;
 /// Shortest pause after a failed call.
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls: a store that is back is noticed within this.
@@ -209,10 +212,14 @@
     }
 
     fn tell_faults(&self, page: &FollowedPage) {
-        for fault in &page.faults {
+        for fault in page.faults.iter().take(FAULT_LINES) {
             warn!(self.link.logger, "object not understood"; "step" => "follow",
                 "kind" => self.kind.name(), "fault" => fault);
         }
+        if page.faults.len() > FAULT_LINES {
+            warn!(self.link.logger, "more objects not understood"; "step" => "follow",
+                "kind" => self.kind.name(), "objects" => page.faults.len() - FAULT_LINES);
+        }
     }
 
     async fn note_contact(&mut self) {
