--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -22,7 +22,7 @@
 /// A connection in use by one call.
 pub(crate) struct TargetConnection {
     sender: CallSender,
-    instance: TargetLife,
+    life: TargetLife,
 }
 
 struct IdleConnection {
@@ -51,13 +51,13 @@
     /// Sends a request on a kept connection or a new one.
     pub(crate) async fn send(
         &self,
-        instance: &TargetLife,
+        life: &TargetLife,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
     ) -> SendEnd {
-        while let Some(mut sender) = self.take(instance) {
+        while let Some(mut sender) = self.take(life) {
             match sender.try_send_request(request).await {
-                Ok(answer) => return answered(answer, sender, instance),
+                Ok(answer) => return answered(answer, sender, life),
                 // The connection closed before the request was written, and gives it back.
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => request = unsent,
@@ -70,7 +70,7 @@
             Err(error) => return SendEnd::Unsent(format!("{error:#}")),
         };
         match sender.try_send_request(request).await {
-            Ok(answer) => answered(answer, sender, instance),
+            Ok(answer) => answered(answer, sender, life),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
                 let text = error.into_error().to_string();
@@ -79,23 +79,23 @@
         }
     }
 
-    /// Keeps a connection whose answer was read whole, once it is free; `life` is what the target
-    /// said of how long it keeps it.
-    pub(crate) fn give_back(&self, connection: TargetConnection, life: Option<Duration>) {
-        let life = match life {
+    /// Keeps a connection whose answer was read whole, once it is free; `keep` is how long the target
+    /// said that it keeps it.
+    pub(crate) fn give_back(&self, connection: TargetConnection, keep: Option<Duration>) {
+        let keep = match keep {
             Some(stated) => stated.mul_f64(constants::LIFE_SHARE),
             None => constants::UNSTATED_LIFE,
         };
-        if life.is_zero() || connection.sender.is_closed() {
+        if keep.is_zero() || connection.sender.is_closed() {
             return;
         }
         let pool = self.clone();
         spawn_local(async move {
-            let TargetConnection { mut sender, instance } = connection;
+            let TargetConnection { mut sender, life } = connection;
             if let Ok(Ok(())) = timeout(constants::SETTLE_LIMIT, sender.ready()).await {
-                let until = clock::now() + life;
+                let until = clock::now() + keep;
                 let mut idle = pool.idle.borrow_mut();
-                let kept = idle.entry(instance).or_default();
+                let kept = idle.entry(life).or_default();
                 if kept.len() < constants::IDLE_CONNECTIONS {
                     kept.push(IdleConnection { sender, until });
                 }
@@ -117,10 +117,10 @@
     }
 
     /// The connection used last is the least likely to be closed by its target now.
-    fn take(&self, instance: &TargetLife) -> Option<CallSender> {
+    fn take(&self, life: &TargetLife) -> Option<CallSender> {
         let now = clock::now();
         let mut idle = self.idle.borrow_mut();
-        let kept = idle.get_mut(instance)?;
+        let kept = idle.get_mut(life)?;
         while let Some(connection) = kept.pop() {
             if now < connection.until && connection.sender.is_ready() {
                 return Some(connection.sender);
@@ -130,8 +130,8 @@
     }
 }
 
-fn answered(answer: Response<Incoming>, sender: CallSender, instance: &TargetLife) -> SendEnd {
-    SendEnd::Answered(answer, TargetConnection { sender, instance: instance.clone() })
+fn answered(answer: Response<Incoming>, sender: CallSender, life: &TargetLife) -> SendEnd {
+    SendEnd::Answered(answer, TargetConnection { sender, life: life.clone() })
 }
 
 async fn connect(address: SocketAddr) -> Result<CallSender> {
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -155,24 +155,24 @@
 
     /// Wakes the calls that wait for an adapter at a target. Only these: a report comes from each
     /// loader several times a second, and each wake is a choice among all targets.
-    pub(crate) fn wake_waiters(&self, id: &TargetLife) {
+    pub(crate) fn wake_waiters(&self, life: &TargetLife) {
         let mut waiters = self.waiters.borrow_mut();
-        if let Some(notify) = waiters.get(id) {
+        if let Some(notify) = waiters.get(life) {
             if Rc::strong_count(notify) == 1 {
-                waiters.remove(id);
+                waiters.remove(life);
             } else {
                 notify.notify_waiters();
             }
         }
     }
 
-    fn waiter(&self, id: &TargetLife) -> Rc<Notify> {
-        Rc::clone(self.waiters.borrow_mut().entry(id.clone()).or_default())
+    fn waiter(&self, life: &TargetLife) -> Rc<Notify> {
+        Rc::clone(self.waiters.borrow_mut().entry(life.clone()).or_default())
     }
 
     /// Tells a target's loader of its wishes at once.
-    pub(crate) fn hurry(&self, id: &TargetLife) {
-        self.hurried.borrow_mut().insert(id.clone());
+    pub(crate) fn hurry(&self, life: &TargetLife) {
+        self.hurried.borrow_mut().insert(life.clone());
         self.hurry.notify_one();
     }
 
@@ -194,10 +194,10 @@
             };
             let mut preferred = preferred_targets(&pool, &need, &adapter, now);
             preferred.pop();
-            for id in preferred {
+            for life in preferred {
                 let newest = pool.newest_version(&adapter);
-                if is_missing(&pool, &id, &adapter, newest, now) {
-                    pool.prefetch(&id, &adapter, newest, now);
+                if is_missing(&pool, &life, &adapter, newest, now) {
+                    pool.prefetch(&life, &adapter, newest, now);
                 }
             }
         }
@@ -216,12 +216,12 @@
 
 fn is_missing(
     pool: &TargetPool,
-    id: &TargetLife,
+    life: &TargetLife,
     adapter: &AdapterId,
     newest: AdapterVersion,
     now: Timestamp,
 ) -> bool {
-    pool.target(id).is_some_and(|target| {
+    pool.target(life).is_some_and(|target| {
         target.holds_base(&adapter.base, now)
             && !target.is_coming(adapter, now)
             && target.held_version(adapter, now).is_none_or(|held| held < newest)
@@ -231,7 +231,7 @@
 /// A call at a target, counted there for as long as this lives, however it ends.
 pub(crate) struct CallGuard {
     context: Rc<RouterContext>,
-    instance: TargetLife,
+    life: TargetLife,
     adapter: Option<AdapterId>,
     unread: u32,
     is_overdue: bool,
@@ -242,19 +242,19 @@
     /// Counts a call whose prompt has `tokens`.
     pub(crate) fn new(
         context: &Rc<RouterContext>,
-        instance: &TargetLife,
+        life: &TargetLife,
         adapter: Option<AdapterId>,
         tokens: u32,
     ) -> Self {
-        let is_only = context.pool.borrow_mut().call_started(instance, adapter.as_ref(), tokens);
+        let is_only = context.pool.borrow_mut().call_started(life, adapter.as_ref(), tokens);
         if is_only {
             // The loader may be about to evict the adapter: an unload waits for the runs that use it,
             // and holds up all further orders of its engine until they end.
-            context.hurry(instance);
+            context.hurry(life);
         }
         Self {
             context: Rc::clone(context),
-            instance: instance.clone(),
+            life: life.clone(),
             adapter,
             unread: tokens,
             is_overdue: false,
@@ -264,7 +264,7 @@
 
     /// The target.
     pub(crate) fn target(&self) -> &TargetLife {
-        &self.instance
+        &self.life
     }
 
     /// The target did not say how the call ended, and may still run it.
@@ -275,7 +275,7 @@
     /// The first byte came.
     pub(crate) fn answered(&mut self) {
         let unread = std::mem::take(&mut self.unread);
-        self.context.pool.borrow_mut().call_answered(&self.instance, unread);
+        self.context.pool.borrow_mut().call_answered(&self.life, unread);
         self.set_overdue(false);
     }
 
@@ -283,7 +283,7 @@
     pub(crate) fn set_overdue(&mut self, is_overdue: bool) {
         if self.is_overdue != is_overdue {
             self.is_overdue = is_overdue;
-            self.context.pool.borrow_mut().mark_overdue(&self.instance, is_overdue);
+            self.context.pool.borrow_mut().mark_overdue(&self.life, is_overdue);
         }
     }
 }
@@ -291,18 +291,18 @@
 impl Drop for CallGuard {
     fn drop(&mut self) {
         self.set_overdue(false);
-        self.context.pool.borrow_mut().call_ended(&self.instance, self.unread);
+        self.context.pool.borrow_mut().call_ended(&self.life, self.unread);
         let Some(adapter) = self.adapter.take() else { return };
-        let (context, instance) = (Rc::clone(&self.context), self.instance.clone());
+        let (context, life) = (Rc::clone(&self.context), self.life.clone());
         if !self.may_run_on {
-            context.pool.borrow_mut().use_ended(&instance, &adapter);
+            context.pool.borrow_mut().use_ended(&life, &adapter);
             return;
         }
         // An unload of an adapter that is in use holds up its engine, so it counts as in use until the
         // run has most likely ended.
         spawn_local(async move {
             sleep(constants::RUN_ON_TIME).await;
-            context.pool.borrow_mut().use_ended(&instance, &adapter);
+            context.pool.borrow_mut().use_ended(&life, &adapter);
         });
     }
 }
@@ -311,7 +311,7 @@
 pub(crate) struct WaitGuard {
     context: Rc<RouterContext>,
     woken: Rc<Notify>,
-    instance: TargetLife,
+    life: TargetLife,
     adapter: AdapterId,
     due: Timestamp,
 }
@@ -332,17 +332,17 @@
     /// Wishes for the adapter.
     pub(crate) fn new(
         context: &Rc<RouterContext>,
-        instance: &TargetLife,
+        life: &TargetLife,
         need: &AdapterNeed<'_>,
     ) -> Self {
         let AdapterNeed { adapter, version, priority, due } = *need;
         let now = clock::now();
-        context.pool.borrow_mut().add_waiter(instance, adapter, version, priority, due, now);
-        context.hurry(instance);
+        context.pool.borrow_mut().add_waiter(life, adapter, version, priority, due, now);
+        context.hurry(life);
         Self {
             context: Rc::clone(context),
-            woken: context.waiter(instance),
-            instance: instance.clone(),
+            woken: context.waiter(life),
+            life: life.clone(),
             adapter: adapter.clone(),
             due,
         }
@@ -350,7 +350,7 @@
 
     /// The target.
     pub(crate) fn target(&self) -> &TargetLife {
-        &self.instance
+        &self.life
     }
 
     /// Waits until the target's loader has news, or for `limit`.
@@ -359,13 +359,13 @@
     }
 
     /// Whether it waits for this adapter at this target.
-    pub(crate) fn is_for(&self, instance: &TargetLife, adapter: &AdapterId) -> bool {
-        self.instance == *instance && self.adapter == *adapter
+    pub(crate) fn is_for(&self, life: &TargetLife, adapter: &AdapterId) -> bool {
+        self.life == *life && self.adapter == *adapter
     }
 }
 
 impl Drop for WaitGuard {
     fn drop(&mut self) {
-        self.context.pool.borrow_mut().remove_waiter(&self.instance, &self.adapter, self.due);
+        self.context.pool.borrow_mut().remove_waiter(&self.life, &self.adapter, self.due);
     }
 }
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -1,38 +1,30 @@
-//! One call: choosing a target, sending, and what its answer proves.
+//! One call: choosing a target, waiting for its adapter there, and going on after a send that failed.
+
+mod sending;
 
 use super::{
-    connections::{SendEnd, TargetConnection},
+    connections::TargetConnection,
     constants,
     context::{AdapterNeed, CallGuard, RouterContext, WaitGuard},
     journal::{CallEnd, CallRecord},
 };
 use crate::clock;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{HeaderMap, Method, Request, Response, StatusCode, body::Incoming};
+use hyper::{HeaderMap, Method, Response, StatusCode, body::Incoming};
 use plantain_core::{
     direct::{
-        call::{AdapterId, CallHead, OnwardTerms},
+        call::{AdapterId, CallHead},
         config::RouteRule,
-        health::CallOutcome,
         membership::TargetLife,
         pressure::shed_share,
-        proof::{FailureReply, RunProof, failure_reply, judge_answer, may_send_again},
+        proof::{RunProof, may_send_again},
         selection::{CallNeed, TargetChoice, adapter_of, choose_target, queued_plain_ms},
     },
     ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
 };
 use plantain_net::body::ReplyBody;
-use plantain_platform::calls;
 use std::{rc::Rc, sync::Arc, time::Duration};
-use tokio::time::{sleep, timeout};
-
-/// Lowest rank that engines know.
-const LAST_URGENCY: u8 = 9;
-/// Part of the objective after which the first byte of an answer is overdue.
-const OVERDUE_SHARE: f64 = 0.8;
-/// Multiple of the objective after which a repeatable call is sent to another target.
-const GIVE_UP_SHARE: f64 = 1.25;
+use tokio::time::sleep;
 
 /// Whether a call that began to wait then still waits for a base model.
 fn can_wait(began: Timestamp) -> bool {
@@ -171,7 +163,7 @@
         }
         let mut last: Option<SendFailure> = None;
         loop {
-            let (instance, version) = match self.choose().await {
+            let (life, version) = match self.choose().await {
                 Ok(choice) => choice,
                 Err(pause) => return self.give_up(last, pause),
             };
@@ -179,7 +171,7 @@
                 self.note("repeat refused: budget spent");
                 return self.give_up(last, constants::BUSY_PAUSE);
             }
-            let failure = match self.send(&instance, version).await {
+            let failure = match self.send(&life, version).await {
                 Ok(answer) => return Opened::Success(answer),
                 Err(failure) => failure,
             };
@@ -191,7 +183,7 @@
             {
                 return self.give_up(last, constants::BUSY_PAUSE);
             }
-            self.excluded.push(instance);
+            self.excluded.push(life);
         }
     }
 
@@ -260,9 +252,9 @@
                 return Err(constants::RETURN_PAUSE);
             }
             match self.choose_now(waiting.as_ref()) {
-                TargetChoice::Send(instance, version) => {
+                TargetChoice::Send(life, version) => {
                     self.record.load_wait += clock::now().saturating_sub(began);
-                    return Ok((instance, version));
+                    return Ok((life, version));
                 }
                 TargetChoice::Nowhere => {
                     let known = self.context.pool.borrow().service_targets(&self.service).count();
@@ -277,12 +269,12 @@
                     return Err(constants::RETURN_PAUSE);
                 }
                 TargetChoice::AwaitBase => sleep(constants::LOAD_LOOK).await,
-                TargetChoice::Load(instance, adapter, version) => {
+                TargetChoice::Load(life, adapter, version) => {
                     let is_same =
-                        waiting.as_ref().is_some_and(|guard| guard.is_for(&instance, &adapter));
+                        waiting.as_ref().is_some_and(|guard| guard.is_for(&life, &adapter));
                     if !is_same {
-                        self.note(&format!("load {}@{version} at {instance}", adapter.name));
-                        waiting = Some(self.wait_for(&instance, &adapter, version));
+                        self.note(&format!("load {}@{version} at {life}", adapter.name));
+                        waiting = Some(self.wait_for(&life, &adapter, version));
                     }
                     if let Some(guard) = &waiting {
                         guard.news(constants::LOAD_LOOK).await;
@@ -296,18 +288,18 @@
     /// its answer, by what its answers took lately.
     fn wait_for(
         &self,
-        instance: &TargetLife,
+        life: &TargetLife,
         adapter: &AdapterId,
         version: AdapterVersion,
     ) -> WaitGuard {
         let answer_ms = {
             let pool = self.context.pool.borrow();
-            pool.target(instance).map_or(0.0, |target| target.latency.read_ms(clock::now()))
+            pool.target(life).map_or(0.0, |target| target.latency.read_ms(clock::now()))
         };
         let objective = self.started + self.route.objective;
         let due = objective.saturating_sub(Duration::from_secs_f64(answer_ms / 1_000.0));
         let wish = AdapterNeed { adapter, version, priority: self.route.priority, due };
-        WaitGuard::new(&self.context, instance, &wish)
+        WaitGuard::new(&self.context, life, &wish)
     }
 
     fn choose_now(&self, waiting: Option<&WaitGuard>) -> TargetChoice {
@@ -316,166 +308,4 @@
         let pool = self.context.pool.borrow();
         choose_target(&pool, &need, clock::now(), rand::random::<f64>)
     }
-
-    /// Sends the call to one target.
-    async fn send(
-        &mut self,
-        instance: &TargetLife,
-        version: Option<AdapterVersion>,
-    ) -> Result<OpenAnswer, SendFailure> {
-        let adapter = self.head.model.as_ref().and_then(adapter_of);
-        let tokens = self.head.model.as_ref().map_or(0, |model| model.tokens_in);
-        self.record.target = Some(instance.clone());
-        self.record.adapter = adapter.clone().map(|adapter| (adapter, version));
-        let sent = clock::now();
-        let address = {
-            let pool = self.context.pool.borrow();
-            let target = pool.target(instance);
-            let view = target.and_then(|target| target.loader.as_ref());
-            self.record.report_age = view.map(|view| sent.saturating_sub(view.received));
-            target.map(|target| target.entry.address)
-        };
-        let request = self.target_request(instance, version);
-        let (Some(address), Some(request)) = (address, request) else {
-            return Err(SendFailure { proof: RunProof::NotRun, reply: None });
-        };
-        let mut guard = CallGuard::new(&self.context, instance, adapter.clone(), tokens);
-        self.record.sends += 1;
-        self.record.runs += 1;
-        let end = self.await_answer(instance, address, request, &mut guard).await;
-        let (proof, outcome) = match end {
-            Some(SendEnd::Answered(answer, connection)) => {
-                let latency = clock::now().saturating_sub(sent);
-                return self.judge(answer, connection, guard, latency).await;
-            }
-            Some(SendEnd::Unsent(reason)) => {
-                self.record.runs -= 1;
-                self.note(&format!("{instance} not reached: {reason}"));
-                (RunProof::NotRun, CallOutcome::Silent)
-            }
-            // It answers connections, and loses answers: others need not be kept from it altogether.
-            Some(SendEnd::Broken(reason)) => {
-                guard.set_may_run_on();
-                self.note(&format!("{instance} broke off: {reason}"));
-                (RunProof::Unknown, CallOutcome::Failed)
-            }
-            None => {
-                guard.set_may_run_on();
-                self.note(&format!("{instance} silent"));
-                (RunProof::Unknown, CallOutcome::Silent)
-            }
-        };
-        self.record_outcome(instance, outcome);
-        Err(SendFailure { proof, reply: None })
-    }
-
-    fn record_outcome(&self, instance: &TargetLife, outcome: CallOutcome) {
-        self.context.pool.borrow_mut().record_outcome(instance, outcome, clock::now());
-    }
-
-    fn target_request(
-        &self,
-        instance: &TargetLife,
-        version: Option<AdapterVersion>,
-    ) -> Option<Request<Full<Bytes>>> {
-        let terms = OnwardTerms {
-            instance: Arc::clone(&instance.id),
-            time_left: self.time_left(),
-            version,
-            urgency: self.route.priority.min(LAST_URGENCY),
-            resume_after: self.resume_after,
-        };
-        let request = calls::encode_call(&self.method, &self.head, &self.headers, &terms).ok()?;
-        Some(request.map(|()| Full::new(self.body.clone())))
-    }
-
-    /// Waits for the head of the answer; `None` if the wait was given up.
-    async fn await_answer(
-        &mut self,
-        instance: &TargetLife,
-        address: std::net::SocketAddr,
-        request: Request<Full<Bytes>>,
-        guard: &mut CallGuard,
-    ) -> Option<SendEnd> {
-        let limit = self.answer_limit();
-        let overdue = self.route.objective.mul_f64(OVERDUE_SHARE).min(limit);
-        let connections = self.context.connections.clone();
-        let sending = connections.send(instance, address, request);
-        tokio::pin!(sending);
-        tokio::select! {
-            end = &mut sending => return Some(end),
-            () = sleep(overdue) => guard.set_overdue(true),
-        }
-        timeout(limit.saturating_sub(overdue), sending).await.ok()
-    }
-
-    /// How long one target is waited for: to the deadline, unless another one may still run it.
-    fn answer_limit(&self) -> Duration {
-        let left = self.time_left();
-        let may_move = self.route.kind.is_repeatable()
-            && self.record.runs < self.route.max_targets
-            && self.context.pool.borrow().service_targets(&self.service).count() > 1;
-        if may_move { left.min(self.route.objective.mul_f64(GIVE_UP_SHARE)) } else { left }
-    }
-
-    async fn judge(
-        &mut self,
-        answer: Response<Incoming>,
-        connection: TargetConnection,
-        guard: CallGuard,
-        latency: Duration,
-    ) -> Result<OpenAnswer, SendFailure> {
-        let instance = guard.target().clone();
-        let (parts, body) = answer.into_parts();
-        let head = calls::decode_answer(parts.status, &parts.headers);
-        let proof = judge_answer(self.head.id.as_deref().unwrap_or_default(), &head);
-        let took = match proof {
-            RunProof::Succeeded | RunProof::Failed => Some(latency),
-            // A queue that is full takes about as long as the objective.
-            RunProof::NotRun => Some(self.route.objective),
-            RunProof::Misdirected | RunProof::Unknown => None,
-        };
-        if let Some(took) = took {
-            self.context.pool.borrow_mut().record_latency(&instance, took, clock::now());
-        }
-        if proof == RunProof::Succeeded {
-            let head = calls::relay_answer(parts.status, &parts.headers, ());
-            return Ok(OpenAnswer { head, body, connection, guard });
-        }
-        self.note(&format!("{instance} answered {}: {proof:?}", head.status));
-        let outcome = match proof {
-            RunProof::Misdirected => CallOutcome::Answered,
-            _ => CallOutcome::Failed,
-        };
-        self.record_outcome(&instance, outcome);
-        match proof {
-            RunProof::NotRun => self.record.runs -= 1,
-            RunProof::Misdirected => {
-                self.record.runs -= 1;
-                if head.instance.as_ref().is_some_and(|other| *other != instance.id) {
-                    self.note(&format!("{instance} has ended"));
-                    self.context.pool.borrow_mut().note_displaced(&instance);
-                }
-                self.context.hurry(&instance);
-            }
-            _ => {}
-        }
-        let is_foreign = proof == RunProof::Unknown;
-        let whole = if is_foreign { None } else { self.read_failure(body).await };
-        if whole.is_some() {
-            self.context.connections.give_back(connection, calls::connection_life(&parts.headers));
-        }
-        let may_relay = proof == RunProof::Failed
-            && failure_reply(self.route.kind, head.status) == FailureReply::AsIs;
-        let reply = whole
-            .filter(|_| may_relay)
-            .map(|body| calls::relay_answer(parts.status, &parts.headers, ReplyBody::new(body)));
-        Err(SendFailure { proof, reply })
-    }
-
-    async fn read_failure(&self, body: Incoming) -> Option<Bytes> {
-        let whole = Limited::new(body, constants::FAILURE_LIMIT).collect();
-        let read = timeout(self.time_left().min(self.route.objective), whole).await;
-        read.ok()?.ok().map(http_body_util::Collected::to_bytes)
-    }
 }
--- /dev/null
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -0,0 +1,199 @@
+//! One send of a call to one target, and what its end proves.
+
+use super::{
+    super::{
+        connections::{SendEnd, TargetConnection},
+        constants,
+        context::CallGuard,
+    },
+    CallExchange, OpenAnswer, SendFailure,
+};
+use crate::clock;
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{Request, Response, body::Incoming};
+use plantain_core::{
+    direct::{
+        call::OnwardTerms,
+        health::CallOutcome,
+        membership::TargetLife,
+        proof::{FailureReply, RunProof, failure_reply, judge_answer},
+        selection::adapter_of,
+    },
+    ids::AdapterVersion,
+};
+use plantain_net::body::ReplyBody;
+use plantain_platform::calls;
+use std::{sync::Arc, time::Duration};
+use tokio::time::{sleep, timeout};
+
+/// Lowest rank that engines know.
+const LAST_URGENCY: u8 = 9;
+/// Part of the objective after which the first byte of an answer is overdue.
+const OVERDUE_SHARE: f64 = 0.8;
+/// Multiple of the objective after which a repeatable call is sent to another target.
+const GIVE_UP_SHARE: f64 = 1.25;
+
+impl CallExchange {
+    /// Sends the call to one target.
+    pub(super) async fn send(
+        &mut self,
+        life: &TargetLife,
+        version: Option<AdapterVersion>,
+    ) -> Result<OpenAnswer, SendFailure> {
+        let adapter = self.head.model.as_ref().and_then(adapter_of);
+        let tokens = self.head.model.as_ref().map_or(0, |model| model.tokens_in);
+        self.record.target = Some(life.clone());
+        self.record.adapter = adapter.clone().map(|adapter| (adapter, version));
+        let sent = clock::now();
+        let address = {
+            let pool = self.context.pool.borrow();
+            let target = pool.target(life);
+            let view = target.and_then(|target| target.loader.as_ref());
+            self.record.report_age = view.map(|view| sent.saturating_sub(view.received));
+            target.map(|target| target.entry.address)
+        };
+        let request = self.target_request(life, version);
+        let (Some(address), Some(request)) = (address, request) else {
+            return Err(SendFailure { proof: RunProof::NotRun, reply: None });
+        };
+        let mut guard = CallGuard::new(&self.context, life, adapter.clone(), tokens);
+        self.record.sends += 1;
+        self.record.runs += 1;
+        let end = self.await_answer(life, address, request, &mut guard).await;
+        let (proof, outcome) = match end {
+            Some(SendEnd::Answered(answer, connection)) => {
+                let latency = clock::now().saturating_sub(sent);
+                return self.judge(answer, connection, guard, latency).await;
+            }
+            Some(SendEnd::Unsent(reason)) => {
+                self.record.runs -= 1;
+                self.note(&format!("{life} not reached: {reason}"));
+                (RunProof::NotRun, CallOutcome::Silent)
+            }
+            // It answers connections, and loses answers: others need not be kept from it altogether.
+            Some(SendEnd::Broken(reason)) => {
+                guard.set_may_run_on();
+                self.note(&format!("{life} broke off: {reason}"));
+                (RunProof::Unknown, CallOutcome::Failed)
+            }
+            None => {
+                guard.set_may_run_on();
+                self.note(&format!("{life} silent"));
+                (RunProof::Unknown, CallOutcome::Silent)
+            }
+        };
+        self.record_outcome(life, outcome);
+        Err(SendFailure { proof, reply: None })
+    }
+
+    fn record_outcome(&self, life: &TargetLife, outcome: CallOutcome) {
+        self.context.pool.borrow_mut().record_outcome(life, outcome, clock::now());
+    }
+
+    fn target_request(
+        &self,
+        life: &TargetLife,
+        version: Option<AdapterVersion>,
+    ) -> Option<Request<Full<Bytes>>> {
+        let terms = OnwardTerms {
+            instance: Arc::clone(&life.id),
+            time_left: self.time_left(),
+            version,
+            urgency: self.route.priority.min(LAST_URGENCY),
+            resume_after: self.resume_after,
+        };
+        let request = calls::encode_call(&self.method, &self.head, &self.headers, &terms).ok()?;
+        Some(request.map(|()| Full::new(self.body.clone())))
+    }
+
+    /// Waits for the head of the answer; `None` if the wait was given up.
+    async fn await_answer(
+        &mut self,
+        life: &TargetLife,
+        address: std::net::SocketAddr,
+        request: Request<Full<Bytes>>,
+        guard: &mut CallGuard,
+    ) -> Option<SendEnd> {
+        let limit = self.answer_limit();
+        let overdue = self.route.objective.mul_f64(OVERDUE_SHARE).min(limit);
+        let connections = self.context.connections.clone();
+        let sending = connections.send(life, address, request);
+        tokio::pin!(sending);
+        tokio::select! {
+            end = &mut sending => return Some(end),
+            () = sleep(overdue) => guard.set_overdue(true),
+        }
+        timeout(limit.saturating_sub(overdue), sending).await.ok()
+    }
+
+    /// How long one target is waited for: to the deadline, unless another one may still run it.
+    fn answer_limit(&self) -> Duration {
+        let left = self.time_left();
+        let may_move = self.route.kind.is_repeatable()
+            && self.record.runs < self.route.max_targets
+            && self.context.pool.borrow().service_targets(&self.service).count() > 1;
+        if may_move { left.min(self.route.objective.mul_f64(GIVE_UP_SHARE)) } else { left }
+    }
+
+    async fn judge(
+        &mut self,
+        answer: Response<Incoming>,
+        connection: TargetConnection,
+        guard: CallGuard,
+        latency: Duration,
+    ) -> Result<OpenAnswer, SendFailure> {
+        let life = guard.target().clone();
+        let (parts, body) = answer.into_parts();
+        let head = calls::decode_answer(parts.status, &parts.headers);
+        let proof = judge_answer(self.head.id.as_deref().unwrap_or_default(), &head);
+        let took = match proof {
+            RunProof::Succeeded | RunProof::Failed => Some(latency),
+            // A queue that is full takes about as long as the objective.
+            RunProof::NotRun => Some(self.route.objective),
+            RunProof::Misdirected | RunProof::Unknown => None,
+        };
+        if let Some(took) = took {
+            self.context.pool.borrow_mut().record_latency(&life, took, clock::now());
+        }
+        if proof == RunProof::Succeeded {
+            let head = calls::relay_answer(parts.status, &parts.headers, ());
+            return Ok(OpenAnswer { head, body, connection, guard });
+        }
+        self.note(&format!("{life} answered {}: {proof:?}", head.status));
+        let outcome = match proof {
+            RunProof::Misdirected => CallOutcome::Answered,
+            _ => CallOutcome::Failed,
+        };
+        self.record_outcome(&life, outcome);
+        match proof {
+            RunProof::NotRun => self.record.runs -= 1,
+            RunProof::Misdirected => {
+                self.record.runs -= 1;
+                if head.instance.as_ref().is_some_and(|other| *other != life.id) {
+                    self.note(&format!("{life} has ended"));
+                    self.context.pool.borrow_mut().note_displaced(&life);
+                }
+                self.context.hurry(&life);
+            }
+            _ => {}
+        }
+        let is_foreign = proof == RunProof::Unknown;
+        let whole = if is_foreign { None } else { self.read_failure(body).await };
+        if whole.is_some() {
+            self.context.connections.give_back(connection, calls::connection_life(&parts.headers));
+        }
+        let may_relay = proof == RunProof::Failed
+            && failure_reply(self.route.kind, head.status) == FailureReply::AsIs;
+        let reply = whole
+            .filter(|_| may_relay)
+            .map(|body| calls::relay_answer(parts.status, &parts.headers, ReplyBody::new(body)));
+        Err(SendFailure { proof, reply })
+    }
+
+    async fn read_failure(&self, body: Incoming) -> Option<Bytes> {
+        let whole = Limited::new(body, constants::FAILURE_LIMIT).collect();
+        let read = timeout(self.time_left().min(self.route.objective), whole).await;
+        read.ok()?.ok().map(http_body_util::Collected::to_bytes)
+    }
+}
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -88,33 +88,33 @@
         self.sent.retain(|id, _| ids.contains(id));
     }
 
-    fn send(&mut self, socket: &UdpSocket, id: &TargetLife) {
-        let Some((address, notice)) = self.make_notice(id) else { return };
-        self.sent.insert(id.clone(), clock::now());
+    fn send(&mut self, socket: &UdpSocket, life: &TargetLife) {
+        let Some((address, notice)) = self.make_notice(life) else { return };
+        self.sent.insert(life.clone(), clock::now());
         match postcard::to_allocvec(&notice) {
             // A datagram that does not go out now is made up for by the next.
             Ok(datagram) => drop(socket.try_send_to(&datagram, address)),
             Err(error) => {
                 warn!(self.context.logger, "notice not encoded"; "step" => "link",
-                    "target" => &*id.id, "error" => %error);
+                    "target" => &*life.id, "error" => %error);
             }
         }
     }
 
-    fn make_notice(&mut self, id: &TargetLife) -> Option<(SocketAddr, RouterNotice)> {
+    fn make_notice(&mut self, life: &TargetLife) -> Option<(SocketAddr, RouterNotice)> {
         let settings = Arc::clone(&self.context.settings.borrow());
         let mut pool = self.context.pool.borrow_mut();
-        let target = pool.target(id)?;
+        let target = pool.target(life)?;
         let spec = pool.engine_of(target)?;
         let (places, memory_mb) = (spec.adapter_places as u16, spec.memory_mb as f32);
         let bases = TargetPool::base_offers(spec);
-        let target = pool.target_mut(id)?;
+        let target = pool.target_mut(life)?;
         let address = SocketAddr::new(target.entry.address.ip(), settings.link_port);
         self.sequence += 1;
         let notice = RouterNotice {
             boot: self.boot,
             sequence: self.sequence,
-            life: id.clone(),
+            life: life.clone(),
             adapter_places: places,
             memory_mb,
             bases,
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -42,25 +42,25 @@
     guard.answered();
     exchange.record.first_byte.get_or_insert(exchange.age());
     let whole = Limited::new(body, constants::ANSWER_LIMIT).collect();
-    let instance = guard.target().clone();
+    let life = guard.target().clone();
     let read = timeout(exchange.time_left(), whole).await;
     let (outcome, result) = match read {
         Ok(Ok(whole)) => {
-            let life = calls::connection_life(head.headers());
-            exchange.context.connections.give_back(connection, life);
+            let keep = calls::connection_life(head.headers());
+            exchange.context.connections.give_back(connection, keep);
             let bytes = whole.to_bytes();
             (CallOutcome::Answered, PlainRead::Whole(head.map(|()| ReplyBody::new(bytes))))
         }
         Ok(Err(error)) => {
-            exchange.note(&format!("{instance} broke off its answer: {error}"));
+            exchange.note(&format!("{life} broke off its answer: {error}"));
             (CallOutcome::Failed, PlainRead::Broken(GivenUp::Unknown))
         }
         Err(_) => {
-            exchange.note(&format!("{instance} did not end its answer in time"));
+            exchange.note(&format!("{life} did not end its answer in time"));
             (CallOutcome::Silent, PlainRead::Broken(GivenUp::TimedOut))
         }
     };
-    exchange.context.pool.borrow_mut().record_outcome(&instance, outcome, clock::now());
+    exchange.context.pool.borrow_mut().record_outcome(&life, outcome, clock::now());
     result
 }
 
@@ -94,21 +94,17 @@
     async fn run(mut self, mut answer: OpenAnswer) {
         loop {
             let end = self.pass_events(&mut answer).await;
-            let instance = answer.guard.target().clone();
+            let life = answer.guard.target().clone();
             let outcome = match &end {
                 StreamEnd::Complete | StreamEnd::CallerLeft => CallOutcome::Answered,
                 StreamEnd::TimedOut => CallOutcome::Silent,
                 StreamEnd::Broken(_) => CallOutcome::Failed,
             };
-            self.exchange.context.pool.borrow_mut().record_outcome(
-                &instance,
-                outcome,
-                clock::now(),
-            );
+            self.exchange.context.pool.borrow_mut().record_outcome(&life, outcome, clock::now());
             match end {
                 StreamEnd::Complete => {
-                    let life = calls::connection_life(answer.head.headers());
-                    self.exchange.context.connections.give_back(answer.connection, life);
+                    let keep = calls::connection_life(answer.head.headers());
+                    self.exchange.context.connections.give_back(answer.connection, keep);
                     self.exchange.finish(CallEnd::Served, self.status);
                     return;
                 }
@@ -119,7 +115,7 @@
                 }
                 StreamEnd::TimedOut => return self.abort("time limit").await,
                 StreamEnd::Broken(reason) => {
-                    self.exchange.note(&format!("{instance} broke off its stream: {reason}"));
+                    self.exchange.note(&format!("{life} broke off its stream: {reason}"));
                     drop(answer);
                     match self.resume().await {
                         Some(next) => answer = next,
