Loader: a report collects open wishes once, unsorted; calls that wait are summed in one place

Each report ordered all wishes twice to count them, and rates summed waiting calls by a copy of the lines that order wishes. Behaviour is unchanged: same counts, same order of loads. plantainctl: losses needs no second way past the platform.

--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -382,9 +382,9 @@
         let Some(report) = &mut self.report else { return };
         report.order_count = order.order_count + 1;
         if let OrderVerb::LoadAdapter(adapter, _) = &order.verb {
+            self.count_turn(adapter, now);
             // Routers tell of uses only now and then. Without this a new adapter would count as never
             // used, and be the first to go before its first call was heard of.
-            self.count_turn(adapter, now);
             self.record_demand(adapter.clone(), 1, now);
         }
         let Some(report) = &mut self.report else { return };
--- a/crates/core/src/direct/loader/plan.rs
+++ b/crates/core/src/direct/loader/plan.rs
@@ -34,7 +34,7 @@
         if report.coming.len() >= TRANSIT_LIMIT {
             return None;
         }
-        let wishes = self.open_wishes(report, now);
+        let wishes = self.wishes_in_turn(report, now);
         let far = self.far_loads();
         let (wish, since) = wishes.iter().find(|(wish, _)| self.may_begin(wish, far))?;
         let adapter = wish_adapter(wish);
@@ -78,15 +78,27 @@
         best.map(|base| Arc::clone(&base.base))
     }
 
-    /// Wishes that nothing held or coming meets, in the order of their loads: first those of calls that
-    /// can still meet their objective, then those of calls that are late already, then those ahead of
-    /// calls. While the weight store is overloaded, a load for a late call makes another one late too; but
-    /// late calls have their turn now and then.
-    pub(super) fn open_wishes(
+    /// Open wishes in the order of their loads: first those of calls that can still meet their objective,
+    /// then those of calls that are late already, then those ahead of calls. While the weight store is
+    /// overloaded, a load for a late call makes another one late too; but late calls have their turn now
+    /// and then.
+    fn wishes_in_turn(
         &self,
         report: &EngineReport,
         now: Timestamp,
     ) -> Vec<(&AdapterWish, Timestamp)> {
+        let mut wishes = self.open_wishes(report);
+        let is_late_turn = self.timely_loads >= TIMELY_LOADS;
+        wishes.sort_by_cached_key(|(wish, since)| {
+            let callers = Reverse(self.waiting_calls(&wish_adapter(wish)));
+            let is_behind = self.is_in_time(wish, now) == is_late_turn;
+            (wish.waiting == 0, is_behind, callers, wish.priority, *since)
+        });
+        wishes
+    }
+
+    /// Wishes that nothing held or coming meets, and since when each was seen.
+    pub(super) fn open_wishes(&self, report: &EngineReport) -> Vec<(&AdapterWish, Timestamp)> {
         let mut wishes: Vec<(&AdapterWish, Timestamp)> = Vec::new();
         for state in self.notices.values() {
             for wish in &state.notice.wishes {
@@ -100,20 +112,14 @@
                 }
             }
         }
-        let is_late_turn = self.timely_loads >= TIMELY_LOADS;
-        wishes.sort_by_cached_key(|(wish, since)| {
-            let callers = Reverse(self.waiting_calls(wish));
-            let is_behind = self.is_in_time(wish, now) == is_late_turn;
-            (wish.waiting == 0, is_behind, callers, wish.priority, *since)
-        });
         wishes
     }
 
-    /// Calls of all routers that wait for a wish's adapter.
-    fn waiting_calls(&self, wish: &AdapterWish) -> u32 {
-        let all = self.notices.values().flat_map(|state| &state.notice.wishes);
-        let own = all.filter(|own| own.adapter == wish.adapter && own.base == wish.base);
-        own.map(|own| u32::from(own.waiting)).sum()
+    /// Calls of all routers that wait for an adapter.
+    pub(super) fn waiting_calls(&self, adapter: &AdapterId) -> u32 {
+        let wishes = self.notices.values().flat_map(|state| &state.notice.wishes);
+        let own = wishes.filter(|wish| wish.adapter == adapter.name && wish.base == adapter.base);
+        own.map(|wish| u32::from(wish.waiting)).sum()
     }
 
     /// Whether a call that waits meets its objective if its adapter is loaded now.
--- a/crates/core/src/direct/loader/report.rs
+++ b/crates/core/src/direct/loader/report.rs
@@ -3,7 +3,10 @@
 use super::{LoaderMachine, as_millis, wish_adapter};
 use crate::{
     direct::{
-        call::AdapterId, demand::encode_rate, membership::BaseHolding, messages::LoaderReport,
+        call::AdapterId,
+        demand::encode_rate,
+        membership::BaseHolding,
+        messages::{AdapterWish, LoaderReport},
         orders::EngineReport,
     },
     ids::Timestamp,
@@ -16,6 +19,9 @@
         let life = self.life()?;
         let report = self.report.as_ref()?;
         self.sequence += 1;
+        let wishes = self.open_wishes(report);
+        let awaited = wishes.into_iter().map(|(wish, _)| wish).filter(|wish| wish.waiting > 0);
+        let awaited: Vec<&AdapterWish> = awaited.collect();
         let coming = report.coming.iter();
         let coming = coming.map(|(id, _)| (Arc::clone(&id.base), Arc::clone(&id.name)));
         let notices = self.notices.values().map(|state| &state.notice);
@@ -27,11 +33,11 @@
             is_answering: self.is_answering,
             is_leaving: report.is_leaving,
             rates: self.rates(&report.holdings, now),
-            room: self.room(report, now),
+            room: self.room(report, &awaited, now),
             holdings: report.holdings.clone(),
             coming: coming.collect(),
             load_ms: as_millis(self.transit.expected()),
-            queue_ms: as_millis(self.load_queue(report, now)),
+            queue_ms: as_millis(self.load_queue(&awaited, now)),
             active: report.active,
             queued: report.queued,
             kv_used: report.kv_used,
@@ -42,23 +48,18 @@
 
     /// Calls a second for an adapter, those counted that wait for it.
     fn rate(&self, adapter: &AdapterId, now: Timestamp) -> f64 {
-        let wishes = self.notices.values().flat_map(|state| &state.notice.wishes);
-        let own = wishes.filter(|wish| wish_adapter(wish) == *adapter);
-        let waiting: u32 = own.map(|wish| u32::from(wish.waiting)).sum();
         let started = self.demand.get(adapter).map_or(0.0, |demand| demand.recent.rate(now));
-        started + f64::from(waiting)
+        started + f64::from(self.waiting_calls(adapter))
     }
 
     /// Places that are free or held by adapters that nobody uses, less the loads that wait for one.
-    fn room(&self, report: &EngineReport, now: Timestamp) -> i32 {
+    fn room(&self, report: &EngineReport, awaited: &[&AdapterWish], now: Timestamp) -> i32 {
         let newest = self.notices.values().max_by_key(|state| state.received);
         let places = newest.map_or(0, |state| usize::from(state.notice.adapter_places));
         let running = self.running();
         let all = report.settled_adapters();
         let idle = all.filter(|id| self.uses(id, &running, now) == 0).count();
-        let waiting =
-            self.open_wishes(report, now).iter().filter(|(wish, _)| wish.waiting > 0).count();
-        let taken = report.occupied() + waiting;
+        let taken = report.occupied() + awaited.len();
         i32::from((places + idle) as u16) - i32::from(taken as u16)
     }
 
@@ -72,13 +73,10 @@
 
     /// Wait before a load from the weight store can begin for a call that can still meet its objective;
     /// it goes before those that cannot.
-    fn load_queue(&self, report: &EngineReport, now: Timestamp) -> Duration {
-        let wishes = self.open_wishes(report, now);
-        let waiting = wishes.iter().filter(|(wish, _)| {
-            wish.waiting > 0
-                && self.is_in_time(wish, now)
-                && !self.memory.holds(&wish_adapter(wish))
-        });
+    fn load_queue(&self, awaited: &[&AdapterWish], now: Timestamp) -> Duration {
+        let waiting = awaited
+            .iter()
+            .filter(|wish| self.is_in_time(wish, now) && !self.memory.holds(&wish_adapter(wish)));
         let before = waiting.count() + self.far_loads();
         let window = self.transit.window();
         // With room in the window, a load begins at once.
--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -74,8 +74,11 @@
     settings: &ControlSettings,
     command: ControlCommand,
 ) -> Result<(), CommandError> {
+    if let ControlCommand::Losses { files } = &command {
+        return losses::carry_out(files, settings.json);
+    }
     let Some(platform) = settings.platform else {
-        return carry_out_alone(settings, command);
+        return Err(CommandError::Invalid("--platform: needed for this command".into()));
     };
     let http = HttpClient::new();
     let platform = PlatformClient::new(platform, http.clone());
@@ -92,17 +95,6 @@
     }
 }
 
-/// Carries out a command that needs no platform.
-fn carry_out_alone(
-    settings: &ControlSettings,
-    command: ControlCommand,
-) -> Result<(), CommandError> {
-    match command {
-        ControlCommand::Losses { files } => losses::carry_out(&files, settings.json),
-        _ => Err(CommandError::Invalid("--platform: needed for this command".into())),
-    }
-}
-
 impl CommandContext<'_> {
     /// The configuration in force.
     pub async fn snapshot(&self) -> Result<ConfigSnapshot, CommandError> {
