--- a/crates/core/src/direct/demand.rs
+++ b/crates/core/src/direct/demand.rs
@@ -6,9 +6,9 @@
 //! an engine hears of all calls for the adapters there, so its word goes first. A router's own count only
 //! tells of an adapter that has become wanted within the last moments, once several calls came together.
 
-use super::{call::AdapterId, messages::LoaderReport};
+use super::{call::AdapterId, membership::BaseHolding, messages::LoaderReport};
 use crate::{demand::DecayedCount, ids::Timestamp};
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use std::{collections::HashMap, time::Duration};
 
 /// Half-life of counts that decide how many copies an adapter gets: popularity moves within seconds, and
 /// until copies follow, one engine gets all calls for an adapter.
@@ -51,12 +51,9 @@
     pub fn take_reports<'a>(&mut self, reports: impl Iterator<Item = &'a LoaderReport>) {
         self.reported.clear();
         for report in reports {
-            let adapters = report.holdings.iter().flat_map(|holding| {
-                let names = holding.adapters.keys();
-                names.map(|name| (Arc::clone(&holding.base), Arc::clone(name)))
-            });
-            for ((base, name), rate) in adapters.zip(&report.rates).filter(|(_, rate)| **rate > 0) {
-                let sum = self.reported.entry(AdapterId { base, name }).or_default();
+            let adapters = report.holdings.iter().flat_map(BaseHolding::adapter_ids);
+            for (adapter, rate) in adapters.zip(&report.rates).filter(|(_, rate)| **rate > 0) {
+                let sum = self.reported.entry(adapter).or_default();
                 *sum += f64::from(*rate) * RATE_STEP;
             }
         }
--- a/crates/core/src/direct/loader/report.rs
+++ b/crates/core/src/direct/loader/report.rs
@@ -64,10 +64,7 @@
     }
 
     fn rates(&self, holdings: &[BaseHolding], now: Timestamp) -> Vec<u16> {
-        let adapters = holdings.iter().flat_map(|holding| {
-            let names = holding.adapters.keys();
-            names.map(|name| AdapterId { base: Arc::clone(&holding.base), name: Arc::clone(name) })
-        });
+        let adapters = holdings.iter().flat_map(BaseHolding::adapter_ids);
         adapters.map(|adapter| encode_rate(self.rate(&adapter, now))).collect()
     }
 
--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -1,5 +1,6 @@
 //! Which targets there are, from a list that lags and that loses entries while its keeper is out.
 
+use super::call::AdapterId;
 use crate::ids::{AdapterName, AdapterVersion, BaseName, ServiceName, Timestamp, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -72,6 +73,14 @@
     pub adapters: BTreeMap<AdapterName, AdapterVersion>,
 }
 
+impl BaseHolding {
+    /// Ids of the adapters, in a fixed order.
+    pub fn adapter_ids(&self) -> impl Iterator<Item = AdapterId> {
+        let names = self.adapters.keys();
+        names.map(|name| AdapterId { base: Arc::clone(&self.base), name: Arc::clone(name) })
+    }
+}
+
 /// What the list says of a target.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetEntry {
--- a/crates/core/src/direct/orders.rs
+++ b/crates/core/src/direct/orders.rs
@@ -5,7 +5,6 @@
     membership::{BaseHolding, TargetLife},
 };
 use crate::ids::{AdapterVersion, BaseName};
-use std::sync::Arc;
 
 /// What the engine says of itself.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
@@ -45,10 +44,7 @@
 
     /// Adapters held that are not being replaced.
     pub fn settled_adapters(&self) -> impl Iterator<Item = AdapterId> {
-        let all = self.holdings.iter().flat_map(|holding| {
-            let names = holding.adapters.keys();
-            names.map(|name| AdapterId { base: Arc::clone(&holding.base), name: Arc::clone(name) })
-        });
+        let all = self.holdings.iter().flat_map(BaseHolding::adapter_ids);
         all.filter(|id| !self.is_coming(id))
     }
 
