--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -1,10 +1,12 @@
 //! The loader's orders, against an engine that loses answers and carries orders out late.
 
+mod lives;
+mod turns;
+
 use super::support::{BASE, adapter, holding, ms};
 use plantain_core::direct::{
     call::AdapterId,
     loader::{LoaderMachine, LoaderStep},
-    membership::TargetLife,
     messages::{AdapterUse, AdapterWish, BaseOffer, RouterNotice},
     orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
 };
@@ -227,166 +229,6 @@
     assert_eq!(verb, Some(OrderVerb::UnloadAdapter(adapter("c"))));
 }
 
-/// An engine restarted empty at the same address. Orders meant for its earlier life would act on
-/// something else, so it is asked for its id first; then its base model is loaded.
-#[test]
-fn a_restarted_engine_is_identified_and_gets_its_base_model() {
-    let mut machine = machine(7, &[("a", 1)]);
-    machine.take_notice(router(1), notice(1, vec![wish("z", 1)], vec![]), ms(0));
-    machine.take_report(EngineReport::default(), ms(10));
-    assert_eq!(machine.next_step(ms(11)), LoaderStep::Identify);
-    machine.take_instance("e2".into());
-    assert_eq!(machine.next_step(ms(12)), LoaderStep::Poll);
-    machine.take_report(EngineReport::default(), ms(13));
-    let step = machine.next_step(ms(14));
-    let order = order_of(&step).expect("an order");
-    assert_eq!(order.verb, OrderVerb::LoadBase(BASE.into()));
-    assert_eq!((&*order.life.id, order.order_count), ("e2", 0));
-}
-
-/// An engine starts again under the id that it had. Its health check names the same id as before, so only
-/// its own word of its start, or a count that fell, shows that it holds nothing of what was loaded.
-#[test]
-fn an_engine_that_starts_again_under_its_id_is_taken_for_another_life() {
-    for (started, order_count) in [(Some(900), 7), (Some(2_000), 9), (None, 0)] {
-        let mut machine = machine(7, &[("a", 1)]);
-        let first = EngineReport { started: Some(1_000), ..report(7, &[("a", 1)]) };
-        machine.take_report(first, ms(1));
-        machine.take_notice(router(1), notice(1, vec![wish("z", 1)], vec![]), ms(2));
-        let second = EngineReport { started, order_count, ..EngineReport::default() };
-        machine.take_report(second.clone(), ms(10));
-        assert_eq!(machine.next_step(ms(11)), LoaderStep::Identify, "{started:?}");
-        machine.take_instance("e1".into());
-        assert_eq!(machine.next_step(ms(12)), LoaderStep::Poll);
-        machine.take_report(second, ms(13));
-        let step = machine.next_step(ms(14));
-        let order = order_of(&step).expect("an order");
-        assert_eq!(order.verb, OrderVerb::LoadBase(BASE.into()));
-        assert_eq!(order.life, TargetLife { id: "e1".into(), started });
-    }
-}
-
-/// A load is lost on its way, and the engine starts again under the same id. When the new life has reached
-/// the order count that the lost load names, the engine carries it out. With every place taken by then, it
-/// would hold one adapter too many and crash; so one place is kept free until the count has passed.
-#[test]
-fn a_load_lost_in_an_earlier_life_finds_a_place() {
-    let mut machine = machine(4, &[("a", 1), ("b", 1), ("c", 1)]);
-    machine.take_notice(router(1), notice(1, vec![wish("z", 1)], vec![]), ms(0));
-    let step = machine.next_step(ms(1));
-    machine.take_answer(order_of(&step).expect("a load"), OrderAnswer::Silent, ms(2));
-    machine.take_report(report(0, &[]), ms(3));
-    machine.take_instance("e1".into());
-    machine.take_report(report(4, &[("d", 1), ("e", 1), ("f", 1)]), ms(4));
-    let step = machine.next_step(ms(30));
-    let verb = order_of(&step).map(|order| order.verb.clone());
-    assert_eq!(verb, Some(OrderVerb::UnloadAdapter(adapter("d"))), "the fourth place stays free");
-    machine.take_report(report(5, &[("d", 1), ("e", 1), ("f", 1)]), ms(31));
-    let step = machine.next_step(ms(32));
-    let verb = order_of(&step).map(|order| order.verb.clone());
-    assert_eq!(verb, Some(OrderVerb::LoadAdapter(adapter("z"), 1)), "the count has passed");
-}
-
-struct TurnCase {
-    name: &'static str,
-    wishes: [AdapterWish; 2],
-    first: &'static str,
-}
-
-/// The weight store is overloaded, and calls wait for their adapters longer than their objective. Served in
-/// the order in which they came, each would be late once the first was; so those that can still be in time
-/// go first.
-#[test]
-fn calls_that_can_be_in_time_have_their_adapters_loaded_first() {
-    let late = |name| AdapterWish { slack_ms: 0, ..wish(name, 1) };
-    let hopeless = |name| AdapterWish { slack_ms: 100, ..wish(name, 1) };
-    let urgent = |name| AdapterWish { priority: 0, ..late(name) };
-    let calm = |name| AdapterWish { priority: 3, ..wish(name, 1) };
-    let cases = [
-        TurnCase { name: "late", wishes: [late("x"), wish("y", 1)], first: "y" },
-        TurnCase { name: "too little time", wishes: [hopeless("x"), wish("y", 1)], first: "y" },
-        TurnCase { name: "late and urgent", wishes: [urgent("x"), calm("y")], first: "y" },
-        TurnCase { name: "equals", wishes: [calm("x"), wish("y", 1)], first: "y" },
-        TurnCase { name: "both late", wishes: [late("x"), late("y")], first: "x" },
-        TurnCase { name: "ahead of calls", wishes: [wish("x", 0), late("y")], first: "y" },
-    ];
-    for case in cases {
-        let mut machine = machine(7, &[]);
-        let [early, later] = case.wishes;
-        machine.take_notice(router(1), notice(1, vec![early.clone()], vec![]), ms(0));
-        machine.take_notice(router(1), notice(2, vec![early, later], vec![]), ms(1));
-        let step = machine.next_step(ms(2));
-        let verb = order_of(&step).map(|order| order.verb.clone());
-        assert_eq!(verb, Some(OrderVerb::LoadAdapter(adapter(case.first), 1)), "{}", case.name);
-    }
-}
-
-fn coming(order_count: u64, held: &[(&str, u32)], names: &[&str]) -> EngineReport {
-    let coming = names.iter().map(|name| (adapter(name), 1)).collect();
-    EngineReport { coming, ..report(order_count, held) }
-}
-
-/// Each loader that keeps as many loads on their way as its engine takes slows down those of all others.
-/// One begins with a single load; what the host still has in its memory takes nothing of the store.
-#[test]
-fn loads_from_the_store_wait_for_the_window() {
-    let mut machine = machine(7, &[("a", 1)]);
-    machine.take_notice(router(1), notice(1, vec![wish("x", 1), wish("y", 1)], vec![]), ms(0));
-    let step = machine.next_step(ms(1));
-    machine.take_answer(order_of(&step).expect("a load"), OrderAnswer::Accepted, ms(2));
-    machine.take_report(coming(8, &[("a", 1)], &["x"]), ms(20));
-    assert!(order_of(&machine.next_step(ms(21))).is_none(), "one is on its way");
-    let waits = machine.make_report(ms(21)).expect("a report");
-    assert!(waits.queue_ms >= waits.load_ms, "the next one waits for it");
-    machine.take_report(report(8, &[("a", 1), ("x", 1)]), ms(250));
-    let step = machine.next_step(ms(251));
-    let verb = order_of(&step).map(|order| order.verb.clone());
-    assert_eq!(verb, Some(OrderVerb::LoadAdapter(adapter("y"), 1)));
-}
-
-/// A new version replaces an adapter whose runs last for seconds, and is on its way all that time. Taken for
-/// a slow load, it would close the window for the calls that wait for other adapters.
-#[test]
-fn a_replacement_that_waits_for_runs_holds_up_no_load() {
-    let mut machine = machine(7, &[("a", 1)]);
-    let newer = AdapterWish { version: 2, ..wish("a", 1) };
-    machine.take_notice(router(1), notice(1, vec![newer], vec![running("a", 3)]), ms(0));
-    let step = machine.next_step(ms(1));
-    machine.take_answer(order_of(&step).expect("a replacement"), OrderAnswer::Accepted, ms(2));
-    machine.take_report(coming(8, &[("a", 1)], &["a"]), ms(20));
-    machine.take_notice(router(1), notice(2, vec![wish("y", 1)], vec![running("a", 3)]), ms(21));
-    let step = machine.next_step(ms(22));
-    let verb = order_of(&step).map(|order| order.verb.clone());
-    assert_eq!(verb, Some(OrderVerb::LoadAdapter(adapter("y"), 1)));
-    let before = machine.make_report(ms(23)).expect("a report").load_ms;
-    machine.take_report(report(8, &[("a", 2)]), ms(4_000));
-    assert_eq!(machine.make_report(ms(4_001)).expect("a report").load_ms, before);
-}
-
-/// The window is full, and a call waits for an adapter that was evicted a moment ago and is still in the
-/// host's memory. It must not wait for loads from the weight store, of which it needs nothing.
-#[test]
-fn a_load_from_the_hosts_memory_does_not_wait_for_the_window() {
-    let held: &[(&str, u32)] = &[("b", 1), ("c", 1), ("d", 1)];
-    let mut machine = machine(7, &[("a", 1), ("b", 1), ("c", 1), ("d", 1)]);
-    machine.take_notice(router(1), notice(1, vec![wish("y", 1)], vec![]), ms(200));
-    for verb in [OrderVerb::UnloadAdapter(adapter("a")), OrderVerb::LoadAdapter(adapter("y"), 1)] {
-        let step = machine.next_step(ms(201));
-        let order = order_of(&step).expect("an order").clone();
-        assert_eq!(order.verb, verb);
-        let is_load = matches!(verb, OrderVerb::LoadAdapter(..));
-        let answer = if is_load { OrderAnswer::Accepted } else { OrderAnswer::Done };
-        machine.take_answer(&order, answer, ms(202));
-    }
-    machine.take_report(coming(9, held, &["y"]), ms(210));
-    machine.take_notice(router(1), notice(2, vec![wish("z", 1)], vec![]), ms(211));
-    assert!(order_of(&machine.next_step(ms(212))).is_none(), "never held: it waits");
-    machine.take_notice(router(1), notice(3, vec![wish("a", 1)], vec![]), ms(213));
-    let step = machine.next_step(ms(214));
-    let verb = order_of(&step).map(|order| order.verb.clone());
-    assert!(matches!(verb, Some(OrderVerb::UnloadAdapter(_))), "a place for it: {verb:?}");
-}
-
 struct RoomCase {
     name: &'static str,
     held: &'static [(&'static str, u32)],
--- /dev/null
+++ b/crates/core/tests/core/direct/loader/lives.rs
@@ -0,0 +1,68 @@
+//! Engines that start again, under another id or their own.
+
+use super::{BASE, adapter, machine, ms, notice, order_of, report, router, wish};
+use plantain_core::direct::{
+    loader::LoaderStep,
+    membership::TargetLife,
+    orders::{EngineReport, OrderAnswer, OrderVerb},
+};
+
+/// An engine restarted empty at the same address. Orders meant for its earlier life would act on
+/// something else, so it is asked for its id first; then its base model is loaded.
+#[test]
+fn a_restarted_engine_is_identified_and_gets_its_base_model() {
+    let mut machine = machine(7, &[("a", 1)]);
+    machine.take_notice(router(1), notice(1, vec![wish("z", 1)], vec![]), ms(0));
+    machine.take_report(EngineReport::default(), ms(10));
+    assert_eq!(machine.next_step(ms(11)), LoaderStep::Identify);
+    machine.take_instance("e2".into());
+    assert_eq!(machine.next_step(ms(12)), LoaderStep::Poll);
+    machine.take_report(EngineReport::default(), ms(13));
+    let step = machine.next_step(ms(14));
+    let order = order_of(&step).expect("an order");
+    assert_eq!(order.verb, OrderVerb::LoadBase(BASE.into()));
+    assert_eq!((&*order.life.id, order.order_count), ("e2", 0));
+}
+
+/// An engine starts again under the id that it had. Its health check names the same id as before, so only
+/// its own word of its start, or a count that fell, shows that it holds nothing of what was loaded.
+#[test]
+fn an_engine_that_starts_again_under_its_id_is_taken_for_another_life() {
+    for (started, order_count) in [(Some(900), 7), (Some(2_000), 9), (None, 0)] {
+        let mut machine = machine(7, &[("a", 1)]);
+        let first = EngineReport { started: Some(1_000), ..report(7, &[("a", 1)]) };
+        machine.take_report(first, ms(1));
+        machine.take_notice(router(1), notice(1, vec![wish("z", 1)], vec![]), ms(2));
+        let second = EngineReport { started, order_count, ..EngineReport::default() };
+        machine.take_report(second.clone(), ms(10));
+        assert_eq!(machine.next_step(ms(11)), LoaderStep::Identify, "{started:?}");
+        machine.take_instance("e1".into());
+        assert_eq!(machine.next_step(ms(12)), LoaderStep::Poll);
+        machine.take_report(second, ms(13));
+        let step = machine.next_step(ms(14));
+        let order = order_of(&step).expect("an order");
+        assert_eq!(order.verb, OrderVerb::LoadBase(BASE.into()));
+        assert_eq!(order.life, TargetLife { id: "e1".into(), started });
+    }
+}
+
+/// A load is lost on its way, and the engine starts again under the same id. When the new life has reached
+/// the order count that the lost load names, the engine carries it out. With every place taken by then, it
+/// would hold one adapter too many and crash; so one place is kept free until the count has passed.
+#[test]
+fn a_load_lost_in_an_earlier_life_finds_a_place() {
+    let mut machine = machine(4, &[("a", 1), ("b", 1), ("c", 1)]);
+    machine.take_notice(router(1), notice(1, vec![wish("z", 1)], vec![]), ms(0));
+    let step = machine.next_step(ms(1));
+    machine.take_answer(order_of(&step).expect("a load"), OrderAnswer::Silent, ms(2));
+    machine.take_report(report(0, &[]), ms(3));
+    machine.take_instance("e1".into());
+    machine.take_report(report(4, &[("d", 1), ("e", 1), ("f", 1)]), ms(4));
+    let step = machine.next_step(ms(30));
+    let verb = order_of(&step).map(|order| order.verb.clone());
+    assert_eq!(verb, Some(OrderVerb::UnloadAdapter(adapter("d"))), "the fourth place stays free");
+    machine.take_report(report(5, &[("d", 1), ("e", 1), ("f", 1)]), ms(31));
+    let step = machine.next_step(ms(32));
+    let verb = order_of(&step).map(|order| order.verb.clone());
+    assert_eq!(verb, Some(OrderVerb::LoadAdapter(adapter("z"), 1)), "the count has passed");
+}
