--- a/crates/core/src/direct/demand.rs
+++ b/crates/core/src/direct/demand.rs
@@ -6,7 +6,11 @@
 //! an engine hears of all calls for the adapters there, so its word goes first. A router's own count only
 //! tells of an adapter that has become wanted within the last moments, once several calls came together.
 
-use super::{call::AdapterId, membership::BaseHolding, messages::LoaderReport};
+use super::{
+    call::AdapterId,
+    membership::{BaseHolding, InstanceId},
+    messages::LoaderReport,
+};
 use crate::{demand::DecayedCount, ids::Timestamp};
 use std::{collections::HashMap, time::Duration};
 
@@ -26,10 +30,22 @@
     (calls_a_second / RATE_STEP).round().clamp(0.0, f64::from(u16::MAX)) as u16
 }
 
+/// Time for which reported rates are believed: a router hears of an engine only while it has calls there.
+const RATE_LIFE: Duration = Duration::from_secs(5);
+
+/// Rates that one engine's loader reported.
+#[derive(Debug)]
+struct ReportedRates {
+    at: Timestamp,
+    rates: Vec<(AdapterId, f64)>,
+}
+
 /// Counts of this router, and rates that loaders report.
 #[derive(Debug, Default)]
 pub struct FleetDemand {
     own: HashMap<AdapterId, DecayedCount>,
+    by_engine: HashMap<InstanceId, ReportedRates>,
+    /// Sums of the reported rates.
     reported: HashMap<AdapterId, f64>,
 }
 
@@ -40,21 +56,39 @@
         count.or_insert_with(|| DecayedCount::new(RECENT_HALF_LIFE)).record(now);
     }
 
-    /// Forgets what is wanted least, if there is too much.
+    /// Forgets what is wanted least, if there is too much, and what was reported too long ago.
     pub fn expire(&mut self, now: Timestamp) {
         if self.own.len() > COUNT_LIMIT {
             self.own.retain(|_, count| count.read(now) > COUNT_FLOOR);
         }
+        let is_old = |told: &ReportedRates| now.saturating_sub(told.at) >= RATE_LIFE;
+        let old = self.by_engine.extract_if(|_, told| is_old(told));
+        for (_, told) in old.collect::<Vec<_>>() {
+            self.subtract(&told);
+        }
+    }
+
+    /// Takes the rates that a loader reports, in place of its earlier ones.
+    pub fn take_report(&mut self, report: &LoaderReport, now: Timestamp) {
+        let adapters = report.holdings.iter().flat_map(BaseHolding::adapter_ids);
+        let rates = adapters.zip(&report.rates).filter(|(_, rate)| **rate > 0);
+        let rates = rates.map(|(adapter, rate)| (adapter, f64::from(*rate) * RATE_STEP));
+        let told = ReportedRates { at: now, rates: rates.collect() };
+        for (adapter, rate) in &told.rates {
+            *self.reported.entry(adapter.clone()).or_default() += rate;
+        }
+        if let Some(earlier) = self.by_engine.insert(report.life.id.clone(), told) {
+            self.subtract(&earlier);
+        }
     }
 
-    /// Sums up the rates that the loaders report, which replace the earlier ones.
-    pub fn take_reports<'a>(&mut self, reports: impl Iterator<Item = &'a LoaderReport>) {
-        self.reported.clear();
-        for report in reports {
-            let adapters = report.holdings.iter().flat_map(BaseHolding::adapter_ids);
-            for (adapter, rate) in adapters.zip(&report.rates).filter(|(_, rate)| **rate > 0) {
-                let sum = self.reported.entry(adapter).or_default();
-                *sum += f64::from(*rate) * RATE_STEP;
+    fn subtract(&mut self, told: &ReportedRates) {
+        for (adapter, rate) in &told.rates {
+            let Some(sum) = self.reported.get_mut(adapter) else { continue };
+            *sum -= rate;
+            // Less than a step is what rounding leaves of nothing.
+            if *sum < RATE_STEP / 2.0 {
+                self.reported.remove(adapter);
             }
         }
     }
@@ -68,10 +102,12 @@
         reported.max(own * routers as f64)
     }
 
-    /// Adapters wanted at least `rate` times a second over the fleet of `routers`.
+    /// Adapters that callers of this router wanted lately, and that are wanted at least `rate` times a
+    /// second over the fleet of `routers`. Only the routers that have calls for an adapter care for its
+    /// copies: with all of them, what they tell loaders would grow with routers times adapters.
     pub fn wanted(&self, rate: f64, routers: usize, now: Timestamp) -> Vec<AdapterId> {
-        let counted = self.own.keys().filter(|adapter| !self.reported.contains_key(*adapter));
-        let all = self.reported.keys().chain(counted);
-        all.filter(|adapter| self.rate(adapter, routers, now) >= rate).cloned().collect()
+        let lately = self.own.iter().filter(|(_, count)| count.read(now) > COUNT_FLOOR);
+        let wanted = lately.filter(|(adapter, _)| self.rate(adapter, routers, now) >= rate);
+        wanted.map(|(adapter, _)| adapter.clone()).collect()
     }
 }
--- /dev/null
+++ b/crates/core/src/direct/directory.rs
@@ -0,0 +1,209 @@
+//! Which routers are alive, as loaders tell them.
+//!
+//! Pattern: routers of an availability zone share one watch of the platform's store, and all routers of the
+//! fleet share one budget of repeats, so each must know the others of its zone and the number of all. While
+//! every loader told every router, that traffic grew with routers times loaders. Instead the routers of a
+//! zone meet at two loaders, which all of them choose alike without a message and come by at in turn. Of
+//! each other zone a router only learns the number, which it asks where that zone's routers meet.
+
+use super::membership::InstanceId;
+use crate::{
+    ids::{Timestamp, ZoneName},
+    rendezvous::weight,
+};
+use serde::{Deserialize, Serialize};
+use std::{
+    cmp::Reverse,
+    collections::{BTreeMap, HashMap},
+    net::SocketAddr,
+    time::Duration,
+};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Loaders at which the routers of a zone meet. One may be gone or cut off without anybody losing sight
+/// of the others.
+const MEETING_LOADERS: usize = 2;
+/// Time for which a loader counts a router as alive. A router comes by each second, at the loaders of its
+/// zone in turn, so that one of its datagrams may be lost.
+const PRESENCE_LIFE: Duration = Duration::from_secs(5);
+/// Time for which a router that a loader named counts as alive: three answers.
+const PEER_LIFE: Duration = Duration::from_secs(3);
+/// Time for which the number of a zone's routers is believed: two rounds of questions over ten zones. A zone
+/// that parts from the others leaves its number behind for as long: the shares of a common budget then stay
+/// too small, never too large.
+const COUNT_LIFE: Duration = Duration::from_secs(20);
+/// Turns after its start in which a router asks for the numbers of all zones. Where all have just started,
+/// the first answers count only those that were there first, and shares of a budget would be too large
+/// until each zone's turn comes round again.
+const EARLY_TURNS: usize = 4;
+/// Routers of its own zone that a router is told: those first in line to follow the store for the zone.
+/// Bounds an answer at about 150 bytes, however many routers a zone has.
+const NEAR_LIMIT: usize = 8;
+/// Routers of other zones that a router is told, to be asked while its own zone cannot reach the store.
+const FAR_LIMIT: usize = 4;
+/// Routers that a loader remembers; bounds its memory at about 100 kB.
+const MEMBER_LIMIT: usize = 2_048;
+
+/// What a router tells a loader at which routers meet, to be told of the others.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct RouterPresence {
+    /// Its availability zone.
+    pub zone: ZoneName,
+    /// Where other routers can ask it for the configuration and the list.
+    pub address: SocketAddr,
+    /// Whether it is here that the routers of its zone meet.
+    pub meets_here: bool,
+}
+
+/// What a router is told of the others.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct RouterDirectory {
+    /// Routers of the asker's zone, those first that are first in line to follow the store.
+    pub near: Vec<SocketAddr>,
+    /// Some routers of other zones.
+    pub far: Vec<SocketAddr>,
+    /// Number of routers of the zones whose routers meet at this loader.
+    pub counts: Vec<(ZoneName, u16)>,
+}
+
+/// The loaders at which the routers of a zone meet, chosen alike by all routers: loaders of the zone itself
+/// if there are any.
+pub fn meeting_targets<'a>(
+    zone: &str,
+    engines: impl Iterator<Item = (&'a InstanceId, &'a ZoneName)>,
+) -> Vec<InstanceId> {
+    let key = xxh3_64(zone.as_bytes());
+    let mut ranked: Vec<(bool, u64, &InstanceId)> =
+        engines.map(|(id, at)| (**at == *zone, weight(key, id), id)).collect();
+    ranked.sort_unstable_by_key(|(is_near, weight, _)| Reverse((*is_near, *weight)));
+    ranked.into_iter().take(MEETING_LOADERS).map(|(_, _, id)| id.clone()).collect()
+}
+
+/// Rank of a router among those of its zone that could follow the store for it; the highest does.
+pub(super) fn watcher_rank(router: &SocketAddr) -> u64 {
+    weight(0, &router.to_string())
+}
+
+/// A router that came by.
+#[derive(Debug)]
+struct Member {
+    zone: ZoneName,
+    meets_here: bool,
+    seen: Timestamp,
+}
+
+/// The routers that come by at one loader.
+#[derive(Debug, Default)]
+pub struct MeetingPoint {
+    members: HashMap<SocketAddr, Member>,
+}
+
+impl MeetingPoint {
+    /// A router came by; what it is told in answer.
+    pub fn take(&mut self, presence: &RouterPresence, now: Timestamp) -> RouterDirectory {
+        self.members.retain(|_, member| now.saturating_sub(member.seen) < PRESENCE_LIFE);
+        if self.members.len() < MEMBER_LIMIT || self.members.contains_key(&presence.address) {
+            let (zone, meets_here) = (presence.zone.clone(), presence.meets_here);
+            self.members.insert(presence.address, Member { zone, meets_here, seen: now });
+        }
+        self.directory(&presence.zone)
+    }
+
+    fn directory(&self, zone: &ZoneName) -> RouterDirectory {
+        let (mut near, mut far): (Vec<_>, Vec<_>) =
+            self.members.iter().partition(|(_, member)| member.zone == *zone);
+        near.sort_unstable_by_key(|(address, _)| Reverse(watcher_rank(address)));
+        far.sort_unstable_by_key(|(_, member)| Reverse(member.seen));
+        let first = |members: Vec<(&SocketAddr, &Member)>, limit: usize| {
+            members.into_iter().take(limit).map(|(address, _)| *address).collect()
+        };
+        RouterDirectory {
+            near: first(near, NEAR_LIMIT),
+            far: first(far, FAR_LIMIT),
+            counts: self.counts().into_iter().collect(),
+        }
+    }
+
+    fn counts(&self) -> BTreeMap<ZoneName, u16> {
+        let mut counts = BTreeMap::new();
+        for member in self.members.values().filter(|member| member.meets_here) {
+            let count: &mut u16 = counts.entry(member.zone.clone()).or_default();
+            *count = count.saturating_add(1);
+        }
+        counts
+    }
+}
+
+/// Another router.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct PeerRouter {
+    /// Where it answers other routers.
+    pub address: SocketAddr,
+    /// Whether it stands in this router's availability zone.
+    pub is_near: bool,
+}
+
+/// What one router knows of the others.
+#[derive(Debug, Default)]
+pub struct RouterRegister {
+    seen: BTreeMap<PeerRouter, Timestamp>,
+    counts: HashMap<ZoneName, (usize, Timestamp)>,
+}
+
+impl RouterRegister {
+    /// Takes what a loader tells.
+    pub fn note(&mut self, directory: &RouterDirectory, now: Timestamp) {
+        let near = directory.near.iter().map(|address| (*address, true));
+        let far = directory.far.iter().map(|address| (*address, false));
+        let named = near.chain(far).map(|(address, is_near)| PeerRouter { address, is_near });
+        self.seen.extend(named.map(|peer| (peer, now)));
+        self.seen.retain(|_, seen| now.saturating_sub(*seen) < PEER_LIFE);
+        for (zone, count) in &directory.counts {
+            // Loaders hear of a change at different times. The highest word counts: with too low a number
+            // each router would take too much of what all share.
+            let known = self.counts.entry(zone.clone()).or_insert((0, now));
+            let count = usize::from(*count);
+            if count >= known.0 || now.saturating_sub(known.1) >= PRESENCE_LIFE {
+                *known = (count, now);
+            }
+        }
+    }
+
+    /// Zones of `all` whose number is to be asked now, at this router's turn `turn`: all in its first turns,
+    /// later those of which it does not know any, and one of the others.
+    pub fn zones_to_ask<'a>(
+        &self,
+        all: &'a [ZoneName],
+        turn: usize,
+        now: Timestamp,
+    ) -> Vec<&'a ZoneName> {
+        let next = all.get(turn % all.len().max(1));
+        let asked = all.iter().filter(|zone| {
+            turn < EARLY_TURNS || Some(*zone) == next || self.counted(zone, now) == 0
+        });
+        asked.collect()
+    }
+
+    /// All but the router at `own`, in order.
+    pub fn peers(&self, own: SocketAddr, now: Timestamp) -> Vec<PeerRouter> {
+        let alive = self
+            .seen
+            .iter()
+            .filter(|(peer, seen)| peer.address != own && now.saturating_sub(**seen) < PEER_LIFE);
+        alive.map(|(peer, _)| *peer).collect()
+    }
+
+    /// Routers in all, the one at `own` in `zone` counted.
+    pub fn count(&self, zone: &ZoneName, own: SocketAddr, now: Timestamp) -> usize {
+        let near = self.peers(own, now).iter().filter(|peer| peer.is_near).count() + 1;
+        let others = self.counts.keys().filter(|other| *other != zone);
+        let elsewhere: usize = others.map(|other| self.counted(other, now)).sum();
+        elsewhere + self.counted(zone, now).max(near)
+    }
+
+    fn counted(&self, zone: &ZoneName, now: Timestamp) -> usize {
+        let counted = self.counts.get(zone);
+        let fresh = counted.filter(|(_, at)| now.saturating_sub(*at) < COUNT_LIFE);
+        fresh.map_or(0, |(count, _)| *count)
+    }
+}
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -8,6 +8,7 @@
 mod host_memory;
 mod lost_orders;
 mod plan;
+mod replies;
 mod report;
 pub mod transit;
 
@@ -15,15 +16,13 @@
     call::AdapterId,
     demand::RECENT_HALF_LIFE,
     membership::{InstanceId, TargetLife},
-    messages::{AdapterWish, BootId, RouterNotice},
+    messages::{AdapterWish, BaseOffer, BootId, RouterNotice},
     orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
 };
-use crate::{
-    demand::DecayedCount,
-    ids::{Timestamp, ZoneName},
-};
+use crate::{demand::DecayedCount, ids::Timestamp};
 use host_memory::HostMemory;
 use lost_orders::LostOrders;
+use replies::{EngineState, ToldMet};
 use std::{
     collections::{HashMap, HashSet},
     net::SocketAddr,
@@ -90,6 +89,10 @@
     /// Wishes met since the notice came. The router takes a wish back only with its next notice; until
     /// then it must not ask for a load again when its adapter has been evicted meanwhile.
     met: HashSet<AdapterId>,
+    /// Whether it wants a report and has had none since.
+    asks: bool,
+    /// What it was last told of the adapters for which its calls wait.
+    told_met: Option<ToldMet>,
 }
 
 /// How much an adapter was wanted at the engine.
@@ -117,7 +120,6 @@
 /// The state machine.
 pub struct LoaderMachine {
     boot: BootId,
-    zone: ZoneName,
     sequence: u32,
     instance: Option<InstanceId>,
     report: Option<EngineReport>,
@@ -137,14 +139,24 @@
     has_met: bool,
     /// Loads for calls in time since the last one for a late call.
     timely_loads: u8,
+    /// What all routers were last told of the engine's state.
+    told_state: Option<EngineState>,
+    /// What routers last offered to put on an empty engine. Kept when no router has calls here: an engine
+    /// that starts again empty is filled before the next call comes.
+    offer: Option<EngineOffer>,
+}
+
+/// Base models that an engine may be given, and its room for them.
+struct EngineOffer {
+    bases: Vec<BaseOffer>,
+    memory_mb: f32,
 }
 
 impl LoaderMachine {
-    /// Starts knowing nothing in a zone; `boot` tells this start from others.
-    pub fn new(boot: BootId, zone: ZoneName) -> Self {
+    /// Starts knowing nothing; `boot` tells this start from others.
+    pub fn new(boot: BootId) -> Self {
         Self {
             boot,
-            zone,
             sequence: 0,
             instance: None,
             report: None,
@@ -161,6 +173,8 @@
             memory: HostMemory::default(),
             has_met: false,
             timely_loads: 0,
+            told_state: None,
+            offer: None,
         }
     }
 
@@ -202,6 +216,10 @@
         for (adapter, count) in started.collect::<Vec<_>>() {
             self.record_demand(adapter, count, now);
         }
+        if !notice.bases.is_empty() {
+            let (bases, memory_mb) = (notice.bases.clone(), notice.memory_mb);
+            self.offer = Some(EngineOffer { bases, memory_mb });
+        }
         let known = self.notices.get(&router);
         let earlier = known.map(|state| &state.wished);
         let wished = notice.wishes.iter().map(|wish| {
@@ -209,9 +227,17 @@
             let since = earlier.and_then(|wished| wished.get(&adapter)).copied().unwrap_or(now);
             (adapter, since)
         });
-        let wished = wished.collect();
-        let met = HashSet::new();
-        self.notices.insert(router, NoticeState { notice, received: now, wished, met });
+        let state = NoticeState {
+            wished: wished.collect(),
+            met: HashSet::new(),
+            asks: notice.asks || known.is_some_and(|state| state.asks),
+            told_met: known
+                .filter(|state| has_same_wishes(state, &notice))
+                .and_then(|s| s.told_met),
+            received: now,
+            notice,
+        };
+        self.notices.insert(router, state);
     }
 
     /// The engine told which life this is. A new life holds nothing that is known.
@@ -365,14 +391,6 @@
         running.get(id).copied().unwrap_or(0) + u32::from(is_fresh)
     }
 
-    /// Routers that sent a notice lately, and whether an adapter that calls of theirs wait for is there.
-    pub fn routers(&self) -> impl Iterator<Item = (SocketAddr, bool)> {
-        self.notices.iter().map(|(router, state)| {
-            let mut waiting = state.notice.wishes.iter().filter(|wish| wish.waiting > 0);
-            (*router, waiting.any(|wish| self.is_met(wish)))
-        })
-    }
-
     fn is_met(&self, wish: &AdapterWish) -> bool {
         let version = self.report.as_ref().and_then(|report| report.held(&wish_adapter(wish)));
         version.is_some_and(|version| version >= wish.version)
@@ -438,6 +456,11 @@
     is_other_start || report.order_count < known.order_count
 }
 
+fn has_same_wishes(state: &NoticeState, notice: &RouterNotice) -> bool {
+    let known = state.notice.wishes.iter().map(|wish| &wish.adapter);
+    known.eq(notice.wishes.iter().map(|wish| &wish.adapter))
+}
+
 fn as_millis(time: Duration) -> u16 {
     u16::try_from(time.as_millis()).unwrap_or(u16::MAX)
 }
--- a/crates/core/src/direct/loader/plan.rs
+++ b/crates/core/src/direct/loader/plan.rs
@@ -4,7 +4,7 @@
 use crate::{
     direct::{
         call::AdapterId,
-        messages::{AdapterWish, RouterNotice},
+        messages::AdapterWish,
         orders::{EngineReport, OrderVerb},
     },
     ids::{BaseName, Timestamp},
@@ -26,10 +26,10 @@
 
     pub(super) fn next_order(&self, now: Timestamp) -> Option<OrderVerb> {
         let report = self.report.as_ref()?;
-        let newest = self.notices.values().max_by_key(|state| state.received)?;
         if report.holdings.is_empty() {
-            return self.wanted_base(&newest.notice).map(OrderVerb::LoadBase);
+            return self.wanted_base().map(OrderVerb::LoadBase);
         }
+        let newest = self.notices.values().max_by_key(|state| state.received)?;
         let places = usize::from(newest.notice.adapter_places);
         if report.coming.len() >= TRANSIT_LIMIT {
             return None;
@@ -66,8 +66,9 @@
     }
 
     /// The base model to put on an empty engine: the one that most calls wait for, else the first.
-    fn wanted_base(&self, notice: &RouterNotice) -> Option<BaseName> {
-        let fitting = notice.bases.iter().filter(|base| base.weights_mb <= notice.memory_mb);
+    fn wanted_base(&self) -> Option<BaseName> {
+        let offer = self.offer.as_ref()?;
+        let fitting = offer.bases.iter().filter(|base| base.weights_mb <= offer.memory_mb);
         let waiting = |base: &BaseName| -> u32 {
             let wishes = self.notices.values().flat_map(|state| &state.notice.wishes);
             let own = wishes.filter(|wish| wish.base == *base);
--- a/crates/core/src/direct/loader/report.rs
+++ b/crates/core/src/direct/loader/report.rs
@@ -24,8 +24,6 @@
         let awaited: Vec<&AdapterWish> = awaited.collect();
         let coming = report.coming.iter();
         let coming = coming.map(|(id, _)| (Arc::clone(&id.base), Arc::clone(&id.name)));
-        let notices = self.notices.values().map(|state| &state.notice);
-        let near = notices.filter(|notice| notice.zone == self.zone);
         Some(LoaderReport {
             boot: self.boot,
             sequence: self.sequence,
@@ -41,8 +39,6 @@
             active: report.active,
             queued: report.queued,
             kv_used: report.kv_used,
-            router_count: self.notices.len() as u16,
-            near_routers: near.filter_map(|notice| notice.peer_address).collect(),
         })
     }
 
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -1,14 +1,34 @@
 //! Messages between routers and loaders: whole states in single datagrams, so that a lost, doubled
 //! or reordered one costs time and nothing else.
 
-use super::membership::{BaseHolding, TargetLife};
-use crate::ids::{AdapterName, AdapterVersion, BaseName, ZoneName};
+use super::{
+    directory::{RouterDirectory, RouterPresence},
+    membership::{BaseHolding, TargetLife},
+};
+use crate::ids::{AdapterName, AdapterVersion, BaseName};
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 
 /// Number drawn at a process's start; a restart is a new one.
 pub type BootId = u64;
 
+/// A datagram of a router to a loader.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum RouterMessage {
+    /// Its wishes and uses at the engine.
+    Notice(RouterNotice),
+    /// That it is alive.
+    Presence(RouterPresence),
+}
+
+/// A datagram of a loader to a router.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub enum LoaderMessage {
+    /// What it knows of its engine.
+    Report(LoaderReport),
+    /// Which routers are alive.
+    Directory(RouterDirectory),
+}
+
 /// A router's wish for one adapter at the loader's engine.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AdapterWish {
@@ -64,16 +84,14 @@
     pub adapter_places: u16,
     /// Room for weights and adapters in MB.
     pub memory_mb: f32,
-    /// Base models of the service.
+    /// Base models of the service; told with the first notice, and while the engine is believed to hold none.
     pub bases: Vec<BaseOffer>,
     /// Adapters wanted.
     pub wishes: Vec<AdapterWish>,
     /// Adapters in use.
     pub uses: Vec<AdapterUse>,
-    /// The router's availability zone.
-    pub zone: ZoneName,
-    /// Where other routers can ask this one for the configuration and the list.
-    pub peer_address: Option<SocketAddr>,
+    /// Whether the router wants a report in answer.
+    pub asks: bool,
 }
 
 /// What a loader tells routers of its engine.
@@ -110,9 +128,4 @@
     pub queued: u16,
     /// Tokens of memory in use that cannot be given up.
     pub kv_used: u32,
-    /// Routers that sent a notice lately.
-    pub router_count: u16,
-    /// Peer addresses of those of them in the loader's own availability zone. A router hears loaders of
-    /// all zones, and so of all routers, without each report naming all of them.
-    pub near_routers: Vec<SocketAddr>,
 }
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -69,6 +69,8 @@
     pub routers: usize,
     /// Target at which the call already waits for its adapter.
     pub waiting_at: Option<&'a TargetLife>,
+    /// Whether a loader may still be asked before the choice.
+    pub may_ask: bool,
 }
 
 /// What to do with a call.
@@ -76,6 +78,8 @@
 pub enum TargetChoice {
     /// Send it; the version is what the target holds of the adapter.
     Send(TargetLife, Option<AdapterVersion>),
+    /// Ask its loader, and choose again: what is known of it is old or nothing.
+    Ask(TargetLife),
     /// Have the adapter loaded there, at this version at least, and send it then.
     Load(TargetLife, AdapterId, AdapterVersion),
     /// Engines are there, and their loaders put the base model on them: it will be served soon.
@@ -123,6 +127,9 @@
     };
     let life = target.entry.life.clone();
     let Some(adapter) = adapter else { return TargetChoice::Send(life, None) };
+    if need.may_ask && !target.is_sure(&adapter, now) {
+        return TargetChoice::Ask(life);
+    }
     let newest = pool.newest_version(&adapter);
     match target.held_version(&adapter, now) {
         Some(held) if held >= newest => TargetChoice::Send(life, Some(held)),
@@ -181,14 +188,14 @@
         && !need.excluded.contains(&target.entry.life)
 }
 
-/// Whether an engine has just started empty and its loader is heard: after a crash of all engines, the
+/// Whether an engine has just started empty and its loader is not known to be silent: after a crash of all engines, the
 /// base model is back within a second or two, and callers that were turned away meanwhile would all
 /// have to come back for it.
 fn awaits_base(pool: &TargetPool, need: &CallNeed<'_>, now: Timestamp) -> bool {
     need.model.is_some()
         && pool
             .service_targets(need.service)
-            .any(|target| is_alive(target, need, now) && target.fresh_report(now).is_some())
+            .any(|target| is_alive(target, need, now) && !target.is_silent(now))
 }
 
 fn zone_cost(target: &TargetState, need: &CallNeed<'_>) -> f64 {
@@ -257,7 +264,10 @@
         Some(_) => SPARE_MS,
         None => STRAY_MS,
     };
-    let Some(report) = target.fresh_report(now) else { return stray + NO_LOADER_MS };
+    if target.is_silent(now) {
+        return stray + NO_LOADER_MS;
+    }
+    let Some(report) = target.fresh_report(now) else { return stray + pool.usual_load_ms() };
     let load = f64::from(report.load_ms);
     if target.is_coming(adapter, now) {
         return stray + load * COMING_SHARE;
--- a/crates/core/src/direct/sharing.rs
+++ b/crates/core/src/direct/sharing.rs
@@ -7,10 +7,10 @@
 
 use super::{
     call::{AdapterId, AdapterRelease},
+    directory::watcher_rank,
     membership::{InstanceId, ListChange},
     snapshot::ConfigRecord,
 };
-use crate::rendezvous::weight;
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{HashSet, VecDeque},
@@ -136,6 +136,5 @@
 /// The router that follows the store for itself and for the `others` of its zone: the same one wherever
 /// the same routers are known.
 pub fn zone_watcher(own: SocketAddr, others: impl Iterator<Item = SocketAddr>) -> SocketAddr {
-    let rank = |router: &SocketAddr| weight(0, &router.to_string());
-    others.chain([own]).max_by_key(rank).unwrap_or(own)
+    others.chain([own]).max_by_key(watcher_rank).unwrap_or(own)
 }
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -10,9 +10,17 @@
 use crate::ids::{AdapterVersion, Timestamp};
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
-/// Age after which a loader's report no longer says what its engine holds. Reports come at least
-/// every 0.8 s, so this is three lost ones in a row.
+/// Age after which a loader's report no longer says what its engine holds: within this, an engine whose
+/// adapters are all wanted elsewhere has replaced most of those that nobody uses.
 pub const REPORT_LIFE: Duration = Duration::from_millis(2_500);
+/// Age up to which a report is believed in what an engine holds without asking again. An adapter that was
+/// evicted meanwhile costs the call a refusal, and the fleet one of its repeats.
+const SURE_LIFE: Duration = Duration::from_millis(300);
+/// Time without an answer after which a loader counts as silent. It answers within a millisecond, but a
+/// host may be held up for the rest of a tenth of a second when it has used up its share of a core.
+const SILENCE: Duration = Duration::from_millis(150);
+/// Time after which a silent loader is asked again.
+const SILENCE_LIFE: Duration = Duration::from_secs(2);
 
 /// What a loader last reported of its engine.
 #[derive(Clone, Debug)]
@@ -68,6 +76,10 @@
     pub latency: LatencyGauge,
     /// What its loader reported.
     pub loader: Option<LoaderView>,
+    /// When its loader was first asked for the report that has not come yet.
+    pub(super) question: Option<Timestamp>,
+    /// The question whose silence was noted.
+    pub(super) noted_silence: Option<Timestamp>,
     /// Whether another life was met at its address, so that this one has ended.
     pub(super) is_displaced: bool,
     /// Whether the list shows a later life at its address.
@@ -86,6 +98,8 @@
             health: TargetHealth::default(),
             latency: LatencyGauge::default(),
             loader: None,
+            question: None,
+            noted_silence: None,
             is_displaced: false,
             is_superseded: false,
             uses: HashMap::new(),
@@ -99,6 +113,60 @@
         (now.saturating_sub(view.received) < REPORT_LIFE).then_some(&view.report)
     }
 
+    /// Takes its loader's report.
+    pub(super) fn take_report(&mut self, report: LoaderReport, now: Timestamp) {
+        self.question = None;
+        self.loader = Some(LoaderView { report, received: now });
+    }
+
+    /// Wants a report of its loader; returns whether that is a new question.
+    pub(super) fn ask(&mut self, now: Timestamp) -> bool {
+        let is_new = self.question.is_none_or(|at| now.saturating_sub(at) >= SILENCE_LIFE);
+        if is_new {
+            self.question = Some(now);
+        }
+        is_new
+    }
+
+    /// Whether its loader was asked, and an answer may still come.
+    pub fn has_question(&self, now: Timestamp) -> bool {
+        self.question.is_some_and(|at| now.saturating_sub(at) < SILENCE)
+    }
+
+    /// Whether its loader does not answer.
+    pub fn is_silent(&self, now: Timestamp) -> bool {
+        let waited = self.question.map(|at| now.saturating_sub(at));
+        waited.is_some_and(|waited| (SILENCE..SILENCE_LIFE).contains(&waited))
+    }
+
+    /// Whether its loader is silent, and that was not noted before.
+    pub(super) fn note_silence(&mut self, now: Timestamp) -> bool {
+        let is_new = self.is_silent(now) && self.noted_silence != self.question;
+        if is_new {
+            self.noted_silence = self.question;
+        }
+        is_new
+    }
+
+    /// Whether no question would tell more of an adapter here than is known.
+    pub fn is_sure(&self, adapter: &AdapterId, now: Timestamp) -> bool {
+        let Some(view) = &self.loader else { return self.is_silent(now) };
+        let age = now.saturating_sub(view.received);
+        // The loader keeps an adapter for as long as it knows of a call that uses it.
+        let is_kept = self.uses.get(adapter).is_some_and(|counts| counts.running > 0);
+        age < SURE_LIFE || (is_kept && age < REPORT_LIFE) || self.is_silent(now)
+    }
+
+    /// Whether it is an engine that holds no base model.
+    pub fn is_empty_engine(&self, now: Timestamp) -> bool {
+        !self.is_leaving() && !self.has_ended() && self.holdings(now).is_empty()
+    }
+
+    /// Whether calls of this router run here or wait for adapters, or adapters are wanted ahead of calls.
+    pub fn is_engaged(&self) -> bool {
+        self.has_wish() || !self.uses.is_empty()
+    }
+
     /// What the target holds: by its loader if that is heard, else by the list.
     pub fn holdings(&self, now: Timestamp) -> &[BaseHolding] {
         self.fresh_report(now).map_or(&self.entry.holdings, |report| &report.holdings)
@@ -150,9 +218,10 @@
         self.wishes.values().filter(|wish| wish.is_awaited()).count()
     }
 
-    /// Whether the loader has not been told yet of calls that began here.
+    /// Whether the loader has not been told yet of calls that began here, or of an adapter that is no
+    /// longer in use.
     pub fn has_untold_calls(&self) -> bool {
-        self.uses.values().any(|counts| counts.started > 0)
+        self.uses.values().any(|counts| counts.started > 0 || counts.running == 0)
     }
 
     /// What the loader is told about this router's wishes.
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -8,7 +8,7 @@
     membership::{InstanceId, ListChange, TargetEntry, TargetLife, TargetList},
     messages::{BaseOffer, LoaderReport},
     pressure::ConcurrencyGauge,
-    target::{LoaderView, TargetState, WishState},
+    target::{TargetState, WishState},
 };
 use crate::ids::{AdapterVersion, ServiceName, Timestamp};
 use std::{
@@ -18,6 +18,13 @@
     time::Duration,
 };
 
+/// Time in ms of a load from the weight store before any loader has told one: an assumption, replaced by the
+/// first reports.
+const PRIOR_LOAD_MS: f64 = 250.0;
+/// Share of a new report in the usual time of a load: reports come some ten a second, and the store becomes
+/// slower or faster within about a second.
+const LOAD_WEIGHT: f64 = 0.1;
+
 /// All targets of all services.
 #[derive(Debug)]
 pub struct TargetPool {
@@ -28,6 +35,7 @@
     releases: HashMap<AdapterId, AdapterVersion>,
     demand: FleetDemand,
     concurrency: HashMap<ServiceName, ConcurrencyGauge>,
+    load_ms: f64,
 }
 
 impl Default for TargetPool {
@@ -47,6 +55,7 @@
             releases: HashMap::new(),
             demand: FleetDemand::default(),
             concurrency: HashMap::new(),
+            load_ms: PRIOR_LOAD_MS,
         }
     }
 
@@ -112,8 +121,6 @@
             self.rebuild();
         }
         self.demand.expire(now);
-        let fresh = self.targets.values().filter_map(|target| target.fresh_report(now));
-        self.demand.take_reports(fresh);
     }
 
     /// Entries of the list in use.
@@ -139,9 +146,23 @@
     }
 
     /// Targets that are engines.
-    pub fn engine_lives(&self) -> Vec<TargetLife> {
-        let engines = self.targets.values().filter(|target| self.engine_of(target).is_some());
-        engines.map(|target| target.entry.life.clone()).collect()
+    pub fn engines(&self) -> impl Iterator<Item = &TargetState> {
+        self.targets.values().filter(|target| self.engine_of(target).is_some())
+    }
+
+    /// Whether a target's loader is silent, and that was not noted before.
+    pub fn note_silence(&mut self, life: &TargetLife, now: Timestamp) -> bool {
+        self.target_mut(life).is_some_and(|target| target.note_silence(now))
+    }
+
+    /// Usual time in ms of a load from the weight store, as loaders have told lately.
+    pub fn usual_load_ms(&self) -> f64 {
+        self.load_ms
+    }
+
+    /// Wants a report of a target's loader; returns whether that is a new question.
+    pub fn ask(&mut self, life: &TargetLife, now: Timestamp) -> bool {
+        self.target_mut(life).is_some_and(|target| target.ask(now))
     }
 
     /// What engines of a target's service have, if it is an engine.
@@ -170,7 +191,10 @@
         if is_old {
             return false;
         }
-        target.loader = Some(LoaderView { report, received: now });
+        self.load_ms += LOAD_WEIGHT * (f64::from(report.load_ms) - self.load_ms);
+        self.demand.take_report(&report, now);
+        let Some(target) = self.target_mut(&report.life) else { return false };
+        target.take_report(report, now);
         let satisfied: HashSet<AdapterId> = target
             .wishes
             .iter()
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -3,6 +3,8 @@
 mod budget;
 mod config;
 mod demand;
+mod directory;
+mod fleet;
 mod health;
 mod loader;
 mod membership;
--- a/crates/core/tests/core/direct/demand.rs
+++ b/crates/core/tests/core/direct/demand.rs
@@ -69,25 +69,47 @@
         let reports: Vec<LoaderReport> = case
             .reported
             .iter()
-            .map(|rate| {
+            .zip(["e1", "e2"])
+            .map(|(rate, engine)| {
                 let rates = vec![encode_rate(*rate), encode_rate(1.0)];
-                LoaderReport { rates, ..report("e1", 1, &[("h7", 1), ("h8", 1)]) }
+                LoaderReport { rates, ..report(engine, 1, &[("h7", 1), ("h8", 1)]) }
             })
             .collect();
-        demand.take_reports(reports.iter());
         let now = ms(case.calls.last().copied().unwrap_or(0));
+        for report in &reports {
+            demand.take_report(report, now);
+        }
         let rate = demand.rate(&wanted, case.routers, now);
         assert!(case.rate.contains(&rate), "{}: {rate}", case.name);
     }
 }
 
-/// A loader falls silent, or its engine is gone. What it reported must not count for ever.
+/// A loader falls silent, or its engine is gone. What it reported must not count for ever, and a later
+/// report stands in place of an earlier one.
 #[test]
 fn rates_are_forgotten_with_their_reports() {
     let mut demand = FleetDemand::default();
-    let hot = LoaderReport { rates: vec![encode_rate(50.0)], ..report("e1", 1, &[("h7", 1)]) };
-    demand.take_reports([&hot].into_iter());
+    let told =
+        |rate| LoaderReport { rates: vec![encode_rate(rate)], ..report("e1", 1, &[("h7", 1)]) };
+    demand.record(&adapter("h7"), ms(0));
+    for rate in [50.0, 20.0, 7.5] {
+        demand.take_report(&told(rate), ms(0));
+        let read = demand.rate(&adapter("h7"), 2, ms(0));
+        assert!((read - rate).abs() < 0.01, "told {rate}, read {read}");
+    }
     assert_eq!(demand.wanted(5.0, 2, ms(0)), vec![adapter("h7")]);
-    demand.take_reports(std::iter::empty());
+    demand.expire(ms(5_000));
     assert!(demand.wanted(5.0, 2, ms(0)).is_empty());
 }
+
+/// Thirty routers hear of a wanted adapter, one of them has calls for it. If all saw to its copies, what
+/// they tell loaders would grow with routers times adapters.
+#[test]
+fn only_routers_with_calls_for_an_adapter_see_to_its_copies() {
+    let mut demand = FleetDemand::default();
+    let hot = LoaderReport { rates: vec![encode_rate(50.0)], ..report("e1", 1, &[("h7", 1)]) };
+    demand.take_report(&hot, ms(0));
+    assert!(demand.wanted(5.0, 30, ms(0)).is_empty());
+    demand.record(&adapter("h7"), ms(10));
+    assert_eq!(demand.wanted(5.0, 30, ms(10)), vec![adapter("h7")]);
+}
--- /dev/null
+++ b/crates/core/tests/core/direct/directory.rs
@@ -0,0 +1,174 @@
+//! Which routers are alive, as routers and loaders tell each other.
+
+use super::support::ms;
+use plantain_core::{
+    direct::{
+        directory::{MeetingPoint, RouterPresence, RouterRegister, meeting_targets},
+        membership::InstanceId,
+        sharing::zone_watcher,
+    },
+    ids::ZoneName,
+};
+use std::net::SocketAddr;
+
+fn router(index: u16) -> SocketAddr {
+    ([10, 0, (index >> 8) as u8, index as u8], 9_000).into()
+}
+
+fn presence(zone: &str, index: u16, meets_here: bool) -> RouterPresence {
+    RouterPresence { zone: zone.into(), address: router(index), meets_here }
+}
+
+struct MeetingCase {
+    name: &'static str,
+    zone: &'static str,
+    engines: &'static [(&'static str, &'static str)],
+    /// Zones in which the engines chosen stand.
+    chosen: &'static [&'static str],
+}
+
+#[test]
+fn routers_meet_in_their_zone_if_it_has_engines() {
+    let cases = [
+        MeetingCase {
+            name: "two of the own zone",
+            zone: "a",
+            engines: &[("e1", "a"), ("e2", "b"), ("e3", "a"), ("e4", "a"), ("e5", "b")],
+            chosen: &["a", "a"],
+        },
+        MeetingCase {
+            name: "one of the own zone, and one elsewhere",
+            zone: "a",
+            engines: &[("e1", "b"), ("e2", "a"), ("e3", "b")],
+            chosen: &["a", "b"],
+        },
+        MeetingCase {
+            name: "a zone without engines",
+            zone: "c",
+            engines: &[("e1", "a"), ("e2", "a"), ("e3", "a")],
+            chosen: &["a", "a"],
+        },
+        MeetingCase { name: "no engine at all", zone: "a", engines: &[], chosen: &[] },
+    ];
+    for case in cases {
+        let engines: Vec<(InstanceId, ZoneName)> =
+            case.engines.iter().map(|(id, zone)| ((*id).into(), (*zone).into())).collect();
+        let chosen = meeting_targets(case.zone, engines.iter().map(|(id, zone)| (id, zone)));
+        let backwards = engines.iter().rev().map(|(id, zone)| (id, zone));
+        assert_eq!(chosen, meeting_targets(case.zone, backwards), "{}: any order", case.name);
+        let zone_of = |id: &InstanceId| {
+            let found = engines.iter().find(|(own, _)| own == id);
+            found.map(|(_, zone)| zone.to_string())
+        };
+        let zones: Vec<String> = chosen.iter().filter_map(zone_of).collect();
+        assert_eq!(zones, case.chosen, "{}", case.name);
+    }
+}
+
+/// A zone has more routers than one answer names. All of them must still agree on the one that follows the
+/// store for the zone, and count all.
+#[test]
+fn many_routers_of_a_zone_agree_on_their_watcher_and_number() {
+    let mut meeting = MeetingPoint::default();
+    let zone: ZoneName = "a".into();
+    for index in 0..60 {
+        meeting.take(&presence("a", index, true), ms(u64::from(index)));
+    }
+    let expected = zone_watcher(router(0), (0..60).map(router));
+    for index in 0..60 {
+        let mut register = RouterRegister::default();
+        register.note(&meeting.take(&presence("a", index, true), ms(100)), ms(100));
+        let own = router(index);
+        let near = register.peers(own, ms(100)).into_iter().filter(|peer| peer.is_near);
+        assert_eq!(zone_watcher(own, near.map(|peer| peer.address)), expected, "router {index}");
+        assert_eq!(register.count(&zone, own, ms(100)), 60, "router {index}");
+    }
+}
+
+/// Three routers of a zone of twelve die at once. The others must not count them for ever.
+#[test]
+fn routers_that_died_are_not_counted_for_long() {
+    let mut meeting = MeetingPoint::default();
+    let mut register = RouterRegister::default();
+    let zone: ZoneName = "a".into();
+    for second in 0..20 {
+        let now = ms(second * 1_000);
+        for index in 0..if second < 5 { 12 } else { 9 } {
+            let directory = meeting.take(&presence("a", index, true), now);
+            register.note(&directory, now);
+        }
+        let count = register.count(&zone, router(0), now);
+        match second {
+            0..9 => assert_eq!(count, 12, "second {second}"),
+            15.. => assert_eq!(count, 9, "second {second}"),
+            _ => {}
+        }
+    }
+}
+
+/// Routers of other zones come by only to ask for a number. Counted here, each would count several times.
+#[test]
+fn a_zone_is_counted_where_its_routers_meet() {
+    let mut meeting = MeetingPoint::default();
+    for index in 0..5 {
+        meeting.take(&presence("a", index, true), ms(0));
+    }
+    let directory = meeting.take(&presence("b", 50, false), ms(10));
+    assert_eq!(directory.counts, [("a".into(), 5)]);
+    assert_eq!(directory.near, [router(50)]);
+    assert_eq!(directory.far.len(), 4, "to be asked while zone b cannot reach the store");
+}
+
+/// A zone is cut off. Its routers must still count in the shares of a common budget for a while, since they
+/// go on taking from it, but not for ever.
+#[test]
+fn routers_of_a_parted_zone_count_for_a_while() {
+    let mut there = MeetingPoint::default();
+    let mut here = MeetingPoint::default();
+    let mut register = RouterRegister::default();
+    let zone: ZoneName = "a".into();
+    for index in 10..17 {
+        there.take(&presence("b", index, true), ms(0));
+    }
+    register.note(&there.take(&presence("a", 1, false), ms(0)), ms(0));
+    for second in 0..40 {
+        let now = ms(second * 1_000);
+        register.note(&here.take(&presence("a", 1, true), now), now);
+        let count = register.count(&zone, router(1), now);
+        assert_eq!(count, if second < 20 { 8 } else { 1 }, "second {second}");
+    }
+}
+
+/// Answers of loaders that hear of a change at different times cross. The highest number counts: with too
+/// low a one each router takes too much of the budget that all share.
+#[test]
+fn the_highest_number_told_lately_counts() {
+    let mut full = MeetingPoint::default();
+    let mut fresh = MeetingPoint::default();
+    for index in 0..10 {
+        full.take(&presence("a", index, true), ms(0));
+    }
+    let own = presence("a", 0, true);
+    let mut register = RouterRegister::default();
+    register.note(&full.take(&own, ms(10)), ms(10));
+    register.note(&fresh.take(&own, ms(20)), ms(20));
+    assert_eq!(register.count(&"a".into(), router(0), ms(20)), 10);
+}
+
+/// Routers of a fleet that has just started must learn all numbers soon, and later not ask for all of them
+/// each second. One whose answers were lost must ask for the number of that zone again at its next turn, and
+/// not when the zone comes round.
+#[test]
+fn zones_without_a_number_are_asked_each_turn() {
+    let mut there = MeetingPoint::default();
+    let mut register = RouterRegister::default();
+    let zones: Vec<ZoneName> = vec!["b".into(), "c".into(), "d".into()];
+    for zone in ["b", "d"] {
+        let directory = there.take(&presence(zone, 5, true), ms(0));
+        register.note(&directory, ms(0));
+    }
+    assert_eq!(register.zones_to_ask(&zones, 0, ms(1_000)), zones.iter().collect::<Vec<_>>());
+    assert_eq!(register.zones_to_ask(&zones, 9, ms(9_000)), [&zones[0], &zones[1]]);
+    assert_eq!(register.zones_to_ask(&zones, 10, ms(10_000)), [&zones[1]]);
+    assert!(register.zones_to_ask(&[], 10, ms(10_000)).is_empty());
+}
--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -48,8 +48,7 @@
         bases: vec![BaseOffer { base: BASE.into(), weights_mb: 70_000.0, adapter_mb: 60.0 }],
         wishes,
         uses,
-        zone: "a".into(),
-        peer_address: None,
+        asks: false,
     }
 }
 
@@ -59,7 +58,7 @@
 
 /// A machine that knows its engine and what it holds.
 fn machine(order_count: u64, adapters: &[(&str, u32)]) -> LoaderMachine {
-    let mut machine = LoaderMachine::new(1, "a".into());
+    let mut machine = LoaderMachine::new(1);
     machine.take_report(report(order_count, adapters), ms(0));
     machine.take_instance("e1".into());
     machine.take_report(report(order_count, adapters), ms(0));
--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -42,7 +42,7 @@
     zone: &'a ZoneName,
     model: Option<&'a ModelCall>,
 ) -> CallNeed<'a> {
-    CallNeed { service, model, zone, excluded: &[], routers: 2, waiting_at: None }
+    CallNeed { service, model, zone, excluded: &[], routers: 2, waiting_at: None, may_ask: false }
 }
 
 fn sent_to(choice: &TargetChoice) -> Option<&str> {
@@ -124,7 +124,7 @@
 }
 
 /// The loader beside the preferred engine is gone, so nobody would carry out a load there: the call
-/// would wait to its deadline.
+/// would wait to its deadline. It does not answer a question, and is left out as soon as that is sure.
 #[test]
 fn an_engine_with_a_silent_loader_is_not_asked_to_load() {
     let mut pool = pool();
@@ -137,10 +137,11 @@
         take_report(&mut pool, report(id, 1, &[]), ms(0));
     }
     let first = loads_at(&pool, 10);
-    for id in ["e1", "e2", "e3"].into_iter().filter(|id| *id != &*first.id) {
-        take_report(&mut pool, report(id, 2, &[]), ms(3_000));
-    }
-    assert_ne!(loads_at(&pool, 3_010), first);
+    pool.ask(&first, ms(3_000));
+    assert_eq!(loads_at(&pool, 3_010), first, "an answer may be on its way");
+    assert_ne!(loads_at(&pool, 3_160), first);
+    take_report(&mut pool, report(&first.id, 2, &[]), ms(3_200));
+    assert_eq!(loads_at(&pool, 3_210), first, "it has answered after all");
 }
 
 /// A call waits for a load that has begun. Another target looks better by a little at each look; a call
@@ -265,9 +266,13 @@
     };
     pool.replace_list(vec![bare("e1", 1), bare("e2", 2)], ms(0));
     let call = model_call(Some("h7"));
-    assert_eq!(choose(&pool, ENGINES, Some(&call), 10), TargetChoice::Nowhere);
-    take_report(&mut pool, empty("e2"), ms(20));
-    assert_eq!(choose(&pool, ENGINES, Some(&call), 30), TargetChoice::AwaitBase);
+    for id in ["e1", "e2"] {
+        pool.ask(&id.into(), ms(0));
+    }
+    assert_eq!(choose(&pool, ENGINES, Some(&call), 10), TargetChoice::AwaitBase, "may answer yet");
+    assert_eq!(choose(&pool, ENGINES, Some(&call), 160), TargetChoice::Nowhere, "none answered");
+    take_report(&mut pool, empty("e2"), ms(170));
+    assert_eq!(choose(&pool, ENGINES, Some(&call), 180), TargetChoice::AwaitBase);
 }
 
 /// Answers take long: turned into a reason to turn callers away only where calls wait for places.
--- a/crates/core/tests/core/direct/support.rs
+++ b/crates/core/tests/core/direct/support.rs
@@ -111,8 +111,6 @@
         active: 0,
         queued: 0,
         kv_used: 0,
-        router_count: 0,
-        near_routers: Vec::new(),
     }
 }
 
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -12,38 +12,26 @@
 use metrics::{counter, gauge, histogram};
 use plantain_core::{
     direct::{
+        directory::MeetingPoint,
         loader::{LoaderMachine, LoaderStep},
-        messages::{LoaderReport, RouterNotice},
-        orders::{EngineOrder, OrderAnswer, OrderVerb},
+        membership::InstanceId,
+        messages::{LoaderMessage, RouterMessage},
+        orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
     },
     ids::Timestamp,
 };
 use slog::{Logger, info, warn};
 use std::{
-    collections::HashMap,
     net::SocketAddr,
+    pin::pin,
+    rc::Rc,
     sync::{Arc, atomic::AtomicBool},
     time::Duration,
 };
-use tokio::{
-    net::UdpSocket,
-    runtime::Builder,
-    sync::watch,
-    task::LocalSet,
-    time::{sleep, timeout},
-};
+use tokio::{net::UdpSocket, runtime::Builder, sync::watch, task::LocalSet, time::sleep};
 
 /// Largest datagram.
 const DATAGRAM_LIMIT: usize = 16 << 10;
-/// Pause between reports to a router while nothing changes; routers trust one for 2.5 s.
-const REPORT_PAUSE: Duration = Duration::from_millis(800);
-/// Shortest pause between reports to a router none of whose calls wait for an adapter. Every loader
-/// tells every router, so this bounds what a small router spends on reading reports: 40 loaders at
-/// ten a second each took about a quarter of its processor time.
-const REPORT_GAP: Duration = Duration::from_millis(400);
-/// Pause after which a router is told again that an adapter is there for which its calls wait:
-/// datagrams are lost at times.
-const AWAITED_PAUSE: Duration = Duration::from_millis(50);
 /// Longest wait for a notice before the engine is looked at again.
 const NOTICE_WAIT: Duration = Duration::from_millis(100);
 /// Pause between lines about the engine not answering.
@@ -73,33 +61,32 @@
 
 struct LoaderDuty {
     machine: LoaderMachine,
-    engine: EngineClient,
+    meeting: MeetingPoint,
+    engine: Rc<EngineClient>,
     settings: watch::Receiver<Arc<LoaderFile>>,
     socket: UdpSocket,
     logger: Logger,
-    last: Option<LoaderReport>,
-    sent: HashMap<SocketAddr, SentReport>,
     dark_logged: Timestamp,
     is_dark: bool,
 }
 
-/// What a router was last told.
-struct SentReport {
-    at: Timestamp,
-    is_current: bool,
+/// What the engine answered to a step, if there was one to take.
+enum StepEnd {
+    Reported(Result<EngineReport>),
+    Identified(Result<InstanceId>),
+    Ordered(EngineOrder, OrderAnswer, Option<String>),
+    Waited,
 }
 
 impl LoaderDuty {
     fn new(settings: watch::Receiver<Arc<LoaderFile>>, socket: UdpSocket, logger: Logger) -> Self {
-        let zone = Arc::clone(&settings.borrow().zone);
         Self {
-            machine: LoaderMachine::new(rand::random(), zone),
-            engine: EngineClient::new(),
+            machine: LoaderMachine::new(rand::random()),
+            meeting: MeetingPoint::default(),
+            engine: Rc::new(EngineClient::new()),
             settings,
             socket,
             logger,
-            last: None,
-            sent: HashMap::new(),
             dark_logged: Duration::ZERO,
             is_dark: false,
         }
@@ -108,75 +95,121 @@
     async fn run(mut self, mut stopping: watch::Receiver<bool>) {
         let mut buffer = vec![0; DATAGRAM_LIMIT];
         loop {
-            self.take_datagrams(&mut buffer);
             let step = self.machine.next_step(clock::now());
             tokio::select! {
-                () = self.perform(step, &mut buffer) => {}
+                () = self.take_step(step, &mut buffer) => {}
                 _ = stopping.wait_for(|stop| *stop) => return,
             }
-            self.publish();
+            self.tell_routers();
+        }
+    }
+
+    /// Takes a step, and answers routers meanwhile: a call waits for each answer, and the engine may take
+    /// its time.
+    async fn take_step(&mut self, step: LoaderStep, buffer: &mut [u8]) {
+        let is_wait = matches!(step, LoaderStep::Wait(_));
+        let began = clock::now();
+        let mut engine_call = pin!(self.engine_call(step));
+        let end = loop {
+            tokio::select! {
+                end = &mut engine_call => break end,
+                received = self.socket.recv_from(buffer) => {
+                    if let Ok((length, router)) = received {
+                        self.take_datagram(&buffer[..length], router);
+                        self.take_queued(buffer);
+                    }
+                    if is_wait {
+                        // What routers wish for decides the next step.
+                        break StepEnd::Waited;
+                    }
+                    self.tell_routers();
+                }
+            }
+        };
+        self.apply(end, began).await;
+    }
+
+    /// The engine's part of a step, which borrows nothing of the duty.
+    fn engine_call(&self, step: LoaderStep) -> impl Future<Output = StepEnd> + use<> {
+        let engine = Rc::clone(&self.engine);
+        let address = self.settings.borrow().engine;
+        let holder = Arc::clone(&self.settings.borrow().name);
+        async move {
+            match step {
+                LoaderStep::Poll => StepEnd::Reported(engine.report(address).await),
+                LoaderStep::Identify => StepEnd::Identified(engine.identify(address).await),
+                LoaderStep::Order(order) => {
+                    let (answer, detail) = engine.order(address, &order, &holder).await;
+                    StepEnd::Ordered(order, answer, detail)
+                }
+                LoaderStep::Wait(until) => {
+                    sleep(until.saturating_sub(clock::now()).min(NOTICE_WAIT)).await;
+                    StepEnd::Waited
+                }
+            }
         }
     }
 
-    fn take_datagrams(&mut self, buffer: &mut [u8]) {
+    fn take_queued(&mut self, buffer: &mut [u8]) {
         while let Ok((length, router)) = self.socket.try_recv_from(buffer) {
             self.take_datagram(&buffer[..length], router);
         }
     }
 
     fn take_datagram(&mut self, datagram: &[u8], router: SocketAddr) {
-        match postcard::from_bytes::<RouterNotice>(datagram) {
-            Ok(notice) => self.machine.take_notice(router, notice, clock::now()),
+        let now = clock::now();
+        match postcard::from_bytes::<RouterMessage>(datagram) {
+            Ok(RouterMessage::Notice(notice)) => self.machine.take_notice(router, notice, now),
+            Ok(RouterMessage::Presence(presence)) => {
+                let directory = self.meeting.take(&presence, now);
+                self.send(&LoaderMessage::Directory(directory), &[router]);
+            }
             Err(_) => counter!("plantain_link_faults_total").increment(1),
         }
     }
 
-    async fn perform(&mut self, step: LoaderStep, buffer: &mut [u8]) {
-        let engine = self.settings.borrow().engine;
-        match step {
-            LoaderStep::Poll => match self.engine.report(engine).await {
-                Ok(report) => {
-                    gauge!("plantain_running").set(f64::from(report.active));
-                    gauge!("plantain_queued").set(f64::from(report.queued));
-                    self.machine.take_report(report, clock::now());
-                    self.note_answering();
-                }
-                Err(error) => self.note_silence(&error),
-            },
-            LoaderStep::Identify => match self.engine.identify(engine).await {
-                Ok(instance) => {
-                    info!(self.logger, "engine identified"; "step" => "identify",
-                        "instance" => &*instance);
-                    self.machine.take_instance(instance);
-                }
-                Err(error) => self.note_silence(&error),
-            },
-            LoaderStep::Order(order) => self.give_order(order, engine).await,
-            LoaderStep::Wait(until) => {
-                let pause = until.saturating_sub(clock::now()).min(NOTICE_WAIT);
-                let received = timeout(pause, self.socket.recv_from(buffer)).await;
-                if let Ok(Ok((length, router))) = received {
-                    self.take_datagram(&buffer[..length], router);
-                }
+    async fn apply(&mut self, end: StepEnd, began: Timestamp) {
+        let now = clock::now();
+        match end {
+            StepEnd::Reported(Ok(report)) => {
+                gauge!("plantain_running").set(f64::from(report.active));
+                gauge!("plantain_queued").set(f64::from(report.queued));
+                self.machine.take_report(report, now);
+                self.note_answering();
             }
+            StepEnd::Identified(Ok(instance)) => {
+                info!(self.logger, "engine identified"; "step" => "identify",
+                    "instance" => &*instance);
+                self.machine.take_instance(instance);
+            }
+            StepEnd::Reported(Err(error)) | StepEnd::Identified(Err(error)) => {
+                self.note_silence(&error);
+            }
+            StepEnd::Ordered(order, answer, detail) => {
+                self.note_order(&order, answer, detail, began).await;
+            }
+            StepEnd::Waited => {}
         }
     }
 
-    async fn give_order(&mut self, order: EngineOrder, engine: SocketAddr) {
-        let holder = Arc::clone(&self.settings.borrow().name);
-        let began = clock::now();
-        let (answer, detail) = self.engine.order(engine, &order, &holder).await;
+    async fn note_order(
+        &mut self,
+        order: &EngineOrder,
+        answer: OrderAnswer,
+        detail: Option<String>,
+        began: Timestamp,
+    ) {
         let took = clock::now().saturating_sub(began);
         histogram!("plantain_order_seconds").record(took.as_secs_f64());
-        count_order(&order, answer);
-        let (verb, adapter) = describe(&order);
+        count_order(order, answer);
+        let (verb, adapter) = describe(order);
         let (far_loads, transit) = self.machine.transit();
         info!(self.logger, "order given"; "step" => "order", "verb" => verb, "adapter" => adapter,
             "order_count" => order.order_count, "instance" => &*order.life.id, "started" => order.life.started,
             "report_age_ms" => self.machine.report_age(began).as_millis() as u64,
             "far_loads" => far_loads, "window" => transit.window(),
             "load_ms" => transit.expected().as_millis() as u64, "answer" => ?answer, "detail" => detail, "took_ms" => took.as_millis() as u64);
-        self.machine.take_answer(&order, answer, clock::now());
+        self.machine.take_answer(order, answer, clock::now());
         if answer == OrderAnswer::Refused {
             // The engine may be busy with something that its report does not show.
             sleep(Duration::from_millis(5)).await;
@@ -200,48 +233,33 @@
         self.is_dark = true;
     }
 
-    /// Tells routers what changed, and all of it now and then.
-    fn publish(&mut self) {
+    /// Tells the routers that are due what is known of the engine.
+    fn tell_routers(&mut self) {
         let now = clock::now();
-        let Some(report) = self.machine.make_report(now) else { return };
-        let is_news = self.last.as_ref().is_none_or(|last| !is_same(last, &report));
-        if is_news {
-            for sent in self.sent.values_mut() {
-                sent.is_current = false;
-            }
+        let due = self.machine.take_due(now);
+        if due.is_empty() {
+            return;
         }
-        let routers: Vec<(SocketAddr, bool)> = self.machine.routers().collect();
-        self.sent.retain(|router, _| routers.iter().any(|(known, _)| known == router));
-        let mut datagram = None;
-        for (router, is_awaited) in routers {
-            let is_due = self.sent.get(&router).is_none_or(|sent| {
-                let age = now.saturating_sub(sent.at);
-                age >= REPORT_PAUSE
-                    || (!sent.is_current && (is_awaited || age >= REPORT_GAP))
-                    || (is_awaited && age >= AWAITED_PAUSE)
-            });
-            if !is_due {
-                continue;
-            }
-            let datagram = datagram.get_or_insert_with(|| postcard::to_allocvec(&report));
-            if let Ok(datagram) = datagram {
-                // One that does not go out now is made up for by the next.
-                let _ = self.socket.try_send_to(datagram, router);
-            }
-            self.sent.insert(router, SentReport { at: now, is_current: true });
+        if let Some(report) = self.machine.make_report(now) {
+            self.send(&LoaderMessage::Report(report), &due);
         }
-        self.last = Some(report);
     }
-}
 
-/// Whether two reports say the same of what the engine holds; loads of its batch change all the time
-/// and can wait for the next turn.
-fn is_same(one: &LoaderReport, other: &LoaderReport) -> bool {
-    one.life == other.life
-        && one.is_answering == other.is_answering
-        && one.is_leaving == other.is_leaving
-        && one.holdings == other.holdings
-        && one.coming == other.coming
+    fn send(&self, message: &LoaderMessage, routers: &[SocketAddr]) {
+        let datagram = match postcard::to_allocvec(message) {
+            Ok(datagram) => datagram,
+            Err(error) => {
+                warn!(self.logger, "message not encoded"; "step" => "link", "error" => %error);
+                return;
+            }
+        };
+        let bytes = datagram.len() * routers.len();
+        counter!("plantain_link_sent_bytes_total").increment(bytes as u64);
+        for router in routers {
+            // One that does not go out now is made up for: routers ask again.
+            let _ = self.socket.try_send_to(&datagram, *router);
+        }
+    }
 }
 
 fn describe(order: &EngineOrder) -> (&'static str, String) {
--- a/crates/daemon/src/options/site.rs
+++ b/crates/daemon/src/options/site.rs
@@ -2,10 +2,14 @@
 
 use super::arguments::SiteArguments;
 use eyre::{Result, WrapErr, ensure};
-use plantain_core::direct::budget::RepeatAllowance;
+use plantain_core::{
+    direct::budget::RepeatAllowance,
+    ids::{RegionName, ZoneName},
+};
 use serde::{Deserialize, Serialize};
 use slog::Level;
 use std::{
+    collections::BTreeMap,
     fs,
     net::{IpAddr, SocketAddr},
     path::{Path, PathBuf},
@@ -61,6 +65,9 @@
     pub region: Arc<str>,
     /// Availability zone of this host.
     pub zone: Arc<str>,
+    /// Availability zones with their regions.
+    #[serde(default)]
+    pub zones: BTreeMap<ZoneName, RegionName>,
     /// Address for callers.
     pub listen: SocketAddr,
     /// Address at which the balancer asks whether to send connections.
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -11,7 +11,6 @@
 mod links;
 mod peers;
 mod readiness;
-mod register;
 mod relay;
 mod sharing;
 
@@ -25,6 +24,7 @@
 use eyre::{Result, WrapErr};
 use plantain_core::{
     direct::{
+        directory::PeerRouter,
         membership::{InstanceId, ListChange, TargetEntry},
         targets::TargetPool,
     },
@@ -32,7 +32,6 @@
 };
 use plantain_net::server;
 use plantain_platform::objects::{FollowedChange, FollowedKind};
-use register::PeerRouter;
 use slog::{Logger, info, warn};
 use std::{
     collections::HashSet,
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -41,12 +41,18 @@
 /// Calls a second over the fleet from which an adapter is looked at for copies: one copy carries twice
 /// as many.
 pub(crate) const PREFETCH_RATE: f64 = 5.0;
-/// Pause between notices to a loader while nothing changes; it forgets a router after 2.5 s.
-pub(crate) const NOTICE_PAUSE: Duration = Duration::from_millis(600);
-/// Shortest pause between notices to one loader that a call's wish does not hurry.
-pub(crate) const NOTICE_GAP: Duration = Duration::from_millis(100);
-/// Pause after which a wish with waiting calls is told again: datagrams are lost at times.
-pub(crate) const WISH_PAUSE: Duration = Duration::from_millis(50);
+/// Pause between looks at which loaders are due a notice; it bounds how late the end of a call is told.
+pub(crate) const NOTICE_LOOK: Duration = Duration::from_millis(50);
+/// Pause between turns in which a router tells that it is alive; loaders believe it for five of them.
+pub(crate) const PRESENCE_PAUSE: Duration = Duration::from_secs(1);
+/// Longest wait of a call for the answer to one question, after which it looks whether the loader has
+/// become silent meanwhile.
+pub(crate) const QUESTION_LOOK: Duration = Duration::from_millis(40);
+/// Questions that a call may ask before its first choice: its adapter's preferred engine, the next one, and
+/// a third. More would cost it more time than a better engine saves.
+pub(crate) const FIRST_QUESTIONS: u32 = 3;
+/// Time that a call must wait for each further question.
+pub(crate) const QUESTION_PAUSE: Duration = Duration::from_millis(300);
 /// Largest datagram.
 pub(crate) const DATAGRAM_LIMIT: usize = 16 << 10;
 /// Suggested pause for callers where no target is known or reachable: the list and the rests of
@@ -71,7 +77,5 @@
 pub(crate) const LOG_RATE: f64 = 150.0;
 /// Lines that may come at once.
 pub(crate) const LOG_BURST: f64 = 300.0;
-/// Time for which a router that a loader named counts as alive.
-pub(crate) const ROUTER_LIFE: Duration = Duration::from_secs(3);
 /// Time for which a body may take to arrive, from its head.
 pub(crate) const BODY_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -1,24 +1,20 @@
 //! What the tasks of a router share. They run on one thread, so plain cells do.
 
-use super::{
-    connections::ConnectionPool,
-    constants,
-    journal::RequestJournal,
-    register::{PeerRouter, RouterRegister},
-};
+use super::{connections::ConnectionPool, constants, journal::RequestJournal};
 use crate::{clock, options::site::RouterFile};
+use metrics::counter;
 use plantain_core::{
     direct::{
         budget::RepeatBudget,
         call::{AdapterId, ModelCall},
+        directory::{PeerRouter, RouterDirectory, RouterRegister},
         membership::TargetLife,
-        messages::LoaderReport,
         selection::{CallNeed, adapter_of, preferred_targets},
         targets::TargetPool,
     },
-    ids::{AdapterVersion, ServiceName, Timestamp},
+    ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
 };
-use slog::Logger;
+use slog::{Logger, warn};
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
@@ -135,22 +131,24 @@
     }
 
     /// Notes the routers that a loader names.
-    pub(crate) fn note_routers(&self, report: &LoaderReport, now: Timestamp) {
-        let pool = self.pool.borrow();
-        let target = pool.target(&report.life);
-        let is_near = target.is_some_and(|target| target.entry.zone == self.settings.borrow().zone);
-        self.routers.borrow_mut().note(report, is_near, now);
+    pub(crate) fn note_routers(&self, directory: &RouterDirectory, now: Timestamp) {
+        self.routers.borrow_mut().note(directory, now);
     }
 
     /// Other routers that are alive.
     pub(crate) fn peers(&self) -> Vec<PeerRouter> {
-        self.routers.borrow().peers(self.settings.borrow().peer_listen)
+        self.routers.borrow().peers(self.settings.borrow().peer_listen, clock::now())
+    }
+
+    /// Zones of `all` whose number of routers is to be asked at this router's turn `turn`.
+    pub(crate) fn zones_to_ask<'a>(&self, all: &'a [ZoneName], turn: usize) -> Vec<&'a ZoneName> {
+        self.routers.borrow().zones_to_ask(all, turn, clock::now())
     }
 
     /// Routers in all, this one counted.
     pub(crate) fn router_count(&self) -> usize {
-        let own = self.settings.borrow().peer_listen;
-        self.routers.borrow().count(own, clock::now())
+        let settings = self.settings.borrow();
+        self.routers.borrow().count(&settings.zone, settings.peer_listen, clock::now())
     }
 
     /// Wakes the calls that wait for an adapter at a target. Only these: a report comes from each
@@ -166,6 +164,23 @@
         }
     }
 
+    /// Asks a target's loader for a report and waits for it, or for `limit`; returns whether it was not
+    /// being asked already.
+    pub(crate) async fn ask(&self, life: &TargetLife, limit: Duration) -> bool {
+        let is_new = self.pool.borrow_mut().ask(life, clock::now());
+        if is_new {
+            counter!("plantain_questions_total").increment(1);
+            self.hurry(life);
+        }
+        let waiter = self.waiter(life);
+        let _ = timeout(limit, waiter.notified()).await;
+        if self.pool.borrow_mut().note_silence(life, clock::now()) {
+            warn!(self.logger, "loader silent"; "step" => "link", "target" => &*life.id,
+                "started" => life.started);
+        }
+        is_new
+    }
+
     fn waiter(&self, life: &TargetLife) -> Rc<Notify> {
         Rc::clone(self.waiters.borrow_mut().entry(life.clone()).or_default())
     }
@@ -191,6 +206,7 @@
                 excluded: &[],
                 routers,
                 waiting_at: None,
+                may_ask: false,
             };
             let mut preferred = preferred_targets(&pool, &need, &adapter, now);
             preferred.pop();
--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -1,9 +1,10 @@
 //! The control thread: follows the store, and asks and answers other routers.
 
-use super::{constants, follow, peers, register::PeerRouter, sharing};
+use super::{constants, follow, peers, sharing};
 use crate::{clock, options::site::RouterFile};
 use plantain_core::{
     direct::{
+        directory::PeerRouter,
         sharing::{ChangeLog, SharedChange, zone_watcher},
         snapshot::FollowedState,
     },
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -216,6 +216,7 @@
     }
 
     fn need<'a>(&'a self, zone: &'a ZoneName, waiting_at: Option<&'a TargetLife>) -> CallNeed<'a> {
+        let waited = self.age().as_millis() / constants::QUESTION_PAUSE.as_millis();
         CallNeed {
             service: &self.service,
             model: self.head.model.as_ref(),
@@ -223,6 +224,8 @@
             excluded: &self.excluded,
             routers: self.context.router_count(),
             waiting_at,
+            may_ask: u128::from(self.record.questions)
+                < u128::from(constants::FIRST_QUESTIONS) + waited,
         }
     }
 
@@ -264,6 +267,10 @@
                     ));
                     return Err(constants::RETURN_PAUSE);
                 }
+                TargetChoice::Ask(life) => {
+                    let is_new = self.context.ask(&life, constants::QUESTION_LOOK).await;
+                    self.record.questions += u32::from(is_new);
+                }
                 TargetChoice::AwaitBase if !can_wait(began) => {
                     self.note("base model not loaded in time");
                     return Err(constants::RETURN_PAUSE);
--- a/crates/daemon/src/router/journal.rs
+++ b/crates/daemon/src/router/journal.rs
@@ -68,6 +68,8 @@
     pub(crate) target: Option<TargetLife>,
     /// Age of the report by which that target was chosen; `None` if no loader was heard.
     pub(crate) report_age: Option<Duration>,
+    /// Questions to loaders before it was sent.
+    pub(crate) questions: u32,
     /// Targets that ran it or may have.
     pub(crate) runs: u32,
     /// Sends in all.
@@ -134,7 +136,7 @@
             "route" => &record.route, "objective_ms" => record.objective.as_millis() as u64,
             "config" => record.config, "adapter" => adapter,
             "target" => record.target.as_ref().map(|life| &*life.id),
-            "sends" => record.sends, "runs" => record.runs,
+            "questions" => record.questions, "sends" => record.sends, "runs" => record.runs,
             "report_age_ms" => record.report_age.map(|age| age.as_millis() as u64),
             "load_wait_ms" => record.load_wait.as_millis() as u64,
             "first_byte_ms" => record.first_byte.map(|first| first.as_millis() as u64),
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -1,19 +1,21 @@
-//! The link to loaders: notices out, reports in, over UDP.
+//! The link to loaders: notices and presence out, reports and directories in, over UDP.
 
 use super::{constants, context::RouterContext};
 use crate::clock;
 use metrics::counter;
 use plantain_core::{
     direct::{
-        membership::TargetLife,
-        messages::{BootId, LoaderReport, RouterNotice},
-        targets::TargetPool,
+        directory::{RouterPresence, meeting_targets},
+        membership::{InstanceId, TargetLife},
+        messages::{BootId, LoaderMessage, LoaderReport, RouterMessage},
+        notices::NoticeSchedule,
     },
-    ids::Timestamp,
+    ids::ZoneName,
 };
-use slog::warn;
+use rand::seq::IndexedRandom;
+use slog::{info, warn};
 use std::{
-    collections::HashMap,
+    collections::BTreeSet,
     net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::Arc,
@@ -22,107 +24,154 @@
 
 /// Exchanges datagrams with the loaders for as long as the process lives.
 pub(crate) async fn run(socket: UdpSocket, context: Rc<RouterContext>, boot: BootId) {
-    let mut link = LoaderLink { context, boot, sequence: 0, sent: HashMap::new() };
-    let mut ticks = interval(constants::WISH_PAUSE);
+    let schedule = NoticeSchedule::new(boot);
+    let mut link = LoaderLink { context, socket, schedule, presences: 0 };
+    let mut ticks = interval(constants::NOTICE_LOOK);
+    let mut presences = interval(constants::PRESENCE_PAUSE);
     let mut buffer = vec![0; constants::DATAGRAM_LIMIT];
     let context = Rc::clone(&link.context);
     loop {
         tokio::select! {
-            received = socket.recv_from(&mut buffer) => {
+            received = link.socket.recv_from(&mut buffer) => {
                 if let Ok((length, loader)) = received {
-                    link.take_report(&buffer[..length], loader.ip());
+                    link.take_datagram(&buffer[..length], loader.ip());
                 }
             }
-            () = context.hurry.notified() => link.send_hurried(&socket),
-            _ = ticks.tick() => link.send_due(&socket),
+            () = context.hurry.notified() => link.send_hurried(),
+            _ = ticks.tick() => link.send_due(),
+            _ = presences.tick() => link.send_presence(),
         }
     }
 }
 
 struct LoaderLink {
     context: Rc<RouterContext>,
-    boot: BootId,
-    sequence: u32,
-    sent: HashMap<TargetLife, Timestamp>,
+    socket: UdpSocket,
+    schedule: NoticeSchedule,
+    /// Turns in which this router told that it is alive.
+    presences: usize,
 }
 
 impl LoaderLink {
-    fn take_report(&mut self, datagram: &[u8], host: IpAddr) {
-        let Ok(report) = postcard::from_bytes::<LoaderReport>(datagram) else {
-            counter!("plantain_link_faults_total").increment(1);
-            return;
-        };
+    fn take_datagram(&mut self, datagram: &[u8], host: IpAddr) {
+        match postcard::from_bytes::<LoaderMessage>(datagram) {
+            Ok(LoaderMessage::Report(report)) => self.take_report(report, host),
+            Ok(LoaderMessage::Directory(directory)) => {
+                self.context.note_routers(&directory, clock::now());
+            }
+            Err(_) => counter!("plantain_link_faults_total").increment(1),
+        }
+    }
+
+    fn take_report(&mut self, report: LoaderReport, host: IpAddr) {
         let now = clock::now();
         let life = report.life.clone();
-        self.context.note_routers(&report, now);
-        if self.context.pool.borrow_mut().take_report(host, report, now) {
+        let mut pool = self.context.pool.borrow_mut();
+        let was_silent = pool.target(&life).is_some_and(|target| target.is_silent(now));
+        let is_news = pool.take_report(host, report, now);
+        drop(pool);
+        if is_news {
+            if was_silent {
+                info!(self.context.logger, "loader regained"; "step" => "link",
+                    "target" => &*life.id, "started" => life.started);
+            }
             self.context.wake_waiters(&life);
         }
     }
 
-    fn send_hurried(&mut self, socket: &UdpSocket) {
+    fn send_hurried(&mut self) {
         let hurried = std::mem::take(&mut *self.context.hurried.borrow_mut());
-        for id in hurried {
-            self.send(socket, &id);
+        for life in hurried {
+            self.send_notice(&life);
         }
     }
 
     /// Sends to each loader whose turn it is.
-    fn send_due(&mut self, socket: &UdpSocket) {
-        let now = clock::now();
-        let ids = self.context.pool.borrow().engine_lives();
-        for id in &ids {
-            let since =
-                self.sent.get(id).map_or(constants::NOTICE_PAUSE, |at| now.saturating_sub(*at));
-            let gap = {
-                let pool = self.context.pool.borrow();
-                let has_news = pool
-                    .target(id)
-                    .is_some_and(|target| target.has_wish() || target.has_untold_calls());
-                if has_news { constants::NOTICE_GAP } else { constants::NOTICE_PAUSE }
-            };
-            if since >= gap {
-                self.send(socket, id);
-            }
+    fn send_due(&mut self) {
+        let (now, routers) = (clock::now(), self.context.router_count());
+        let due = {
+            let pool = self.context.pool.borrow();
+            self.schedule.due(&pool, routers, now, rand::random::<f64>)
+        };
+        for life in due {
+            self.send_notice(&life);
         }
-        self.sent.retain(|id, _| ids.contains(id));
     }
 
-    fn send(&mut self, socket: &UdpSocket, life: &TargetLife) {
-        let Some((address, notice)) = self.make_notice(life) else { return };
-        self.sent.insert(life.clone(), clock::now());
-        match postcard::to_allocvec(&notice) {
-            // A datagram that does not go out now is made up for by the next.
-            Ok(datagram) => drop(socket.try_send_to(&datagram, address)),
-            Err(error) => {
-                warn!(self.context.logger, "notice not encoded"; "step" => "link",
-                    "target" => &*life.id, "error" => %error);
-            }
-        }
+    fn send_notice(&mut self, life: &TargetLife) {
+        let notice = {
+            let mut pool = self.context.pool.borrow_mut();
+            let notice = self.schedule.make(&mut pool, life, clock::now());
+            notice.and_then(|notice| Some((pool.target(life)?.entry.address.ip(), notice)))
+        };
+        let Some((host, notice)) = notice else { return };
+        self.send(host, &RouterMessage::Notice(notice));
     }
 
-    fn make_notice(&mut self, life: &TargetLife) -> Option<(SocketAddr, RouterNotice)> {
-        let settings = Arc::clone(&self.context.settings.borrow());
-        let mut pool = self.context.pool.borrow_mut();
-        let target = pool.target(life)?;
-        let spec = pool.engine_of(target)?;
-        let (places, memory_mb) = (spec.adapter_places as u16, spec.memory_mb as f32);
-        let bases = TargetPool::base_offers(spec);
-        let target = pool.target_mut(life)?;
-        let address = SocketAddr::new(target.entry.address.ip(), settings.link_port);
-        self.sequence += 1;
-        let notice = RouterNotice {
-            boot: self.boot,
-            sequence: self.sequence,
-            life: life.clone(),
-            adapter_places: places,
-            memory_mb,
-            bases,
-            wishes: target.wish_list(clock::now()),
-            uses: target.take_uses(),
-            zone: Arc::clone(&settings.zone),
-            peer_address: Some(settings.peer_listen),
+    /// Comes by at a loader where the routers of this zone meet, at both of them the first time, and asks
+    /// for the numbers of routers in other zones.
+    fn send_presence(&mut self) {
+        let (zone, address) = {
+            let settings = self.context.settings.borrow();
+            (Arc::clone(&settings.zone), settings.peer_listen)
         };
-        Some((address, notice))
+        let mut own = self.meeting_hosts(&zone);
+        if own.is_empty() {
+            return;
+        }
+        let turn = self.presences;
+        self.presences += 1;
+        if turn > 0 {
+            own = vec![own[turn % own.len()]];
+        }
+        for host in own {
+            let zone = Arc::clone(&zone);
+            let presence = RouterPresence { zone, address, meets_here: true };
+            self.send(host, &RouterMessage::Presence(presence));
+        }
+        let others = self.other_zones(&zone);
+        for other in self.context.zones_to_ask(&others, turn) {
+            let hosts = self.meeting_hosts(other);
+            let Some(host) = hosts.choose(&mut rand::rng()) else { continue };
+            let zone = Arc::clone(&zone);
+            let presence = RouterPresence { zone, address, meets_here: false };
+            self.send(*host, &RouterMessage::Presence(presence));
+        }
+    }
+
+    /// All zones but this router's own: those of the settings and those of engines.
+    fn other_zones(&self, own: &ZoneName) -> Vec<ZoneName> {
+        let pool = self.context.pool.borrow();
+        let settings = self.context.settings.borrow();
+        let listed = pool.engines().map(|target| &target.entry.zone);
+        let all: BTreeSet<&ZoneName> = settings.zones.keys().chain(listed).collect();
+        all.into_iter().filter(|zone| *zone != own).cloned().collect()
+    }
+
+    /// Hosts of the loaders at which the routers of a zone meet.
+    fn meeting_hosts(&self, zone: &ZoneName) -> Vec<IpAddr> {
+        let pool = self.context.pool.borrow();
+        let alive = pool.engines().filter(|target| !target.is_leaving() && !target.has_ended());
+        let alive: Vec<(&InstanceId, &ZoneName, IpAddr)> = alive
+            .map(|target| (&target.entry.life.id, &target.entry.zone, target.entry.address.ip()))
+            .collect();
+        let meeting = meeting_targets(zone, alive.iter().map(|(id, zone, _)| (*id, *zone)));
+        let host = |id: &InstanceId| alive.iter().find(|(own, _, _)| *own == id);
+        meeting.iter().filter_map(host).map(|(_, _, host)| *host).collect()
+    }
+
+    fn send(&self, host: IpAddr, message: &RouterMessage) {
+        let address = SocketAddr::new(host, self.context.settings.borrow().link_port);
+        match postcard::to_allocvec(message) {
+            Ok(datagram) => {
+                counter!("plantain_link_sent_bytes_total").increment(datagram.len() as u64);
+                // A datagram that does not go out now is made up for by the next.
+                drop(self.socket.try_send_to(&datagram, address));
+            }
+            Err(error) => {
+                warn!(self.context.logger, "message not encoded"; "step" => "link",
+                    "loader" => %address, "error" => %error);
+            }
+        }
     }
 }
