A load astray costs as much as loads take; engines that are not known count as busy as the others

Change: a load elsewhere costs 1.6 loads more (1.0 at the engine after the preferred ones), by the time that loaders tell; an engine that was not heard waits as the mean of those that were.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -19,3 +19,4 @@
 pub mod snapshot;
 pub mod target;
 pub mod targets;
+pub mod waits;
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -6,6 +6,7 @@
     membership::TargetLife,
     target::TargetState,
     targets::TargetPool,
+    waits::place_ms,
 };
 use crate::{
     ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
@@ -27,15 +28,14 @@
 const FULL_MS: f64 = 400.0;
 /// Part of a load's time for which an adapter that is on its way is waited for, on the mean.
 const COMING_SHARE: f64 = 0.5;
-/// Further cost of loading elsewhere than at a preferred target: the host there is unlikely to have
-/// the adapter in its memory, and later calls go to the preferred ones.
-const STRAY_MS: f64 = 150.0;
-/// The same at the target after the preferred ones, which gets what they cannot take.
-const SPARE_MS: f64 = 70.0;
-/// Cost of each load that must wait for a place at an engine all of whose adapters are in use. Runs last
-/// 0.4 s on the mean, and of ten adapters in use some two are shared by other calls, so that a place comes
-/// free about this often.
-const PLACE_MS: f64 = 60.0;
+/// Further cost of loading elsewhere than at a preferred target, in loads from the weight store. The store
+/// must give the adapter once more, where the preferred target's host may have it in its memory, and later
+/// calls that go to the preferred target gain nothing of it: so the load costs the fleet what it costs the
+/// call. More so than that, since the engine there has to evict an adapter that belongs there.
+const STRAY_LOADS: f64 = 1.6;
+/// The same at the target after the preferred ones, which gets what they cannot take, and with it later
+/// calls.
+const SPARE_LOADS: f64 = 1.0;
 /// What another target must be better by for a call to leave the one where it waits for its adapter:
 /// the load there has begun, and one begun elsewhere starts over.
 const LEAVE_MS: f64 = 250.0;
@@ -112,7 +112,11 @@
                 let is_waited = need.waiting_at == Some(&target.entry.life);
                 engine_cost(pool, target, call, adapter.as_ref(), homes, is_waited, now)
                     + zone_cost(target, need)
-                    + if is_waited { -LEAVE_MS } else { place_cost(target, adapter.as_ref(), now) }
+                    + if is_waited {
+                        -LEAVE_MS
+                    } else {
+                        place_cost(pool, target, adapter.as_ref(), now)
+                    }
             }
         };
         (cost + draw() * TIE_MS, target)
@@ -261,13 +265,15 @@
     }
     let stray = match preferred.iter().position(|life| *life == target.entry.life) {
         Some(index) if index + 1 < preferred.len() => 0.0,
-        Some(_) => SPARE_MS,
-        None => STRAY_MS,
+        Some(_) => SPARE_LOADS * pool.usual().load_ms(),
+        None => STRAY_LOADS * pool.usual().load_ms(),
     };
     if target.is_silent(now) {
         return stray + NO_LOADER_MS;
     }
-    let Some(report) = target.fresh_report(now) else { return stray + pool.usual_load_ms() };
+    let Some(report) = target.fresh_report(now) else {
+        return stray + pool.usual().load_ms() + pool.usual().queue_ms();
+    };
     let load = f64::from(report.load_ms);
     if target.is_coming(adapter, now) {
         return stray + load * COMING_SHARE;
@@ -279,10 +285,14 @@
 
 /// Wait for a place for an adapter that must be loaded. It counts only where a call does not wait yet:
 /// one that does has its turn, and would lose it each time that places come and go elsewhere.
-fn place_cost(target: &TargetState, adapter: Option<&AdapterId>, now: Timestamp) -> f64 {
+fn place_cost(
+    pool: &TargetPool,
+    target: &TargetState,
+    adapter: Option<&AdapterId>,
+    now: Timestamp,
+) -> f64 {
     let is_needed = adapter.is_some_and(|adapter| {
         target.held_version(adapter, now).is_none() && !target.is_coming(adapter, now)
     });
-    let room = target.fresh_report(now).map_or(1, |report| report.room);
-    if is_needed { f64::from((1 - room).max(0)) * PLACE_MS } else { 0.0 }
+    if is_needed { target.fresh_report(now).map_or(pool.usual().place_ms(), place_ms) } else { 0.0 }
 }
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -9,6 +9,7 @@
     messages::{BaseOffer, LoaderReport},
     pressure::ConcurrencyGauge,
     target::{TargetState, WishState},
+    waits::UsualWaits,
 };
 use crate::ids::{AdapterVersion, ServiceName, Timestamp};
 use std::{
@@ -18,13 +19,6 @@
     time::Duration,
 };
 
-/// Time in ms of a load from the weight store before any loader has told one: an assumption, replaced by the
-/// first reports.
-const PRIOR_LOAD_MS: f64 = 250.0;
-/// Share of a new report in the usual time of a load: reports come some ten a second, and the store becomes
-/// slower or faster within about a second.
-const LOAD_WEIGHT: f64 = 0.1;
-
 /// All targets of all services.
 #[derive(Debug)]
 pub struct TargetPool {
@@ -35,7 +29,7 @@
     releases: HashMap<AdapterId, AdapterVersion>,
     demand: FleetDemand,
     concurrency: HashMap<ServiceName, ConcurrencyGauge>,
-    load_ms: f64,
+    usual: UsualWaits,
 }
 
 impl Default for TargetPool {
@@ -55,7 +49,7 @@
             releases: HashMap::new(),
             demand: FleetDemand::default(),
             concurrency: HashMap::new(),
-            load_ms: PRIOR_LOAD_MS,
+            usual: UsualWaits::default(),
         }
     }
 
@@ -155,9 +149,9 @@
         self.target_mut(life).is_some_and(|target| target.note_silence(now))
     }
 
-    /// Usual time in ms of a load from the weight store, as loaders have told lately.
-    pub fn usual_load_ms(&self) -> f64 {
-        self.load_ms
+    /// What loaders have told lately of loads, for engines of which nothing is known.
+    pub fn usual(&self) -> &UsualWaits {
+        &self.usual
     }
 
     /// Wants a report of a target's loader; returns whether that is a new question.
@@ -191,7 +185,7 @@
         if is_old {
             return false;
         }
-        self.load_ms += LOAD_WEIGHT * (f64::from(report.load_ms) - self.load_ms);
+        self.usual.record(&report);
         self.demand.take_report(&report, now);
         let Some(target) = self.target_mut(&report.life) else { return false };
         target.take_report(report, now);
--- /dev/null
+++ b/crates/core/src/direct/waits.rs
@@ -0,0 +1,63 @@
+//! How long loads take and wait at engines on the mean, as one router hears it.
+//!
+//! Pattern: a router knows only the engines that it asked lately. While one that it did not know counted as
+//! idle, each engine that was known to be busy looked worse than any unknown one: calls left the engines
+//! where their adapters belong for others that turned out no better, and each had its adapter fetched from
+//! the weight store once more. An engine of which nothing is known is as busy as the others.
+
+use super::messages::LoaderReport;
+
+/// Time in ms of a load from the weight store before any loader has told one: an assumption, replaced by the
+/// first reports.
+const PRIOR_LOAD_MS: f64 = 250.0;
+/// Share of a new report in the means: a router hears some ten reports a second, and how busy the fleet is
+/// changes within about a second.
+const REPORT_WEIGHT: f64 = 0.1;
+/// Wait for each load before this one that waits for a place at an engine all of whose adapters are in use.
+/// Runs last 0.4 s on the mean, and of ten adapters in use some two are shared by other calls, so that a
+/// place comes free about this often.
+const PLACE_MS: f64 = 60.0;
+
+/// Means over the reports of all loaders, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct UsualWaits {
+    load: f64,
+    place: f64,
+    queue: f64,
+}
+
+impl Default for UsualWaits {
+    fn default() -> Self {
+        Self { load: PRIOR_LOAD_MS, place: 0.0, queue: 0.0 }
+    }
+}
+
+impl UsualWaits {
+    /// Takes what a loader tells.
+    pub fn record(&mut self, report: &LoaderReport) {
+        let blend = |mean: &mut f64, told: f64| *mean += REPORT_WEIGHT * (told - *mean);
+        blend(&mut self.load, f64::from(report.load_ms));
+        blend(&mut self.place, place_ms(report));
+        blend(&mut self.queue, f64::from(report.queue_ms));
+    }
+
+    /// Time of a load from the weight store, in milliseconds.
+    pub fn load_ms(&self) -> f64 {
+        self.load
+    }
+
+    /// Wait for a place for an adapter, in milliseconds.
+    pub fn place_ms(&self) -> f64 {
+        self.place
+    }
+
+    /// Wait before a load may begin, in milliseconds.
+    pub fn queue_ms(&self) -> f64 {
+        self.queue
+    }
+}
+
+/// Wait for a place for an adapter at the engine of a report, in milliseconds.
+pub(super) fn place_ms(report: &LoaderReport) -> f64 {
+    f64::from((1 - report.room).max(0)) * PLACE_MS
+}
