The end of an adapter's use is told at once

Cause: places bind. A loader learnt up to 0.15 s late that nobody used an adapter any more, while runs last some 0.4 s, so that a third of each place's time was nobody's.

Change: the last call of a router for an adapter at an engine ends with a notice of its own. In a large fleet that is no notice more: two calls of one router seldom run at one engine.

Tests of the schedule of notices, which had none of their own.

--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -272,12 +272,12 @@
         target.unread_tokens = target.unread_tokens.saturating_sub(tokens);
     }
 
-    /// A call uses its adapter no longer.
-    pub fn use_ended(&mut self, life: &TargetLife, adapter: &AdapterId) {
+    /// A call uses its adapter no longer; returns whether no other call of this router does there.
+    pub fn use_ended(&mut self, life: &TargetLife, adapter: &AdapterId) -> bool {
         let counts = self.target_mut(life).and_then(|target| target.uses.get_mut(adapter));
-        if let Some(counts) = counts {
-            counts.running = counts.running.saturating_sub(1);
-        }
+        let Some(counts) = counts else { return false };
+        counts.running = counts.running.saturating_sub(1);
+        counts.running == 0
     }
 
     /// Another life answered at the address of this one.
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -8,6 +8,7 @@
 mod health;
 mod loader;
 mod membership;
+mod notices;
 mod pressure;
 mod proof;
 mod selection;
--- /dev/null
+++ b/crates/core/tests/core/direct/notices.rs
@@ -0,0 +1,107 @@
+//! Which loaders a router tells of its calls, and when.
+
+use super::support::{adapter, ms, pool, report, target};
+use plantain_core::direct::{
+    membership::{TargetEntry, TargetLife},
+    notices::NoticeSchedule,
+    targets::TargetPool,
+};
+use std::sync::Arc;
+
+fn due(schedule: &mut NoticeSchedule, pool: &TargetPool, at: u64) -> Vec<TargetLife> {
+    let mut due = schedule.due(pool, 2, ms(at), || 1.0);
+    due.sort();
+    due
+}
+
+fn take_report(pool: &mut TargetPool, id: &str, sequence: u32, at: u64) {
+    let host = pool.target(&id.into()).expect("a known target").entry.address.ip();
+    pool.take_report(host, report(id, sequence, &[]), ms(at));
+}
+
+/// Routers told every loader of themselves, calls or not: at 300 hosts that was more than callers sent.
+#[test]
+fn only_loaders_of_engines_with_calls_are_told() {
+    let mut pool = pool();
+    let mut schedule = NoticeSchedule::new(1);
+    assert!(due(&mut schedule, &pool, 0).is_empty(), "nothing runs or is wanted");
+    let e1: TargetLife = "e1".into();
+    pool.call_started(&e1, Some(&adapter("h7")), 0);
+    assert_eq!(due(&mut schedule, &pool, 0), [e1.clone()]);
+    let notice = schedule.make(&mut pool, &e1, ms(0)).expect("a notice");
+    assert_eq!((notice.uses.len(), notice.asks), (1, false));
+    assert!(due(&mut schedule, &pool, 500).is_empty(), "told, and nothing changed");
+    assert_eq!(due(&mut schedule, &pool, 800), [e1], "or the loader would forget the call");
+}
+
+/// The last call for an adapter ends. Until its loader hears so, the adapter keeps its place, and calls for
+/// others wait: it is told once more, and then no more.
+#[test]
+fn a_loader_is_told_that_nothing_runs_any_more() {
+    let mut pool = pool();
+    let mut schedule = NoticeSchedule::new(1);
+    let e1: TargetLife = "e1".into();
+    for _ in 0..2 {
+        pool.call_started(&e1, Some(&adapter("h7")), 0);
+    }
+    schedule.make(&mut pool, &e1, ms(0));
+    assert!(!pool.use_ended(&e1, &adapter("h7")), "one of two");
+    assert!(due(&mut schedule, &pool, 200).is_empty(), "the adapter is in use as before");
+    assert!(pool.use_ended(&e1, &adapter("h7")), "the last one");
+    assert_eq!(due(&mut schedule, &pool, 200), [e1.clone()]);
+    let notice = schedule.make(&mut pool, &e1, ms(200)).expect("a notice");
+    assert!(notice.uses.iter().all(|told| told.running == 0));
+    let ends = (300..3_000).step_by(50).filter(|at| !due(&mut schedule, &pool, *at).is_empty());
+    let ends: Vec<u64> = ends.collect();
+    assert_eq!(ends.first(), Some(&300), "told once more that there is nothing at all");
+    schedule.make(&mut pool, &e1, ms(300));
+    assert!((400..3_000).step_by(50).all(|at| due(&mut schedule, &pool, at).is_empty()));
+}
+
+/// A question is lost. Its call waits, so it is sent again soon; but not for ever to a loader that is gone.
+#[test]
+fn a_question_is_repeated_until_the_loader_counts_as_silent() {
+    let mut pool = pool();
+    let mut schedule = NoticeSchedule::new(1);
+    let e2: TargetLife = "e2".into();
+    assert!(pool.ask(&e2, ms(0)), "new");
+    assert!(!pool.ask(&e2, ms(10)), "asked already");
+    let sent: Vec<u64> = (0..1_000)
+        .step_by(10)
+        .filter(|at| {
+            let is_due = !due(&mut schedule, &pool, *at).is_empty();
+            if is_due {
+                let notice = schedule.make(&mut pool, &e2, ms(*at)).expect("a notice");
+                assert!(notice.asks);
+            }
+            is_due
+        })
+        .collect();
+    assert_eq!(sent, [0, 50, 100]);
+    assert!(pool.note_silence(&e2, ms(160)), "to be logged");
+    assert!(!pool.note_silence(&e2, ms(170)), "once");
+    assert!(pool.ask(&e2, ms(2_000)), "asked again after two seconds");
+    take_report(&mut pool, "e2", 1, 2_001);
+    assert!(!pool.target(&e2).expect("a target").has_question(ms(2_002)));
+}
+
+/// An engine has started empty and nobody has calls there yet. Its loader must hear what to load, from one
+/// router in all at each look rather than from every one.
+#[test]
+fn empty_engines_are_told_what_to_load() {
+    let mut pool = pool();
+    let empty = TargetEntry { holdings: Vec::new(), ..target("e1", "engines", "a", 1) };
+    pool.replace_list(vec![Arc::new(empty)], ms(0));
+    let mut schedule = NoticeSchedule::new(1);
+    let e1: TargetLife = "e1".into();
+    assert_eq!(schedule.due(&pool, 100, ms(0), || 0.009), [e1.clone()]);
+    assert!(schedule.due(&pool, 100, ms(0), || 0.011).is_empty());
+    let notice = schedule.make(&mut pool, &e1, ms(0)).expect("a notice");
+    assert!(!notice.bases.is_empty() && notice.asks);
+    take_report(&mut pool, "e1", 1, 10);
+    assert!(schedule.due(&pool, 1, ms(300), || 0.0).is_empty(), "it holds its base model now");
+    assert!(
+        schedule.make(&mut pool, &e1, ms(400)).expect("a notice").bases.is_empty(),
+        "told once"
+    );
+}
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -185,6 +185,15 @@
         Rc::clone(self.waiters.borrow_mut().entry(life.clone()).or_default())
     }
 
+    /// A call uses its adapter no longer. The loader is told at once where it was the last one: it cannot
+    /// give the adapter's place to another before, and calls wait for places.
+    fn end_use(&self, life: &TargetLife, adapter: &AdapterId) {
+        let was_last = self.pool.borrow_mut().use_ended(life, adapter);
+        if was_last {
+            self.hurry(life);
+        }
+    }
+
     /// Tells a target's loader of its wishes at once.
     pub(crate) fn hurry(&self, life: &TargetLife) {
         self.hurried.borrow_mut().insert(life.clone());
@@ -311,14 +320,14 @@
         let Some(adapter) = self.adapter.take() else { return };
         let (context, life) = (Rc::clone(&self.context), self.life.clone());
         if !self.may_run_on {
-            context.pool.borrow_mut().use_ended(&life, &adapter);
+            context.end_use(&life, &adapter);
             return;
         }
         // An unload of an adapter that is in use holds up its engine, so it counts as in use until the
         // run has most likely ended.
         spawn_local(async move {
             sleep(constants::RUN_ON_TIME).await;
-            context.pool.borrow_mut().use_ended(&life, &adapter);
+            context.end_use(&life, &adapter);
         });
     }
 }
