Costs of busy engines follow from runs, chance and unread prompts in place of fixed figures

An engine whose batch was full for a moment cost 400 ms, whatever a place takes to come free (a twelfth of 0.4 s there); and two calls for an adapter at one router within a second, times 68 routers, counted as 47 a second, for which the adapter got five copies.

UNREAD_WEIGHT, QUEUED_MS and FULL_MS are gone. TOKENS_PER_MS, ACTIVE_MS, CALLS_PER_COPY and PLACE_MS are still the first customer's figures.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -1,6 +1,7 @@
 //! Decisions for targets that routers call directly: routes, choice of a target, what an answer
 //! proves, retries, and the loader's orders to the one engine beside it.
 
+pub mod backlog;
 pub mod budget;
 pub mod call;
 pub mod config;
--- a/crates/core/src/direct/demand.rs
+++ b/crates/core/src/direct/demand.rs
@@ -22,6 +22,10 @@
 const COUNT_LIMIT: usize = 4_096;
 /// Count below which an adapter is forgotten when there are too many.
 const COUNT_FLOOR: f64 = 0.1;
+/// Other calls for an adapter at this router within the last moments from which its own count says anything.
+/// One or two come together by chance, and with them, times the routers, a rare adapter would get as many
+/// copies as a busy one: with 68 routers, adapters of two calls a minute were loaded at five engines.
+const CHANCE_CALLS: f64 = 2.5;
 /// Reported rates are in tenths of a call a second.
 const RATE_STEP: f64 = 0.1;
 
@@ -97,7 +101,8 @@
     pub fn rate(&self, adapter: &AdapterId, routers: usize, now: Timestamp) -> f64 {
         let reported = self.reported.get(adapter).copied().unwrap_or(0.0);
         // The call for which this is asked says nothing of others.
-        let others = self.own.get(adapter).map_or(0.0, |count| (count.read(now) - 1.0).max(0.0));
+        let others = self.own.get(adapter).map_or(0.0, |count| count.read(now) - 1.0);
+        let others = if others < CHANCE_CALLS { 0.0 } else { others };
         let own = others * std::f64::consts::LN_2 / RECENT_HALF_LIFE.as_secs_f64();
         reported.max(own * routers as f64)
     }
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -13,6 +13,7 @@
 pub mod transit;
 
 use super::{
+    backlog::PromptBacklog,
     call::AdapterId,
     demand::RECENT_HALF_LIFE,
     membership::{InstanceId, TargetLife},
@@ -134,6 +135,7 @@
     /// Loads on their way.
     loading: HashMap<AdapterId, LoadStart>,
     transit: TransitGauge,
+    backlog: PromptBacklog,
     memory: HostMemory,
     /// Whether the engine has reported since this process started.
     has_met: bool,
@@ -170,6 +172,7 @@
             lost: LostOrders::default(),
             loading: HashMap::new(),
             transit: TransitGauge::new(TRANSIT_LIMIT),
+            backlog: PromptBacklog::default(),
             memory: HostMemory::default(),
             has_met: false,
             timely_loads: 0,
@@ -216,6 +219,7 @@
         for (adapter, count) in started.collect::<Vec<_>>() {
             self.record_demand(adapter, count, now);
         }
+        self.backlog.add(notice.uses.iter().map(|used| used.started_tokens).sum(), now);
         if !notice.bases.is_empty() {
             let (bases, memory_mb) = (notice.bases.clone(), notice.memory_mb);
             self.offer = Some(EngineOffer { bases, memory_mb });
@@ -280,6 +284,7 @@
         self.instance = None;
         self.lost.begin_life();
         self.loading.clear();
+        self.backlog = PromptBacklog::default();
         self.memory = HostMemory::default();
         for state in self.notices.values_mut() {
             state.met.clear();
--- a/crates/core/src/direct/loader/report.rs
+++ b/crates/core/src/direct/loader/report.rs
@@ -39,6 +39,7 @@
             active: report.active,
             queued: report.queued,
             kv_used: report.kv_used,
+            unread_tokens: self.backlog.read(now),
         })
     }
 
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -58,6 +58,8 @@
     pub running: u16,
     /// Calls sent since the last notice.
     pub started: u16,
+    /// Tokens of their prompts.
+    pub started_tokens: u32,
 }
 
 /// A base model that the loader may put on its engine.
@@ -128,4 +130,6 @@
     pub queued: u16,
     /// Tokens of memory in use that cannot be given up.
     pub kv_used: u32,
+    /// Tokens of prompts that the engine has most likely not read yet, of all routers' calls.
+    pub unread_tokens: u32,
 }
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -2,6 +2,7 @@
 //! of an adapter.
 
 use super::{
+    backlog::TOKENS_PER_MS,
     call::{AdapterId, ModelCall},
     membership::TargetLife,
     target::TargetState,
@@ -15,17 +16,8 @@
 use std::{cmp::Ordering, sync::Arc};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Prompt tokens that an engine reads in a millisecond: the figure of the engines in use.
-const TOKENS_PER_MS: f64 = 38.0;
-/// Share of a router's unread tokens that stands for those of all routers at a target: calls for an
-/// adapter meet at its preferred targets from every router, but only this router's are known.
-const UNREAD_WEIGHT: f64 = 1.5;
 /// Cost of each call that an engine runs: a step takes 0.02 ms longer for each, over some 70 steps.
 const ACTIVE_MS: f64 = 1.4;
-/// Cost of each call that waits in an engine's queue: it waits for a place in the batch.
-const QUEUED_MS: f64 = 25.0;
-/// Cost of an engine whose batch is full.
-const FULL_MS: f64 = 400.0;
 /// Part of a load's time for which an adapter that is on its way is waited for, on the mean.
 const COMING_SHARE: f64 = 0.5;
 /// Further cost of loading elsewhere than at a preferred target, in loads from the weight store. The store
@@ -230,7 +222,7 @@
     is_waited: bool,
     now: Timestamp,
 ) -> f64 {
-    let unread = f64::from(target.unread_tokens) * UNREAD_WEIGHT / TOKENS_PER_MS;
+    let unread = target.unread_of_all(now) / TOKENS_PER_MS;
     let stall =
         adapter.map_or(0.0, |adapter| stall_cost(pool, target, adapter, preferred, is_waited, now));
     unread + stall + batch_cost(pool, target, call, now) + trouble_cost(target, now)
@@ -239,16 +231,16 @@
 fn batch_cost(pool: &TargetPool, target: &TargetState, call: &ModelCall, now: Timestamp) -> f64 {
     let report = target.fresh_report(now);
     let active = report.map_or(0, |report| u32::from(report.active)).max(target.in_flight);
-    let queued = report.map_or(0, |report| report.queued);
-    let spec = pool.engine_of(target);
-    let is_full = spec.is_some_and(|spec| {
-        let used = report.map_or(0, |report| u64::from(report.kv_used));
-        let wanted = u64::from(call.tokens_in + call.tokens_out);
-        active >= spec.batch || used + wanted > spec.kv_tokens
-    });
-    f64::from(active) * ACTIVE_MS
-        + f64::from(queued) * QUEUED_MS
-        + if is_full { FULL_MS } else { 0.0 }
+    let queued = report.map_or(0, |report| u32::from(report.queued));
+    let Some(spec) = pool.engine_of(target) else { return f64::from(active) * ACTIVE_MS };
+    let used = report.map_or(0, |report| u64::from(report.kv_used));
+    let wanted = u64::from(call.tokens_in + call.tokens_out);
+    let is_full = active >= spec.batch || used + wanted > spec.kv_tokens;
+    // Those in the queue have their turns first, each when a run ends.
+    let turns = queued + u32::from(is_full);
+    // A full engine puts calls back when its memory runs out, and reads their prompts anew.
+    let again = if is_full { f64::from(call.tokens_in) / TOKENS_PER_MS } else { 0.0 };
+    f64::from(active) * ACTIVE_MS + f64::from(turns) * pool.usual().turn_ms(spec.batch) + again
 }
 
 fn stall_cost(
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -1,6 +1,7 @@
 //! One target as one router sees it.
 
 use super::{
+    backlog::unread_after,
     call::AdapterId,
     health::TargetHealth,
     membership::{BaseHolding, TargetEntry},
@@ -36,6 +37,7 @@
 pub(super) struct UseCounts {
     pub(super) running: u16,
     pub(super) started: u16,
+    pub(super) started_tokens: u32,
 }
 
 /// A router's wish for an adapter at a target.
@@ -128,6 +130,16 @@
         is_new
     }
 
+    /// Prompt tokens of all routers' calls that it has most likely not read yet: those that its loader told,
+    /// less what it has read since, and at least this router's own.
+    pub fn unread_of_all(&self, now: Timestamp) -> f64 {
+        let told = self.loader.as_ref().map_or(0.0, |view| {
+            let age = now.saturating_sub(view.received);
+            unread_after(f64::from(view.report.unread_tokens), age)
+        });
+        told.max(f64::from(self.unread_tokens))
+    }
+
     /// Whether its loader was asked, and an answer may still come.
     pub fn has_question(&self, now: Timestamp) -> bool {
         self.question.is_some_and(|at| now.saturating_sub(at) < SILENCE)
@@ -244,6 +256,7 @@
             adapter: Arc::clone(&adapter.name),
             running: counts.running,
             started: std::mem::take(&mut counts.started),
+            started_tokens: std::mem::take(&mut counts.started_tokens),
         });
         let list = uses.collect();
         self.uses.retain(|_, counts| counts.running > 0);
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -256,6 +256,7 @@
         let counts = target.uses.entry(adapter.clone()).or_default();
         counts.running += 1;
         counts.started += 1;
+        counts.started_tokens += tokens;
         counts.running == 1
     }
 
@@ -272,6 +273,13 @@
         target.unread_tokens = target.unread_tokens.saturating_sub(tokens);
     }
 
+    /// A call's answer has ended that came `time` after its sending.
+    pub fn run_ended(&mut self, life: &TargetLife, time: Duration) {
+        if self.target(life).is_some_and(|target| self.engine_of(target).is_some()) {
+            self.usual.record_run(time);
+        }
+    }
+
     /// A call uses its adapter no longer; returns whether no other call of this router does there.
     pub fn use_ended(&mut self, life: &TargetLife, adapter: &AdapterId) -> bool {
         let counts = self.target_mut(life).and_then(|target| target.uses.get_mut(adapter));
--- a/crates/core/src/direct/waits.rs
+++ b/crates/core/src/direct/waits.rs
@@ -1,4 +1,4 @@
-//! How long loads take and wait at engines on the mean, as one router hears it.
+//! How long runs last, and loads take and wait at engines, on the mean, as one router sees it.
 //!
 //! Pattern: a router knows only the engines that it asked lately. While one that it did not know counted as
 //! idle, each engine that was known to be busy looked worse than any unknown one: calls left the engines
@@ -6,6 +6,7 @@
 //! the weight store once more. An engine of which nothing is known is as busy as the others.
 
 use super::messages::LoaderReport;
+use std::time::Duration;
 
 /// Time in ms of a load from the weight store before any loader has told one: an assumption, replaced by the
 /// first reports.
@@ -13,14 +14,19 @@
 /// Share of a new report in the means: a router hears some ten reports a second, and how busy the fleet is
 /// changes within about a second.
 const REPORT_WEIGHT: f64 = 0.1;
+/// Time in ms of a run before any has ended: an assumption, replaced by the first runs.
+const PRIOR_RUN_MS: f64 = 400.0;
+/// Share of a new run in the mean: a router sees some ten a second, long and short ones.
+const RUN_WEIGHT: f64 = 0.05;
 /// Wait for each load before this one that waits for a place at an engine all of whose adapters are in use.
 /// Runs last 0.4 s on the mean, and of ten adapters in use some two are shared by other calls, so that a
 /// place comes free about this often.
 const PLACE_MS: f64 = 60.0;
 
-/// Means over the reports of all loaders, in milliseconds.
+/// Means over the reports of all loaders and this router's runs at all engines, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct UsualWaits {
+    run: f64,
     load: f64,
     place: f64,
     queue: f64,
@@ -28,7 +34,7 @@
 
 impl Default for UsualWaits {
     fn default() -> Self {
-        Self { load: PRIOR_LOAD_MS, place: 0.0, queue: 0.0 }
+        Self { run: PRIOR_RUN_MS, load: PRIOR_LOAD_MS, place: 0.0, queue: 0.0 }
     }
 }
 
@@ -41,6 +47,16 @@
         blend(&mut self.queue, f64::from(report.queue_ms));
     }
 
+    /// A run at an engine has ended that took so long, from its sending on.
+    pub fn record_run(&mut self, time: Duration) {
+        self.run += RUN_WEIGHT * (time.as_secs_f64() * 1_000.0 - self.run);
+    }
+
+    /// Time after which the next place of a full batch of `places` comes free, in milliseconds.
+    pub fn turn_ms(&self, places: u32) -> f64 {
+        self.run / f64::from(places.max(1))
+    }
+
     /// Time of a load from the weight store, in milliseconds.
     pub fn load_ms(&self) -> f64 {
         self.load
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -1,5 +1,6 @@
 //! The decisions for targets that routers call directly.
 
+mod backlog;
 mod budget;
 mod config;
 mod demand;
--- a/crates/core/tests/core/direct/demand.rs
+++ b/crates/core/tests/core/direct/demand.rs
@@ -38,6 +38,20 @@
             reported: vec![],
             rate: 0.0..3.0,
         },
+        DemandCase {
+            name: "three calls that came together by chance",
+            routers: 30,
+            calls: vec![1_000, 1_150, 1_300],
+            reported: vec![],
+            rate: 0.0..0.1,
+        },
+        DemandCase {
+            name: "the same, of an adapter that loaders know",
+            routers: 30,
+            calls: vec![1_000, 1_150, 1_300],
+            reported: vec![6.0],
+            rate: 5.9..6.1,
+        },
         DemandCase {
             name: "wanted suddenly: six calls at this router within half a second",
             routers: 30,
--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -31,7 +31,13 @@
 }
 
 fn running(name: &str, count: u16) -> AdapterUse {
-    AdapterUse { base: BASE.into(), adapter: name.into(), running: count, started: count }
+    AdapterUse {
+        base: BASE.into(),
+        adapter: name.into(),
+        running: count,
+        started: count,
+        started_tokens: 0,
+    }
 }
 
 fn started(name: &str) -> AdapterUse {
--- a/crates/core/tests/core/direct/notices.rs
+++ b/crates/core/tests/core/direct/notices.rs
@@ -27,7 +27,7 @@
     assert!(due(&mut schedule, &pool, 0).is_empty(), "nothing runs or is wanted");
     let e1: TargetLife = "e1".into();
     pool.call_started(&e1, Some(&adapter("h7")), 0);
-    assert_eq!(due(&mut schedule, &pool, 0), [e1.clone()]);
+    assert_eq!(due(&mut schedule, &pool, 0), vec![e1.clone()]);
     let notice = schedule.make(&mut pool, &e1, ms(0)).expect("a notice");
     assert_eq!((notice.uses.len(), notice.asks), (1, false));
     assert!(due(&mut schedule, &pool, 500).is_empty(), "told, and nothing changed");
@@ -48,7 +48,7 @@
     assert!(!pool.use_ended(&e1, &adapter("h7")), "one of two");
     assert!(due(&mut schedule, &pool, 200).is_empty(), "the adapter is in use as before");
     assert!(pool.use_ended(&e1, &adapter("h7")), "the last one");
-    assert_eq!(due(&mut schedule, &pool, 200), [e1.clone()]);
+    assert_eq!(due(&mut schedule, &pool, 200), vec![e1.clone()]);
     let notice = schedule.make(&mut pool, &e1, ms(200)).expect("a notice");
     assert!(notice.uses.iter().all(|told| told.running == 0));
     let ends = (300..3_000).step_by(50).filter(|at| !due(&mut schedule, &pool, *at).is_empty());
@@ -94,7 +94,7 @@
     pool.replace_list(vec![Arc::new(empty)], ms(0));
     let mut schedule = NoticeSchedule::new(1);
     let e1: TargetLife = "e1".into();
-    assert_eq!(schedule.due(&pool, 100, ms(0), || 0.009), [e1.clone()]);
+    assert_eq!(schedule.due(&pool, 100, ms(0), || 0.009), vec![e1.clone()]);
     assert!(schedule.due(&pool, 100, ms(0), || 0.011).is_empty());
     let notice = schedule.make(&mut pool, &e1, ms(0)).expect("a notice");
     assert!(!notice.bases.is_empty() && notice.asks);
--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -491,3 +491,73 @@
     pool.call_started(&"e2".into(), Some(&adapter("h7")), 0);
     assert_eq!(choose(&pool, &ask, 1_700), send, "in use by a call of this router");
 }
+
+/// All places of the preferred engine's batch are taken for a moment. A place comes free within a twelfth of
+/// a run or so; the next engine would have to load the adapter, and each rare adapter had copies at as many
+/// engines as it had calls.
+#[test]
+fn a_full_batch_costs_the_turns_before_the_call() {
+    struct FullCase {
+        name: &'static str,
+        run_ms: u64,
+        queued: u16,
+        stays: bool,
+    }
+    let cases = [
+        FullCase { name: "short runs, no queue", run_ms: 400, queued: 0, stays: true },
+        FullCase { name: "short runs, a short queue", run_ms: 400, queued: 2, stays: true },
+        FullCase { name: "short runs, a long queue", run_ms: 400, queued: 20, stays: false },
+        FullCase { name: "long runs, no queue", run_ms: 1_200, queued: 0, stays: true },
+        FullCase { name: "long runs, a short queue", run_ms: 1_200, queued: 3, stays: false },
+    ];
+    for case in cases {
+        let mut pool = pool();
+        let call = model_call(Some("h7"));
+        for id in ["e1", "e2", "e3"] {
+            take_report(&mut pool, report(id, 1, &[]), ms(0));
+            for _ in 0..200 {
+                pool.run_ended(&id.into(), ms(case.run_ms));
+            }
+        }
+        let TargetChoice::Load(first, _, _) = choose(&pool, ENGINES, Some(&call), 10) else {
+            panic!("{}: a load", case.name)
+        };
+        let full = LoaderReport { active: 8, queued: case.queued, ..report(&first.id, 2, &[]) };
+        take_report(&mut pool, full, ms(5));
+        let choice = choose(&pool, ENGINES, Some(&call), 10);
+        let stays = choice == TargetChoice::Load(first, adapter("h7"), 1);
+        assert_eq!(stays, case.stays, "{}", case.name);
+    }
+}
+
+/// The engine that holds an adapter is full. A long prompt would be put back and read again, and goes to
+/// another engine although the adapter must be loaded there; a short one stays and has its turn.
+#[test]
+fn long_prompts_leave_a_full_engine() {
+    struct FullCase {
+        name: &'static str,
+        tokens_in: u32,
+        kv_used: u32,
+        active: u16,
+        stays: bool,
+    }
+    let cases = [
+        FullCase { name: "short", tokens_in: 600, kv_used: 99_900, active: 8, stays: true },
+        FullCase { name: "room", tokens_in: 30_000, kv_used: 9_000, active: 7, stays: true },
+        FullCase { name: "memory", tokens_in: 30_000, kv_used: 99_900, active: 1, stays: false },
+        FullCase { name: "batch", tokens_in: 30_000, kv_used: 9_000, active: 8, stays: false },
+    ];
+    for case in cases {
+        let mut pool = pool();
+        let call = ModelCall { tokens_in: case.tokens_in, ..model_call(Some("h7")) };
+        for id in ["e1", "e3"] {
+            take_report(&mut pool, report(id, 1, &[]), ms(0));
+        }
+        let (kv_used, active) = (case.kv_used, case.active);
+        let holder = LoaderReport { kv_used, active, ..report("e2", 1, &[("h7", 1)]) };
+        take_report(&mut pool, holder, ms(0));
+        let choice = choose(&pool, ENGINES, Some(&call), 10);
+        let stays = choice == TargetChoice::Send("e2".into(), Some(1));
+        assert_eq!(stays, case.stays, "{}", case.name);
+    }
+}
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -259,6 +259,8 @@
     life: TargetLife,
     adapter: Option<AdapterId>,
     unread: u32,
+    sent: Timestamp,
+    is_answered: bool,
     is_overdue: bool,
     may_run_on: bool,
 }
@@ -282,6 +284,8 @@
             life: life.clone(),
             adapter,
             unread: tokens,
+            sent: clock::now(),
+            is_answered: false,
             is_overdue: false,
             may_run_on: false,
         }
@@ -299,6 +303,7 @@
 
     /// The first byte came.
     pub(crate) fn answered(&mut self) {
+        self.is_answered = true;
         let unread = std::mem::take(&mut self.unread);
         self.context.pool.borrow_mut().call_answered(&self.life, unread);
         self.set_overdue(false);
@@ -316,7 +321,13 @@
 impl Drop for CallGuard {
     fn drop(&mut self) {
         self.set_overdue(false);
-        self.context.pool.borrow_mut().call_ended(&self.life, self.unread);
+        {
+            let mut pool = self.context.pool.borrow_mut();
+            pool.call_ended(&self.life, self.unread);
+            if self.is_answered {
+                pool.run_ended(&self.life, clock::now().saturating_sub(self.sent));
+            }
+        }
         let Some(adapter) = self.adapter.take() else { return };
         let (context, life) = (Rc::clone(&self.context), self.life.clone());
         if !self.may_run_on {
