--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -184,9 +184,9 @@
         && !need.excluded.contains(&target.entry.life)
 }
 
-/// Whether an engine has just started empty and its loader is not known to be silent: after a crash of all engines, the
-/// base model is back within a second or two, and callers that were turned away meanwhile would all
-/// have to come back for it.
+/// Whether an engine has just started empty and its loader is not known to be silent: after a crash of all
+/// engines, the base model is back within a second or two, and callers that were turned away meanwhile
+/// would all have to come back for it.
 fn awaits_base(pool: &TargetPool, need: &CallNeed<'_>, now: Timestamp) -> bool {
     need.model.is_some()
         && pool
--- /dev/null
+++ b/crates/core/tests/core/direct/selection/costs.rs
@@ -0,0 +1,165 @@
+//! What leaving an adapter's preferred engine costs against waiting there, and when a router asks first.
+
+use super::{
+    super::support::{ENGINES, adapter, model_call, ms, pool, report},
+    choose, need, take_report,
+};
+use plantain_core::direct::{
+    call::ModelCall,
+    messages::LoaderReport,
+    selection::{CallNeed, TargetChoice, choose_target},
+    targets::TargetPool,
+};
+
+/// Loads of the store take three times as long while the fleet asks for too much at once. A load elsewhere
+/// than at the preferred engine has the store give an adapter twice: the longer loads take, the longer a
+/// call must expect to wait at its preferred engine before it goes astray.
+#[test]
+fn strays_cost_more_while_loads_are_slow() {
+    struct StrayCase {
+        name: &'static str,
+        load_ms: u16,
+        /// Wait at the preferred engine.
+        queue_ms: u16,
+        stays: bool,
+    }
+    let cases = [
+        StrayCase { name: "fast, short wait", load_ms: 100, queue_ms: 80, stays: true },
+        StrayCase { name: "fast, long wait", load_ms: 100, queue_ms: 300, stays: false },
+        StrayCase { name: "slow, the same wait", load_ms: 400, queue_ms: 300, stays: true },
+        StrayCase { name: "slow, longer wait", load_ms: 400, queue_ms: 900, stays: false },
+    ];
+    for case in cases {
+        let mut pool = pool();
+        let call = model_call(Some("h7"));
+        for sequence in 1..100 {
+            for id in ["e1", "e2", "e3"] {
+                let told = LoaderReport { load_ms: case.load_ms, ..report(id, sequence, &[]) };
+                take_report(&mut pool, told, ms(0));
+            }
+        }
+        let TargetChoice::Load(first, _, _) = choose(&pool, ENGINES, Some(&call), 10) else {
+            panic!("{}: a load", case.name)
+        };
+        let (load_ms, queue_ms) = (case.load_ms, case.queue_ms);
+        let busy = LoaderReport { load_ms, queue_ms, ..report(&first.id, 100, &[]) };
+        take_report(&mut pool, busy, ms(5));
+        let choice = choose(&pool, ENGINES, Some(&call), 10);
+        let stays = choice == TargetChoice::Load(first, adapter("h7"), 1);
+        assert_eq!(stays, case.stays, "{}", case.name);
+    }
+}
+
+/// A router knows one engine, which is busy, and nothing of the others. If those counted as idle, every
+/// call would leave the engine where its adapter belongs for one that turns out as busy.
+#[test]
+fn engines_that_are_not_known_count_as_busy_as_the_others() {
+    let mut pool = pool();
+    let call = model_call(Some("h7"));
+    let TargetChoice::Load(first, _, _) = choose(&pool, ENGINES, Some(&call), 10) else {
+        panic!("a load")
+    };
+    for sequence in 1..60 {
+        let busy = LoaderReport { room: -8, queue_ms: 400, ..report(&first.id, sequence, &[]) };
+        take_report(&mut pool, busy, ms(0));
+    }
+    let choice = choose(&pool, ENGINES, Some(&call), 10);
+    assert_eq!(choice, TargetChoice::Load(first, adapter("h7"), 1));
+}
+
+/// What is known of the engine chosen is old. The call asks first, unless it has asked often enough, or a
+/// call of the same router keeps the adapter there.
+#[test]
+fn old_knowledge_is_asked_anew() {
+    let mut pool = pool();
+    let call = model_call(Some("h7"));
+    let (service, zone) = (ENGINES.into(), "a".into());
+    let ask = CallNeed { may_ask: true, ..need(&service, &zone, Some(&call)) };
+    let choose =
+        |pool: &TargetPool, need: &CallNeed<'_>, at| choose_target(pool, need, ms(at), || 0.5);
+    take_report(&mut pool, report("e2", 1, &[("h7", 1)]), ms(0));
+    let send = TargetChoice::Send("e2".into(), Some(1));
+    assert_eq!(choose(&pool, &ask, 10), send, "fresh");
+    assert_eq!(choose(&pool, &ask, 400), TargetChoice::Ask("e2".into()), "old");
+    assert_eq!(
+        choose(&pool, &CallNeed { may_ask: false, ..ask.clone() }, 400),
+        send,
+        "asked enough"
+    );
+    pool.ask(&"e2".into(), ms(400));
+    assert_eq!(choose(&pool, &ask, 540), TargetChoice::Ask("e2".into()), "an answer may come");
+    assert_eq!(choose(&pool, &ask, 560), send, "silent: no question would tell more");
+    take_report(&mut pool, report("e2", 2, &[("h7", 1)]), ms(700));
+    pool.call_started(&"e2".into(), Some(&adapter("h7")), 0);
+    assert_eq!(choose(&pool, &ask, 1_700), send, "in use by a call of this router");
+}
+
+/// All places of the preferred engine's batch are taken for a moment. A place comes free within a twelfth of
+/// a run or so; the next engine would have to load the adapter, and each rare adapter had copies at as many
+/// engines as it had calls.
+#[test]
+fn a_full_batch_costs_the_turns_before_the_call() {
+    struct FullCase {
+        name: &'static str,
+        run_ms: u64,
+        queued: u16,
+        stays: bool,
+    }
+    let cases = [
+        FullCase { name: "short runs, no queue", run_ms: 400, queued: 0, stays: true },
+        FullCase { name: "short runs, a short queue", run_ms: 400, queued: 2, stays: true },
+        FullCase { name: "short runs, a long queue", run_ms: 400, queued: 20, stays: false },
+        FullCase { name: "long runs, no queue", run_ms: 1_200, queued: 0, stays: true },
+        FullCase { name: "long runs, a short queue", run_ms: 1_200, queued: 3, stays: false },
+    ];
+    for case in cases {
+        let mut pool = pool();
+        let call = model_call(Some("h7"));
+        for id in ["e1", "e2", "e3"] {
+            take_report(&mut pool, report(id, 1, &[]), ms(0));
+            for _ in 0..200 {
+                pool.run_ended(&id.into(), ms(case.run_ms));
+            }
+        }
+        let TargetChoice::Load(first, _, _) = choose(&pool, ENGINES, Some(&call), 10) else {
+            panic!("{}: a load", case.name)
+        };
+        let full = LoaderReport { active: 8, queued: case.queued, ..report(&first.id, 2, &[]) };
+        take_report(&mut pool, full, ms(5));
+        let choice = choose(&pool, ENGINES, Some(&call), 10);
+        let stays = choice == TargetChoice::Load(first, adapter("h7"), 1);
+        assert_eq!(stays, case.stays, "{}", case.name);
+    }
+}
+
+/// The engine that holds an adapter is full. A long prompt would be put back and read again, and goes to
+/// another engine although the adapter must be loaded there; a short one stays and has its turn.
+#[test]
+fn long_prompts_leave_a_full_engine() {
+    struct FullCase {
+        name: &'static str,
+        tokens_in: u32,
+        kv_used: u32,
+        active: u16,
+        stays: bool,
+    }
+    let cases = [
+        FullCase { name: "short", tokens_in: 600, kv_used: 99_900, active: 8, stays: true },
+        FullCase { name: "room", tokens_in: 30_000, kv_used: 9_000, active: 7, stays: true },
+        FullCase { name: "memory", tokens_in: 30_000, kv_used: 99_900, active: 1, stays: false },
+        FullCase { name: "batch", tokens_in: 30_000, kv_used: 9_000, active: 8, stays: false },
+    ];
+    for case in cases {
+        let mut pool = pool();
+        let call = ModelCall { tokens_in: case.tokens_in, ..model_call(Some("h7")) };
+        for id in ["e1", "e3"] {
+            take_report(&mut pool, report(id, 1, &[]), ms(0));
+        }
+        let (kv_used, active) = (case.kv_used, case.active);
+        let holder = LoaderReport { kv_used, active, ..report("e2", 1, &[("h7", 1)]) };
+        take_report(&mut pool, holder, ms(0));
+        let choice = choose(&pool, ENGINES, Some(&call), 10);
+        let stays = choice == TargetChoice::Send("e2".into(), Some(1));
+        assert_eq!(stays, case.stays, "{}", case.name);
+    }
+}
