Fleet test: a load where an adapter is missing is no wait for an answer

Traced: the call came while an engine outside its preferred ones held the adapter (engine 13), its preferred one (36) did not, and a load was made there: the second copy that a wanted adapter gets. That is allowed; the test is about what asking costs. It now leaves out a call from the moment that it waits for a load at an engine where the adapter is missing in truth; a router that asks for a load of what is there still fails it.

--- a/crates/core/tests/core/direct/fleet/simulation.rs
+++ b/crates/core/tests/core/direct/fleet/simulation.rs
@@ -57,7 +57,7 @@
     pub sent: usize,
     /// Calls that were sent to an engine without their adapter.
     pub refused: usize,
-    /// Longest time from a call's coming to its sending, of calls whose adapter was there, in milliseconds.
+    /// Longest time from a call's coming to its sending, of calls that waited for no load, in milliseconds.
     pub longest_ask_ms: u64,
     pub bytes_of_routers: Vec<usize>,
     pub bytes_of_loaders: Vec<usize>,
@@ -311,6 +311,10 @@
             TargetChoice::Load(life, adapter, version) => {
                 router.pool.prefetch(&life, &adapter, version, now);
                 self.notify(index, &life);
+                // A load where the adapter is missing, although another engine has it, is no wait for
+                // an answer.
+                let engine = &self.loaders[engine_index(&life.id)].engine;
+                let was_held = was_held && engine.held(&adapter).is_some();
                 self.push(self.now + WAIT_MS, Event::Retry(index, name, came, was_held));
             }
             TargetChoice::AwaitBase | TargetChoice::Nowhere => {
