--- a/crates/core/tests/core/direct/fleet.rs
+++ b/crates/core/tests/core/direct/fleet.rs
@@ -1,8 +1,10 @@
 //! What a host sends and knows must not grow with the fleet.
 
+mod plan;
 mod simulation;
 
-use simulation::{Fleet, FleetCounts, FleetPlan};
+use plan::{FleetCounts, FleetPlan};
+use simulation::Fleet;
 
 const SECOND: u64 = 1_000;
 
--- a/crates/core/tests/core/direct/selection/costs.rs
+++ b/crates/core/tests/core/direct/selection/costs.rs
@@ -6,11 +6,20 @@
 };
 use plantain_core::direct::{
     call::ModelCall,
+    membership::TargetLife,
     messages::LoaderReport,
     selection::{CallNeed, TargetChoice, choose_target},
     targets::TargetPool,
 };
 
+/// The engine at which a call would have its adapter loaded.
+fn loaded_at(pool: &TargetPool, call: &ModelCall) -> TargetLife {
+    match choose(pool, ENGINES, Some(call), 10) {
+        TargetChoice::Load(life, _, _) => life,
+        other => panic!("a load, not {other:?}"),
+    }
+}
+
 /// Loads of the store take three times as long while the fleet asks for too much at once. A load elsewhere
 /// than at the preferred engine has the store give an adapter twice: the longer loads take, the longer a
 /// call must expect to wait at its preferred engine before it goes astray.
@@ -38,9 +47,7 @@
                 take_report(&mut pool, told, ms(0));
             }
         }
-        let TargetChoice::Load(first, _, _) = choose(&pool, ENGINES, Some(&call), 10) else {
-            panic!("{}: a load", case.name)
-        };
+        let first = loaded_at(&pool, &call);
         let (load_ms, queue_ms) = (case.load_ms, case.queue_ms);
         let busy = LoaderReport { load_ms, queue_ms, ..report(&first.id, 100, &[]) };
         take_report(&mut pool, busy, ms(5));
@@ -56,9 +63,7 @@
 fn engines_that_are_not_known_count_as_busy_as_the_others() {
     let mut pool = pool();
     let call = model_call(Some("h7"));
-    let TargetChoice::Load(first, _, _) = choose(&pool, ENGINES, Some(&call), 10) else {
-        panic!("a load")
-    };
+    let first = loaded_at(&pool, &call);
     for sequence in 1..60 {
         let busy = LoaderReport { room: -8, queue_ms: 400, ..report(&first.id, sequence, &[]) };
         take_report(&mut pool, busy, ms(0));
@@ -121,9 +126,7 @@
                 pool.run_ended(&id.into(), ms(case.run_ms));
             }
         }
-        let TargetChoice::Load(first, _, _) = choose(&pool, ENGINES, Some(&call), 10) else {
-            panic!("{}: a load", case.name)
-        };
+        let first = loaded_at(&pool, &call);
         let full = LoaderReport { active: 8, queued: case.queued, ..report(&first.id, 2, &[]) };
         take_report(&mut pool, full, ms(5));
         let choice = choose(&pool, ENGINES, Some(&call), 10);
