Test: a request that ends engines is held back on the offered path too (fails)

An entry offers a request that broke off to up to four targets, and neither agents nor other entries know it again.

--- a/crates/standin/src/cluster.rs
+++ b/crates/standin/src/cluster.rs
@@ -275,6 +275,19 @@
         Ok(in_order)
     }
 
+    /// Starts the engines again whose processes have ended; returns how many.
+    pub fn revive_engines(&mut self) -> Result<usize> {
+        let mut count = 0;
+        for index in 0..self.plan.engines.len() {
+            let process = self.processes.get_mut(&format!("engine-{index}"));
+            if process.is_some_and(ManagedProcess::has_ended) {
+                self.start_engine(index)?;
+                count += 1;
+            }
+        }
+        Ok(count)
+    }
+
     /// Starts engine `index`.
     pub fn start_engine(&mut self, index: usize) -> Result<()> {
         let mut arguments = words(&["engine", "--listen", &self.engine(index).to_string()]);
--- a/crates/standin/src/engine.rs
+++ b/crates/standin/src/engine.rs
@@ -76,6 +76,12 @@
     pub freeze: bool,
 }
 
+/// A prompt that no engine survives, as one that runs into a fault of its code: the process ends as it
+/// begins to run it.
+pub const FATAL_PROMPT: &str = "a prompt that no engine survives";
+/// Exit status of an engine that ends under it.
+const FATAL_STATUS: i32 = 70;
+
 /// What the engine has done, from `GET /standin/records`.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct EngineRecords {
@@ -264,6 +270,9 @@
             return engine_error(StatusCode::NOT_FOUND, &message);
         }
         state.records.executed.push(request_id);
+        if prompt == FATAL_PROMPT {
+            std::process::exit(FATAL_STATUS);
+        }
         state.next_id += 1;
         let id = format!("cmpl-{}", state.next_id);
         let tokens = request.max_tokens.unwrap_or(DEFAULT_TOKENS).max(1);
--- a/crates/standin/tests/integration/main.rs
+++ b/crates/standin/tests/integration/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the whole system: real processes, talking over loopback.
 
 mod answers;
+mod crashes;
 mod idempotency;
 mod import;
 mod loads;
