A request that has ended three engines is held back on the offered path too

Cause: as on the direct path; besides, an entry offered a request that broke off to up to four targets, each of which it could end before anybody knew. Change: an agent, which alone sees what ends its target, tells which requests were there, in an object of its own on the platform; entries follow these and refuse a request under which three targets have ended: 503 'held_back', not run, at once, with when to come back. Two lost offers end a request. Crash ledger and fingerprint move out of 'direct', since both paths use them. Left: while the platform is out, an agent cannot tell, and entries do not hear of it.

--- a/crates/core/src/direct/crashes.rs
+++ b/crates/core/src/crashes.rs
@@ -8,12 +8,18 @@
 //! Reports are whole and kept by their teller's start and number: lost, late and doubled ones cost time
 //! alone. A restarted router reads what all have told from where it is kept.
 
-use super::{fingerprint::CallFingerprint, membership::TargetLife, messages::BootId};
-use crate::ids::Timestamp;
-use serde::{Deserialize, Serialize};
+use crate::{
+    direct::{membership::TargetLife, messages::BootId},
+    fingerprint::CallFingerprint,
+    ids::Timestamp,
+};
+use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
 use std::{
     cmp::Reverse,
-    collections::{BTreeSet, HashMap, VecDeque},
+    collections::{BTreeSet, HashMap, HashSet, VecDeque},
+    fmt::{self, Display, Formatter},
+    num::ParseIntError,
+    str::FromStr,
     sync::Arc,
     time::Duration,
 };
@@ -45,8 +51,9 @@
 /// Hash of a target's life.
 pub type LifeHash = u64;
 
-/// A call that was at a target.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
+/// A call that was at a target. In documents for people it is text: JSON's numbers may lose digits beyond
+/// 53 bits.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd)]
 pub struct CrashRecord {
     /// The call.
     pub call: CallFingerprint,
@@ -65,6 +72,47 @@
     }
 }
 
+impl Display for CrashRecord {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{:032x}:{:016x}", self.call, self.target)
+    }
+}
+
+impl FromStr for CrashRecord {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let (call, target) = text.split_once(':').ok_or_else(|| format!("`{text}` has no `:`"))?;
+        let problem = |error: ParseIntError| format!("`{text}`: {error}");
+        Ok(Self {
+            call: u128::from_str_radix(call, 16).map_err(problem)?,
+            target: u64::from_str_radix(target, 16).map_err(problem)?,
+        })
+    }
+}
+
+impl Serialize for CrashRecord {
+    fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
+        if serializer.is_human_readable() {
+            serializer.collect_str(self)
+        } else {
+            (self.call, self.target).serialize(serializer)
+        }
+    }
+}
+
+impl<'de> Deserialize<'de> for CrashRecord {
+    fn deserialize<D: Deserializer<'de>>(deserializer: D) -> Result<Self, D::Error> {
+        if deserializer.is_human_readable() {
+            let text = String::deserialize(deserializer)?;
+            text.parse().map_err(D::Error::custom)
+        } else {
+            let (call, target) = Deserialize::deserialize(deserializer)?;
+            Ok(Self { call, target })
+        }
+    }
+}
+
 /// All that one router tells of crashes.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CrashReport {
@@ -260,6 +308,14 @@
         !self.is_empty() && self.crashes_under(call) >= HOLD_CRASHES
     }
 
+    /// All calls that must not be handed to any target.
+    pub fn held_calls(&self) -> HashSet<CallFingerprint> {
+        let reports = self.told.iter().map(|report| &**report).chain([&self.own]);
+        let suspects: BTreeSet<CallFingerprint> =
+            reports.flat_map(|report| &report.crashes).map(|record| record.call).collect();
+        suspects.into_iter().filter(|call| self.is_held(*call)).collect()
+    }
+
     fn counted(&self, call: CallFingerprint) -> BTreeSet<LifeHash> {
         let reports = || self.told.iter().map(|report| &**report).chain([&self.own]);
         let of_call = |records: &[CrashRecord]| -> Vec<LifeHash> {
--- a/crates/core/src/direct/sharing.rs
+++ b/crates/core/src/direct/sharing.rs
@@ -7,12 +7,13 @@
 
 use super::{
     call::{AdapterId, AdapterRelease},
-    crashes::CrashReport,
     directory::watcher_rank,
     membership::{InstanceId, ListChange},
     messages::BootId,
     snapshot::ConfigRecord,
 };
+
+use crate::crashes::CrashReport;
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{HashSet, VecDeque},
--- a/crates/core/src/direct/snapshot.rs
+++ b/crates/core/src/direct/snapshot.rs
@@ -4,11 +4,13 @@
 use super::{
     call::{AdapterId, AdapterRelease},
     config::{CallerLimits, ConfigNumber, RouteConfig, RouteRule, ServiceSpec},
-    crashes::{CrashReport, CrashReports},
     membership::{InstanceId, ListChange, TargetEntry},
     sharing::SharedChange,
 };
-use crate::ids::{AdapterVersion, ServiceName, Timestamp};
+use crate::{
+    crashes::{CrashReport, CrashReports},
+    ids::{AdapterVersion, ServiceName, Timestamp},
+};
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, sync::Arc};
 
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -43,6 +43,8 @@
     EntryBusy,
     /// The agent holds no lease for its target.
     NoLease,
+    /// Targets have ended while they ran this request before.
+    HeldBack,
 }
 
 impl RefusalReason {
@@ -62,6 +64,7 @@
             Self::RetryBudget => "retry_budget",
             Self::EntryBusy => "entry_busy",
             Self::NoLease => "no_lease",
+            Self::HeldBack => "held_back",
         }
     }
 }
--- a/crates/core/tests/core/direct/crashes.rs
+++ b/crates/core/tests/core/crashes.rs
@@ -2,14 +2,12 @@
 //! means for the innocent.
 
 use plantain_core::{
-    direct::{
-        crashes::{
-            CRASH_LIFE, CrashLedger, CrashReport, HOLD_CRASHES, LifePhase, OpenRuns, RECORD_LIMIT,
-            REPORT_LIFE,
-        },
-        fingerprint::CallFingerprint,
-        membership::TargetLife,
+    crashes::{
+        CRASH_LIFE, CrashLedger, CrashReport, HOLD_CRASHES, LifePhase, OpenRuns, RECORD_LIMIT,
+        REPORT_LIFE,
     },
+    direct::membership::TargetLife,
+    fingerprint::CallFingerprint,
     ids::Timestamp,
 };
 use quickcheck::{TestResult, quickcheck};
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -3,10 +3,8 @@
 mod backlog;
 mod budget;
 mod config;
-mod crashes;
 mod demand;
 mod directory;
-mod fingerprint;
 mod fleet;
 mod health;
 mod loader;
--- a/crates/core/tests/core/direct/fingerprint.rs
+++ b/crates/core/tests/core/fingerprint.rs
@@ -1,6 +1,6 @@
 //! Which calls are the same request.
 
-use plantain_core::direct::fingerprint::call_fingerprint;
+use plantain_core::fingerprint::call_fingerprint;
 
 struct PairCase {
     what: &'static str,
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -3,7 +3,9 @@
 mod agent;
 mod burn;
 mod config;
+mod crashes;
 mod direct;
 mod entry;
 mod events;
+mod fingerprint;
 mod permits;
--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -1,5 +1,6 @@
 //! The agent role: the only process that sends its one target anything.
 
+mod crashes;
 pub mod decisions;
 pub mod engine;
 pub mod permits;
--- a/crates/daemon/src/agent/targets.rs
+++ b/crates/daemon/src/agent/targets.rs
@@ -1,11 +1,12 @@
 //! The targets duty of an agent: requests and orders to the one target.
 
 use super::{
+    crashes::{self, CrashWitness},
     decisions::{AgentCommand, CommandSender},
     engine,
     streams::ReplySender,
 };
-use crate::options::AgentSettings;
+use crate::{entry::crashes::request_fingerprint, options::AgentSettings};
 use bytes::Bytes;
 use eyre::{Result, WrapErr, ensure, eyre};
 use http_body_util::{BodyExt, Full};
@@ -22,9 +23,13 @@
     protocol::{AgentFrame, OfferFrame, WorkItem},
     target::TargetKind,
 };
-use plantain_net::client::{HttpClient, url};
+use plantain_net::{
+    client::{HttpClient, url},
+    platform::PlatformClient,
+};
 use slog::{Logger, warn};
 use std::{
+    rc::Rc,
     sync::{Arc, atomic::AtomicU64},
     time::{Duration, Instant},
 };
@@ -94,6 +99,7 @@
     pub(super) epoch: watch::Receiver<u64>,
     pub(super) http: HttpClient,
     pub(super) orders: Arc<AtomicU64>,
+    pub(super) crashes: Rc<CrashWitness>,
     pub(super) logger: Logger,
 }
 
@@ -106,7 +112,12 @@
     logger: Logger,
 ) {
     let http = HttpClient::new();
-    let context = TargetContext { settings, commands, epoch, http, orders: Arc::default(), logger };
+    let crashes = CrashWitness::new(&settings.common.name, settings.target, logger.clone());
+    let platform = PlatformClient::new(settings.common.platform, HttpClient::new());
+    spawn_local(crashes::publish(platform, crashes.subscribe(), logger.clone()));
+    spawn_local(Rc::clone(&crashes).age());
+    let orders = Arc::default();
+    let context = TargetContext { settings, commands, epoch, http, orders, crashes, logger };
     let watcher = context.clone();
     match context.settings.kind {
         TargetKind::Engine(_) => spawn_local(async move { engine::watch(watcher).await }),
@@ -145,6 +156,12 @@
         end = carrier.carry() => end,
         Ok(()) = cancelled => RunEnd::Cancelled,
     };
+    let call = request_fingerprint(&offer.work, &offer.head, &offer.body);
+    match &end {
+        RunEnd::Answered => context.crashes.note_survival(call),
+        RunEnd::Failed(_) | RunEnd::Cancelled => context.crashes.note_open_run(call),
+        RunEnd::Unsent | RunEnd::AdapterMissing => {}
+    }
     match end {
         RunEnd::Unsent => return drop(context.commands.send(AgentCommand::Unsent(work)).await),
         RunEnd::AdapterMissing => {
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -2,6 +2,7 @@
 
 pub mod broker;
 pub mod callers;
+pub(crate) mod crashes;
 pub mod decisions;
 pub mod exchange;
 mod follow;
@@ -21,9 +22,11 @@
     telemetry,
 };
 use callers::{CallerContext, CallerRings};
+use crashes::HeldCalls;
 use eyre::{Result, WrapErr};
 use plantain_core::config::ConfigSnapshot;
 use plantain_net::server;
+use platform::PlatformSenders;
 use slog::info;
 use status::{EntrySignals, EntryStatus};
 use std::sync::Arc;
@@ -47,6 +50,7 @@
         let (offers, offer_ring) = mpsc::channel(constants::RING_DEPTH);
         let (config_sender, config) = watch::channel(Arc::new(ConfigSnapshot::empty()));
         let (ended_sender, ended) = watch::channel(false);
+        let (held_sender, held) = watch::channel(HeldCalls::default());
 
         let policy = settings.clone();
         duty::start("decisions", move || decisions::run(policy, decision_ring))?;
@@ -63,7 +67,8 @@
         let signals = Arc::new(EntrySignals::default());
         let (own, ring, log) = (settings.clone(), decisions.clone(), logger.clone());
         let marks = Arc::clone(&signals);
-        duty::start("platform", move || platform::run(own, config_sender, ring, marks, log))?;
+        let senders = PlatformSenders { config: config_sender, held: held_sender };
+        duty::start("platform", move || platform::run(own, senders, ring, marks, log))?;
         let status = EntryStatus::new(
             settings.clone(),
             config.clone(),
@@ -80,7 +85,7 @@
 
         info!(logger, "entry listens"; "step" => "start", "listen" => %settings.listen);
         let rings = CallerRings { decisions, offers, records };
-        let context = CallerContext::new(settings, config, rings, status, logger.clone());
+        let context = CallerContext::new(settings, config, held, rings, status, logger.clone());
         callers::run(callers, context, stopping).await;
         info!(logger, "all requests ended"; "step" => "stop");
         ended_sender.send_replace(true);
--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -1,6 +1,7 @@
 //! The callers duty of an entry: HTTP in, HTTP out.
 
 use super::{
+    crashes::HeldCalls,
     decisions::DecisionSender,
     exchange::{Exchange, ExchangeEnd},
     idempotency::{self, RecordSender},
@@ -75,6 +76,8 @@
 pub struct CallerContext {
     pub(crate) settings: Arc<EntrySettings>,
     pub(crate) config: watch::Receiver<Arc<ConfigSnapshot>>,
+    /// Requests that must not be offered.
+    pub(crate) held: watch::Receiver<HeldCalls>,
     pub(crate) decisions: DecisionSender,
     pub(crate) offers: OfferSender,
     pub(crate) logger: Logger,
@@ -90,6 +93,7 @@
     pub fn new(
         settings: Arc<EntrySettings>,
         config: watch::Receiver<Arc<ConfigSnapshot>>,
+        held: watch::Receiver<HeldCalls>,
         rings: CallerRings,
         status: EntryStatus,
         logger: Logger,
@@ -102,6 +106,7 @@
         Self {
             settings,
             config,
+            held,
             decisions,
             offers,
             logger,
--- /dev/null
+++ b/crates/daemon/src/entry/crashes.rs
@@ -0,0 +1,63 @@
+//! Follows what agents tell of requests that end their targets.
+
+use crate::watch::KindWatch;
+use plantain_core::{
+    crashes::{CrashLedger, CrashReport},
+    fingerprint::{CallFingerprint, call_fingerprint},
+    protocol::{RequestHead, WorkItem},
+};
+use plantain_net::platform::{PlatformClient, records::CRASH_KIND};
+use slog::{Logger, info};
+use std::{
+    collections::HashSet,
+    sync::Arc,
+    time::{Duration, Instant},
+};
+use tokio::{
+    sync::watch,
+    time::{Instant as WaitInstant, timeout_at},
+};
+
+/// Requests that must not be offered.
+pub(crate) type HeldCalls = Arc<HashSet<CallFingerprint>>;
+
+/// Longest pause between looks whether crashes have become too old to count.
+const AGING_PAUSE: Duration = Duration::from_secs(30);
+
+/// Fingerprint of a request as its target gets it.
+pub(crate) fn request_fingerprint(
+    work: &WorkItem,
+    head: &RequestHead,
+    body: &[u8],
+) -> CallFingerprint {
+    // Paths below a service's name are the service's own.
+    let service = match work {
+        WorkItem::Completion { .. } => "",
+        WorkItem::Service { name } => name,
+    };
+    call_fingerprint(&head.method, service, &head.path, body)
+}
+
+/// Follows the agents' objects for as long as the process lives, and passes on which requests are held
+/// back.
+pub(super) async fn run(platform: PlatformClient, held: watch::Sender<HeldCalls>, logger: Logger) {
+    let began = Instant::now();
+    // An entry sees no target itself, and tells nothing.
+    let mut ledger = CrashLedger::new("".into(), rand::random());
+    let mut watch = KindWatch::<CrashReport>::new(platform, CRASH_KIND, logger.clone());
+    loop {
+        let next_look = WaitInstant::now() + AGING_PAUSE;
+        if let Ok(items) = timeout_at(next_look, watch.next()).await {
+            for report in items.into_iter().filter_map(|item| item.value) {
+                ledger.take_report(&Arc::new(report), began.elapsed());
+            }
+        }
+        ledger.expire(began.elapsed());
+        let calls = ledger.held_calls();
+        if calls != **held.borrow() {
+            info!(logger, "requests held back"; "step" => "crashes", "count" => calls.len(),
+                "fingerprints" => ?calls.iter().map(|call| format!("{call:032x}")).collect::<Vec<_>>());
+            held.send_replace(Arc::new(calls));
+        }
+    }
+}
--- a/crates/daemon/src/entry/exchange.rs
+++ b/crates/daemon/src/entry/exchange.rs
@@ -2,6 +2,7 @@
 
 use super::{
     callers::CallerContext,
+    crashes::request_fingerprint,
     decisions::{DecisionCommand, OfferEnd},
     follow::{OfferFollower, OfferGuard},
     forward::Forward,
@@ -17,7 +18,9 @@
 };
 use metrics::{counter, histogram};
 use plantain_core::{
+    crashes::CRASH_LIFE,
     entry::RouteChoice,
+    fingerprint::CallFingerprint,
     ids::{AdapterKey, ConfigRevision, RequestId, TargetName},
     outcome::{NotRunProof, RefusalReason},
     protocol::{AgentFrame, OfferFrame, PROTOCOL_VERSION, WorkItem},
@@ -32,6 +35,9 @@
 
 /// Offers of one request, the first included.
 const OFFER_LIMIT: usize = 4;
+/// Offers of one request that may be lost after it may have run. A request that ends its targets would
+/// take one with each offer, before any entry can have heard of it.
+const LOST_LIMIT: usize = 2;
 /// Time past the deadline in which an agent's own refusal may arrive: it proves that the request
 /// was not run, which the entry's clock cannot.
 const DEADLINE_GRACE: Duration = Duration::from_millis(150);
@@ -76,8 +82,10 @@
     name: &'a str,
     logger: &'a Logger,
     started: Instant,
+    fingerprint: CallFingerprint,
     excluded: Vec<TargetName>,
     may_have_run: Option<String>,
+    lost: usize,
 }
 
 impl<'a> Exchange<'a> {
@@ -90,8 +98,10 @@
         name: &'a str,
         logger: &'a Logger,
     ) -> Self {
+        let fingerprint = request_fingerprint(&request.work, &request.head, &request.body);
         Self {
             context,
+            fingerprint,
             request,
             revision,
             id,
@@ -100,6 +110,7 @@
             started: Instant::now(),
             excluded: Vec::new(),
             may_have_run: None,
+            lost: 0,
         }
     }
 
@@ -111,6 +122,10 @@
                 let late = NotRunProof::never_offered(RefusalReason::TooLate, None);
                 return ExchangeEnd::Error(self.give_up(&last.unwrap_or(late)));
             }
+            if self.is_held() {
+                let held = NotRunProof::never_offered(RefusalReason::HeldBack, Some(CRASH_LIFE));
+                return ExchangeEnd::Error(self.give_up(&held));
+            }
             let choice = match self.choose().await {
                 Ok(choice) => choice,
                 Err(proof) => return ExchangeEnd::Error(self.give_up(&last.unwrap_or(proof))),
@@ -134,8 +149,9 @@
                     if self.time_left().is_zero() {
                         return ExchangeEnd::Error(RequestError::deadline_passed());
                     }
+                    self.lost += 1;
                     // Running it again could do it twice.
-                    if !self.request.idempotent {
+                    if !self.request.idempotent || self.lost >= LOST_LIMIT {
                         return ExchangeEnd::Error(RequestError::unknown(&problem));
                     }
                 }
@@ -146,6 +162,16 @@
         ExchangeEnd::Error(self.give_up(&proof))
     }
 
+    /// Whether the request must not be offered, since too many targets have ended that ran it.
+    fn is_held(&self) -> bool {
+        let is_held = self.context.held.borrow().contains(&self.fingerprint);
+        if is_held {
+            warn!(self.logger, "request held back"; "step" => "crashes",
+                "fingerprint" => format!("{:032x}", self.fingerprint));
+        }
+        is_held
+    }
+
     /// A fresh exchange knows nothing of this one's offers. If one of them may have run, a refusal
     /// that the fresh one meets would pass for a proof, so this one ends here.
     fn resolve_again(&self, revision: ConfigRevision) -> ExchangeEnd {
--- a/crates/daemon/src/entry/platform.rs
+++ b/crates/daemon/src/entry/platform.rs
@@ -1,6 +1,7 @@
 //! The platform duty of an entry: follows the configuration, the slots and the host list.
 
 use super::{
+    crashes::{self, HeldCalls},
     decisions::{DecisionCommand, DecisionSender},
     join,
     status::EntrySignals,
@@ -46,10 +47,18 @@
 /// Sends configurations to the other duties.
 pub type ConfigSender = watch::Sender<Arc<ConfigSnapshot>>;
 
+/// Where the duty passes on what the platform tells.
+pub struct PlatformSenders {
+    /// Configurations.
+    pub config: ConfigSender,
+    /// Requests that must not be offered.
+    pub(crate) held: watch::Sender<HeldCalls>,
+}
+
 /// Runs the duty's actors for as long as the process lives.
 pub async fn run(
     settings: Arc<EntrySettings>,
-    config: ConfigSender,
+    senders: PlatformSenders,
     decisions: DecisionSender,
     signals: Arc<EntrySignals>,
     logger: Logger,
@@ -57,7 +66,7 @@
     let platform = PlatformClient::new(settings.common.platform, HttpClient::new());
     let fetcher = ConfigFetcher {
         store: ConfigStore::new(platform.clone()),
-        config,
+        config: senders.config,
         decisions: decisions.clone(),
         signals: Arc::clone(&signals),
         logger: logger.clone(),
@@ -83,6 +92,7 @@
             return;
         }
     };
+    spawn_local(crashes::run(platform.clone(), senders.held, logger.clone()));
     spawn_local(announce(Arc::clone(&settings), platform.clone(), logger.clone()));
     spawn_local(join::join_from_peers(settings, fetcher.clone(), targets, signals.clone(), logger));
     loop {
--- a/crates/daemon/src/entry/reply.rs
+++ b/crates/daemon/src/entry/reply.rs
@@ -240,6 +240,9 @@
         RefusalReason::Unreachable | RefusalReason::TargetDown => {
             "no target can take it now; ask again"
         }
+        RefusalReason::HeldBack => {
+            "targets have ended while they ran this request; it is not run before the time given"
+        }
         _ => "ask again after the time given",
     }
 }
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -10,12 +10,12 @@
         budget::RepeatBudget,
         call::{AdapterId, ModelCall},
         directory::{PeerRouter, RouterDirectory, RouterRegister},
-        fingerprint::CallFingerprint,
         membership::TargetLife,
         messages::BootId,
         selection::{CallNeed, adapter_of, preferred_targets},
         targets::TargetPool,
     },
+    fingerprint::CallFingerprint,
     ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
 };
 use slog::{Logger, warn};
--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -3,8 +3,8 @@
 use super::{constants, crash_news, follow, peers, sharing};
 use crate::{clock, options::site::RouterFile};
 use plantain_core::{
+    crashes::CrashReport,
     direct::{
-        crashes::CrashReport,
         directory::PeerRouter,
         messages::BootId,
         sharing::{ChangeLog, SharedChange, zone_watcher},
--- a/crates/daemon/src/router/crash_news.rs
+++ b/crates/daemon/src/router/crash_news.rs
@@ -8,7 +8,7 @@
 use hyper::{Method, StatusCode};
 use metrics::counter;
 use plantain_core::{
-    direct::crashes::{CRASH_LIFE, CrashReport},
+    crashes::{CRASH_LIFE, CrashReport},
     ids::Timestamp,
 };
 use plantain_net::{
--- a/crates/daemon/src/router/crashes.rs
+++ b/crates/daemon/src/router/crashes.rs
@@ -4,12 +4,9 @@
 use crate::clock;
 use metrics::counter;
 use plantain_core::{
-    direct::{
-        crashes::{CrashLedger, CrashReport, HOLD_CRASHES, LifePhase, OpenRuns},
-        fingerprint::CallFingerprint,
-        membership::TargetLife,
-        messages::BootId,
-    },
+    crashes::{CrashLedger, CrashReport, HOLD_CRASHES, LifePhase, OpenRuns},
+    direct::{membership::TargetLife, messages::BootId},
+    fingerprint::CallFingerprint,
     ids::Timestamp,
 };
 use slog::{info, warn};
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -13,16 +13,16 @@
 use hyper::{HeaderMap, Method, Response, StatusCode, body::Incoming};
 use metrics::counter;
 use plantain_core::{
+    crashes::CRASH_LIFE,
     direct::{
         call::{AdapterId, CallHead},
         config::RouteRule,
-        crashes::CRASH_LIFE,
-        fingerprint::call_fingerprint,
         membership::TargetLife,
         pressure::shed_share,
         proof::{RunProof, may_send_again},
         selection::{CallNeed, TargetChoice, adapter_of, choose_target, queued_plain_ms},
     },
+    fingerprint::call_fingerprint,
     ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
 };
 use plantain_net::body::ReplyBody;
--- a/crates/daemon/src/router/journal.rs
+++ b/crates/daemon/src/router/journal.rs
@@ -7,9 +7,9 @@
     direct::{
         call::{AdapterId, CallId},
         config::ConfigNumber,
-        fingerprint::CallFingerprint,
         membership::TargetLife,
     },
+    fingerprint::CallFingerprint,
     ids::{AdapterVersion, Timestamp},
 };
 use slog::{Logger, info, warn};
--- a/crates/net/src/platform/records.rs
+++ b/crates/net/src/platform/records.rs
@@ -45,6 +45,9 @@
     pub version: u64,
 }
 
+/// Kind of what agents tell of requests that were at their targets when these ended.
+pub const CRASH_KIND: &str = "crashes";
+
 /// Kind of the shards of idempotency records.
 pub const RECORD_KIND: &str = "idempotency";
 
