--- a/crates/core/src/crashes.rs
+++ b/crates/core/src/crashes.rs
@@ -45,9 +45,18 @@
 const OPEN_RUN_LIFE: Duration = Duration::from_secs(6);
 /// Runs with an unknown end that a router remembers; bounds memory at about 30 kB.
 const OPEN_RUN_LIMIT: usize = 512;
+/// Targets whose last answers a router remembers: more than a fleet has.
+const ANSWER_LIMIT: usize = 2_048;
 /// Ended lives that a router remembers, for calls that break off a little later than the first.
 const ENDED_LIMIT: usize = 64;
 
+/// Time for which a run that came to its end speaks for its call against crashes that show only afterwards:
+/// as long as a crash may take to show, and the news of it to come.
+const SURVIVAL_LIFE: Duration = Duration::from_secs(10);
+/// Calls whose runs came to their ends lately, that a router remembers: some 100 a second. Bounds memory at
+/// about 50 kB.
+const SURVIVOR_LIMIT: usize = 1_024;
+
 /// Hash of a target's life.
 pub type LifeHash = u64;
 
@@ -209,13 +218,20 @@
     /// When each of the own crashes was recorded, in the order of the report.
     recorded: VecDeque<Timestamp>,
     told: CrashReports,
+    /// Calls whose runs came to their ends lately, and when the last one did.
+    survivors: HashMap<CallFingerprint, Timestamp>,
 }
 
 impl CrashLedger {
     /// Starts with nothing known, at a start of a router.
     pub fn new(router: Arc<str>, boot: BootId) -> Self {
         let own = CrashReport { router, boot, ..CrashReport::default() };
-        Self { own, recorded: VecDeque::new(), told: CrashReports::default() }
+        Self {
+            own,
+            recorded: VecDeque::new(),
+            told: CrashReports::default(),
+            survivors: HashMap::new(),
+        }
     }
 
     /// What this router tells the others.
@@ -234,7 +250,7 @@
         // Those against which crashes speak already come first, so that the others do not push these out.
         let mut calls = calls.to_vec();
         calls.sort_by_cached_key(|call| Reverse(self.crashes_under(*call)));
-        for call in calls {
+        for &call in &calls {
             let record = CrashRecord::new(call, target);
             if self.own.crashes.contains(&record) {
                 continue;
@@ -247,6 +263,9 @@
             is_news = true;
         }
         self.own.sequence += u32::from(is_news);
+        let records: Vec<CrashRecord> =
+            calls.iter().map(|call| CrashRecord::new(*call, target)).collect();
+        self.clear_survivors(&records, now);
         is_news
     }
 
@@ -259,21 +278,51 @@
         self.recorded.remove(index);
     }
 
-    /// A run of the call has come to its end, so that one crash less speaks against it. Returns whether
-    /// any did.
-    pub fn record_survival(&mut self, call: CallFingerprint) -> bool {
+    /// A run of the call has come to its end, so that one crash less speaks against it, and none that
+    /// shows only now. Returns whether any did.
+    pub fn record_survival(&mut self, call: CallFingerprint, now: Timestamp) -> bool {
+        if self.survivors.len() >= SURVIVOR_LIMIT {
+            self.survivors.retain(|_, at| now.saturating_sub(*at) < SURVIVAL_LIFE);
+        }
+        if self.survivors.len() < SURVIVOR_LIMIT || self.survivors.contains_key(&call) {
+            self.survivors.insert(call, now);
+        }
+        if self.is_empty() {
+            return false;
+        }
         let Some(target) = self.counted(call).first().copied() else { return false };
+        self.clear(CrashRecord { call, target });
+        true
+    }
+
+    /// Has those of these crashes count no more whose calls came to their ends lately. A crash shows, and
+    /// is told, up to seconds after it; a call that is sent many times a second has survived by then.
+    fn clear_survivors(&mut self, records: &[CrashRecord], now: Timestamp) {
+        for record in records {
+            let survived = self.survivors.get(&record.call);
+            let is_recent = survived.is_some_and(|at| now.saturating_sub(*at) < SURVIVAL_LIFE);
+            if is_recent && self.counted(record.call).contains(&record.target) {
+                self.clear(*record);
+            }
+        }
+    }
+
+    fn clear(&mut self, record: CrashRecord) {
         if self.own.survivals.len() >= RECORD_LIMIT {
             self.own.survivals.remove(0);
         }
-        self.own.survivals.push(CrashRecord { call, target });
+        self.own.survivals.push(record);
         self.own.sequence += 1;
-        true
     }
 
-    /// Takes what another router tells; returns whether it is news.
+    /// Takes what another router tells; returns whether it is news. The own report changes too if calls are
+    /// among it that came to their ends here lately.
     pub fn take_report(&mut self, report: &Arc<CrashReport>, now: Timestamp) -> bool {
-        report.boot != self.own.boot && self.told.take(report, now)
+        let is_news = report.boot != self.own.boot && self.told.take(report, now);
+        if is_news {
+            self.clear_survivors(&report.crashes, now);
+        }
+        is_news
     }
 
     /// Drops what no longer counts; returns whether the own report has changed.
@@ -303,9 +352,33 @@
         self.counted(call).len()
     }
 
-    /// Whether a call must not be handed to any target.
+    /// Whether a call must not be handed to any target: enough have ended under it, of which no other call
+    /// is the likelier cause.
     pub fn is_held(&self, call: CallFingerprint) -> bool {
-        !self.is_empty() && self.crashes_under(call) >= HOLD_CRASHES
+        if self.is_empty() {
+            return false;
+        }
+        let targets = self.counted(call);
+        if targets.len() < HOLD_CRASHES {
+            return false;
+        }
+        let unexplained =
+            targets.iter().filter(|target| !self.is_explained(**target, targets.len()));
+        unexplained.count() >= HOLD_CRASHES
+    }
+
+    /// Whether some call was at a target when it ended that has been at more ends than `crashes`. A call
+    /// that ends target after target leaves many innocent ones with a few crashes each, but none of them
+    /// with as many as its own.
+    fn is_explained(&self, target: LifeHash, crashes: usize) -> bool {
+        let reports = self.told.iter().map(|report| &**report).chain([&self.own]);
+        let records = reports.flat_map(|report| &report.crashes);
+        let calls: HashSet<CallFingerprint> =
+            records.filter(|record| record.target == target).map(|record| record.call).collect();
+        calls.into_iter().any(|call| {
+            let others = self.counted(call);
+            others.len() > crashes && others.contains(&target)
+        })
     }
 
     /// All calls that must not be handed to any target.
@@ -341,44 +414,80 @@
     Ended,
 }
 
+/// A run whose end is not known.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct OpenRun {
+    /// The call.
+    pub call: CallFingerprint,
+    /// When it was sent.
+    pub sent: Timestamp,
+    /// Whether its target broke it off; otherwise nobody waited any longer.
+    pub is_broken: bool,
+}
+
 #[derive(Debug)]
-struct OpenRun {
+struct LeftRun {
     target: TargetLife,
-    call: CallFingerprint,
+    run: OpenRun,
     left: Timestamp,
 }
 
 /// Runs of this router's calls whose ends are not known, until it shows whether their targets have ended.
 #[derive(Debug, Default)]
 pub struct OpenRuns {
-    runs: VecDeque<OpenRun>,
-    ended: VecDeque<TargetLife>,
+    runs: VecDeque<LeftRun>,
+    /// Lives that have ended, and when.
+    ended: VecDeque<(TargetLife, Timestamp)>,
+    /// When each target last answered.
+    answers: HashMap<TargetLife, Timestamp>,
 }
 
 impl OpenRuns {
-    /// A call left a target without word of how its run ended. Returns whether the target is known to
-    /// have ended.
-    pub fn add(&mut self, target: &TargetLife, call: CallFingerprint, now: Timestamp) -> bool {
-        if self.ended.contains(target) {
-            return true;
+    /// A target answered: it lives, whatever it broke off before.
+    pub fn note_answer(&mut self, target: &TargetLife, now: Timestamp) {
+        if self.answers.len() >= ANSWER_LIMIT {
+            self.answers.retain(|_, at| now.saturating_sub(*at) < OPEN_RUN_LIFE);
+        }
+        if let Some(at) = self.answers.get_mut(target) {
+            *at = now;
+        } else if self.answers.len() < ANSWER_LIMIT {
+            self.answers.insert(target.clone(), now);
+        }
+    }
+
+    /// A call left a target without word of how its run ended. Returns when the target ended, if that is
+    /// known.
+    pub fn add(&mut self, target: &TargetLife, run: OpenRun, now: Timestamp) -> Option<Timestamp> {
+        let ended = self.ended.iter().find(|(life, _)| life == target);
+        if let Some((_, at)) = ended {
+            return Some(*at);
         }
         if self.runs.len() >= OPEN_RUN_LIMIT {
             self.runs.pop_front();
         }
-        self.runs.push_back(OpenRun { target: target.clone(), call, left: now });
-        false
+        self.runs.push_back(LeftRun { target: target.clone(), run, left: now });
+        None
     }
 
-    /// The target has ended; returns its calls.
-    pub fn take_ended(&mut self, target: &TargetLife) -> Vec<CallFingerprint> {
+    /// The target has ended; returns the calls that may have ended it.
+    ///
+    /// It ended when it first broke a run off after its last answer. Runs that it had broken off before,
+    /// and calls that were sent only afterwards, as through a proxy that goes on taking connections for
+    /// it, have nothing to do with its end.
+    pub fn take_ended(&mut self, target: &TargetLife, now: Timestamp) -> Vec<CallFingerprint> {
+        let (taken, kept): (VecDeque<LeftRun>, VecDeque<LeftRun>) =
+            self.runs.drain(..).partition(|left| left.target == *target);
+        self.runs = kept;
+        let last_answer = self.answers.remove(target).unwrap_or_default();
+        let is_last = |left: &&LeftRun| left.run.is_broken && left.left >= last_answer;
+        let ended = taken.iter().filter(is_last).map(|left| left.left).min().unwrap_or(now);
         if self.ended.len() >= ENDED_LIMIT {
             self.ended.pop_front();
         }
-        self.ended.push_back(target.clone());
-        let (taken, kept): (VecDeque<_>, VecDeque<_>) =
-            self.runs.drain(..).partition(|run| run.target == *target);
-        self.runs = kept;
-        taken.into_iter().map(|run| run.call).collect()
+        self.ended.push_back((target.clone(), ended));
+        let is_suspect =
+            |left: &&LeftRun| left.run.sent <= ended && (!left.run.is_broken || left.left >= ended);
+        taken.iter().filter(is_suspect).map(|left| left.run.call).collect()
     }
 
     /// Drops runs that are too old or whose targets leave, and returns the targets that have ended.
--- a/crates/core/tests/core/crashes.rs
+++ b/crates/core/tests/core/crashes.rs
@@ -3,8 +3,8 @@
 
 use plantain_core::{
     crashes::{
-        CRASH_LIFE, CrashLedger, CrashReport, HOLD_CRASHES, LifePhase, OpenRuns, RECORD_LIMIT,
-        REPORT_LIFE,
+        CRASH_LIFE, CrashLedger, CrashReport, HOLD_CRASHES, LifePhase, OpenRun, OpenRuns,
+        RECORD_LIMIT, REPORT_LIFE,
     },
     direct::membership::TargetLife,
     fingerprint::CallFingerprint,
@@ -110,17 +110,51 @@
 fn a_call_that_survives_is_cleared() {
     let poll = FATAL;
     let (mut first, mut second) = (ledger(1), ledger(2));
+    let mut now = NOW;
     for number in 0..50 {
-        first.record_crash(&life(number), &[poll], NOW);
-        second.take_report(&report(&first), NOW);
-        assert!(second.record_survival(poll), "no crash left after round {number}");
-        first.take_report(&report(&second), NOW);
+        // Rarely enough that a poll which ended before its crash no longer speaks for it.
+        now += Duration::from_secs(30);
+        first.record_crash(&life(number), &[poll], now);
+        second.take_report(&report(&first), now);
+        assert!(second.record_survival(poll, now), "no crash left after round {number}");
+        first.take_report(&report(&second), now);
         for router in [&first, &second] {
             assert!(!router.is_held(poll));
             assert_eq!(router.crashes_under(poll), 0, "after round {number}");
         }
     }
-    assert!(!second.record_survival(poll), "nothing speaks against it");
+    assert!(!second.record_survival(poll, now), "nothing speaks against it");
+}
+
+/// Callers poll a path many times a second while another request ends three targets, each with a poll in
+/// flight. That a target has ended shows only seconds later, when the list drops it, and all three crashes
+/// are told at once. Polls have come to their ends meanwhile, at the router that tells and at the one that
+/// hears, and none of the two may hold the polls back.
+#[test]
+fn a_poll_that_just_came_to_its_end_is_no_suspect() {
+    let poll = FATAL;
+    let mut teller = ledger(1);
+    let mut hearer = ledger(2);
+    hearer.record_survival(poll, NOW);
+    for number in 0..HOLD_CRASHES {
+        teller.record_crash(&life(number), &[poll], NOW + Duration::from_secs(2));
+    }
+    assert!(teller.is_held(poll), "the teller itself has no poll that ended");
+    hearer.take_report(&report(&teller), NOW + Duration::from_secs(3));
+    assert!(!hearer.is_held(poll));
+    teller.take_report(&report(&hearer), NOW + Duration::from_secs(3));
+    assert!(!teller.is_held(poll));
+
+    let mut alone = ledger(3);
+    alone.record_survival(poll, NOW);
+    for number in 0..HOLD_CRASHES {
+        alone.record_crash(&life(number), &[poll], NOW + Duration::from_secs(2));
+    }
+    assert!(!alone.is_held(poll));
+    for number in HOLD_CRASHES..2 * HOLD_CRASHES {
+        alone.record_crash(&life(number), &[poll], NOW + Duration::from_mins(1));
+    }
+    assert!(alone.is_held(poll), "a run that ended a minute before proves nothing");
 }
 
 /// A call was held back by mistake. It is free again once its crashes are too old, at the router that saw
@@ -200,13 +234,70 @@
     ];
     for PhaseCase { phase, after, ends, remains } in cases {
         let mut runs = OpenRuns::default();
-        assert!(!runs.add(&life(1), FATAL, NOW));
+        let run = OpenRun { call: FATAL, sent: NOW, is_broken: false };
+        assert_eq!(runs.add(&life(1), run, NOW), None);
         let ended = runs.look(|_| phase, NOW + after);
         assert_eq!(!ended.is_empty(), ends, "{phase:?} after {after:?}");
-        let calls = runs.take_ended(&life(1));
+        let calls = runs.take_ended(&life(1), NOW + after);
         assert_eq!(!calls.is_empty(), remains, "{phase:?} after {after:?}");
-        assert!(runs.add(&life(1), FATAL, NOW), "a call that breaks off later than others");
+        let known = runs.add(&life(1), run, NOW + after);
+        assert_eq!(known, Some(NOW + after), "for calls that break off later than others");
+    }
+}
+
+struct RunCase {
+    call: CallFingerprint,
+    sent_ms: u64,
+    left_ms: u64,
+    is_broken: bool,
+    is_suspect: bool,
+}
+
+/// A target loses an answer at 100 ms and answers others until 500 ms; it ends at 600 ms under the fatal
+/// call. Calls that are sent to it afterwards break off too, for the list still names it. Only those that
+/// were there at its end are suspects, and those whose callers had left before.
+#[test]
+fn only_calls_at_the_end_are_suspects() {
+    let cases = [
+        RunCase { call: 1, sent_ms: 0, left_ms: 100, is_broken: true, is_suspect: false },
+        RunCase { call: 2, sent_ms: 50, left_ms: 300, is_broken: false, is_suspect: true },
+        RunCase { call: FATAL, sent_ms: 550, left_ms: 600, is_broken: true, is_suspect: true },
+        RunCase { call: 3, sent_ms: 400, left_ms: 602, is_broken: true, is_suspect: true },
+        RunCase { call: 4, sent_ms: 700, left_ms: 701, is_broken: true, is_suspect: false },
+        RunCase { call: 5, sent_ms: 900, left_ms: 950, is_broken: false, is_suspect: false },
+    ];
+    let at = |ms: u64| NOW + Duration::from_millis(ms);
+    let mut runs = OpenRuns::default();
+    for case in &cases {
+        let run = OpenRun { call: case.call, sent: at(case.sent_ms), is_broken: case.is_broken };
+        assert_eq!(runs.add(&life(1), run, at(case.left_ms)), None);
+    }
+    runs.note_answer(&life(1), at(500));
+    let suspects = runs.take_ended(&life(1), at(1_000));
+    for case in &cases {
+        assert_eq!(suspects.contains(&case.call), case.is_suspect, "call {}", case.call);
+    }
+}
+
+/// A request ends five targets within a second, before anybody knows. Another one, whose caller sent it
+/// at once again each time, was at three of these. It is served: the first one explains them all. When it
+/// ends three targets by itself, it is held back as well.
+#[test]
+fn a_likelier_cause_clears_the_others() {
+    let companion = 8;
+    let mut router = ledger(1);
+    for number in 0..5 {
+        router.record_crash(&life(number), &[FATAL], NOW);
+    }
+    for number in 0..HOLD_CRASHES {
+        router.record_crash(&life(number), &[companion], NOW);
+    }
+    assert!(router.is_held(FATAL));
+    assert!(!router.is_held(companion));
+    for number in 10..10 + HOLD_CRASHES {
+        router.record_crash(&life(number), &[companion], NOW);
     }
+    assert!(router.is_held(companion));
 }
 
 quickcheck! {
--- a/crates/daemon/src/agent/crashes.rs
+++ b/crates/daemon/src/agent/crashes.rs
@@ -5,7 +5,7 @@
 
 use crate::watch::{note_failure, platform_backoff};
 use plantain_core::{
-    crashes::{CrashLedger, CrashReport, OpenRuns},
+    crashes::{CrashLedger, CrashReport, OpenRun, OpenRuns},
     direct::membership::TargetLife,
     fingerprint::CallFingerprint,
     ids::Timestamp,
@@ -75,14 +75,21 @@
 
     /// A run came to its end.
     pub(super) fn note_survival(&self, call: CallFingerprint) {
-        if self.ledger.borrow_mut().record_survival(call) {
+        self.runs.borrow_mut().note_answer(&self.life(), self.now());
+        if self.ledger.borrow_mut().record_survival(call, self.now()) {
             self.tell();
         }
     }
 
-    /// A run broke off, or was cancelled: looks whether the target ends.
-    pub(super) fn note_open_run(self: &Rc<Self>, call: CallFingerprint) {
-        self.runs.borrow_mut().add(&self.life(), call, self.now());
+    /// A run that was sent so long ago broke off, or was cancelled: looks whether the target ends.
+    pub(super) fn note_open_run(
+        self: &Rc<Self>,
+        call: CallFingerprint,
+        age: Duration,
+        is_broken: bool,
+    ) {
+        let run = OpenRun { call, sent: self.now().saturating_sub(age), is_broken };
+        self.runs.borrow_mut().add(&self.life(), run, self.now());
         if !self.is_probing.replace(true) {
             let witness = Rc::clone(self);
             spawn_local(async move {
@@ -106,7 +113,7 @@
 
     fn note_end(&self) {
         let life = self.life();
-        let calls = self.runs.borrow_mut().take_ended(&life);
+        let calls = self.runs.borrow_mut().take_ended(&life, self.now());
         self.ends.set(self.ends.get() + 1);
         if self.ledger.borrow_mut().record_crash(&life, &calls, self.now()) {
             warn!(self.logger, "target ended under requests"; "step" => "crashes",
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -6,6 +6,7 @@
 use crate::{clock, options::site::RouterFile};
 use metrics::counter;
 use plantain_core::{
+    crashes::OpenRun,
     direct::{
         budget::RepeatBudget,
         call::{AdapterId, ModelCall},
@@ -328,10 +329,10 @@
         self.end = end;
     }
 
-    /// The run came to its end, and the target lives.
+    /// The run came to its end, well or not, and the target lives.
     pub(crate) fn survived(&mut self) {
         self.end = RunEnd::Settled;
-        self.context.note_survival(self.call);
+        self.context.note_survival(&self.life, self.call);
     }
 
     /// The target did not say how the call ended, and may still run it.
@@ -359,10 +360,10 @@
 impl Drop for CallGuard {
     fn drop(&mut self) {
         self.set_overdue(false);
-        match self.end {
-            RunEnd::Open => drop(self.context.note_open_run(&self.life, self.call)),
-            RunEnd::Broken => self.context.note_broken_run(&self.life, self.call),
-            RunEnd::Settled => {}
+        if self.end != RunEnd::Settled {
+            let is_broken = self.end == RunEnd::Broken;
+            let run = OpenRun { call: self.call, sent: self.sent, is_broken };
+            self.context.note_open_run(&self.life, run);
         }
         {
             let mut pool = self.context.pool.borrow_mut();
--- a/crates/daemon/src/router/crashes.rs
+++ b/crates/daemon/src/router/crashes.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use metrics::counter;
 use plantain_core::{
-    crashes::{CrashLedger, CrashReport, HOLD_CRASHES, LifePhase, OpenRuns},
+    crashes::{CrashLedger, CrashReport, HOLD_CRASHES, LifePhase, OpenRun, OpenRuns},
     direct::{membership::TargetLife, messages::BootId},
     fingerprint::CallFingerprint,
     ids::Timestamp,
@@ -52,18 +52,30 @@
         ledger.is_held(call).then(|| ledger.crashes_under(call))
     }
 
+    /// Takes what another router tells, and tells what this one knows better; returns whether it was news.
+    fn take_report(&self, report: &Arc<CrashReport>, now: Timestamp) -> bool {
+        let (is_news, is_changed) = {
+            let mut ledger = self.ledger.borrow_mut();
+            let before = ledger.own_report().sequence;
+            (ledger.take_report(report, now), ledger.own_report().sequence != before)
+        };
+        if is_changed {
+            self.tell();
+        }
+        is_news
+    }
+
     fn tell(&self) {
         self.news.send_replace(Arc::new(self.ledger.borrow().own_report().clone()));
     }
 }
 
 impl RouterContext {
-    /// A call's run has come to its end.
-    pub(crate) fn note_survival(&self, call: CallFingerprint) {
-        let is_news = {
-            let mut ledger = self.crashes.ledger.borrow_mut();
-            !ledger.is_empty() && ledger.record_survival(call)
-        };
+    /// A call's run has come to its end at a target, well or not.
+    pub(crate) fn note_survival(&self, target: &TargetLife, call: CallFingerprint) {
+        let now = clock::now();
+        self.crashes.runs.borrow_mut().note_answer(target, now);
+        let is_news = self.crashes.ledger.borrow_mut().record_survival(call, now);
         if is_news {
             info!(self.logger, "call survived"; "step" => "crashes",
                 "fingerprint" => format!("{call:032x}"),
@@ -72,20 +84,13 @@
         }
     }
 
-    /// A call left a target without word of how its run ended. Returns whether the target is known to have
-    /// ended.
-    pub(crate) fn note_open_run(&self, target: &TargetLife, call: CallFingerprint) -> bool {
-        let has_ended = self.crashes.runs.borrow_mut().add(target, call, clock::now());
-        if has_ended {
-            self.record_crash(target, &[call], "ended before");
-        }
-        has_ended
-    }
-
-    /// A target broke a call off.
-    pub(crate) fn note_broken_run(self: &Rc<Self>, target: &TargetLife, call: CallFingerprint) {
-        if !self.note_open_run(target, call) {
-            self.probe(target);
+    /// A call left a target without word of how its run ended.
+    pub(crate) fn note_open_run(self: &Rc<Self>, target: &TargetLife, run: OpenRun) {
+        let ended = self.crashes.runs.borrow_mut().add(target, run, clock::now());
+        match ended {
+            Some(at) if run.sent <= at => self.record_crash(target, &[run.call], "ended before"),
+            None if run.is_broken => self.probe(target),
+            Some(_) | None => {}
         }
     }
 
@@ -129,7 +134,7 @@
     }
 
     fn note_end(&self, target: &TargetLife, evidence: &str) {
-        let calls = self.crashes.runs.borrow_mut().take_ended(target);
+        let calls = self.crashes.runs.borrow_mut().take_ended(target, clock::now());
         self.record_crash(target, &calls, evidence);
     }
 
@@ -160,7 +165,7 @@
 
     /// Takes what another router tells of crashes.
     pub(crate) fn take_crashes(&self, report: &Arc<CrashReport>, now: Timestamp) {
-        if !self.crashes.ledger.borrow_mut().take_report(report, now) {
+        if !self.crashes.take_report(report, now) {
             return;
         }
         info!(self.logger, "crashes heard"; "step" => "crashes", "router" => &*report.router,
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -163,8 +163,10 @@
             let head = calls::relay_answer(parts.status, &parts.headers, ());
             return Ok(OpenAnswer { head, body, connection, guard });
         }
-        if proof != RunProof::Unknown {
-            guard.set_end(RunEnd::Settled);
+        match proof {
+            RunProof::Succeeded | RunProof::Failed => guard.survived(),
+            RunProof::NotRun | RunProof::Misdirected => guard.set_end(RunEnd::Settled),
+            RunProof::Unknown => {}
         }
         self.note(&format!("{life} answered {}: {proof:?}", head.status));
         let outcome = match proof {
