--- a/crates/daemon/src/router/crashes.rs
+++ b/crates/daemon/src/router/crashes.rs
@@ -4,7 +4,7 @@
 use crate::clock;
 use metrics::counter;
 use plantain_core::{
-    crashes::{CrashLedger, CrashReport, HOLD_CRASHES, LifePhase, OpenRun, OpenRuns},
+    crashes::{CrashLedger, CrashReport, LifePhase, OpenRun, OpenRuns},
     direct::{membership::TargetLife, messages::BootId},
     fingerprint::CallFingerprint,
     ids::Timestamp,
@@ -24,6 +24,8 @@
     runs: RefCell<OpenRuns>,
     /// Targets to which a connection is being tried.
     probed: RefCell<HashSet<TargetLife>>,
+    /// Calls that are held back, as far as was logged.
+    held: RefCell<HashSet<CallFingerprint>>,
     /// What the control thread tells the others.
     news: watch::Sender<Arc<CrashReport>>,
 }
@@ -37,6 +39,7 @@
             ledger: RefCell::new(ledger),
             runs: RefCell::default(),
             probed: RefCell::default(),
+            held: RefCell::default(),
             news,
         }
     }
@@ -80,6 +83,7 @@
             info!(self.logger, "call survived"; "step" => "crashes",
                 "fingerprint" => format!("{call:032x}"),
                 "crashes" => self.crashes.ledger.borrow().crashes_under(call));
+            self.log_held();
             self.crashes.tell();
         }
     }
@@ -129,6 +133,7 @@
             self.note_end(&target, "gone from the list, or dark to its loader");
         }
         if self.crashes.ledger.borrow_mut().expire(now) {
+            self.log_held();
             self.crashes.tell();
         }
     }
@@ -150,16 +155,22 @@
         warn!(self.logger, "target ended under calls"; "step" => "crashes",
             "target" => &*target.id, "started" => target.started, "evidence" => evidence,
             "calls" => calls.len());
-        self.tell_held(calls);
+        self.log_held();
         self.crashes.tell();
     }
 
-    /// Writes a line for each of these calls that is held back from now on.
-    fn tell_held(&self, calls: &[CallFingerprint]) {
-        let ledger = self.crashes.ledger.borrow();
-        for call in calls.iter().filter(|call| ledger.crashes_under(**call) == HOLD_CRASHES) {
+    /// Writes a line for each call that is held back from now on, or no longer.
+    fn log_held(&self) {
+        let calls = self.crashes.ledger.borrow().held_calls();
+        let before = self.crashes.held.replace(calls.clone());
+        for call in calls.difference(&before) {
             warn!(self.logger, "call held back from now on"; "step" => "crashes",
-                "fingerprint" => format!("{call:032x}"), "crashes" => HOLD_CRASHES);
+                "fingerprint" => format!("{call:032x}"),
+                "crashes" => self.crashes.ledger.borrow().crashes_under(*call));
+        }
+        for call in before.difference(&calls) {
+            info!(self.logger, "call held back no longer"; "step" => "crashes",
+                "fingerprint" => format!("{call:032x}"));
         }
     }
 
@@ -171,11 +182,7 @@
         info!(self.logger, "crashes heard"; "step" => "crashes", "router" => &*report.router,
             "sequence" => report.sequence, "crashes" => report.crashes.len(),
             "survivals" => report.survivals.len());
-        let mut calls: Vec<CallFingerprint> =
-            report.crashes.iter().map(|record| record.call).collect();
-        calls.sort_unstable();
-        calls.dedup();
-        self.tell_held(&calls);
+        self.log_held();
     }
 }
 
