A target refused as down is open to all again after its pause

An agent that has just started refuses offers while it does not know its target. An entry took that for a failure, after which one request goes first and all others find the target closed; when the only other agent leaves in that moment, they are told that nobody can take them. Change: 'target down' and 'no lease' close a target for the refusal's pause alone. A failure, where nobody answers, is treated as before. A core test, seen failing before the change. Conclusion: an older fault of the offered path; the direct path has no such code.

--- a/crates/core/src/entry.rs
+++ b/crates/core/src/entry.rs
@@ -189,8 +189,11 @@
         view.offer_ended();
         match refusal.reason {
             RefusalReason::Leaving => view.leave(),
-            RefusalReason::TargetDown | RefusalReason::NoLease => self.targets.failed(target, now),
-            RefusalReason::QueueFull => view.pause(refusal.retry_after, now),
+            // The agent answers, at once: after the pause all may ask it, and not only one request first
+            // as after a failure, whose others would be told meanwhile that nobody can take them.
+            RefusalReason::TargetDown | RefusalReason::NoLease | RefusalReason::QueueFull => {
+                view.pause(refusal.retry_after, now);
+            }
             _ => {}
         }
     }
--- a/crates/core/tests/core/entry.rs
+++ b/crates/core/tests/core/entry.rs
@@ -162,6 +162,23 @@
     assert!(state.choose(&query, NOW + pause).is_ok());
 }
 
+/// An agent that has just started refuses a few offers, since it does not know its target yet; then the only
+/// other agent leaves. Callers must not be told that no target can take their requests while one of them
+/// tries the first agent again: it answers, and says at once if its target is still down.
+#[test]
+fn a_target_that_was_down_is_open_to_all_again() {
+    for reason in [RefusalReason::TargetDown, RefusalReason::NoLease] {
+        let mut state = entry("kandy", vec![target(0, "kandy", "central")]);
+        state.offer_refused(&"scribe-0".into(), &Refusal::new(reason), NOW);
+        let item = work(1);
+        let query = RouteQuery { work: &item, excluded: &[], draw: 0 };
+        let proof = state.choose(&query, NOW).expect_err("no target is open");
+        let pause = proof.retry_after().expect("when to come back");
+        assert!(state.choose(&query, NOW + pause).is_ok());
+        assert!(state.choose(&query, NOW + pause).is_ok(), "{reason:?}: the second one too");
+    }
+}
+
 #[test]
 fn stale_or_missing_reports_are_tolerated() {
     let mut state = entry("kandy", vec![target(0, "kandy", "central")]);
