--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -5,6 +5,7 @@
 pub mod budget;
 pub mod call;
 pub mod config;
+pub mod customers;
 pub mod demand;
 pub mod directory;
 pub mod health;
--- a/crates/core/src/direct/call.rs
+++ b/crates/core/src/direct/call.rs
@@ -1,6 +1,7 @@
 //! What a router knows of one call before it chooses a target.
 
-use crate::ids::{AdapterName, AdapterVersion, BaseName};
+use super::customers::keys::PresentedKey;
+use crate::ids::{AdapterName, AdapterVersion, BaseName, CustomerName};
 use serde::{Deserialize, Serialize};
 use std::{sync::Arc, time::Duration};
 
@@ -25,6 +26,15 @@
     pub tokens: u32,
 }
 
+/// Tokens that a call states.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TokenCounts {
+    /// Tokens of the prompt.
+    pub input: u32,
+    /// Most tokens of the answer.
+    pub output: u32,
+}
+
 /// What a call asks of a model engine.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct ModelCall {
@@ -67,6 +77,10 @@
     pub path: String,
     /// How long the caller waits.
     pub time_left: Option<Duration>,
+    /// What it bears to say whose it is.
+    pub key: PresentedKey,
+    /// Tokens that it states, if it does.
+    pub tokens: Option<TokenCounts>,
     /// What it asks of a model, if anything.
     pub model: Option<ModelCall>,
     /// Last event that the caller has of an earlier run.
@@ -86,4 +100,6 @@
     pub urgency: u8,
     /// Event after which the run goes on.
     pub resume_after: Option<u64>,
+    /// The customer whose call it is.
+    pub customer: Option<CustomerName>,
 }
--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -1,5 +1,6 @@
 //! The configuration of routes, services and callers' limits, as one version of it.
 
+use super::customers::CustomerBook;
 use crate::ids::{BaseName, ServiceName};
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, sync::Arc, time::Duration};
@@ -71,6 +72,8 @@
     pub priority: u8,
     /// Most targets that may run one call.
     pub max_targets: u32,
+    /// Whether it is open to callers that are nobody's.
+    pub is_open: bool,
     /// Where the calls go; one share unless the route is split.
     pub shares: Vec<ServiceShare>,
 }
@@ -158,6 +161,8 @@
     pub limits: CallerLimits,
     /// Services by name.
     pub services: HashMap<ServiceName, Arc<ServiceSpec>>,
+    /// Customers; none where all callers are alike.
+    pub customers: CustomerBook,
     routes: HashMap<Arc<str>, HashMap<Arc<str>, Arc<RouteRule>>>,
 }
 
@@ -174,7 +179,15 @@
             let prefixes = index.entry(Arc::clone(&route.host)).or_default();
             prefixes.insert(Arc::clone(&route.prefix), Arc::new(route));
         }
-        Self { number, limits, services, routes: index }
+        let customers = CustomerBook::default();
+        Self { number, limits, services, customers, routes: index }
+    }
+
+    /// Sets the customers.
+    #[must_use]
+    pub fn with_customers(mut self, customers: CustomerBook) -> Self {
+        self.customers = customers;
+        self
     }
 
     /// The route with the longest prefix of `path` among those of `host`.
--- /dev/null
+++ b/crates/core/src/direct/customers/account.rs
@@ -0,0 +1,490 @@
+//! What the calls of customers use at one router, out of slices that meters grant.
+//!
+//! A call that fits into what the router holds goes on at once. One that does not waits for the trip to its
+//! customer's meter, a few milliseconds. A router that reaches no meter uses an even share of each limit, which
+//! the meters do not grant to others.
+
+mod waiting;
+mod window;
+
+use super::{
+    CustomerTag,
+    limit::{LimitShares, LimitTerms, RETURN_LIMIT, UsageCost, UsageLimit},
+    messages::{CustomerGrant, MeterTag, UsageGrant, UsageReport, UsageWish},
+    meters::{MeterRegister, first_meter, report_life, report_pause},
+};
+use crate::{
+    direct::{config::ConfigNumber, membership::InstanceId, messages::BootId},
+    ids::Timestamp,
+};
+use std::{collections::HashMap, time::Duration};
+use waiting::WaitingCalls;
+use window::UsageWindow;
+
+pub use waiting::CallTicket;
+
+/// Longest wait of a call for a grant. A meter that is out of reach is given up before, and another one
+/// asked.
+const WAIT_LIMIT: Duration = Duration::from_secs(1);
+/// Time for which a meter's word that nothing is left is believed: calls beyond a limit cost no trip each.
+const SHORT_LIFE: Duration = Duration::from_millis(50);
+/// Pause before an unanswered question is asked again: datagrams are lost at times.
+const ASK_PAUSE: Duration = Duration::from_millis(50);
+/// Shortest time after which a call that was beyond its limit is worth sending again.
+const LEAST_PAUSE: Duration = Duration::from_millis(200);
+/// Longest time after which a caller is told to come back; by then much may have changed.
+const LONGEST_PAUSE: Duration = Duration::from_secs(30);
+/// Time after which an account that no call used is dropped.
+const ACCOUNT_LIFE: Duration = Duration::from_mins(1);
+
+/// Whether a call may go on.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum SpendVerdict {
+    /// It may, and is counted.
+    Granted,
+    /// Its customer has used up its limit.
+    Refused {
+        /// When there will be room for it; `None` if it exceeds the limit by itself.
+        room_in: Option<Duration>,
+    },
+}
+
+/// What becomes of a call.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Spend {
+    /// It is decided.
+    Decided(SpendVerdict),
+    /// It waits for its customer's meter.
+    Waiting(CallTicket),
+}
+
+/// What a router knows of one customer's limit, for logs and operators.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct AccountView {
+    /// Units a second, over all routers.
+    pub rate: f64,
+    /// Units used at this router within the last window.
+    pub used: u64,
+    /// Units left over all routers, as last told.
+    pub left: f64,
+    /// Age of that word; `None` if no meter has told anything yet.
+    pub age: Option<Duration>,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct MeterWord {
+    left: f64,
+    rate: f64,
+    is_settled: bool,
+    at: Timestamp,
+}
+
+#[derive(Debug)]
+struct CustomerAccount {
+    limit: UsageLimit,
+    /// Units that may be used without asking; below 0 where calls went ahead of their grant.
+    balance: f64,
+    window: UsageWindow,
+    meter: Option<MeterTag>,
+    /// Since when there is no meter.
+    alone_since: Timestamp,
+    refilled: Timestamp,
+    enrolment: u64,
+    /// Units granted since the enrolment; none before the meter has said.
+    granted: Option<u64>,
+    wanted: u64,
+    asked: Option<(u32, Timestamp)>,
+    word: Option<MeterWord>,
+    waiting: WaitingCalls,
+    used: Timestamp,
+}
+
+impl CustomerAccount {
+    fn new(limit: UsageLimit, terms: &LimitTerms, now: Timestamp) -> Self {
+        Self {
+            limit,
+            balance: 0.0,
+            window: UsageWindow::new(terms.window),
+            meter: None,
+            alone_since: now,
+            refilled: now,
+            enrolment: 0,
+            granted: None,
+            wanted: 0,
+            asked: None,
+            word: None,
+            waiting: WaitingCalls::default(),
+            used: now,
+        }
+    }
+
+    fn fits(&self, cost: UsageCost, shares: &LimitShares) -> bool {
+        self.balance - f64::from(cost) >= -shares.ahead
+    }
+
+    fn spend(&mut self, cost: UsageCost, now: Timestamp) {
+        self.balance -= f64::from(cost);
+        self.window.add(i64::from(cost), now);
+    }
+
+    /// Whether its meter has just said that nothing is left.
+    fn is_short(&self, now: Timestamp) -> bool {
+        let word = self.word.filter(|word| now.saturating_sub(word.at) < SHORT_LIFE);
+        self.waiting.is_empty() && word.is_some_and(|word| word.is_settled && word.left <= 0.0)
+    }
+
+    fn refusal(&self, cost: UsageCost, shares: &LimitShares, now: Timestamp) -> SpendVerdict {
+        let (left, rate) = match self.word {
+            Some(word) => {
+                let passed = now.saturating_sub(word.at).as_secs_f64();
+                (word.left + word.rate * passed, word.rate)
+            }
+            None => (self.balance, shares.even_rate),
+        };
+        let missing = (f64::from(cost) - left).max(0.0);
+        let seconds = missing / rate.max(f64::MIN_POSITIVE);
+        let room = Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_PAUSE);
+        SpendVerdict::Refused { room_in: Some(room.clamp(LEAST_PAUSE, LONGEST_PAUSE)) }
+    }
+
+    /// Units to ask for now: what fills the slice again, and what the calls that wait need.
+    fn missing(&self, shares: &LimitShares) -> f64 {
+        let waiting = self.waiting.cost() as f64;
+        if waiting > 0.0 || self.balance < shares.slice / 2.0 {
+            (shares.slice + waiting - self.balance).max(0.0)
+        } else {
+            0.0
+        }
+    }
+
+    /// Goes over to the customer's meter among those that can be reached.
+    fn set_meter(&mut self, meter: Option<MeterTag>, now: Timestamp) {
+        if self.meter == meter {
+            return;
+        }
+        if meter.is_none() {
+            self.alone_since = now;
+            self.refilled = now;
+        }
+        self.meter = meter;
+        self.forget_grants(0);
+        self.word = None;
+    }
+
+    /// Starts anew with a meter. What it has granted before is heard first: the router may have used it and
+    /// another one by turns.
+    fn forget_grants(&mut self, enrolment: u64) {
+        self.enrolment = enrolment;
+        self.granted = None;
+        self.wanted = 0;
+        self.asked = None;
+    }
+
+    /// Adds what a router that reaches no meter may use by itself, once no meter counts it any more.
+    fn refill_alone(&mut self, shares: &LimitShares, life: Duration, now: Timestamp) {
+        let from = self.refilled.max(self.alone_since + life);
+        if self.meter.is_some() || now <= from {
+            return;
+        }
+        let units = shares.even_rate * now.saturating_sub(from).as_secs_f64();
+        self.balance = (self.balance + units).min(shares.slice);
+        self.refilled = now;
+    }
+}
+
+/// The accounts of all customers at one router.
+#[derive(Debug)]
+pub struct AccountBook {
+    boot: BootId,
+    started: Timestamp,
+    sequence: u32,
+    terms: LimitTerms,
+    config: ConfigNumber,
+    routers: usize,
+    meters: MeterRegister,
+    accounts: HashMap<CustomerTag, CustomerAccount>,
+    decided: Vec<(CallTicket, SpendVerdict)>,
+    /// Whether the meters are to be told that others can be reached now.
+    is_untold: bool,
+}
+
+impl AccountBook {
+    /// Starts with nothing used; `boot` tells this start from others.
+    pub fn new(boot: BootId, terms: LimitTerms, now: Timestamp) -> Self {
+        Self {
+            boot,
+            started: now,
+            sequence: 0,
+            terms,
+            config: 0,
+            routers: 1,
+            meters: MeterRegister::default(),
+            accounts: HashMap::new(),
+            decided: Vec::new(),
+            is_untold: false,
+        }
+    }
+
+    /// Takes what limits are judged by.
+    pub fn set_terms(&mut self, terms: LimitTerms) {
+        self.terms = terms;
+    }
+
+    /// Takes the number of routers and the targets beside which meters stand.
+    pub fn set_fleet(&mut self, routers: usize, targets: Vec<InstanceId>, now: Timestamp) {
+        self.routers = routers.max(1);
+        self.meters.set_targets(targets);
+        self.look(now);
+    }
+
+    fn look(&mut self, now: Timestamp) {
+        if !self.meters.look(self.routers, now) {
+            return;
+        }
+        self.is_untold = true;
+        let reachable = self.meters.reachable();
+        for (customer, account) in &mut self.accounts {
+            account.set_meter(first_meter(*customer, reachable), now);
+        }
+    }
+
+    /// Counts a call against its customer's limit, which stands in configuration `config`.
+    pub fn spend(
+        &mut self,
+        customer: CustomerTag,
+        limit: &UsageLimit,
+        config: ConfigNumber,
+        cost: UsageCost,
+        now: Timestamp,
+    ) -> Spend {
+        self.config = self.config.max(config);
+        let shares = LimitShares::new(limit, &self.terms, self.routers);
+        if f64::from(cost) > shares.largest {
+            return Spend::Decided(SpendVerdict::Refused { room_in: None });
+        }
+        let life = report_life(self.routers);
+        let reachable = self.meters.reachable();
+        let terms = &self.terms;
+        let account = self.accounts.entry(customer).or_insert_with(|| {
+            let mut account = CustomerAccount::new(*limit, terms, now);
+            account.meter = first_meter(customer, reachable);
+            account
+        });
+        account.used = now;
+        account.limit = *limit;
+        account.refill_alone(&shares, life, now);
+        if account.waiting.is_empty() && account.fits(cost, &shares) {
+            account.spend(cost, now);
+            return Spend::Decided(SpendVerdict::Granted);
+        }
+        if account.meter.is_none() || account.is_short(now) {
+            return Spend::Decided(account.refusal(cost, &shares, now));
+        }
+        Spend::Waiting(account.waiting.push(customer, cost, now))
+    }
+
+    /// A call that was counted at `spent` was not run.
+    pub fn give_back(
+        &mut self,
+        customer: CustomerTag,
+        cost: UsageCost,
+        spent: Timestamp,
+        now: Timestamp,
+    ) {
+        let Some(account) = self.accounts.get_mut(&customer) else { return };
+        if now.saturating_sub(spent) < RETURN_LIMIT {
+            account.balance += f64::from(cost);
+            account.window.add(-i64::from(cost), now);
+        }
+    }
+
+    /// The caller of a call that waits has gone.
+    pub fn withdraw(&mut self, ticket: CallTicket) {
+        if let Some(account) = self.accounts.get_mut(&ticket.customer) {
+            account.waiting.remove(ticket);
+        }
+    }
+
+    /// Takes what a meter answers.
+    pub fn take_grant(&mut self, grant: &UsageGrant, now: Timestamp) {
+        let Some(link) = self.meters.link_mut(grant.meter) else { return };
+        link.note_answer(now);
+        link.enrolment = grant.enrolment;
+        self.look(now);
+        for granted in &grant.grants {
+            self.take_customer_grant(grant, granted, now);
+        }
+    }
+
+    fn take_customer_grant(&mut self, grant: &UsageGrant, granted: &CustomerGrant, now: Timestamp) {
+        let Some(account) = self.accounts.get_mut(&granted.customer) else { return };
+        if account.meter != Some(grant.meter) {
+            return;
+        }
+        let asked = account.asked.filter(|(sequence, _)| *sequence <= grant.sequence);
+        if account.enrolment != grant.enrolment {
+            // The meter has just heard of this router, and will answer the next report.
+            account.forget_grants(grant.enrolment);
+            return;
+        }
+        let Some(known) = account.granted else {
+            account.granted = Some(granted.granted);
+            account.asked = None;
+            return;
+        };
+        account.balance += granted.granted.saturating_sub(known) as f64;
+        account.granted = Some(known.max(granted.granted));
+        account.word = Some(MeterWord {
+            left: f64::from(granted.left),
+            rate: f64::from(granted.rate),
+            is_settled: granted.is_settled,
+            at: now,
+        });
+        let Some((sequence, _)) = asked else { return };
+        if granted.is_settled {
+            account.asked = None;
+        }
+        // What was not granted is not wanted any more: it is asked for anew.
+        account.wanted = known.max(granted.granted);
+        let shares = LimitShares::new(&account.limit, &self.terms, self.routers);
+        while let Some((ticket, cost, asked_in)) = account.waiting.first() {
+            let verdict = if account.fits(cost, &shares) {
+                account.spend(cost, now);
+                SpendVerdict::Granted
+            } else if granted.is_settled && asked_in.is_some_and(|asked_in| asked_in <= sequence) {
+                account.refusal(cost, &shares, now)
+            } else {
+                break;
+            };
+            account.waiting.pop();
+            self.decided.push((ticket, verdict));
+        }
+    }
+
+    /// Decides calls that have waited too long, and drops accounts that are not used any more.
+    pub fn expire(&mut self, now: Timestamp) {
+        self.look(now);
+        let life = report_life(self.routers);
+        for account in self.accounts.values_mut() {
+            let shares = LimitShares::new(&account.limit, &self.terms, self.routers);
+            account.refill_alone(&shares, life, now);
+            while let Some((ticket, cost, _)) = account.waiting.first() {
+                let has_waited = now.saturating_sub(ticket.began) >= WAIT_LIMIT;
+                if account.meter.is_some() && !has_waited {
+                    break;
+                }
+                account.waiting.pop();
+                let verdict = if account.fits(cost, &shares) {
+                    account.spend(cost, now);
+                    SpendVerdict::Granted
+                } else {
+                    account.refusal(cost, &shares, now)
+                };
+                self.decided.push((ticket, verdict));
+            }
+        }
+        self.accounts.retain(|_, account| {
+            !account.waiting.is_empty() || now.saturating_sub(account.used) < ACCOUNT_LIFE
+        });
+    }
+
+    /// Calls that have been decided since this was last asked.
+    pub fn take_decided(&mut self) -> Vec<(CallTicket, SpendVerdict)> {
+        std::mem::take(&mut self.decided)
+    }
+
+    /// Reports that are due, each with the target beside which its meter stands.
+    pub fn take_reports(&mut self, now: Timestamp) -> Vec<(InstanceId, UsageReport)> {
+        self.look(now);
+        let is_changed = std::mem::take(&mut self.is_untold);
+        let pause = report_pause(self.routers);
+        let mut reports = Vec::new();
+        let links: Vec<(MeterTag, InstanceId, u64, bool)> = self
+            .meters
+            .links()
+            .iter()
+            .map(|link| {
+                let is_due = is_changed || link.is_due(pause, now);
+                (link.tag, link.target.clone(), link.enrolment, is_due)
+            })
+            .collect();
+        for (meter, target, enrolment, is_due) in links {
+            let wishes = self.wishes(meter, enrolment, now);
+            if wishes.is_empty() && !is_due {
+                continue;
+            }
+            self.sequence += 1;
+            if let Some(link) = self.meters.link_mut(meter) {
+                link.note_report(now);
+            }
+            let report = UsageReport {
+                boot: self.boot,
+                sequence: self.sequence,
+                meter,
+                enrolment,
+                reachable: self.meters.reachable().to_vec(),
+                routers: u16::try_from(self.routers).unwrap_or(u16::MAX),
+                config: self.config,
+                wishes,
+            };
+            reports.push((target, report));
+        }
+        reports
+    }
+
+    /// What is to be asked of a meter now, for the report that is sent next.
+    fn wishes(&mut self, meter: MeterTag, enrolment: u64, now: Timestamp) -> Vec<UsageWish> {
+        let sequence = self.sequence + 1;
+        // What an earlier start of this router used is not known.
+        let is_known = now.saturating_sub(self.started) >= self.terms.window;
+        let mut wishes = Vec::new();
+        for (customer, account) in &mut self.accounts {
+            if account.meter != Some(meter) {
+                continue;
+            }
+            if account.enrolment != enrolment {
+                account.forget_grants(enrolment);
+            }
+            let shares = LimitShares::new(&account.limit, &self.terms, self.routers);
+            let missing = account.missing(&shares);
+            let is_asked = account.asked.is_some_and(|(_, at)| now.saturating_sub(at) < ASK_PAUSE);
+            let has_new = account.waiting.has_unasked();
+            if missing < 1.0 || (is_asked && !has_new) || (account.is_short(now) && !has_new) {
+                continue;
+            }
+            account.wanted = account.granted.map_or(0, |granted| granted + missing.ceil() as u64);
+            account.asked = Some((sequence, now));
+            account.waiting.note_asked(sequence);
+            wishes.push(UsageWish {
+                customer: *customer,
+                rate: shares.rate as f32,
+                capacity: shares.capacity as f32,
+                overdraft: shares.overdraft as f32,
+                is_quiet: is_known && account.window.was_quiet(now),
+                wanted: account.wanted,
+                needed: (account.waiting.cost() as f64 - account.balance).max(0.0).ceil() as u32,
+                first: account.waiting.first().map_or(0, |(_, cost, _)| cost),
+            });
+        }
+        wishes
+    }
+
+    /// Whether a customer's meter is to be asked now.
+    pub fn is_low(&self, customer: CustomerTag) -> bool {
+        let Some(account) = self.accounts.get(&customer) else { return false };
+        let shares = LimitShares::new(&account.limit, &self.terms, self.routers);
+        account.meter.is_some() && account.asked.is_none() && account.missing(&shares) >= 1.0
+    }
+
+    /// What is known of a customer's use.
+    pub fn view(&self, customer: CustomerTag, now: Timestamp) -> Option<AccountView> {
+        let account = self.accounts.get(&customer)?;
+        let word = account.word;
+        Some(AccountView {
+            rate: account.limit.rate,
+            used: u64::try_from(account.window.sum(now)).unwrap_or(0),
+            left: word.map_or(account.balance, |word| word.left),
+            age: word.map(|word| now.saturating_sub(word.at)),
+        })
+    }
+}
--- /dev/null
+++ b/crates/core/src/direct/customers/meter.rs
@@ -0,0 +1,240 @@
+//! A meter: keeps the limits of some customers for all routers, beside an engine.
+//!
+//! Pattern: a customer's calls come in at many routers, more at one than at another and elsewhere in the next
+//! second. An even share for each router refuses most of what comes in at one while the others' shares lie
+//! idle. Here routers take what they need of one common bucket, in slices, so that a call seldom waits for
+//! the trip.
+//!
+//! A meter keeps nothing that must last. Where it is gone, each customer has a next meter in an order that all
+//! routers know alike. Two meters that both serve a customer, because some routers reach the one and some the
+//! other, grant no more than the limit together: each grants the share of the routers that use it, and a router
+//! says of itself which one it uses. A router that goes over to another meter takes its share of the bucket's
+//! size along, but none of what the bucket holds: that may have been used.
+
+use super::{
+    CustomerTag,
+    bucket::TokenBucket,
+    messages::{CustomerGrant, EnrolmentId, MeterTag, UsageGrant, UsageReport, UsageWish},
+    meters::{first_meter, report_life},
+};
+use crate::{
+    direct::{config::ConfigNumber, messages::BootId},
+    ids::Timestamp,
+};
+use std::{collections::HashMap, time::Duration};
+
+/// Routers that a meter remembers.
+const ROUTER_LIMIT: usize = 2_048;
+/// Customers that a meter remembers.
+const CUSTOMER_LIMIT: usize = 8_192;
+/// Time after which a router that is not heard of is forgotten, with what it was granted.
+const ROUTER_LIFE: Duration = Duration::from_secs(10);
+/// Time after which a customer that nobody uses is forgotten: by then its bucket is full.
+const CUSTOMER_LIFE: Duration = Duration::from_mins(1);
+/// Time in which the routers that use a customer's limit have come over to a meter that is new to it.
+const SETTLE_TIME: Duration = Duration::from_millis(500);
+/// Pause between counts of the routers that use each set of meters.
+const COUNT_PAUSE: Duration = Duration::from_millis(50);
+
+#[derive(Debug)]
+struct MeterRouter {
+    enrolment: EnrolmentId,
+    sequence: u32,
+    heard: Timestamp,
+    routers: u16,
+    reachable: Vec<MeterTag>,
+    granted: HashMap<CustomerTag, u64>,
+}
+
+#[derive(Debug)]
+struct MeteredCustomer {
+    /// Hash by which routers know this meter.
+    meter: MeterTag,
+    config: ConfigNumber,
+    rate: f64,
+    capacity: f64,
+    bucket: TokenBucket,
+    began: Timestamp,
+    used: Timestamp,
+}
+
+/// Limits of customers at one meter.
+#[derive(Debug)]
+pub struct UsageMeter {
+    boot: BootId,
+    enrolments: u32,
+    routers: HashMap<BootId, MeterRouter>,
+    customers: HashMap<CustomerTag, MeteredCustomer>,
+    /// Routers alive, by the meters that they can reach.
+    groups: Vec<(Vec<MeterTag>, usize)>,
+    counted: Timestamp,
+    router_count: usize,
+}
+
+impl UsageMeter {
+    /// Starts knowing nobody; `boot` tells this start from others.
+    pub fn new(boot: BootId) -> Self {
+        Self {
+            boot,
+            enrolments: 0,
+            routers: HashMap::new(),
+            customers: HashMap::new(),
+            groups: Vec::new(),
+            counted: Duration::ZERO,
+            router_count: 1,
+        }
+    }
+
+    /// Takes a report; `None` where an older or doubled one needs no answer.
+    pub fn take(&mut self, report: &UsageReport, now: Timestamp) -> Option<UsageGrant> {
+        if !self.note_router(report, now) {
+            return None;
+        }
+        self.count_routers(now);
+        let enrolment = self.routers.get(&report.boot)?.enrolment;
+        // Wants of another enrolment were counted from another beginning.
+        let is_enrolled = report.enrolment == enrolment;
+        let grants =
+            report.wishes.iter().filter_map(|wish| self.grant(report, wish, is_enrolled, now));
+        let grants = grants.collect();
+        Some(UsageGrant { meter: report.meter, sequence: report.sequence, enrolment, grants })
+    }
+
+    fn note_router(&mut self, report: &UsageReport, now: Timestamp) -> bool {
+        if let Some(router) = self.routers.get_mut(&report.boot) {
+            if report.sequence <= router.sequence {
+                return false;
+            }
+            let is_moved = router.reachable != report.reachable;
+            router.sequence = report.sequence;
+            router.heard = now;
+            router.routers = report.routers;
+            if is_moved {
+                router.reachable.clone_from(&report.reachable);
+            }
+            return true;
+        }
+        self.forget_routers(now);
+        if self.routers.len() >= ROUTER_LIMIT {
+            return false;
+        }
+        self.enrolments += 1;
+        let router = MeterRouter {
+            enrolment: self.boot ^ u64::from(self.enrolments).rotate_left(32),
+            sequence: report.sequence,
+            heard: now,
+            routers: report.routers,
+            reachable: report.reachable.clone(),
+            granted: HashMap::new(),
+        };
+        self.routers.insert(report.boot, router);
+        true
+    }
+
+    fn forget_routers(&mut self, now: Timestamp) {
+        self.routers.retain(|_, router| now.saturating_sub(router.heard) < ROUTER_LIFE);
+        self.customers.retain(|_, customer| now.saturating_sub(customer.used) < CUSTOMER_LIFE);
+    }
+
+    /// Refills all buckets, and counts the routers that are alive, by the meters that they can reach: a few
+    /// groups, as most routers reach the same ones.
+    ///
+    /// Whoever was not heard for a while used its share elsewhere. A meter that stood still, or was cut off,
+    /// must not grant for that time once more when its routers are back.
+    fn count_routers(&mut self, now: Timestamp) {
+        let passed = now.saturating_sub(self.counted);
+        if passed < COUNT_PAUSE {
+            return;
+        }
+        let life = report_life(self.router_count);
+        if passed >= life {
+            self.groups.clear();
+        }
+        self.refill(now);
+        self.counted = now;
+        let alive =
+            || self.routers.values().filter(|router| now.saturating_sub(router.heard) < life);
+        let mut groups: HashMap<&[MeterTag], usize> = HashMap::new();
+        for router in alive() {
+            *groups.entry(&router.reachable).or_default() += 1;
+        }
+        let told = alive().map(|router| usize::from(router.routers)).max();
+        self.router_count = told.unwrap_or(1).max(groups.values().sum());
+        self.groups = groups.into_iter().map(|(tags, count)| (tags.to_vec(), count)).collect();
+    }
+
+    fn refill(&mut self, now: Timestamp) {
+        let Self { customers, groups, router_count, .. } = self;
+        for (tag, customer) in customers {
+            let share = share(groups, *router_count, customer.meter, *tag);
+            customer.bucket.refill(customer.rate * share, customer.capacity * share, now);
+        }
+    }
+
+    fn grant(
+        &mut self,
+        report: &UsageReport,
+        wish: &UsageWish,
+        is_enrolled: bool,
+        now: Timestamp,
+    ) -> Option<CustomerGrant> {
+        let share = share(&self.groups, self.router_count, report.meter, wish.customer);
+        if !self.customers.contains_key(&wish.customer) && self.customers.len() >= CUSTOMER_LIMIT {
+            return None;
+        }
+        let router = self.routers.get_mut(&report.boot)?;
+        let customer = self.customers.entry(wish.customer).or_insert_with(|| {
+            // Where calls used the limit lately, another meter granted that, or an earlier start of this one.
+            let level = if wish.is_quiet { f64::from(wish.capacity) * share } else { 0.0 };
+            MeteredCustomer {
+                meter: report.meter,
+                config: 0,
+                rate: 0.0,
+                capacity: 0.0,
+                bucket: TokenBucket::new(level, now),
+                began: now,
+                used: now,
+            }
+        });
+        customer.used = now;
+        customer.meter = report.meter;
+        if report.config >= customer.config {
+            customer.config = report.config;
+            customer.rate = f64::from(wish.rate);
+            customer.capacity = f64::from(wish.capacity);
+        }
+        let rate = customer.rate * share;
+        let left = customer.bucket.refill(rate, customer.capacity * share, now);
+        let granted = router.granted.entry(wish.customer).or_default();
+        let open = wish.wanted.saturating_sub(*granted);
+        let most = left + f64::from(wish.overdraft);
+        if is_enrolled && left > 0.0 && f64::from(wish.first) <= most {
+            // What routers hold for calls to come serves small calls only, as a large one fits into no slice.
+            // So none is given out once calls are refused.
+            let wanted = if open as f64 <= left { open } else { open.min(u64::from(wish.needed)) };
+            let units = (wanted as f64).min(most).floor();
+            *granted += units as u64;
+            customer.bucket.take(units);
+        }
+        let left = customer.bucket.level() as f32;
+        Some(CustomerGrant {
+            customer: wish.customer,
+            granted: *granted,
+            left,
+            rate: rate as f32,
+            is_settled: now.saturating_sub(customer.began) >= SETTLE_TIME,
+        })
+    }
+}
+
+/// Part of all routers that use a meter for a customer.
+fn share(
+    groups: &[(Vec<MeterTag>, usize)],
+    routers: usize,
+    meter: MeterTag,
+    customer: CustomerTag,
+) -> f64 {
+    let using = groups.iter().filter(|(tags, _)| first_meter(customer, tags) == Some(meter));
+    let using: usize = using.map(|(_, count)| count).sum();
+    using as f64 / routers.max(1) as f64
+}
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -2,6 +2,7 @@
 //! or reordered one costs time and nothing else.
 
 use super::{
+    customers::messages::{UsageGrant, UsageReport},
     directory::{RouterDirectory, RouterPresence},
     membership::{BaseHolding, TargetLife},
 };
@@ -18,6 +19,8 @@
     Notice(RouterNotice),
     /// That it is alive.
     Presence(RouterPresence),
+    /// What its customers use.
+    Usage(UsageReport),
 }
 
 /// A datagram of a loader to a router.
@@ -27,6 +30,8 @@
     Report(LoaderReport),
     /// Which routers are alive.
     Directory(RouterDirectory),
+    /// What a router's customers may use.
+    Grant(UsageGrant),
 }
 
 /// A router's wish for one adapter at the loader's engine.
--- a/crates/core/src/direct/snapshot.rs
+++ b/crates/core/src/direct/snapshot.rs
@@ -4,6 +4,7 @@
 use super::{
     call::{AdapterId, AdapterRelease},
     config::{CallerLimits, ConfigNumber, RouteConfig, RouteRule, ServiceSpec},
+    customers::{CustomerBook, CustomerFault, CustomerRule},
     membership::{InstanceId, ListChange, TargetEntry},
     sharing::SharedChange,
 };
@@ -25,6 +26,8 @@
     pub services: HashMap<ServiceName, Arc<ServiceSpec>>,
     /// Limits for callers.
     pub limits: CallerLimits,
+    /// Its customers.
+    pub customers: Vec<Arc<CustomerRule>>,
 }
 
 impl ConfigRecord {
@@ -35,13 +38,16 @@
             routes: config.routes().cloned().collect(),
             services: config.services.clone(),
             limits: config.limits.clone(),
+            customers: config.customers.rules().to_vec(),
         }
     }
 
-    /// Indexes the configuration.
-    pub fn into_config(self) -> RouteConfig {
+    /// Indexes the configuration; the error says why its customers cannot be told apart.
+    pub fn into_config(self) -> Result<RouteConfig, CustomerFault> {
         let routes = self.routes.into_iter().map(Arc::unwrap_or_clone).collect();
-        RouteConfig::new(self.number, routes, self.services, self.limits)
+        let customers = CustomerBook::new(self.customers)?;
+        let config = RouteConfig::new(self.number, routes, self.services, self.limits);
+        Ok(config.with_customers(customers))
     }
 }
 
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -16,6 +16,8 @@
 pub type CallerName = Arc<str>;
 /// Revision of the configuration root; it only grows.
 pub type ConfigRevision = u64;
+/// Name of a customer.
+pub type CustomerName = Arc<str>;
 /// Name of a preset.
 pub type PresetName = Arc<str>;
 /// Name of a region.
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -3,6 +3,7 @@
 mod backlog;
 mod budget;
 mod config;
+mod customers;
 mod demand;
 mod directory;
 mod fleet;
--- /dev/null
+++ b/crates/core/tests/core/direct/customers.rs
@@ -0,0 +1,5 @@
+//! Customers: their keys, and limits that the whole fleet keeps together.
+
+mod fleet;
+mod keys;
+mod limits;
--- /dev/null
+++ b/crates/core/tests/core/direct/customers/keys.rs
@@ -0,0 +1,108 @@
+//! Keys: whose a call is, and that a key is never written.
+
+use plantain_core::direct::customers::{
+    CallerIdentity, CustomerBook, CustomerFault, CustomerRule,
+    keys::{KEY_LIMIT, KeyDigest, KeyFault, PresentedKey},
+};
+use std::sync::Arc;
+
+pub(super) fn rule(name: &str, keys: &[&str]) -> Arc<CustomerRule> {
+    let digests = keys.iter().map(|key| KeyDigest::new(key.as_bytes()).expect("a key"));
+    Arc::new(CustomerRule {
+        name: name.into(),
+        keys: digests.collect(),
+        priority: None,
+        limit: None,
+    })
+}
+
+struct IdentityCase {
+    name: &'static str,
+    values: &'static [&'static [u8]],
+    is_open: bool,
+    /// `Some("")` for a call that is taken and nobody's.
+    holder: Option<&'static str>,
+}
+
+#[test]
+fn a_call_is_its_keys_holders() {
+    let book = CustomerBook::new(vec![rule("temple", &["k1", "k2"]), rule("guide", &["k3"])]);
+    let book = book.expect("customers that can be told apart");
+    let long = [b'k'; KEY_LIMIT + 1];
+    let long: &'static [u8] = Box::leak(Box::new(long));
+    let too_long: &'static [&'static [u8]] = Box::leak(Box::new([long]));
+    let case = |name, values, is_open, holder| IdentityCase { name, values, is_open, holder };
+    let cases = [
+        case("a key", &[b"k1"], false, Some("temple")),
+        case("another key of it", &[b"k2"], false, Some("temple")),
+        case("another customer's key", &[b"k3"], false, Some("guide")),
+        case("no key", &[], false, None),
+        case("an empty key", &[b""], false, None),
+        case("a key that nobody holds", &[b"k4"], false, None),
+        case("a key in other letters", &[b"K1"], false, None),
+        case("a key and more", &[b"k1 "], false, None),
+        case("bytes that are no text", &[b"\xff\xfe"], false, None),
+        case("the same key twice", &[b"k1", b"k1"], false, None),
+        case("keys of two customers", &[b"k1", b"k3"], false, None),
+        case("a key that is too long", too_long, false, None),
+        case("no key on an open route", &[], true, Some("")),
+        case("a wrong key on an open route", &[b"k4"], true, Some("")),
+        case("two keys on an open route", &[b"k1", b"k3"], true, Some("")),
+        case("a key on an open route", &[b"k3"], true, Some("guide")),
+    ];
+    for case in cases {
+        let key = PresentedKey::new(case.values.iter().copied());
+        let identity = book.identify(&key, case.is_open);
+        let holder = identity.as_ref().map(|identity| match identity {
+            CallerIdentity::Customer(rule) => &*rule.name,
+            CallerIdentity::Anyone => "",
+        });
+        assert_eq!(holder, case.holder, "{}", case.name);
+    }
+    let key = PresentedKey::new([&b"k1"[..]].into_iter());
+    let nobody = CustomerBook::default().identify(&key, false);
+    assert_eq!(nobody, Some(CallerIdentity::Anyone), "without customers all callers are alike");
+}
+
+struct BookCase {
+    name: &'static str,
+    rules: Vec<Arc<CustomerRule>>,
+    fault: Option<CustomerFault>,
+}
+
+#[test]
+fn customers_that_cannot_be_told_apart_are_refused() {
+    let cases = [
+        BookCase { name: "one key twice", rules: vec![rule("a", &["k", "k"])], fault: None },
+        BookCase { name: "no key", rules: vec![rule("a", &[]), rule("b", &["k"])], fault: None },
+        BookCase {
+            name: "a key of two",
+            rules: vec![rule("a", &["k", "j"]), rule("b", &["j"])],
+            fault: Some(CustomerFault::SharedKey("a".into(), "b".into())),
+        },
+        BookCase {
+            name: "a name twice",
+            rules: vec![rule("a", &["k"]), rule("a", &["j"])],
+            fault: Some(CustomerFault::SameName("a".into())),
+        },
+    ];
+    for case in cases {
+        assert_eq!(CustomerBook::new(case.rules).err(), case.fault, "{}", case.name);
+    }
+}
+
+#[test]
+fn a_key_is_checked_and_never_shown() {
+    assert_eq!(KeyDigest::new(b"").err(), Some(KeyFault::Empty));
+    assert_eq!(KeyDigest::new(&[b'x'; KEY_LIMIT + 1]).err(), Some(KeyFault::TooLong));
+    assert!(KeyDigest::new(&[b'x'; KEY_LIMIT]).is_ok());
+    let secret = "open-sesame-4711";
+    let rule = rule("temple", &[secret]);
+    let digest = rule.keys[0];
+    let sent = postcard::to_allocvec(&*rule).expect("a message");
+    let shown =
+        format!("{rule:?} {digest:?} {} {}", digest.mark(7), String::from_utf8_lossy(&sent));
+    assert!(!shown.contains("sesame"), "{shown}");
+    assert_ne!(digest.mark(7), digest.mark(8), "a mark is of one process only");
+    assert_eq!(digest.mark(7), KeyDigest::new(secret.as_bytes()).expect("a key").mark(7));
+}
--- /dev/null
+++ b/crates/core/tests/core/direct/customers/limits.rs
@@ -0,0 +1,254 @@
+//! A customer's limit, kept by all routers together under faults.
+
+use super::fleet::{LimitFleet, TERMS, limit, most, refused_share, worst_window};
+use plantain_core::direct::{
+    call::TokenCounts,
+    customers::limit::{LimitShares, UsageLimit, UsageUnit},
+};
+use quickcheck::QuickCheck;
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::time::Duration;
+
+struct CostCase {
+    unit: UsageUnit,
+    tokens: Option<(u32, u32)>,
+    cost: u32,
+}
+
+#[test]
+fn a_call_costs_what_it_states() {
+    let tokens = UsageUnit::Tokens { plain: 200 };
+    let cases = [
+        CostCase { unit: tokens, tokens: Some((1_460, 80)), cost: 1_540 },
+        CostCase { unit: tokens, tokens: Some((0, 0)), cost: 0 },
+        CostCase { unit: tokens, tokens: Some((u32::MAX, 9)), cost: u32::MAX },
+        CostCase { unit: tokens, tokens: None, cost: 200 },
+        CostCase { unit: UsageUnit::Calls, tokens: Some((1_460, 80)), cost: 1 },
+    ];
+    for case in cases {
+        let limit = UsageLimit { unit: case.unit, rate: 1.0, burst: 1.0 };
+        let tokens = case.tokens.map(|(input, output)| TokenCounts { input, output });
+        assert_eq!(limit.cost(tokens), case.cost);
+    }
+}
+
+#[test]
+fn a_call_that_exceeds_its_limit_by_itself_is_told_so() {
+    let limit = limit(1_000.0, 500.0);
+    let mut fleet = LimitFleet::new(3, 2, limit, 1);
+    fleet.call(0, 8_501);
+    assert!(!fleet.records[0].is_run, "8 s hold 8,500");
+    assert!((LimitShares::new(&limit, &TERMS, 3).largest - 8_500.0).abs() < 1e-6);
+}
+
+/// Asks in turn, at a rate, for `seconds`; `pick` names the router of each call.
+fn load(
+    fleet: &mut LimitFleet,
+    rate: f64,
+    costs: (u32, u32),
+    seconds: u64,
+    mut pick: impl FnMut(&mut StdRng, u64) -> usize,
+) {
+    let mut rng = StdRng::seed_from_u64(fleet.now_ms);
+    let mean = f64::from(costs.0 + costs.1) / 2.0;
+    let calls_per_ms = rate / mean / 1_000.0;
+    for _ in 0..seconds * 1_000 {
+        let mut expected = calls_per_ms;
+        while expected > 0.0 {
+            if rng.random_bool(expected.min(1.0)) {
+                let router = pick(&mut rng, fleet.now_ms);
+                fleet.call(router, rng.random_range(costs.0..=costs.1));
+            }
+            expected -= 1.0;
+        }
+        fleet.pass(1);
+    }
+}
+
+struct SteadyCase {
+    name: &'static str,
+    share: f64,
+    pick: fn(&mut StdRng, u64) -> usize,
+    /// Part of the units that may be refused.
+    refused: f64,
+}
+
+/// A customer stays below its limit, and some of its calls are refused: they come in at one router more than
+/// at another, or move from one to the next each second, so that an even share is spent in one place while it
+/// lies idle in another.
+#[test]
+fn a_customer_below_its_limit_is_served_wherever_its_calls_come_in() {
+    let cases = [
+        SteadyCase {
+            name: "spread evenly",
+            share: 0.9,
+            pick: |rng, _| rng.random_range(0..21),
+            refused: 0.01,
+        },
+        SteadyCase { name: "all at one router", share: 0.9, pick: |_, _| 4, refused: 0.01 },
+        SteadyCase {
+            name: "another third of the routers each second",
+            share: 0.9,
+            pick: |rng, at| (at / 1_000 % 3) as usize * 7 + rng.random_range(0..7),
+            refused: 0.01,
+        },
+        SteadyCase {
+            name: "mostly at a few",
+            share: 0.9,
+            pick: |rng, _| (21.0 * rng.random::<f64>().powi(4)) as usize,
+            refused: 0.01,
+        },
+    ];
+    for case in cases {
+        let limit = limit(50_000.0, 50_000.0);
+        let mut fleet = LimitFleet::new(21, 6, limit, 3);
+        load(&mut fleet, 50_000.0 * case.share, (200, 1_500), 20, case.pick);
+        let refused = refused_share(&fleet.records, Duration::ZERO);
+        assert!(refused < case.refused, "{}: {refused:.4} refused", case.name);
+        let worst = worst_window(&fleet.records, TERMS.window);
+        assert!(worst <= most(&limit, &TERMS), "{}: {worst}", case.name);
+    }
+}
+
+/// A customer sends ten times its limit. What runs in any window is within the limit and the tolerance, and
+/// close to the limit; large calls have the same chance as small ones.
+#[test]
+fn a_customer_far_beyond_its_limit_gets_its_limit() {
+    let limit = limit(50_000.0, 50_000.0);
+    let mut fleet = LimitFleet::new(21, 6, limit, 4);
+    load(&mut fleet, 500_000.0, (200, 8_000), 20, |rng, _| rng.random_range(0..21));
+    let worst = worst_window(&fleet.records, TERMS.window);
+    assert!(worst <= most(&limit, &TERMS), "{worst} in a window");
+    let run: f64 =
+        fleet.records.iter().filter(|call| call.is_run).map(|call| f64::from(call.cost)).sum();
+    assert!(run >= 0.9 * 50_000.0 * 20.0, "{run} in all");
+    let served = |is_large: bool| {
+        let calls = fleet.records.iter().filter(|call| (call.cost > 4_000) == is_large);
+        let (run, all) =
+            calls.fold((0, 0), |sum, call| (sum.0 + u32::from(call.is_run), sum.1 + 1));
+        f64::from(run) / f64::from(all)
+    };
+    let (large, small) = (served(true), served(false));
+    assert!(large > small / 2.0 && small > large / 2.0, "large {large:.3}, small {small:.3}");
+}
+
+/// Two of six meters fall silent, one for good. Their customers' calls are refused until the routers have gone
+/// over to the next meter; that must take a moment only.
+#[test]
+fn a_silent_meter_is_replaced_at_once() {
+    let limit = limit(50_000.0, 50_000.0);
+    for frozen in 0..6 {
+        let mut fleet = LimitFleet::new(21, 6, limit, 5);
+        let pick = |rng: &mut StdRng, _| rng.random_range(0..21);
+        load(&mut fleet, 27_000.0, (200, 1_500), 4, pick);
+        let silent_until = fleet.now_ms + 5_000;
+        fleet.frozen_meters.insert(frozen, silent_until);
+        fleet.frozen_meters.insert((frozen + 1) % 6, u64::MAX);
+        let from = fleet.now();
+        load(&mut fleet, 27_000.0, (200, 1_500), 10, pick);
+        let refused = refused_share(&fleet.records, from);
+        assert!(refused < 0.01, "meters {frozen} and the next silent: {refused:.4} refused");
+    }
+}
+
+/// A limit is lowered while its customer uses all of the old one. Within a window of the news nothing more
+/// runs than the new limit allows.
+#[test]
+fn a_lowered_limit_binds_after_a_window() {
+    let mut fleet = LimitFleet::new(21, 6, limit(80_000.0, 80_000.0), 6);
+    let pick = |rng: &mut StdRng, _| rng.random_range(0..21);
+    load(&mut fleet, 200_000.0, (200, 1_500), 10, pick);
+    fleet.limit = limit(20_000.0, 20_000.0);
+    fleet.config = 2;
+    load(&mut fleet, 200_000.0, (200, 1_500), 8, pick);
+    let from = fleet.now();
+    load(&mut fleet, 200_000.0, (200, 1_500), 10, pick);
+    let late: Vec<_> = fleet.records.iter().copied().filter(|call| call.at >= from).collect();
+    let worst = worst_window(&late, TERMS.window);
+    assert!(worst <= most(&fleet.limit, &TERMS), "{worst} in a window");
+    fleet.limit = limit(200_000.0, 200_000.0);
+    fleet.config = 3;
+    fleet.pass(1_000);
+    let from = fleet.now();
+    load(&mut fleet, 150_000.0, (200, 1_500), 5, pick);
+    let refused = refused_share(&fleet.records, from);
+    assert!(refused < 0.01, "{refused:.4} refused under the raised limit");
+}
+
+/// One play of faults drawn at random, which come together and overlap.
+fn play(seed: u64) -> Result<(), String> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let (routers, meters) = (rng.random_range(1..12), rng.random_range(0..6));
+    let rate = 10_f64.powf(rng.random_range(3.0..5.0));
+    let limit = limit(rate, rate * rng.random_range(0.2..2.0));
+    let mut fleet = LimitFleet::new(routers, meters, limit, seed);
+    fleet.loss = if rng.random_bool(0.5) { 0.0 } else { rng.random_range(0.0..0.3) };
+    let mut log = Vec::new();
+    for _ in 0..rng.random_range(4..12) {
+        let at = fleet.now_ms;
+        let until = at + rng.random_range(100..6_000);
+        let meter = rng.random_range(0..meters.max(1));
+        let router = rng.random_range(0..routers);
+        match rng.random_range(0..7) {
+            0 if meters > 0 => {
+                fleet.restart_meter(meter);
+                log.push(format!("{at}: meter {meter} starts again"));
+            }
+            1 => {
+                fleet.restart_router(router);
+                log.push(format!("{at}: router {router} starts again"));
+            }
+            2 => {
+                fleet.frozen_meters.insert(meter, until);
+                log.push(format!("{at}: meter {meter} frozen until {until}"));
+            }
+            3 => {
+                fleet.frozen_routers.insert(router, until);
+                log.push(format!("{at}: router {router} frozen until {until}"));
+            }
+            4 => {
+                let (zones, phase) = (rng.random_range(2..4), rng.random_range(0..3));
+                fleet.is_cut =
+                    Box::new(move |router, meter| router % zones != (meter + phase) % zones);
+                log.push(format!("{at}: {zones} zones part"));
+            }
+            5 => {
+                fleet.is_cut = Box::new(|_, _| false);
+                log.push(format!("{at}: cuts heal"));
+            }
+            _ => {}
+        }
+        let share = rng.random_range(0.2..6.0);
+        let few = rng.random_range(0..routers);
+        let largest = (rate * rng.random_range(0.01..0.3)).max(2.0) as u32;
+        let frozen = fleet.frozen_routers.clone();
+        let seconds = rng.random_range(1..4);
+        load(&mut fleet, rate * share, (1, largest), seconds, |rng, now| {
+            let router = if few % 2 == 0 { few } else { rng.random_range(0..routers) };
+            let is_frozen = frozen.get(&router).is_some_and(|until| *until > now);
+            if is_frozen {
+                (0..routers).find(|own| !frozen.contains_key(own)).unwrap_or(router)
+            } else {
+                router
+            }
+        });
+    }
+    let (worst, most) = (worst_window(&fleet.records, TERMS.window), most(&limit, &TERMS));
+    if worst <= most {
+        return Ok(());
+    }
+    Err(format!(
+        "seed {seed}: {worst:.0} ran of {most:.0}, {routers} routers, {meters} meters: {log:?}"
+    ))
+}
+
+/// Whatever fails in whatever order, no window holds more than the limit and its tolerance: routers and meters
+/// start again, stand still, and part, while a customer sends a part or a multiple of its limit, spread in any
+/// way.
+#[test]
+fn no_window_ever_holds_more_than_the_limit_and_its_tolerance() {
+    fn property(seed: u64) -> bool {
+        play(seed).map_err(|fault| eprintln!("{fault}")).is_ok()
+    }
+    QuickCheck::new().tests(150).quickcheck(property as fn(u64) -> bool);
+}
--- a/crates/core/tests/core/direct/fleet/simulation.rs
+++ b/crates/core/tests/core/direct/fleet/simulation.rs
@@ -374,6 +374,7 @@
                 let directory = loader.meeting.take(&presence, now);
                 self.send_to_router(index, router, LoaderMessage::Directory(directory));
             }
+            RouterMessage::Usage(_) => {}
         }
     }
 
@@ -385,6 +386,7 @@
                 router.pool.take_report(host(index).ip(), report, now);
             }
             LoaderMessage::Directory(directory) => router.register.note(&directory, now),
+            LoaderMessage::Grant(_) => {}
         }
     }
 
--- a/crates/core/tests/core/direct/support.rs
+++ b/crates/core/tests/core/direct/support.rs
@@ -60,6 +60,7 @@
         objective: ms(800),
         priority: 0,
         max_targets: 2,
+        is_open: false,
         shares: shares.collect(),
     }
 }
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -12,6 +12,7 @@
 use metrics::{counter, gauge, histogram};
 use plantain_core::{
     direct::{
+        customers::meter::UsageMeter,
         directory::MeetingPoint,
         loader::{LoaderMachine, LoaderStep},
         membership::InstanceId,
@@ -62,6 +63,7 @@
 struct LoaderDuty {
     machine: LoaderMachine,
     meeting: MeetingPoint,
+    meter: UsageMeter,
     engine: Rc<EngineClient>,
     settings: watch::Receiver<Arc<LoaderFile>>,
     socket: UdpSocket,
@@ -83,6 +85,7 @@
         Self {
             machine: LoaderMachine::new(rand::random()),
             meeting: MeetingPoint::default(),
+            meter: UsageMeter::new(rand::random()),
             engine: Rc::new(EngineClient::new()),
             settings,
             socket,
@@ -164,6 +167,11 @@
                 let directory = self.meeting.take(&presence, now);
                 self.send(&LoaderMessage::Directory(directory), &[router]);
             }
+            Ok(RouterMessage::Usage(report)) => {
+                if let Some(grant) = self.meter.take(&report, now) {
+                    self.send(&LoaderMessage::Grant(grant), &[router]);
+                }
+            }
             Err(_) => counter!("plantain_link_faults_total").increment(1),
         }
     }
--- a/crates/daemon/src/options/site.rs
+++ b/crates/daemon/src/options/site.rs
@@ -3,7 +3,7 @@
 use super::arguments::SiteArguments;
 use eyre::{Result, WrapErr, ensure};
 use plantain_core::{
-    direct::budget::RepeatAllowance,
+    direct::{budget::RepeatAllowance, customers::limit::LimitTerms},
     ids::{RegionName, ZoneName},
 };
 use serde::{Deserialize, Serialize};
@@ -30,6 +30,48 @@
     pub repeat_window_s: f64,
     /// Repeats in a window beyond the ratio, over the whole fleet.
     pub repeat_slack: f64,
+    /// How customers' limits are judged.
+    #[serde(default)]
+    pub limits: LimitBounds,
+}
+
+/// How customers' limits are judged.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LimitBounds {
+    /// Seconds over which use is counted.
+    pub window_s: f64,
+    /// Part of a limit by which the whole fleet may exceed it in a window.
+    pub overage: f64,
+    /// Units beyond that, over the whole fleet.
+    pub slack: f64,
+}
+
+impl Default for LimitBounds {
+    fn default() -> Self {
+        Self { window_s: 10.0, overage: 0.1, slack: 0.0 }
+    }
+}
+
+impl LimitBounds {
+    /// What limits are judged by.
+    pub fn terms(&self) -> LimitTerms {
+        LimitTerms {
+            window: Duration::from_secs_f64(self.window_s),
+            overage: self.overage,
+            slack: self.slack,
+        }
+    }
+
+    fn check(&self) -> Result<()> {
+        ensure!(
+            self.window_s > 0.0 && self.window_s.is_finite(),
+            "bounds.limits.window_s must be above 0, not {}",
+            self.window_s
+        );
+        ensure!(self.overage >= 0.0, "bounds.limits.overage must not be negative");
+        ensure!(self.slack >= 0.0, "bounds.limits.slack must not be negative");
+        Ok(())
+    }
 }
 
 impl SiteBounds {
@@ -52,7 +94,7 @@
         ensure!(self.repeat_window_s > 0.0, "bounds.repeat_window_s must be above 0");
         ensure!(self.repeat_ratio >= 0.0, "bounds.repeat_ratio must not be negative");
         ensure!(self.repeat_slack >= 0.0, "bounds.repeat_slack must not be negative");
-        Ok(())
+        self.limits.check()
     }
 }
 
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -1,5 +1,6 @@
 //! The router role: takes callers' requests, chooses a target, and calls it directly.
 
+mod admission;
 mod callers;
 mod connections;
 mod constants;
@@ -10,6 +11,7 @@
 mod exchange;
 mod follow;
 mod journal;
+mod limits;
 mod links;
 mod peers;
 mod readiness;
@@ -111,6 +113,7 @@
 ) {
     while settings.changed().await.is_ok() {
         let fresh = Arc::clone(&settings.borrow_and_update());
+        context.limits.set_terms(fresh.bounds.limits.terms());
         *context.settings.borrow_mut() = fresh;
     }
 }
@@ -138,6 +141,8 @@
         ControlEvent::Regained(FollowedKind::Targets) => {
             context.pool.borrow_mut().note_contact(now);
         }
+        ControlEvent::Lost(FollowedKind::Config) => context.may_be_behind.set(true),
+        ControlEvent::Regained(FollowedKind::Config) => context.may_be_behind.set(false),
         ControlEvent::Lost(_) | ControlEvent::Regained(_) => {}
     }
 }
@@ -233,6 +238,7 @@
         context.look_for_crashes(now);
         context.connections.expire(now);
         context.prefetch(now);
+        links::follow_meters(&context, now);
         readiness::update(&context);
         let known = context.peers();
         peers.send_if_modified(|peers| {
--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -1,10 +1,11 @@
 //! Callers' connections and requests.
 
 use super::{
+    admission::{self, CallRejection},
     connections::prepare,
     constants,
     context::RouterContext,
-    exchange::{CallExchange, GivenUp, Opened},
+    exchange::{AdmittedCall, CallExchange, GivenUp, Opened},
     journal::{CallEnd, CallRecord},
     relay::{PlainRead, read_plain, relay_stream},
 };
@@ -15,6 +16,7 @@
     Request, Response, StatusCode,
     body::{Body, Frame, Incoming, SizeHint},
     header::{CONNECTION, HeaderValue},
+    http::request::Parts,
     server::conn::http1,
     service::service_fn,
 };
@@ -23,9 +25,10 @@
 use plantain_core::{
     direct::{
         call::CallHead,
-        config::{CallKind, RouteConfig, RouteRule},
+        config::{CallKind, RouteConfig},
+        customers::CallerIdentity,
     },
-    ids::{ServiceName, Timestamp},
+    ids::Timestamp,
 };
 use plantain_net::{
     body::{BodyAbort, ReplyBody},
@@ -201,25 +204,58 @@
     let (parts, body) = request.into_parts();
     let head = calls::decode_call(&parts);
     let config = Arc::clone(context.pool.borrow().config());
-    let (route, service) = match find_route(&config, &head) {
-        Ok(found) => found,
-        Err(rejection) => return reject(context, &head, &config, rejection, started),
-    };
-    let limit = config.limits.body_bytes;
-    let body = match timeout(constants::BODY_LIMIT, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => {
-            return reject(context, &head, &config, CallRejection::BodyTooLarge, started);
+    let mut identity = None;
+    match admit(&parts, &head, body, &config, context, &mut identity).await {
+        Ok(call) => {
+            context.record_call(&call.service, head.model.as_ref());
+            run_call(CallExchange::new(context, head, call, started)).await
         }
-        Ok(Err(_)) => {
-            return reject(context, &head, &config, CallRejection::BodyBroken, started);
+        Err(rejection) => {
+            let caller = identity.as_ref();
+            let grounds = admission::grounds(context, rejection, &head, caller);
+            let record = CallRecord {
+                id: head.id.clone(),
+                customer: admission::customer_name(caller),
+                config: config.number,
+                ..CallRecord::default()
+            };
+            // A query may hold what its caller wants to keep to itself.
+            let path = head.path.split('?').next().unwrap_or_default();
+            let place = format!("{}{path}{grounds}", head.host);
+            reject(context, record, rejection, &place, started)
         }
-        Err(_) => return reject(context, &head, &config, CallRejection::BodySlow, started),
-    };
-    context.record_call(&service, head.model.as_ref());
-    let request = (parts.method, parts.headers, body);
-    let exchange = CallExchange::new(context, head, request, route, service, started);
-    run_call(exchange).await
+    }
+}
+
+/// Takes a call or says why not; `identity` is set as soon as it is known whose it is.
+async fn admit(
+    parts: &Parts,
+    head: &CallHead,
+    body: Incoming,
+    config: &RouteConfig,
+    context: &RouterContext,
+    identity: &mut Option<CallerIdentity>,
+) -> Result<AdmittedCall, CallRejection> {
+    let (route, service) = admission::find_route(config, head)?;
+    let caller = admission::identify(context, config, &route, head)?;
+    *identity = Some(caller.clone());
+    if head.id.is_none() {
+        return Err(CallRejection::NoId);
+    }
+    let body = read_body(body, config.limits.body_bytes).await?;
+    // Only a call that has come whole is counted.
+    let charge = admission::charge(context, &caller, config.number, head).await?;
+    let (method, headers) = (parts.method.clone(), parts.headers.clone());
+    Ok(AdmittedCall { method, headers, body, route, service, caller, charge })
+}
+
+async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallRejection> {
+    match timeout(constants::BODY_LIMIT, Limited::new(body, limit).collect()).await {
+        Ok(Ok(body)) => Ok(body.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(CallRejection::BodyTooLarge),
+        Ok(Err(_)) => Err(CallRejection::BodyBroken),
+        Err(_) => Err(CallRejection::BodySlow),
+    }
 }
 
 /// A caller that goes away ends its call, except one that may not be repeated and is on its way:
@@ -257,61 +293,21 @@
     }
 }
 
-/// Why a request is not taken.
-#[derive(Clone, Copy, Debug)]
-enum CallRejection {
-    NoConfig,
-    NoRoute,
-    NoId,
-    BodyTooLarge,
-    BodyBroken,
-    BodySlow,
-}
-
-impl CallRejection {
-    fn reply(self) -> (StatusCode, &'static str) {
-        match self {
-            Self::NoConfig => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
-            Self::NoRoute => (StatusCode::NOT_FOUND, "no route takes this host and path"),
-            Self::NoId => (StatusCode::BAD_REQUEST, "the request has no id"),
-            Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
-            Self::BodyBroken => (StatusCode::BAD_REQUEST, "the body broke off"),
-            Self::BodySlow => (StatusCode::REQUEST_TIMEOUT, "the body took too long"),
-        }
-    }
-}
-
-fn find_route(
-    config: &RouteConfig,
-    head: &CallHead,
-) -> Result<(Arc<RouteRule>, ServiceName), CallRejection> {
-    if config.number == 0 {
-        return Err(CallRejection::NoConfig);
-    }
-    let route = config.find(&head.host, &head.path).ok_or(CallRejection::NoRoute)?;
-    let service = route.pick_service(rand::random()).ok_or(CallRejection::NoRoute)?;
-    if head.id.is_none() {
-        return Err(CallRejection::NoId);
-    }
-    Ok((Arc::clone(route), Arc::clone(service)))
-}
-
 fn reject(
     context: &RouterContext,
-    head: &CallHead,
-    config: &RouteConfig,
+    mut record: CallRecord,
     rejection: CallRejection,
+    place: &str,
     started: Timestamp,
 ) -> Response<ReplyBody> {
     let (status, message) = rejection.reply();
+    counter!("plantain_rejections_total", "reason" => message).increment(1);
     let mut reply = final_reply(status, message, "not_run");
-    if status == StatusCode::SERVICE_UNAVAILABLE {
-        calls::set_retry_after(&mut reply, constants::RETURN_PAUSE);
+    if let Some(pause) = rejection.pause() {
+        calls::set_retry_after(&mut reply, pause);
     }
-    let mut record =
-        CallRecord { id: head.id.clone(), config: config.number, ..CallRecord::default() };
     let took = clock::now().saturating_sub(started);
-    record.note(took, &format!("{message}: {}{}", head.host, head.path));
+    record.note(took, &format!("{message}: {place}"));
     context.journal.finish(&record, CallEnd::Rejected, status.as_u16(), took);
     reply
 }
@@ -338,6 +334,7 @@
     let mut reply = final_reply(status, message, outcome);
     if let GivenUp::NotRun(pause) | GivenUp::Held(pause) = given_up {
         calls::set_retry_after(&mut reply, pause);
+        exchange.give_back();
     }
     calls::set_call_id(&mut reply, exchange.head.id.as_deref().unwrap_or_default());
     exchange.finish(end, status);
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -2,6 +2,7 @@
 
 use super::{
     connections::ConnectionPool, constants, crashes::CrashKeeper, journal::RequestJournal,
+    limits::LimitKeeper,
 };
 use crate::{clock, options::site::RouterFile};
 use metrics::counter;
@@ -46,6 +47,10 @@
     pub(crate) pool: RefCell<TargetPool>,
     /// Crashes of targets, and the calls that were there.
     pub(crate) crashes: CrashKeeper,
+    /// What customers use.
+    pub(crate) limits: LimitKeeper,
+    /// Whether a newer configuration may be in force than the one that is known.
+    pub(crate) may_be_behind: Cell<bool>,
     /// Unused connections to targets.
     pub(crate) connections: ConnectionPool,
     /// Wakes calls that wait for an adapter at a target.
@@ -81,6 +86,8 @@
         Rc::new(Self {
             boot,
             crashes: CrashKeeper::new(&settings.name, boot),
+            limits: LimitKeeper::new(boot, settings.bounds.limits.terms()),
+            may_be_behind: Cell::new(false),
             settings: RefCell::new(settings),
             pool: RefCell::new(TargetPool::new()),
             connections: ConnectionPool::default(),
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -7,6 +7,7 @@
     constants,
     context::{AdapterNeed, CallGuard, RouterContext, WaitGuard},
     journal::{CallEnd, CallRecord},
+    limits::UsageCharge,
 };
 use crate::clock;
 use bytes::Bytes;
@@ -17,6 +18,7 @@
     direct::{
         call::{AdapterId, CallHead},
         config::RouteRule,
+        customers::{CallerIdentity, CustomerRule},
         membership::TargetLife,
         pressure::shed_share,
         proof::{RunProof, may_send_again},
@@ -75,6 +77,19 @@
     reply: Option<Response<ReplyBody>>,
 }
 
+/// A call that is taken: it has a route, is somebody's or may be anybody's, and is within its limit.
+pub(crate) struct AdmittedCall {
+    pub(crate) method: Method,
+    pub(crate) headers: HeaderMap,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<RouteRule>,
+    pub(crate) service: ServiceName,
+    /// Whose call it is.
+    pub(crate) caller: CallerIdentity,
+    /// What was counted for it.
+    pub(crate) charge: Option<UsageCharge>,
+}
+
 /// One call of a caller.
 pub(crate) struct CallExchange {
     pub(crate) context: Rc<RouterContext>,
@@ -84,6 +99,9 @@
     pub(crate) body: Bytes,
     pub(crate) route: Arc<RouteRule>,
     pub(crate) service: ServiceName,
+    /// The customer whose call it is.
+    customer: Option<Arc<CustomerRule>>,
+    charge: Option<UsageCharge>,
     pub(crate) started: Timestamp,
     pub(crate) deadline: Timestamp,
     pub(crate) record: CallRecord,
@@ -96,17 +114,18 @@
     pub(crate) fn new(
         context: &Rc<RouterContext>,
         head: CallHead,
-        request: (Method, HeaderMap, Bytes),
-        route: Arc<RouteRule>,
-        service: ServiceName,
+        call: AdmittedCall,
         started: Timestamp,
     ) -> Self {
-        let (method, headers, body) = request;
+        let AdmittedCall { method, headers, body, route, service, caller, charge } = call;
+        let customer = caller.customer().cloned();
         let limits = [head.time_left, route.time_limit];
         let limit = limits.into_iter().flatten().min().unwrap_or(Duration::from_secs(30));
         let record = CallRecord {
             id: head.id.clone(),
             fingerprint: call_fingerprint(method.as_str(), &head.host, &head.path, &body),
+            customer: customer.as_ref().map(|customer| Arc::clone(&customer.name)),
+            cost: charge.map(|charge| charge.cost),
             route: route.name.to_string(),
             objective: route.objective,
             config: context.pool.borrow().config().number,
@@ -122,6 +141,8 @@
             body,
             route,
             service,
+            customer,
+            charge,
             started,
             deadline: started + limit,
             record,
@@ -139,6 +160,19 @@
         self.deadline.saturating_sub(clock::now())
     }
 
+    /// Rank of the call: its customer's, or else its route's; 0 is first.
+    pub(super) fn priority(&self) -> u8 {
+        let own = self.customer.as_ref().and_then(|customer| customer.priority);
+        own.unwrap_or(self.route.priority)
+    }
+
+    /// Gives back what was counted for the call, if it was not run.
+    pub(crate) fn give_back(&self) {
+        if let Some(charge) = self.charge.filter(|_| self.record.runs == 0) {
+            self.context.limits.give_back(charge);
+        }
+    }
+
     /// Adds a step to the call's line in the log.
     pub(crate) fn note(&mut self, step: &str) {
         let age = self.age();
@@ -328,7 +362,7 @@
         };
         let objective = self.started + self.route.objective;
         let due = objective.saturating_sub(Duration::from_secs_f64(answer_ms / 1_000.0));
-        let wish = AdapterNeed { adapter, version, priority: self.route.priority, due };
+        let wish = AdapterNeed { adapter, version, priority: self.priority(), due };
         WaitGuard::new(&self.context, life, &wish)
     }
 
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -103,8 +103,9 @@
             instance: Arc::clone(&life.id),
             time_left: self.time_left(),
             version,
-            urgency: self.route.priority.min(LAST_URGENCY),
+            urgency: self.priority().min(LAST_URGENCY),
             resume_after: self.resume_after,
+            customer: self.customer.as_ref().map(|customer| Arc::clone(&customer.name)),
         };
         let request = calls::encode_call(&self.method, &self.head, &self.headers, &terms).ok()?;
         Some(request.map(|()| Full::new(self.body.clone())))
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -87,7 +87,7 @@
         }
         known.set(Some(news.revision));
         link.note_contact(kind).await;
-        let changes: Vec<FollowedChange> = news.changes.into_iter().map(from_shared).collect();
+        let changes = from_shared(news.changes, link);
         if news.is_whole {
             info!(link.logger, "read whole through a router"; "step" => "follow",
                 "kind" => kind.name(), "revision" => news.revision);
@@ -300,13 +300,26 @@
     }
 }
 
-fn from_shared(change: SharedChange) -> FollowedChange {
-    match change {
-        SharedChange::Config(record) => {
-            FollowedChange::Config(Arc::new(ConfigRecord::clone(&record).into_config()))
+fn from_shared(changes: Vec<SharedChange>, link: &ControlLink) -> Vec<FollowedChange> {
+    let changes = changes.into_iter().filter_map(|change| match change {
+        SharedChange::Config(record) => take_record(ConfigRecord::clone(&record), link),
+        SharedChange::Target(change) => Some(FollowedChange::Target(change)),
+        SharedChange::Release(release) => Some(FollowedChange::Release(release)),
+        SharedChange::Crashes(report) => Some(FollowedChange::Crashes(report)),
+    });
+    changes.collect()
+}
+
+/// A configuration that another router tells; one whose customers cannot be told apart leaves the last one in
+/// force.
+pub(super) fn take_record(record: ConfigRecord, link: &ControlLink) -> Option<FollowedChange> {
+    let number = record.number;
+    match record.into_config() {
+        Ok(config) => Some(FollowedChange::Config(Arc::new(config))),
+        Err(fault) => {
+            warn!(link.logger, "configuration not understood"; "step" => "follow",
+                "config" => number, "fault" => %fault);
+            None
         }
-        SharedChange::Target(change) => FollowedChange::Target(change),
-        SharedChange::Release(release) => FollowedChange::Release(release),
-        SharedChange::Crashes(report) => FollowedChange::Crashes(report),
     }
 }
--- a/crates/daemon/src/router/journal.rs
+++ b/crates/daemon/src/router/journal.rs
@@ -7,10 +7,11 @@
     direct::{
         call::{AdapterId, CallId},
         config::ConfigNumber,
+        customers::limit::UsageCost,
         membership::TargetLife,
     },
     fingerprint::CallFingerprint,
-    ids::{AdapterVersion, Timestamp},
+    ids::{AdapterVersion, CustomerName, Timestamp},
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -59,6 +60,10 @@
     pub(crate) id: Option<CallId>,
     /// Hash of its content, the same whenever the request comes again.
     pub(crate) fingerprint: CallFingerprint,
+    /// The customer whose call it is.
+    pub(crate) customer: Option<CustomerName>,
+    /// What it counts against its customer's limit.
+    pub(crate) cost: Option<UsageCost>,
     /// The route.
     pub(crate) route: String,
     /// Time to the first byte that the route aims at.
@@ -138,7 +143,7 @@
         let fingerprint = (end != CallEnd::Served).then(|| format!("{:032x}", record.fingerprint));
         info!(self.logger, "call ended"; "step" => "call",
             "id" => record.id.as_deref(), "fingerprint" => fingerprint, "outcome" => end.name(), "status" => status,
-            "route" => &record.route, "objective_ms" => record.objective.as_millis() as u64,
+            "customer" => record.customer.as_deref(), "cost" => record.cost, "route" => &record.route, "objective_ms" => record.objective.as_millis() as u64,
             "config" => record.config, "adapter" => adapter,
             "target" => record.target.as_ref().map(|life| &*life.id),
             "questions" => record.questions, "sends" => record.sends, "runs" => record.runs,
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -10,7 +10,7 @@
         messages::{LoaderMessage, LoaderReport, RouterMessage},
         notices::NoticeSchedule,
     },
-    ids::ZoneName,
+    ids::{Timestamp, ZoneName},
 };
 use rand::seq::IndexedRandom;
 use slog::{info, warn};
@@ -38,7 +38,11 @@
                 }
             }
             () = context.hurry.notified() => link.send_hurried(),
-            _ = ticks.tick() => link.send_due(),
+            () = context.limits.wake.notified() => link.send_usage(),
+            _ = ticks.tick() => {
+                link.send_due();
+                link.send_usage();
+            }
             _ = presences.tick() => link.send_presence(),
         }
     }
@@ -59,10 +63,28 @@
             Ok(LoaderMessage::Directory(directory)) => {
                 self.context.note_routers(&directory, clock::now());
             }
+            Ok(LoaderMessage::Grant(grant)) => {
+                self.context.limits.take_grant(&grant, clock::now());
+                self.send_usage();
+            }
             Err(_) => counter!("plantain_link_faults_total").increment(1),
         }
     }
 
+    /// Tells the meters that are due what customers use and want.
+    fn send_usage(&self) {
+        for (target, report) in self.context.limits.take_reports(clock::now()) {
+            let host = {
+                let pool = self.context.pool.borrow();
+                let meter = pool.engines().find(|engine| engine.entry.life.id == target);
+                meter.map(|engine| engine.entry.address.ip())
+            };
+            if let Some(host) = host {
+                self.send(host, &RouterMessage::Usage(report));
+            }
+        }
+    }
+
     fn take_report(&mut self, report: LoaderReport, host: IpAddr) {
         let now = clock::now();
         let life = report.life.clone();
@@ -139,25 +161,21 @@
         }
     }
 
-    /// All zones but this router's own: those of the settings and those of engines.
+    /// All zones but this router's own.
     fn other_zones(&self, own: &ZoneName) -> Vec<ZoneName> {
-        let pool = self.context.pool.borrow();
-        let settings = self.context.settings.borrow();
-        let listed = pool.engines().map(|target| &target.entry.zone);
-        let all: BTreeSet<&ZoneName> = settings.zones.keys().chain(listed).collect();
-        all.into_iter().filter(|zone| *zone != own).cloned().collect()
+        let mut zones = all_zones(&self.context);
+        zones.retain(|zone| zone != own);
+        zones
     }
 
     /// Hosts of the loaders at which the routers of a zone meet.
     fn meeting_hosts(&self, zone: &ZoneName) -> Vec<IpAddr> {
+        let meeting = zone_meeting(&self.context, zone);
         let pool = self.context.pool.borrow();
-        let alive = pool.engines().filter(|target| !target.is_leaving() && !target.has_ended());
-        let alive: Vec<(&InstanceId, &ZoneName, IpAddr)> = alive
-            .map(|target| (&target.entry.life.id, &target.entry.zone, target.entry.address.ip()))
-            .collect();
-        let meeting = meeting_targets(zone, alive.iter().map(|(id, zone, _)| (*id, *zone)));
-        let host = |id: &InstanceId| alive.iter().find(|(own, _, _)| *own == id);
-        meeting.iter().filter_map(host).map(|(_, _, host)| *host).collect()
+        let hosts = meeting
+            .iter()
+            .filter_map(|id| pool.engines().find(|engine| engine.entry.life.id == *id));
+        hosts.map(|engine| engine.entry.address.ip()).collect()
     }
 
     fn send(&self, host: IpAddr, message: &RouterMessage) {
@@ -175,3 +193,34 @@
         }
     }
 }
+
+/// All zones: those of the settings and those of engines.
+fn all_zones(context: &RouterContext) -> Vec<ZoneName> {
+    let pool = context.pool.borrow();
+    let settings = context.settings.borrow();
+    let listed = pool.engines().map(|target| &target.entry.zone);
+    let all: BTreeSet<&ZoneName> = settings.zones.keys().chain(listed).collect();
+    all.into_iter().cloned().collect()
+}
+
+/// The targets beside whose loaders the routers of a zone meet.
+fn zone_meeting(context: &RouterContext, zone: &ZoneName) -> Vec<InstanceId> {
+    let pool = context.pool.borrow();
+    let alive = pool.engines().filter(|target| !target.is_leaving() && !target.has_ended());
+    let alive = alive.map(|target| (&target.entry.life.id, &target.entry.zone));
+    meeting_targets(zone, alive)
+}
+
+/// Looks which loaders are meters: those at which the routers of any zone meet, while a customer has a limit.
+pub(crate) fn follow_meters(context: &RouterContext, now: Timestamp) {
+    let config = Arc::clone(context.pool.borrow().config());
+    let is_limited = config.customers.rules().iter().any(|customer| customer.limit.is_some());
+    let mut meters = Vec::new();
+    if is_limited {
+        let zones = all_zones(context);
+        meters.extend(zones.iter().flat_map(|zone| zone_meeting(context, zone)));
+        meters.sort_unstable();
+        meters.dedup();
+    }
+    context.limits.set_fleet(context.router_count(), meters, now);
+}
--- a/crates/daemon/src/router/peers.rs
+++ b/crates/daemon/src/router/peers.rs
@@ -2,6 +2,7 @@
 
 use super::{
     control::{ControlEvent, ControlLink},
+    follow,
     sharing::{self, CHANGES_PATH},
 };
 use crate::clock;
@@ -22,7 +23,7 @@
 use plantain_platform::objects::{FollowedChange, FollowedKind};
 use rand::seq::IndexedRandom;
 use slog::{debug, info};
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
+use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -74,10 +75,9 @@
 async fn take_snapshot(snapshot: PeerSnapshot, peer: SocketAddr, link: &ControlLink) {
     let mut changes = Vec::new();
     if let Some(record) = snapshot.config {
-        let config = record.into_config();
         info!(link.logger, "configuration from a peer"; "step" => "peers", "peer" => %peer,
-            "config" => config.number);
-        changes.push(FollowedChange::Config(Arc::new(config)));
+            "config" => record.number);
+        changes.extend(follow::take_record(record, link));
     }
     changes.extend(snapshot.releases.into_iter().map(|(base, name, version)| {
         FollowedChange::Release(AdapterRelease { adapter: AdapterId { base, name }, version })
