--- a/crates/ctl/src/commands.rs
+++ b/crates/ctl/src/commands.rs
@@ -2,6 +2,7 @@
 
 pub mod adapters;
 pub mod callers;
+pub mod customers;
 pub mod losses;
 pub mod presets;
 pub mod report;
@@ -74,8 +75,12 @@
     settings: &ControlSettings,
     command: ControlCommand,
 ) -> Result<(), CommandError> {
-    if let ControlCommand::Losses { files } = &command {
-        return losses::carry_out(files, settings.json);
+    match &command {
+        ControlCommand::Losses { files } => return losses::carry_out(files, settings.json),
+        ControlCommand::Customers { routers } => {
+            return customers::carry_out(routers, settings.json).await;
+        }
+        _ => {}
     }
     let Some(platform) = settings.platform else {
         return Err(CommandError::Invalid("--platform: needed for this command".into()));
@@ -91,6 +96,9 @@
         ControlCommand::Preset(command) => presets::carry_out(&context, command).await,
         ControlCommand::Report { html } => report::carry_out(&context, html.as_deref()).await,
         ControlCommand::Losses { files } => losses::carry_out(&files, settings.json),
+        ControlCommand::Customers { routers } => {
+            customers::carry_out(&routers, settings.json).await
+        }
         ControlCommand::Status => status::carry_out(&context).await,
     }
 }
--- a/crates/ctl/src/options.rs
+++ b/crates/ctl/src/options.rs
@@ -28,7 +28,10 @@
         if author.is_empty() || author.chars().any(char::is_control) {
             return Err("--author: expected a name without control characters".into());
         }
-        let needs_platform = !matches!(arguments.command, ControlCommand::Losses { .. });
+        let needs_platform = !matches!(
+            arguments.command,
+            ControlCommand::Losses { .. } | ControlCommand::Customers { .. }
+        );
         if needs_platform && arguments.platform.is_none() {
             return Err("--platform: expected the address of the platform's object API".into());
         }
--- a/crates/ctl/src/options/arguments.rs
+++ b/crates/ctl/src/options/arguments.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Debug, Bpaf)]
 #[bpaf(options, version, generate(control_arguments))]
 pub struct ControlArguments {
-    /// Address of the platform's object API; not needed for losses
+    /// Address of the platform's object API; not needed for losses and customers
     #[bpaf(long, argument("ADDR"), env("PLANTAIN_PLATFORM"))]
     pub platform: Option<SocketAddr>,
     /// Prints JSON in place of tables
@@ -57,6 +57,13 @@
         #[bpaf(positional("FILE"), many)]
         files: Vec<PathBuf>,
     },
+    /// Shows what customers use of their limits, from routers' metrics pages
+    #[bpaf(command("customers"))]
+    Customers {
+        /// Metrics addresses of routers
+        #[bpaf(positional("ADDR"), some("expected the metrics address of a router"))]
+        routers: Vec<SocketAddr>,
+    },
     /// Shows the configuration in force, the processes and what they report
     #[bpaf(command("status"))]
     Status,
--- a/crates/ctl/tests/control/main.rs
+++ b/crates/ctl/tests/control/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the command-line tool by itself.
 
+mod customers;
 mod losses;
 
 use std::process::{Command, Output};
--- a/crates/daemon/src/router/limits.rs
+++ b/crates/daemon/src/router/limits.rs
@@ -1,7 +1,7 @@
 //! Counts customers' calls against their limits, and lets those wait whose meter must be asked.
 
 use crate::clock;
-use metrics::counter;
+use metrics::{counter, gauge};
 use plantain_core::{
     direct::{
         config::ConfigNumber,
@@ -19,6 +19,7 @@
 use std::{
     cell::{Cell, RefCell},
     collections::HashMap,
+    sync::Arc,
 };
 use tokio::sync::{Notify, oneshot};
 
@@ -113,6 +114,21 @@
         self.book.borrow_mut().take_reports(now)
     }
 
+    /// Shows on the metrics page what is known of customers' use.
+    pub(crate) fn show(&self, customers: &[Arc<CustomerRule>], now: Timestamp) {
+        for customer in customers {
+            let Some(view) = self.view(customer, now) else { continue };
+            let name = || customer.name.to_string();
+            gauge!("plantain_customer_rate", "customer" => name()).set(view.rate);
+            gauge!("plantain_customer_used", "customer" => name()).set(view.used as f64);
+            if let Some(age) = view.age {
+                gauge!("plantain_customer_left", "customer" => name()).set(view.left);
+                gauge!("plantain_customer_left_age_seconds", "customer" => name())
+                    .set(age.as_secs_f64());
+            }
+        }
+    }
+
     /// What is known of a customer's use.
     pub(crate) fn view(&self, customer: &CustomerRule, now: Timestamp) -> Option<AccountView> {
         self.book.borrow().view(customer.tag(), now)
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -43,7 +43,11 @@
                 link.send_due();
                 link.send_usage();
             }
-            _ = presences.tick() => link.send_presence(),
+            _ = presences.tick() => {
+                link.send_presence();
+                let config = Arc::clone(context.pool.borrow().config());
+                context.limits.show(config.customers.rules(), clock::now());
+            }
         }
     }
 }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -133,6 +133,13 @@
         self.fetch(request, limit).await
     }
 
+    /// Gets a page of text; any status but a success is an error.
+    pub async fn get_text(&self, uri: &str, limit: Duration) -> Result<String> {
+        let answer = self.call(Method::GET, uri, Bytes::new(), limit).await?;
+        ensure!(answer.status.is_success(), "GET {uri}: {}", answer.status);
+        Ok(answer.text())
+    }
+
     /// Gets a JSON value.
     pub async fn get_json<T: DeserializeOwned>(&self, uri: &str, limit: Duration) -> Result<T> {
         let answer = self.call(Method::GET, uri, Bytes::new(), limit).await?;
