--- a/crates/daemon/src/router/journal.rs
+++ b/crates/daemon/src/router/journal.rs
@@ -140,7 +140,8 @@
             None => format!("{}/{}", id.base, id.name),
         });
         // Whether a request comes again matters where it was not served.
-        let fingerprint = (end != CallEnd::Served).then(|| format!("{:032x}", record.fingerprint));
+        let is_told = end != CallEnd::Served && record.fingerprint != 0;
+        let fingerprint = is_told.then(|| format!("{:032x}", record.fingerprint));
         info!(self.logger, "call ended"; "step" => "call",
             "id" => record.id.as_deref(), "fingerprint" => fingerprint, "outcome" => end.name(), "status" => status,
             "customer" => record.customer.as_deref(), "cost" => record.cost, "route" => &record.route, "objective_ms" => record.objective.as_millis() as u64,
