Limits: all accounts of a router have a configuration's limits at once

Cause: a report names the newest configuration that its router knows, but an account took a new limit with its next call only. A router without calls asked for its slice under the old limit and the new number, and the meter went back to the old limit for all routers.

--- a/crates/core/src/direct/customers/account.rs
+++ b/crates/core/src/direct/customers/account.rs
@@ -8,7 +8,7 @@
 mod window;
 
 use super::{
-    CustomerTag,
+    CustomerRule, CustomerTag,
     limit::{LimitShares, LimitTerms, RETURN_LIMIT, UsageCost, UsageLimit},
     messages::{CustomerGrant, MeterTag, UsageGrant, UsageReport, UsageWish},
     meters::{MeterRegister, first_meter, report_life, report_pause},
@@ -17,7 +17,7 @@
     direct::{config::ConfigNumber, membership::InstanceId, messages::BootId},
     ids::Timestamp,
 };
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, sync::Arc, time::Duration};
 use waiting::WaitingCalls;
 use window::UsageWindow;
 
@@ -275,6 +275,22 @@
         self.look(now);
     }
 
+    /// Takes the limits of a configuration. All accounts have them from then on: what is asked for under its
+    /// number must not stem from an older one, or a meter would go back to that for all routers.
+    pub fn set_limits(&mut self, config: ConfigNumber, rules: &[Arc<CustomerRule>]) {
+        if config <= self.config {
+            return;
+        }
+        self.config = config;
+        let limits: HashMap<CustomerTag, UsageLimit> =
+            rules.iter().filter_map(|rule| Some((rule.tag(), rule.limit?))).collect();
+        for (customer, account) in &mut self.accounts {
+            if let Some(limit) = limits.get(customer) {
+                account.limit = *limit;
+            }
+        }
+    }
+
     fn look(&mut self, now: Timestamp) {
         if !self.meters.look(self.routers, now) {
             return;
@@ -287,16 +303,14 @@
         }
     }
 
-    /// Counts a call against its customer's limit, which stands in configuration `config`.
+    /// Counts a call against its customer's limit.
     pub fn spend(
         &mut self,
         customer: CustomerTag,
         limit: &UsageLimit,
-        config: ConfigNumber,
         cost: UsageCost,
         now: Timestamp,
     ) -> Spend {
-        self.config = self.config.max(config);
         let shares = LimitShares::new(limit, &self.terms, self.routers);
         if f64::from(cost) > shares.largest {
             return Spend::Decided(SpendVerdict::Refused { room_in: None });
--- a/crates/core/tests/core/direct/customers/fleet.rs
+++ b/crates/core/tests/core/direct/customers/fleet.rs
@@ -5,6 +5,7 @@
 use plantain_core::{
     direct::{
         customers::{
+            CustomerRule,
             account::{AccountBook, CallTicket, Spend, SpendVerdict},
             limit::{LimitTerms, UsageLimit, UsageUnit},
             messages::{UsageGrant, UsageReport},
@@ -18,6 +19,7 @@
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
+    sync::Arc,
     time::Duration,
 };
 
@@ -26,7 +28,7 @@
 /// Pause between looks at the fleet.
 const FLEET_MS: u64 = 200;
 /// The customer.
-pub const CUSTOMER: u64 = 77;
+const CUSTOMER: &str = "temple";
 
 pub const TERMS: LimitTerms =
     LimitTerms { window: Duration::from_secs(8), overage: 0.1, slack: 40_000.0 };
@@ -35,6 +37,11 @@
     UsageLimit { unit: UsageUnit::Tokens { plain: 200 }, rate, burst }
 }
 
+fn rule(limit: UsageLimit) -> Arc<CustomerRule> {
+    let (name, keys) = (CUSTOMER.into(), Vec::new());
+    Arc::new(CustomerRule { name, keys, priority: None, limit: Some(limit) })
+}
+
 /// What a call has come to.
 #[derive(Clone, Copy, Debug)]
 pub struct RunRecord {
@@ -84,7 +91,8 @@
 pub struct LimitFleet {
     pub now_ms: u64,
     pub limit: UsageLimit,
-    pub config: u64,
+    config: u64,
+    rule: Arc<CustomerRule>,
     pub records: Vec<RunRecord>,
     /// Datagrams sent.
     pub sent: u64,
@@ -115,6 +123,7 @@
             now_ms: 20_000,
             limit,
             config: 1,
+            rule: rule(limit),
             records: Vec::new(),
             sent: 0,
             bytes: 0,
@@ -139,6 +148,13 @@
         fleet
     }
 
+    /// A new configuration changes the limit; each router has it at its next look.
+    pub fn set_limit(&mut self, limit: UsageLimit) {
+        self.limit = limit;
+        self.rule = rule(limit);
+        self.config += 1;
+    }
+
     pub fn now(&self) -> Timestamp {
         ms(self.now_ms)
     }
@@ -162,14 +178,15 @@
     /// A call comes in.
     pub fn call(&mut self, router: usize, cost: u32) {
         let now = self.now();
-        let spend = self.routers[router].spend(CUSTOMER, &self.limit, self.config, cost, now);
+        let spend = self.routers[router].spend(self.rule.tag(), &self.limit, cost, now);
         match spend {
             Spend::Decided(verdict) => self.record(verdict, cost, now),
             Spend::Waiting(ticket) => {
                 self.waiting.insert((router, ticket), (now, cost));
             }
         }
-        if spend == Spend::Decided(SpendVerdict::Granted) && !self.routers[router].is_low(CUSTOMER)
+        if spend == Spend::Decided(SpendVerdict::Granted)
+            && !self.routers[router].is_low(self.rule.tag())
         {
             return;
         }
@@ -195,6 +212,7 @@
                 let phase = router as u64 * LOOK_MS / routers;
                 if self.now_ms % FLEET_MS == phase {
                     let (now, targets) = (self.now(), self.targets.clone());
+                    self.routers[router].set_limits(self.config, &[Arc::clone(&self.rule)]);
                     self.routers[router].set_fleet(routers as usize, targets, now);
                     self.routers[router].expire(now);
                     self.settle(router);
--- a/crates/core/tests/core/direct/customers/limits.rs
+++ b/crates/core/tests/core/direct/customers/limits.rs
@@ -176,16 +176,14 @@
     let mut fleet = LimitFleet::new(21, 6, limit(80_000.0, 80_000.0), 6);
     let pick = |rng: &mut StdRng, _| rng.random_range(0..21);
     load(&mut fleet, 200_000.0, (200, 1_500), 10, pick);
-    fleet.limit = limit(20_000.0, 20_000.0);
-    fleet.config = 2;
+    fleet.set_limit(limit(20_000.0, 20_000.0));
     load(&mut fleet, 200_000.0, (200, 1_500), 8, pick);
     let from = fleet.now();
     load(&mut fleet, 200_000.0, (200, 1_500), 10, pick);
     let late: Vec<_> = fleet.records.iter().copied().filter(|call| call.at >= from).collect();
     let worst = worst_window(&late, TERMS.window);
     assert!(worst <= most(&fleet.limit, &TERMS), "{worst} in a window");
-    fleet.limit = limit(200_000.0, 200_000.0);
-    fleet.config = 3;
+    fleet.set_limit(limit(200_000.0, 200_000.0));
     fleet.pass(1_000);
     let from = fleet.now();
     load(&mut fleet, 150_000.0, (200, 1_500), 5, pick);
@@ -193,6 +191,21 @@
     assert!(refused < 0.01, "{refused:.4} refused under the raised limit");
 }
 
+/// A limit is raised, and calls go on at one router only. The others have none that would tell them of the new
+/// limit, and still fill up what they hold: if they asked for it under the old limit, their meter would go back
+/// to that, and calls below the new limit be refused.
+#[test]
+fn routers_without_calls_ask_under_the_newest_limit() {
+    let mut fleet = LimitFleet::new(21, 6, limit(20_000.0, 20_000.0), 7);
+    load(&mut fleet, 200_000.0, (200, 1_500), 3, |rng, _| rng.random_range(0..21));
+    fleet.set_limit(limit(80_000.0, 80_000.0));
+    fleet.pass(200);
+    let from = fleet.now();
+    load(&mut fleet, 60_000.0, (200, 1_500), 3, |_, _| 0);
+    let refused = refused_share(&fleet.records, from);
+    assert!(refused < 0.05, "{refused:.3} refused under the raised limit");
+}
+
 /// One play of faults drawn at random, which come together and overlap.
 fn play(seed: u64) -> Result<(), String> {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/crates/daemon/src/router/admission.rs
+++ b/crates/daemon/src/router/admission.rs
@@ -6,7 +6,7 @@
 use plantain_core::{
     direct::{
         call::CallHead,
-        config::{ConfigNumber, RouteConfig, RouteRule},
+        config::{RouteConfig, RouteRule},
         customers::{CallerIdentity, CustomerRule, account::SpendVerdict, keys::PresentedKey},
     },
     ids::{CustomerName, ServiceName},
@@ -110,13 +110,12 @@
 pub(super) async fn charge(
     context: &RouterContext,
     identity: &CallerIdentity,
-    config: ConfigNumber,
     head: &CallHead,
 ) -> Result<Option<UsageCharge>, CallRejection> {
     let Some(customer) = identity.customer() else { return Ok(None) };
     let Some(limit) = &customer.limit else { return Ok(None) };
     let cost = limit.cost(head.tokens);
-    let (verdict, charge) = context.limits.charge(customer, limit, config, cost).await;
+    let (verdict, charge) = context.limits.charge(customer, limit, cost).await;
     match verdict {
         SpendVerdict::Granted => Ok(Some(charge)),
         SpendVerdict::Refused { room_in: Some(room_in) } => Err(CallRejection::OverLimit(room_in)),
--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -244,7 +244,7 @@
     }
     let body = read_body(body, config.limits.body_bytes).await?;
     // Only a call that has come whole is counted.
-    let charge = admission::charge(context, &caller, config.number, head).await?;
+    let charge = admission::charge(context, &caller, head).await?;
     let (method, headers) = (parts.method.clone(), parts.headers.clone());
     Ok(AdmittedCall { method, headers, body, route, service, caller, charge })
 }
--- a/crates/daemon/src/router/limits.rs
+++ b/crates/daemon/src/router/limits.rs
@@ -4,7 +4,7 @@
 use metrics::{counter, gauge};
 use plantain_core::{
     direct::{
-        config::ConfigNumber,
+        config::RouteConfig,
         customers::{
             CustomerRule, CustomerTag,
             account::{AccountBook, AccountView, CallTicket, Spend, SpendVerdict},
@@ -54,6 +54,11 @@
         self.book.borrow_mut().set_terms(terms);
     }
 
+    /// Takes the limits of a configuration.
+    pub(crate) fn set_limits(&self, config: &RouteConfig) {
+        self.book.borrow_mut().set_limits(config.number, config.customers.rules());
+    }
+
     /// Takes the number of routers and the targets beside which meters stand.
     pub(crate) fn set_fleet(&self, routers: usize, targets: Vec<InstanceId>, now: Timestamp) {
         self.book.borrow_mut().set_fleet(routers, targets, now);
@@ -67,11 +72,10 @@
         &self,
         customer: &CustomerRule,
         limit: &UsageLimit,
-        config: ConfigNumber,
         cost: UsageCost,
     ) -> (SpendVerdict, UsageCharge) {
         let tag = customer.tag();
-        let spend = self.book.borrow_mut().spend(tag, limit, config, cost, clock::now());
+        let spend = self.book.borrow_mut().spend(tag, limit, cost, clock::now());
         if self.book.borrow().is_low(tag) {
             self.wake.notify_one();
         }
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -219,6 +219,7 @@
 pub(crate) fn follow_meters(context: &RouterContext, now: Timestamp) {
     let config = Arc::clone(context.pool.borrow().config());
     let is_limited = config.customers.rules().iter().any(|customer| customer.limit.is_some());
+    context.limits.set_limits(&config);
     let mut meters = Vec::new();
     if is_limited {
         let zones = all_zones(context);
