--- a/crates/core/src/direct/customers/account.rs
+++ b/crates/core/src/direct/customers/account.rs
@@ -4,6 +4,7 @@
 //! customer's meter, a few milliseconds. A router that reaches no meter uses an even share of each limit, which
 //! the meters do not grant to others.
 
+mod customer;
 mod waiting;
 mod window;
 
@@ -17,28 +18,16 @@
     direct::{config::ConfigNumber, membership::InstanceId, messages::BootId},
     ids::Timestamp,
 };
+use customer::{CustomerAccount, MeterWord};
 use std::{collections::HashMap, sync::Arc, time::Duration};
-use waiting::WaitingCalls;
-use window::UsageWindow;
 
 pub use waiting::CallTicket;
 
 /// Longest wait of a call for a grant. A meter that is out of reach is given up before, and another one
 /// asked.
 const WAIT_LIMIT: Duration = Duration::from_secs(1);
-/// Time for which a meter's word is believed. Calls beyond a limit, and slices that are not granted, then cost no
-/// trip each.
-const WORD_LIFE: Duration = Duration::from_millis(50);
-/// Slices that a meter must have left to give one out whole.
-const SCARCE_SLICES: f64 = 10.0;
-/// Time from the first call of a customer to the first grant.
-const FIRST_GRANT_TIME: Duration = Duration::from_millis(300);
 /// Pause before an unanswered question is asked again: datagrams are lost at times.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
-/// Shortest time after which a call that was beyond its limit is worth sending again.
-const LEAST_PAUSE: Duration = Duration::from_millis(200);
-/// Longest time after which a caller is told to come back; by then much may have changed.
-const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 /// Time after which an account that no call used is dropped.
 const ACCOUNT_LIFE: Duration = Duration::from_mins(1);
 
@@ -76,160 +65,6 @@
     pub age: Option<Duration>,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct MeterWord {
-    left: f64,
-    rate: f64,
-    is_settled: bool,
-    at: Timestamp,
-}
-
-#[derive(Debug)]
-struct CustomerAccount {
-    limit: UsageLimit,
-    /// Units that may be used without asking; below 0 where calls went ahead of their grant.
-    balance: f64,
-    window: UsageWindow,
-    meter: Option<MeterTag>,
-    /// Since when there is no meter.
-    alone_since: Timestamp,
-    refilled: Timestamp,
-    enrolment: u64,
-    /// Units granted since the enrolment; none before the meter has said.
-    granted: Option<u64>,
-    wanted: u64,
-    asked: Option<(u32, Timestamp)>,
-    word: Option<MeterWord>,
-    waiting: WaitingCalls,
-    used: Timestamp,
-    spent: Option<Timestamp>,
-    /// When calls began to use it after a window without use.
-    busy_since: Option<Timestamp>,
-    /// Whether another meter than this one has granted some of it, or none.
-    has_moved: bool,
-}
-
-impl CustomerAccount {
-    fn new(limit: UsageLimit, terms: &LimitTerms, now: Timestamp) -> Self {
-        Self {
-            limit,
-            balance: 0.0,
-            window: UsageWindow::new(terms.window),
-            meter: None,
-            alone_since: now,
-            refilled: now,
-            enrolment: 0,
-            granted: None,
-            wanted: 0,
-            asked: None,
-            word: None,
-            waiting: WaitingCalls::default(),
-            used: now,
-            spent: None,
-            busy_since: None,
-            has_moved: false,
-        }
-    }
-
-    /// Whether no call has used the limit lately, but for those that ask for their first grant: a meter that
-    /// is new to the customer may then give out all that the limit allows at once.
-    fn is_quiet(&self, now: Timestamp) -> bool {
-        let has_begun = |since| now.saturating_sub(since) < FIRST_GRANT_TIME;
-        !self.has_moved && self.busy_since.is_none_or(has_begun)
-    }
-
-    fn fits(&self, cost: UsageCost, shares: &LimitShares) -> bool {
-        self.balance - f64::from(cost) >= -shares.ahead
-    }
-
-    fn spend(&mut self, cost: UsageCost, window: Duration, now: Timestamp) {
-        if self.spent.is_none_or(|spent| now.saturating_sub(spent) >= window) {
-            self.busy_since = Some(now);
-        }
-        self.spent = Some(now);
-        self.balance -= f64::from(cost);
-        self.window.add(i64::from(cost), now);
-    }
-
-    /// What its meter has just said, if no call waits for more.
-    fn fresh_word(&self, now: Timestamp) -> Option<&MeterWord> {
-        let word = self.word.as_ref().filter(|_| self.waiting.is_empty());
-        word.filter(|word| now.saturating_sub(word.at) < WORD_LIFE)
-    }
-
-    /// Whether its meter has just said that nothing is left.
-    fn is_short(&self, now: Timestamp) -> bool {
-        self.fresh_word(now).is_some_and(|word| word.is_settled && word.left <= 0.0)
-    }
-
-    /// Whether its meter has just said that too little is left to give out whole slices.
-    fn is_scarce(&self, shares: &LimitShares, now: Timestamp) -> bool {
-        self.fresh_word(now).is_some_and(|word| word.left < SCARCE_SLICES * shares.slice)
-    }
-
-    fn refusal(&self, cost: UsageCost, shares: &LimitShares, now: Timestamp) -> SpendVerdict {
-        let (left, rate) = match self.word {
-            Some(word) => {
-                let passed = now.saturating_sub(word.at).as_secs_f64();
-                (word.left + word.rate * passed, word.rate)
-            }
-            None => (self.balance, shares.even_rate),
-        };
-        let missing = (f64::from(cost) - left).max(0.0);
-        let seconds = missing / rate.max(f64::MIN_POSITIVE);
-        let room = Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_PAUSE);
-        SpendVerdict::Refused { room_in: Some(room.clamp(LEAST_PAUSE, LONGEST_PAUSE)) }
-    }
-
-    /// Units to ask for now: what fills the slice again, and what the calls that wait need.
-    fn missing(&self, shares: &LimitShares) -> f64 {
-        let waiting = self.waiting.cost() as f64;
-        if waiting > 0.0 || self.balance < shares.slice / 2.0 {
-            (shares.slice + waiting - self.balance).max(0.0)
-        } else {
-            0.0
-        }
-    }
-
-    /// Goes over to the customer's meter among those that can be reached.
-    fn set_meter(&mut self, meter: Option<MeterTag>, shares: &LimitShares, now: Timestamp) {
-        if self.meter == meter {
-            return;
-        }
-        self.has_moved |= self.spent.is_some();
-        if meter.is_none() {
-            self.alone_since = now;
-            self.refilled = now;
-        } else {
-            // What came together alone is in the meter's bucket too.
-            self.balance = self.balance.min(shares.slice);
-        }
-        self.meter = meter;
-        self.forget_grants(0);
-        self.word = None;
-    }
-
-    /// Starts anew with a meter. What it has granted before is heard first: the router may have used it and
-    /// another one by turns.
-    fn forget_grants(&mut self, enrolment: u64) {
-        self.enrolment = enrolment;
-        self.granted = None;
-        self.wanted = 0;
-        self.asked = None;
-    }
-
-    /// Adds what a router that reaches no meter may use by itself, once no meter counts it any more.
-    fn refill_alone(&mut self, shares: &LimitShares, life: Duration, now: Timestamp) {
-        let from = self.refilled.max(self.alone_since + life);
-        if self.meter.is_some() || now <= from {
-            return;
-        }
-        let units = shares.even_rate * now.saturating_sub(from).as_secs_f64();
-        self.balance = (self.balance + units).min(self.balance.max(shares.even_capacity));
-        self.refilled = now;
-    }
-}
-
 /// The accounts of all customers at one router.
 #[derive(Debug)]
 pub struct AccountBook {
--- a/crates/core/src/direct/customers/meter.rs
+++ b/crates/core/src/direct/customers/meter.rs
@@ -107,13 +107,10 @@
             if report.sequence <= router.sequence {
                 return false;
             }
-            let is_moved = router.reachable != report.reachable;
             router.sequence = report.sequence;
             router.heard = now;
             router.routers = report.routers;
-            if is_moved {
-                router.reachable.clone_from(&report.reachable);
-            }
+            router.reachable.clone_from(&report.reachable);
             return true;
         }
         self.forget_routers(now);
