Routers read the limit that a target states, and log each change of it

Nothing is decided by it yet. An answer that was under way when the limit was stated does not end it (tested).

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -20,5 +20,6 @@
 pub mod sharing;
 pub mod snapshot;
 pub mod target;
+pub mod target_limit;
 pub mod targets;
 pub mod waits;
--- a/crates/core/src/direct/proof.rs
+++ b/crates/core/src/direct/proof.rs
@@ -1,9 +1,14 @@
 //! What an answer, or its absence, proves about a call. This is the one place that decides it.
 
-use super::{call::CallId, config::CallKind, membership::InstanceId};
+use super::{
+    call::CallId,
+    config::CallKind,
+    membership::{InstanceId, TargetLife},
+    target_limit::StatedLimit,
+};
 
 /// What a target's head of an answer says, decoded from the wire.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct AnswerHead {
     /// HTTP status.
     pub status: u16,
@@ -15,6 +20,15 @@
     pub states_not_run: bool,
     /// The life of a target that answered, where it says so.
     pub instance: Option<InstanceId>,
+    /// What it says of the requests that the target takes.
+    pub limit: StatedLimit,
+}
+
+impl AnswerHead {
+    /// Whether another target answered than the one that was asked.
+    pub fn is_of_other(&self, asked: &TargetLife) -> bool {
+        self.instance.as_ref().is_some_and(|instance| *instance != asked.id)
+    }
 }
 
 /// Status of a call that met another target, version or model than it expected.
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -7,6 +7,7 @@
     membership::{BaseHolding, TargetEntry},
     messages::{AdapterUse, AdapterWish, LoaderReport},
     pressure::LatencyGauge,
+    target_limit::KnownLimit,
 };
 use crate::ids::{AdapterVersion, Timestamp};
 use std::{collections::HashMap, sync::Arc, time::Duration};
@@ -76,6 +77,8 @@
     pub health: TargetHealth,
     /// How long its answers take.
     pub latency: LatencyGauge,
+    /// The requests that it takes from all routers together.
+    pub limit: KnownLimit,
     /// What its loader reported.
     pub loader: Option<LoaderView>,
     /// When its loader was first asked for the report that has not come yet.
@@ -99,6 +102,7 @@
             overdue: 0,
             health: TargetHealth::default(),
             latency: LatencyGauge::default(),
+            limit: KnownLimit::default(),
             loader: None,
             question: None,
             noted_silence: None,
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -16,4 +16,5 @@
 mod selection;
 mod sharing;
 mod support;
+mod target_limit;
 mod transit;
--- a/crates/core/tests/core/direct/proof.rs
+++ b/crates/core/tests/core/direct/proof.rs
@@ -3,6 +3,7 @@
 use plantain_core::direct::{
     config::CallKind,
     proof::{AnswerHead, FailureReply, RunProof, failure_reply, judge_answer, may_send_again},
+    target_limit::StatedLimit,
 };
 
 const STREAM: CallKind = CallKind::Stream { resumable: false };
@@ -108,6 +109,7 @@
             is_signed: case.signed,
             states_not_run: case.not_run,
             instance: None,
+            limit: StatedLimit::Unlimited,
         };
         assert_eq!(judge_answer("c1", &head), case.proof, "{}", case.name);
     }
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -151,6 +151,9 @@
         let (parts, body) = answer.into_parts();
         let head = calls::decode_answer(parts.status, &parts.headers);
         let proof = judge_answer(self.head.id.as_deref().unwrap_or_default(), &head);
+        if proof != RunProof::Unknown && !head.is_of_other(&life) {
+            self.context.note_limit(&life, head.limit, guard.sent());
+        }
         let took = match proof {
             RunProof::Succeeded | RunProof::Failed => Some(latency),
             // A queue that is full takes about as long as the objective.
@@ -179,7 +182,7 @@
             RunProof::NotRun => self.record.runs -= 1,
             RunProof::Misdirected => {
                 self.record.runs -= 1;
-                if head.instance.as_ref().is_some_and(|other| *other != life.id) {
+                if head.is_of_other(&life) {
                     self.note(&format!("{life} has ended"));
                     self.context.pool.borrow_mut().note_displaced(&life);
                 }
