Limits: what keeps a limit for all routers is no part of customers any more; a move, nothing else

Accounts, meters, buckets and their messages stand in direct/limits with neutral names. The limits of targets are to be kept by the same code; a third copy of it is not wanted.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -9,6 +9,7 @@
 pub mod demand;
 pub mod directory;
 pub mod health;
+pub mod limits;
 pub mod loader;
 pub mod membership;
 pub mod messages;
--- a/crates/core/src/direct/customers.rs
+++ b/crates/core/src/direct/customers.rs
@@ -3,24 +3,15 @@
 //! A key is a secret. It is replaced by its digest where it enters the process, so that no log line, error,
 //! snapshot or message between routers can hold it.
 
-pub mod account;
-pub mod bucket;
 pub mod keys;
-pub mod limit;
-pub mod messages;
-pub mod meter;
-pub mod meters;
 
+use super::limits::{LimitTag, terms::UsageLimit};
 use crate::ids::CustomerName;
 use keys::{KeyDigest, PresentedKey};
-use limit::UsageLimit;
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, fmt, sync::Arc};
 use xxhash_rust::xxh3::xxh3_64;
 
-/// Stable hash of a customer's name, short enough for each report of use.
-pub type CustomerTag = u64;
-
 /// One customer, as configured.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct CustomerRule {
@@ -36,7 +27,7 @@
 
 impl CustomerRule {
     /// Hash of its name.
-    pub fn tag(&self) -> CustomerTag {
+    pub fn tag(&self) -> LimitTag {
         xxh3_64(self.name.as_bytes())
     }
 }
@@ -98,7 +89,7 @@
     /// Indexes customers by their keys.
     pub fn new(rules: Vec<Arc<CustomerRule>>) -> Result<Self, CustomerFault> {
         let mut by_key: HashMap<KeyDigest, Arc<CustomerRule>> = HashMap::new();
-        let mut by_tag: HashMap<CustomerTag, &Arc<CustomerRule>> = HashMap::new();
+        let mut by_tag: HashMap<LimitTag, &Arc<CustomerRule>> = HashMap::new();
         for rule in &rules {
             if let Some(other) = by_tag.insert(rule.tag(), rule) {
                 let (one, other) = (Arc::clone(&other.name), Arc::clone(&rule.name));
@@ -125,6 +116,11 @@
         &self.rules
     }
 
+    /// The limits of those that have one.
+    pub fn limits(&self) -> HashMap<LimitTag, UsageLimit> {
+        self.rules.iter().filter_map(|rule| Some((rule.tag(), rule.limit?))).collect()
+    }
+
     /// Whether callers are told apart at all.
     pub fn is_empty(&self) -> bool {
         self.rules.is_empty()
--- a/crates/core/src/direct/customers/account.rs
+++ b/crates/core/src/direct/limits/account.rs
@@ -1,25 +1,25 @@
-//! What the calls of customers use at one router, out of slices that meters grant.
+//! What calls use of limits at one router, out of slices that meters grant.
 //!
 //! A call that fits into what the router holds goes on at once. One that does not waits for the trip to its
-//! customer's meter, a few milliseconds. A router that reaches no meter uses an even share of each limit, which
+//! limit's meter, a few milliseconds. A router that reaches no meter uses an even share of each limit, which
 //! the meters do not grant to others.
 
-mod customer;
+mod state;
 mod waiting;
 mod window;
 
 use super::{
-    CustomerRule, CustomerTag,
-    limit::{LimitShares, LimitTerms, RETURN_LIMIT, UsageCost, UsageLimit},
-    messages::{CustomerGrant, MeterTag, UsageGrant, UsageReport, UsageWish},
+    LimitTag,
+    messages::{LimitGrant, MeterTag, UsageGrant, UsageReport, UsageWish},
     meters::{MeterRegister, first_meter, report_life, report_pause},
+    terms::{LimitShares, LimitTerms, RETURN_LIMIT, UsageCost, UsageLimit},
 };
 use crate::{
     direct::{config::ConfigNumber, membership::InstanceId, messages::BootId},
     ids::Timestamp,
 };
-use customer::{CustomerAccount, MeterWord};
-use std::{collections::HashMap, sync::Arc, time::Duration};
+use state::{LimitAccount, MeterWord};
+use std::{collections::HashMap, time::Duration};
 
 pub use waiting::CallTicket;
 
@@ -36,7 +36,7 @@
 pub enum SpendVerdict {
     /// It may, and is counted.
     Granted,
-    /// Its customer has used up its limit.
+    /// The limit is used up.
     Refused {
         /// When there will be room for it; `None` if it exceeds the limit by itself.
         room_in: Option<Duration>,
@@ -48,11 +48,11 @@
 pub enum Spend {
     /// It is decided.
     Decided(SpendVerdict),
-    /// It waits for its customer's meter.
+    /// It waits for its limit's meter.
     Waiting(CallTicket),
 }
 
-/// What a router knows of one customer's limit, for logs and operators.
+/// What a router knows of one limit, for logs and operators.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct AccountView {
     /// Units a second, over all routers.
@@ -65,7 +65,7 @@
     pub age: Option<Duration>,
 }
 
-/// The accounts of all customers at one router.
+/// The accounts of all limits at one router.
 #[derive(Debug)]
 pub struct AccountBook {
     boot: BootId,
@@ -75,7 +75,7 @@
     config: ConfigNumber,
     routers: usize,
     meters: MeterRegister,
-    accounts: HashMap<CustomerTag, CustomerAccount>,
+    accounts: HashMap<LimitTag, LimitAccount>,
     decided: Vec<(CallTicket, SpendVerdict)>,
     /// Whether the meters are to be told that others can be reached now.
     is_untold: bool,
@@ -112,15 +112,13 @@
 
     /// Takes the limits of a configuration. All accounts have them from then on: what is asked for under its
     /// number must not stem from an older one, or a meter would go back to that for all routers.
-    pub fn set_limits(&mut self, config: ConfigNumber, rules: &[Arc<CustomerRule>]) {
+    pub fn set_limits(&mut self, config: ConfigNumber, limits: &HashMap<LimitTag, UsageLimit>) {
         if config <= self.config {
             return;
         }
         self.config = config;
-        let limits: HashMap<CustomerTag, UsageLimit> =
-            rules.iter().filter_map(|rule| Some((rule.tag(), rule.limit?))).collect();
-        for (customer, account) in &mut self.accounts {
-            if let Some(limit) = limits.get(customer) {
+        for (tag, account) in &mut self.accounts {
+            if let Some(limit) = limits.get(tag) {
                 account.limit = *limit;
             }
         }
@@ -132,16 +130,16 @@
         }
         self.is_untold = true;
         let reachable = self.meters.reachable();
-        for (customer, account) in &mut self.accounts {
+        for (tag, account) in &mut self.accounts {
             let shares = LimitShares::new(&account.limit, &self.terms, self.routers);
-            account.set_meter(first_meter(*customer, reachable), &shares, now);
+            account.set_meter(first_meter(*tag, reachable), &shares, now);
         }
     }
 
-    /// Counts a call against its customer's limit.
+    /// Counts a call against a limit.
     pub fn spend(
         &mut self,
-        customer: CustomerTag,
+        tag: LimitTag,
         limit: &UsageLimit,
         cost: UsageCost,
         now: Timestamp,
@@ -153,9 +151,9 @@
         let life = report_life(self.routers);
         let reachable = self.meters.reachable();
         let terms = &self.terms;
-        let account = self.accounts.entry(customer).or_insert_with(|| {
-            let mut account = CustomerAccount::new(*limit, terms, now);
-            account.meter = first_meter(customer, reachable);
+        let account = self.accounts.entry(tag).or_insert_with(|| {
+            let mut account = LimitAccount::new(*limit, terms, now);
+            account.meter = first_meter(tag, reachable);
             account
         });
         account.used = now;
@@ -168,18 +166,12 @@
         if account.meter.is_none() || account.is_short(now) {
             return Spend::Decided(account.refusal(cost, &shares, now));
         }
-        Spend::Waiting(account.waiting.push(customer, cost, now))
+        Spend::Waiting(account.waiting.push(tag, cost, now))
     }
 
     /// A call that was counted at `spent` was not run.
-    pub fn give_back(
-        &mut self,
-        customer: CustomerTag,
-        cost: UsageCost,
-        spent: Timestamp,
-        now: Timestamp,
-    ) {
-        let Some(account) = self.accounts.get_mut(&customer) else { return };
+    pub fn give_back(&mut self, tag: LimitTag, cost: UsageCost, spent: Timestamp, now: Timestamp) {
+        let Some(account) = self.accounts.get_mut(&tag) else { return };
         if now.saturating_sub(spent) < RETURN_LIMIT {
             account.balance += f64::from(cost);
             account.window.add(-i64::from(cost), now);
@@ -188,7 +180,7 @@
 
     /// The caller of a call that waits has gone.
     pub fn withdraw(&mut self, ticket: CallTicket) {
-        if let Some(account) = self.accounts.get_mut(&ticket.customer) {
+        if let Some(account) = self.accounts.get_mut(&ticket.tag) {
             account.waiting.remove(ticket);
         }
     }
@@ -200,12 +192,12 @@
         link.enrolment = grant.enrolment;
         self.look(now);
         for granted in &grant.grants {
-            self.take_customer_grant(grant, granted, now);
+            self.take_limit_grant(grant, granted, now);
         }
     }
 
-    fn take_customer_grant(&mut self, grant: &UsageGrant, granted: &CustomerGrant, now: Timestamp) {
-        let Some(account) = self.accounts.get_mut(&granted.customer) else { return };
+    fn take_limit_grant(&mut self, grant: &UsageGrant, granted: &LimitGrant, now: Timestamp) {
+        let Some(account) = self.accounts.get_mut(&granted.tag) else { return };
         if account.meter != Some(grant.meter) {
             return;
         }
@@ -326,7 +318,7 @@
         // What an earlier start of this router used is not known.
         let is_known = now.saturating_sub(self.started) >= self.terms.window;
         let mut wishes = Vec::new();
-        for (customer, account) in &mut self.accounts {
+        for (tag, account) in &mut self.accounts {
             if account.meter != Some(meter) {
                 continue;
             }
@@ -347,7 +339,7 @@
             account.asked = Some((sequence, now));
             account.waiting.note_asked(sequence);
             wishes.push(UsageWish {
-                customer: *customer,
+                tag: *tag,
                 rate: shares.rate as f32,
                 capacity: shares.capacity as f32,
                 overdraft: shares.overdraft as f32,
@@ -360,16 +352,16 @@
         wishes
     }
 
-    /// Whether a customer's meter is to be asked now.
-    pub fn is_low(&self, customer: CustomerTag) -> bool {
-        let Some(account) = self.accounts.get(&customer) else { return false };
+    /// Whether a limit's meter is to be asked now.
+    pub fn is_low(&self, tag: LimitTag) -> bool {
+        let Some(account) = self.accounts.get(&tag) else { return false };
         let shares = LimitShares::new(&account.limit, &self.terms, self.routers);
         account.meter.is_some() && account.asked.is_none() && account.missing(&shares) >= 1.0
     }
 
-    /// What is known of a customer's use.
-    pub fn view(&self, customer: CustomerTag, now: Timestamp) -> Option<AccountView> {
-        let account = self.accounts.get(&customer)?;
+    /// What is known of a limit's use.
+    pub fn view(&self, tag: LimitTag, now: Timestamp) -> Option<AccountView> {
+        let account = self.accounts.get(&tag)?;
         let word = account.word;
         Some(AccountView {
             rate: account.limit.rate,
--- a/crates/core/src/direct/customers/account/customer.rs
+++ b/crates/core/src/direct/limits/account/state.rs
@@ -1,10 +1,10 @@
-//! The account of one customer at one router: what it holds, what it has asked for, and who waits.
+//! The account of one limit at one router: what it holds, what it has asked for, and who waits.
 
 use super::{SpendVerdict, waiting::WaitingCalls, window::UsageWindow};
 use crate::{
-    direct::customers::{
-        limit::{LimitShares, LimitTerms, UsageCost, UsageLimit},
+    direct::limits::{
         messages::MeterTag,
+        terms::{LimitShares, LimitTerms, UsageCost, UsageLimit},
     },
     ids::Timestamp,
 };
@@ -15,14 +15,14 @@
 const WORD_LIFE: Duration = Duration::from_millis(50);
 /// Slices that a meter must have left to give one out whole.
 const SCARCE_SLICES: f64 = 10.0;
-/// Time from the first call of a customer to the first grant.
+/// Time from the first call under a limit to the first grant.
 const FIRST_GRANT_TIME: Duration = Duration::from_millis(300);
 /// Shortest time after which a call that was beyond its limit is worth sending again.
 const LEAST_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time after which a caller is told to come back; by then much may have changed.
 const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 
-/// What a meter last said of a customer.
+/// What a meter last said of a limit.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct MeterWord {
     pub(super) left: f64,
@@ -31,9 +31,9 @@
     pub(super) at: Timestamp,
 }
 
-/// The account of one customer.
+/// The account of one limit.
 #[derive(Debug)]
-pub(super) struct CustomerAccount {
+pub(super) struct LimitAccount {
     pub(super) limit: UsageLimit,
     /// Units that may be used without asking; below 0 where calls went ahead of their grant.
     pub(super) balance: f64,
@@ -57,7 +57,7 @@
     pub(super) has_moved: bool,
 }
 
-impl CustomerAccount {
+impl LimitAccount {
     pub(super) fn new(limit: UsageLimit, terms: &LimitTerms, now: Timestamp) -> Self {
         Self {
             limit,
@@ -80,7 +80,7 @@
     }
 
     /// Whether no call has used the limit lately, but for those that ask for their first grant: a meter that
-    /// is new to the customer may then give out all that the limit allows at once.
+    /// is new to the limit may then give out all that the limit allows at once.
     pub(super) fn is_quiet(&self, now: Timestamp) -> bool {
         let has_begun = |since| now.saturating_sub(since) < FIRST_GRANT_TIME;
         !self.has_moved && self.busy_since.is_none_or(has_begun)
@@ -144,7 +144,7 @@
         }
     }
 
-    /// Goes over to the customer's meter among those that can be reached.
+    /// Goes over to the limit's meter among those that can be reached.
     pub(super) fn set_meter(
         &mut self,
         meter: Option<MeterTag>,
--- a/crates/core/src/direct/customers/account/waiting.rs
+++ b/crates/core/src/direct/limits/account/waiting.rs
@@ -1,7 +1,7 @@
-//! Calls of one customer that wait for a grant, in the order in which they came.
+//! Calls under one limit that wait for a grant, in the order in which they came.
 
 use crate::{
-    direct::customers::{CustomerTag, limit::UsageCost},
+    direct::limits::{LimitTag, terms::UsageCost},
     ids::Timestamp,
 };
 use std::collections::VecDeque;
@@ -9,8 +9,8 @@
 /// A call that waits.
 #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
 pub struct CallTicket {
-    /// Its customer.
-    pub customer: CustomerTag,
+    /// Its limit.
+    pub tag: LimitTag,
     /// When it began to wait.
     pub began: Timestamp,
     number: u64,
@@ -42,13 +42,8 @@
     }
 
     /// Adds a call at the end.
-    pub(super) fn push(
-        &mut self,
-        customer: CustomerTag,
-        cost: UsageCost,
-        now: Timestamp,
-    ) -> CallTicket {
-        let ticket = CallTicket { customer, began: now, number: self.next };
+    pub(super) fn push(&mut self, tag: LimitTag, cost: UsageCost, now: Timestamp) -> CallTicket {
+        let ticket = CallTicket { tag, began: now, number: self.next };
         self.next += 1;
         self.calls.push_back(WaitingCall { ticket, cost, asked_in: None });
         ticket
--- a/crates/core/src/direct/customers/messages.rs
+++ b/crates/core/src/direct/limits/messages.rs
@@ -1,6 +1,6 @@
-//! Messages between routers and meters about what customers use.
+//! Messages between routers and meters about what limits are used.
 
-use super::CustomerTag;
+use super::LimitTag;
 use crate::direct::{config::ConfigNumber, messages::BootId};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
@@ -27,22 +27,22 @@
     pub meter: MeterTag,
     /// What this meter last told the router; 0 if nothing.
     pub enrolment: EnrolmentId,
-    /// Meters that the router can reach, in order: each customer's meter is the first among them in the
-    /// customer's own order.
+    /// Meters that the router can reach, in order: each limit's meter is the first among them in the
+    /// limit's own order.
     pub reachable: Vec<MeterTag>,
     /// Routers that there are, as far as the router knows.
     pub routers: u16,
     /// The configuration that the limits below are from.
     pub config: ConfigNumber,
-    /// Customers whose limits the router uses at this meter now.
+    /// Limits that the router uses at this meter now.
     pub wishes: Vec<UsageWish>,
 }
 
-/// What a router wants of one customer's limit.
+/// What a router wants of one limit.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct UsageWish {
-    /// The customer.
-    pub customer: CustomerTag,
+    /// The limit.
+    pub tag: LimitTag,
     /// Units a second, over all routers.
     pub rate: f32,
     /// Most units at once, over all routers.
@@ -69,14 +69,14 @@
     /// The number that the router has here.
     pub enrolment: EnrolmentId,
     /// For each wish of the report.
-    pub grants: Vec<CustomerGrant>,
+    pub grants: Vec<LimitGrant>,
 }
 
-/// What a router may use of one customer's limit.
+/// What a router may use of one limit.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
-pub struct CustomerGrant {
-    /// The customer.
-    pub customer: CustomerTag,
+pub struct LimitGrant {
+    /// The limit.
+    pub tag: LimitTag,
     /// Units granted since the enrolment.
     pub granted: u64,
     /// Units left for all routers; below 0 while the limit is overdrawn.
--- a/crates/core/src/direct/customers/meter.rs
+++ b/crates/core/src/direct/limits/meter.rs
@@ -1,20 +1,20 @@
-//! A meter: keeps the limits of some customers for all routers, beside an engine.
+//! A meter: keeps some limits for all routers, beside an engine.
 //!
-//! Pattern: a customer's calls come in at many routers, more at one than at another and elsewhere in the next
+//! Pattern: calls under a limit come in at many routers, more at one than at another and elsewhere in the next
 //! second. An even share for each router refuses most of what comes in at one while the others' shares lie
 //! idle. Here routers take what they need of one common bucket, in slices, so that a call seldom waits for
 //! the trip.
 //!
-//! A meter keeps nothing that must last. Where it is gone, each customer has a next meter in an order that all
-//! routers know alike. Two meters that both serve a customer, because some routers reach the one and some the
+//! A meter keeps nothing that must last. Where it is gone, each limit has a next meter in an order that all
+//! routers know alike. Two meters that both serve a limit, because some routers reach the one and some the
 //! other, grant no more than the limit together: each grants the share of the routers that use it, and a router
 //! says of itself which one it uses. A router that goes over to another meter takes its share of the bucket's
 //! size along, but none of what the bucket holds: that may have been used.
 
 use super::{
-    CustomerTag,
+    LimitTag,
     bucket::TokenBucket,
-    messages::{CustomerGrant, EnrolmentId, MeterTag, UsageGrant, UsageReport, UsageWish},
+    messages::{EnrolmentId, LimitGrant, MeterTag, UsageGrant, UsageReport, UsageWish},
     meters::{first_meter, report_life},
 };
 use crate::{
@@ -25,13 +25,13 @@
 
 /// Routers that a meter remembers.
 const ROUTER_LIMIT: usize = 2_048;
-/// Customers that a meter remembers.
-const CUSTOMER_LIMIT: usize = 8_192;
+/// Limits that a meter remembers.
+const LIMIT_COUNT: usize = 8_192;
 /// Time after which a router that is not heard of is forgotten, with what it was granted.
 const ROUTER_LIFE: Duration = Duration::from_secs(10);
-/// Time after which a customer that nobody uses is forgotten: by then its bucket is full.
-const CUSTOMER_LIFE: Duration = Duration::from_mins(1);
-/// Time in which the routers that use a customer's limit have come over to a meter that is new to it.
+/// Time after which a limit that nobody uses is forgotten: by then its bucket is full.
+const LIMIT_LIFE: Duration = Duration::from_mins(1);
+/// Time in which the routers that use a limit have come over to a meter that is new to it.
 const SETTLE_TIME: Duration = Duration::from_millis(500);
 /// Part of what is left that a router may hold for calls to come.
 const SLICE_PART: f64 = 0.1;
@@ -45,11 +45,11 @@
     heard: Timestamp,
     routers: u16,
     reachable: Vec<MeterTag>,
-    granted: HashMap<CustomerTag, u64>,
+    granted: HashMap<LimitTag, u64>,
 }
 
 #[derive(Debug)]
-struct MeteredCustomer {
+struct MeteredLimit {
     /// Hash by which routers know this meter.
     meter: MeterTag,
     config: ConfigNumber,
@@ -60,13 +60,13 @@
     used: Timestamp,
 }
 
-/// Limits of customers at one meter.
+/// The limits at one meter.
 #[derive(Debug)]
 pub struct UsageMeter {
     boot: BootId,
     enrolments: u32,
     routers: HashMap<BootId, MeterRouter>,
-    customers: HashMap<CustomerTag, MeteredCustomer>,
+    limits: HashMap<LimitTag, MeteredLimit>,
     /// Routers alive, by the meters that they can reach.
     groups: Vec<(Vec<MeterTag>, usize)>,
     counted: Timestamp,
@@ -80,7 +80,7 @@
             boot,
             enrolments: 0,
             routers: HashMap::new(),
-            customers: HashMap::new(),
+            limits: HashMap::new(),
             groups: Vec::new(),
             counted: Duration::ZERO,
             router_count: 1,
@@ -132,7 +132,7 @@
 
     fn forget_routers(&mut self, now: Timestamp) {
         self.routers.retain(|_, router| now.saturating_sub(router.heard) < ROUTER_LIFE);
-        self.customers.retain(|_, customer| now.saturating_sub(customer.used) < CUSTOMER_LIFE);
+        self.limits.retain(|_, limit| now.saturating_sub(limit.used) < LIMIT_LIFE);
     }
 
     /// Refills all buckets, and counts the routers that are alive, by the meters that they can reach: a few
@@ -163,10 +163,10 @@
     }
 
     fn refill(&mut self, now: Timestamp) {
-        let Self { customers, groups, router_count, .. } = self;
-        for (tag, customer) in customers {
-            let share = share(groups, *router_count, customer.meter, *tag);
-            customer.bucket.refill(customer.rate * share, customer.capacity * share, now);
+        let Self { limits, groups, router_count, .. } = self;
+        for (tag, limit) in limits {
+            let share = share(groups, *router_count, limit.meter, *tag);
+            limit.bucket.refill(limit.rate * share, limit.capacity * share, now);
         }
     }
 
@@ -176,16 +176,16 @@
         wish: &UsageWish,
         is_enrolled: bool,
         now: Timestamp,
-    ) -> Option<CustomerGrant> {
-        let share = share(&self.groups, self.router_count, report.meter, wish.customer);
-        if !self.customers.contains_key(&wish.customer) && self.customers.len() >= CUSTOMER_LIMIT {
+    ) -> Option<LimitGrant> {
+        let share = share(&self.groups, self.router_count, report.meter, wish.tag);
+        if !self.limits.contains_key(&wish.tag) && self.limits.len() >= LIMIT_COUNT {
             return None;
         }
         let router = self.routers.get_mut(&report.boot)?;
-        let customer = self.customers.entry(wish.customer).or_insert_with(|| {
+        let limit = self.limits.entry(wish.tag).or_insert_with(|| {
             // Where calls used the limit lately, another meter granted that, or an earlier start of this one.
             let level = if wish.is_quiet { f64::from(wish.capacity) * share } else { 0.0 };
-            MeteredCustomer {
+            MeteredLimit {
                 meter: report.meter,
                 config: 0,
                 rate: 0.0,
@@ -195,16 +195,16 @@
                 used: now,
             }
         });
-        customer.used = now;
-        customer.meter = report.meter;
-        if report.config >= customer.config {
-            customer.config = report.config;
-            customer.rate = f64::from(wish.rate);
-            customer.capacity = f64::from(wish.capacity);
+        limit.used = now;
+        limit.meter = report.meter;
+        if report.config >= limit.config {
+            limit.config = report.config;
+            limit.rate = f64::from(wish.rate);
+            limit.capacity = f64::from(wish.capacity);
         }
-        let rate = customer.rate * share;
-        let left = customer.bucket.refill(rate, customer.capacity * share, now);
-        let granted = router.granted.entry(wish.customer).or_default();
+        let rate = limit.rate * share;
+        let left = limit.bucket.refill(rate, limit.capacity * share, now);
+        let granted = router.granted.entry(wish.tag).or_default();
         let open = wish.wanted.saturating_sub(*granted);
         let most = left + f64::from(wish.overdraft);
         if is_enrolled && left > 0.0 && f64::from(wish.first) <= most {
@@ -214,27 +214,22 @@
             let slice = (open as f64 - needed).min(SLICE_PART * (left - needed).max(0.0));
             let units = needed.min(most).floor() + slice.floor();
             *granted += units as u64;
-            customer.bucket.take(units);
+            limit.bucket.take(units);
         }
-        let left = customer.bucket.level() as f32;
-        Some(CustomerGrant {
-            customer: wish.customer,
+        let left = limit.bucket.level() as f32;
+        Some(LimitGrant {
+            tag: wish.tag,
             granted: *granted,
             left,
             rate: rate as f32,
-            is_settled: now.saturating_sub(customer.began) >= SETTLE_TIME,
+            is_settled: now.saturating_sub(limit.began) >= SETTLE_TIME,
         })
     }
 }
 
-/// Part of all routers that use a meter for a customer.
-fn share(
-    groups: &[(Vec<MeterTag>, usize)],
-    routers: usize,
-    meter: MeterTag,
-    customer: CustomerTag,
-) -> f64 {
-    let using = groups.iter().filter(|(tags, _)| first_meter(customer, tags) == Some(meter));
+/// Part of all routers that use a meter for a limit.
+fn share(groups: &[(Vec<MeterTag>, usize)], routers: usize, meter: MeterTag, tag: LimitTag) -> f64 {
+    let using = groups.iter().filter(|(meters, _)| first_meter(tag, meters) == Some(meter));
     let using: usize = using.map(|(_, count)| count).sum();
     using as f64 / routers.max(1) as f64
 }
--- a/crates/core/src/direct/customers/meters.rs
+++ b/crates/core/src/direct/limits/meters.rs
@@ -1,7 +1,7 @@
-//! Which meters a router can reach, and which of them keeps a customer's limit.
+//! Which meters a router can reach, and which of them keeps a limit.
 
 use super::{
-    CustomerTag,
+    LimitTag,
     messages::{EnrolmentId, MeterTag, meter_tag},
 };
 use crate::{direct::membership::InstanceId, ids::Timestamp};
@@ -34,9 +34,9 @@
     report_pause(routers).mul_f64(LOST_REPORTS)
 }
 
-/// The meter that keeps a customer's limit among those that can be reached.
-pub fn first_meter(customer: CustomerTag, reachable: &[MeterTag]) -> Option<MeterTag> {
-    let weight = |tag: &MeterTag| (xxh3_64_with_seed(&tag.to_le_bytes(), customer), *tag);
+/// The meter that keeps a limit among those that can be reached.
+pub fn first_meter(tag: LimitTag, reachable: &[MeterTag]) -> Option<MeterTag> {
+    let weight = |meter: &MeterTag| (xxh3_64_with_seed(&meter.to_le_bytes(), tag), *meter);
     reachable.iter().copied().max_by_key(weight)
 }
 
--- a/crates/core/src/direct/customers/limit.rs
+++ b/crates/core/src/direct/limits/terms.rs
@@ -1,13 +1,13 @@
-//! Limits of customers, and how the routers of a fleet divide them.
+//! Limits, and how the routers of a fleet divide them.
 
 use crate::direct::call::TokenCounts;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
 
-/// What a call uses of its customer's limit.
+/// What a call uses of its limit.
 pub type UsageCost = u32;
 
-/// In what a customer's use is counted.
+/// In what use is counted.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum UsageUnit {
     /// Calls.
@@ -19,7 +19,7 @@
     },
 }
 
-/// What one customer may use, over all routers.
+/// What may be used, over all routers.
 #[derive(Clone, Copy, Debug, Deserialize, PartialEq, Serialize)]
 pub struct UsageLimit {
     /// In what it is counted.
@@ -58,7 +58,7 @@
     pub slack: f64,
 }
 
-/// Part of the tolerance by which a customer's burst is enlarged: its bucket then does not refuse what came
+/// Part of the tolerance by which a burst is enlarged: its bucket then does not refuse what came
 /// a little closer together than the fleet's clocks tell.
 const BURST_SHARE: f64 = 0.2;
 /// Part of the tolerance that all routers together may hold unused.
@@ -73,7 +73,7 @@
 /// again in a window that does not hold its first use. The rest of the tolerance pays for this span.
 pub const RETURN_LIMIT: Duration = Duration::from_millis(300);
 
-/// How a customer's limit is divided among the routers.
+/// How a limit is divided among the routers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitShares {
     /// Units a second, over all routers.
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -2,8 +2,8 @@
 //! or reordered one costs time and nothing else.
 
 use super::{
-    customers::messages::{UsageGrant, UsageReport},
     directory::{RouterDirectory, RouterPresence},
+    limits::messages::{UsageGrant, UsageReport},
     membership::{BaseHolding, TargetLife},
 };
 use crate::ids::{AdapterName, AdapterVersion, BaseName};
--- a/crates/core/tests/core/direct/customers/fleet.rs
+++ b/crates/core/tests/core/direct/customers/fleet.rs
@@ -4,12 +4,12 @@
 use super::super::support::ms;
 use plantain_core::{
     direct::{
-        customers::{
-            CustomerRule,
+        customers::CustomerRule,
+        limits::{
             account::{AccountBook, CallTicket, Spend, SpendVerdict},
-            limit::{LimitTerms, UsageLimit, UsageUnit},
             messages::{UsageGrant, UsageReport},
             meter::UsageMeter,
+            terms::{LimitTerms, UsageLimit, UsageUnit},
         },
         membership::InstanceId,
     },
@@ -212,7 +212,10 @@
                 let phase = router as u64 * LOOK_MS / routers;
                 if self.now_ms % FLEET_MS == phase {
                     let (now, targets) = (self.now(), self.targets.clone());
-                    self.routers[router].set_limits(self.config, &[Arc::clone(&self.rule)]);
+                    self.routers[router].set_limits(
+                        self.config,
+                        &HashMap::from([(self.rule.tag(), self.rule.limit.expect("a limit"))]),
+                    );
                     self.routers[router].set_fleet(routers as usize, targets, now);
                     self.routers[router].expire(now);
                     self.settle(router);
--- a/crates/core/tests/core/direct/customers/limits.rs
+++ b/crates/core/tests/core/direct/customers/limits.rs
@@ -3,7 +3,7 @@
 use super::fleet::{LimitFleet, TERMS, limit, most, refused_share, worst_window};
 use plantain_core::direct::{
     call::TokenCounts,
-    customers::limit::{LimitShares, UsageLimit, UsageUnit},
+    limits::terms::{LimitShares, UsageLimit, UsageUnit},
 };
 use quickcheck::{Gen, QuickCheck};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
--- a/crates/core/tests/core/direct/customers/ways.rs
+++ b/crates/core/tests/core/direct/customers/ways.rs
@@ -7,9 +7,9 @@
     super::support::ms,
     fleet::{LimitFleet, RunRecord, TERMS, limit, most, refused_share, worst_window},
 };
-use plantain_core::direct::customers::{
+use plantain_core::direct::limits::{
     bucket::TokenBucket,
-    limit::{LimitShares, UsageLimit},
+    terms::{LimitShares, UsageLimit},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::collections::VecDeque;
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -12,8 +12,8 @@
 use metrics::{counter, gauge, histogram};
 use plantain_core::{
     direct::{
-        customers::meter::UsageMeter,
         directory::MeetingPoint,
+        limits::meter::UsageMeter,
         loader::{LoaderMachine, LoaderStep},
         membership::InstanceId,
         messages::{LoaderMessage, RouterMessage},
--- a/crates/daemon/src/options/site.rs
+++ b/crates/daemon/src/options/site.rs
@@ -3,7 +3,7 @@
 use super::arguments::SiteArguments;
 use eyre::{Result, WrapErr, ensure};
 use plantain_core::{
-    direct::{budget::RepeatAllowance, customers::limit::LimitTerms},
+    direct::{budget::RepeatAllowance, limits::terms::LimitTerms},
     ids::{RegionName, ZoneName},
 };
 use serde::{Deserialize, Serialize};
--- a/crates/daemon/src/router/admission.rs
+++ b/crates/daemon/src/router/admission.rs
@@ -7,7 +7,8 @@
     direct::{
         call::CallHead,
         config::{RouteConfig, RouteRule},
-        customers::{CallerIdentity, CustomerRule, account::SpendVerdict, keys::PresentedKey},
+        customers::{CallerIdentity, CustomerRule, keys::PresentedKey},
+        limits::account::SpendVerdict,
     },
     ids::{CustomerName, ServiceName},
 };
--- a/crates/daemon/src/router/journal.rs
+++ b/crates/daemon/src/router/journal.rs
@@ -7,7 +7,7 @@
     direct::{
         call::{AdapterId, CallId},
         config::ConfigNumber,
-        customers::limit::UsageCost,
+        limits::terms::UsageCost,
         membership::TargetLife,
     },
     fingerprint::CallFingerprint,
--- a/crates/daemon/src/router/limits.rs
+++ b/crates/daemon/src/router/limits.rs
@@ -5,11 +5,12 @@
 use plantain_core::{
     direct::{
         config::RouteConfig,
-        customers::{
-            CustomerRule, CustomerTag,
+        customers::CustomerRule,
+        limits::{
+            LimitTag,
             account::{AccountBook, AccountView, CallTicket, Spend, SpendVerdict},
-            limit::{LimitTerms, UsageCost, UsageLimit},
             messages::{UsageGrant, UsageReport},
+            terms::{LimitTerms, UsageCost, UsageLimit},
         },
         membership::InstanceId,
         messages::BootId,
@@ -26,7 +27,7 @@
 /// Use that was counted for a call.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct UsageCharge {
-    customer: CustomerTag,
+    customer: LimitTag,
     pub(crate) cost: UsageCost,
     spent: Timestamp,
 }
@@ -56,7 +57,7 @@
 
     /// Takes the limits of a configuration.
     pub(crate) fn set_limits(&self, config: &RouteConfig) {
-        self.book.borrow_mut().set_limits(config.number, config.customers.rules());
+        self.book.borrow_mut().set_limits(config.number, &config.customers.limits());
     }
 
     /// Takes the number of routers and the targets beside which meters stand.
