--- a/crates/core/src/crashes/report.rs
+++ b/crates/core/src/crashes/report.rs
@@ -15,7 +15,6 @@
     sync::Arc,
     time::Duration,
 };
-use xxhash_rust::xxh3::Xxh3;
 
 /// Crashes, and survivals, that a report holds: the calls that one router has at some ten targets which
 /// end together. Bounds a report at about 13 kB on the wire.
@@ -43,11 +42,7 @@
 impl CrashRecord {
     /// A call at a life of a target.
     pub fn new(call: CallFingerprint, target: &TargetLife) -> Self {
-        let mut hasher = Xxh3::new();
-        // Not as a seed: short ids and starts that differ alike would cancel out.
-        hasher.update(&target.started.unwrap_or_default().to_le_bytes());
-        hasher.update(target.id.as_bytes());
-        Self { call, target: hasher.digest() }
+        Self { call, target: target.life_hash() }
     }
 }
 
--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -6,7 +6,7 @@
 //! zone meet at two loaders, which all of them choose alike without a message and come by at in turn. Of
 //! each other zone a router only learns the number, which it asks where that zone's routers meet.
 
-use super::membership::InstanceId;
+use super::{membership::InstanceId, target_limit::LimitNews};
 use crate::{
     ids::{Timestamp, ZoneName},
     rendezvous::weight,
@@ -54,6 +54,8 @@
     pub address: SocketAddr,
     /// Whether it is here that the routers of its zone meet.
     pub meets_here: bool,
+    /// What it knows of targets' limits.
+    pub news: Vec<LimitNews>,
 }
 
 /// What a router is told of the others.
@@ -65,6 +67,8 @@
     pub far: Vec<SocketAddr>,
     /// Number of routers of the zones whose routers meet at this loader.
     pub counts: Vec<(ZoneName, u16)>,
+    /// Limits of targets that the router knows otherwise.
+    pub news: Vec<LimitNews>,
 }
 
 /// The loaders at which the routers of a zone meet, chosen alike by all routers: loaders of the zone itself
@@ -122,6 +126,7 @@
             near: first(near, NEAR_LIMIT),
             far: first(far, FAR_LIMIT),
             counts: self.counts().into_iter().collect(),
+            news: Vec::new(),
         }
     }
 
--- a/crates/core/src/direct/limits/account.rs
+++ b/crates/core/src/direct/limits/account.rs
@@ -12,10 +12,12 @@
     LimitTag,
     messages::{LimitGrant, MeterTag, UsageGrant, UsageReport, UsageWish},
     meters::{MeterRegister, first_meter, report_life, report_pause},
-    terms::{LimitShares, LimitTerms, RETURN_LIMIT, UsageCost, UsageLimit},
+    terms::{LimitRule, LimitShares, RETURN_LIMIT, UsageCost, UsageLimit},
 };
 use crate::{
-    direct::{config::ConfigNumber, membership::InstanceId, messages::BootId},
+    direct::{
+        config::ConfigNumber, membership::InstanceId, messages::BootId, target_limit::LimitNews,
+    },
     ids::Timestamp,
 };
 use state::{LimitAccount, MeterWord};
@@ -28,6 +30,14 @@
 const WAIT_LIMIT: Duration = Duration::from_secs(1);
 /// Pause before an unanswered question is asked again: datagrams are lost at times.
 const ASK_PAUSE: Duration = Duration::from_millis(50);
+/// Questions a second of all routers to a meter that has nothing left of a limit.
+const ASK_RATE: f64 = 100.0;
+/// The same for each unit a second of the limit, so that routers are there when units are.
+const ASKS_PER_UNIT: f64 = 4.0;
+/// Shortest pause after a refusal.
+const TURN_LOOK: Duration = Duration::from_millis(100);
+/// Longest pause after a refusal: the limit may have ended, and what then comes first tells so.
+const LONGEST_REST: Duration = Duration::from_secs(3);
 /// Time after which an account that no call used is dropped.
 const ACCOUNT_LIFE: Duration = Duration::from_mins(1);
 
@@ -71,7 +81,6 @@
     boot: BootId,
     started: Timestamp,
     sequence: u32,
-    terms: LimitTerms,
     config: ConfigNumber,
     routers: usize,
     meters: MeterRegister,
@@ -83,12 +92,11 @@
 
 impl AccountBook {
     /// Starts with nothing used; `boot` tells this start from others.
-    pub fn new(boot: BootId, terms: LimitTerms, now: Timestamp) -> Self {
+    pub fn new(boot: BootId, now: Timestamp) -> Self {
         Self {
             boot,
             started: now,
             sequence: 0,
-            terms,
             config: 0,
             routers: 1,
             meters: MeterRegister::default(),
@@ -98,11 +106,6 @@
         }
     }
 
-    /// Takes what limits are judged by.
-    pub fn set_terms(&mut self, terms: LimitTerms) {
-        self.terms = terms;
-    }
-
     /// Takes the number of routers and the targets beside which meters stand.
     pub fn set_fleet(&mut self, routers: usize, targets: Vec<InstanceId>, now: Timestamp) {
         self.routers = routers.max(1);
@@ -119,7 +122,7 @@
         self.config = config;
         for (tag, account) in &mut self.accounts {
             if let Some(limit) = limits.get(tag) {
-                account.limit = *limit;
+                account.rule.limit = *limit;
             }
         }
     }
@@ -131,7 +134,7 @@
         self.is_untold = true;
         let reachable = self.meters.reachable();
         for (tag, account) in &mut self.accounts {
-            let shares = LimitShares::new(&account.limit, &self.terms, self.routers);
+            let shares = account.shares(self.routers);
             account.set_meter(first_meter(*tag, reachable), &shares, now);
         }
     }
@@ -140,27 +143,27 @@
     pub fn spend(
         &mut self,
         tag: LimitTag,
-        limit: &UsageLimit,
+        rule: &LimitRule,
         cost: UsageCost,
         now: Timestamp,
     ) -> Spend {
-        let shares = LimitShares::new(limit, &self.terms, self.routers);
+        let shares = LimitShares::new(rule, self.routers);
         if f64::from(cost) > shares.largest {
             return Spend::Decided(SpendVerdict::Refused { room_in: None });
         }
         let life = report_life(self.routers);
         let reachable = self.meters.reachable();
-        let terms = &self.terms;
+        let seed = self.boot ^ tag;
         let account = self.accounts.entry(tag).or_insert_with(|| {
-            let mut account = LimitAccount::new(*limit, terms, now);
+            let mut account = LimitAccount::new(*rule, seed, now);
             account.meter = first_meter(tag, reachable);
             account
         });
         account.used = now;
-        account.limit = *limit;
+        account.rule = *rule;
         account.refill_alone(&shares, life, now);
         if account.waiting.is_empty() && account.fits(cost, &shares) {
-            account.spend(cost, self.terms.window, now);
+            account.spend(cost, now);
             return Spend::Decided(SpendVerdict::Granted);
         }
         if account.meter.is_none() || account.is_short(now) {
@@ -226,10 +229,10 @@
         }
         // What was not granted is not wanted any more: it is asked for anew.
         account.wanted = known.max(granted.granted);
-        let shares = LimitShares::new(&account.limit, &self.terms, self.routers);
+        let shares = account.shares(self.routers);
         while let Some((ticket, cost, asked_in)) = account.waiting.first() {
             let verdict = if account.fits(cost, &shares) {
-                account.spend(cost, self.terms.window, now);
+                account.spend(cost, now);
                 SpendVerdict::Granted
             } else if granted.is_settled && asked_in.is_some_and(|asked_in| asked_in <= sequence) {
                 account.refusal(cost, &shares, now)
@@ -246,7 +249,8 @@
         self.look(now);
         let life = report_life(self.routers);
         for account in self.accounts.values_mut() {
-            let shares = LimitShares::new(&account.limit, &self.terms, self.routers);
+            let shares = account.shares(self.routers);
+            account.drop_unused(&shares, now);
             account.refill_alone(&shares, life, now);
             while let Some((ticket, cost, _)) = account.waiting.first() {
                 let has_waited = now.saturating_sub(ticket.began) >= WAIT_LIMIT;
@@ -255,7 +259,7 @@
                 }
                 account.waiting.pop();
                 let verdict = if account.fits(cost, &shares) {
-                    account.spend(cost, self.terms.window, now);
+                    account.spend(cost, now);
                     SpendVerdict::Granted
                 } else {
                     account.refusal(cost, &shares, now)
@@ -274,7 +278,13 @@
     }
 
     /// Reports that are due, each with the target beside which its meter stands.
-    pub fn take_reports(&mut self, now: Timestamp) -> Vec<(InstanceId, UsageReport)> {
+    ///
+    /// Each tells `news` of targets' limits.
+    pub fn take_reports(
+        &mut self,
+        news: &[LimitNews],
+        now: Timestamp,
+    ) -> Vec<(InstanceId, UsageReport)> {
         self.look(now);
         let is_changed = std::mem::take(&mut self.is_untold);
         let pause = report_pause(self.routers);
@@ -306,6 +316,7 @@
                 routers: u16::try_from(self.routers).unwrap_or(u16::MAX),
                 config: self.config,
                 wishes,
+                news: news.to_vec(),
             };
             reports.push((target, report));
         }
@@ -315,8 +326,7 @@
     /// What is to be asked of a meter now, for the report that is sent next.
     fn wishes(&mut self, meter: MeterTag, enrolment: u64, now: Timestamp) -> Vec<UsageWish> {
         let sequence = self.sequence + 1;
-        // What an earlier start of this router used is not known.
-        let is_known = now.saturating_sub(self.started) >= self.terms.window;
+        let lived = now.saturating_sub(self.started);
         let mut wishes = Vec::new();
         for (tag, account) in &mut self.accounts {
             if account.meter != Some(meter) {
@@ -325,7 +335,7 @@
             if account.enrolment != enrolment {
                 account.forget_grants(enrolment);
             }
-            let shares = LimitShares::new(&account.limit, &self.terms, self.routers);
+            let shares = account.shares(self.routers);
             let missing = account.missing(&shares);
             let is_asked = account.asked.is_some_and(|(_, at)| now.saturating_sub(at) < ASK_PAUSE);
             let has_new = account.waiting.has_unasked();
@@ -335,7 +345,7 @@
             {
                 continue;
             }
-            account.wanted = account.granted.map_or(0, |granted| granted + missing.ceil() as u64);
+            account.wanted = account.granted.map_or(0, |granted| granted + missing as u64);
             account.asked = Some((sequence, now));
             account.waiting.note_asked(sequence);
             wishes.push(UsageWish {
@@ -343,19 +353,39 @@
                 rate: shares.rate as f32,
                 capacity: shares.capacity as f32,
                 overdraft: shares.overdraft as f32,
-                is_quiet: is_known && account.is_quiet(now),
+                // What an earlier start of this router used is not known.
+                is_quiet: lived >= account.rule.terms.window && account.is_quiet(now),
                 wanted: account.wanted,
-                needed: (account.waiting.cost() as f64 - account.balance).max(0.0).ceil() as u32,
+                needed: account.needed() as u32,
                 first: account.waiting.first().map_or(0, |(_, cost, _)| cost),
             });
         }
         wishes
     }
 
+    /// Has the meters told at once what this router knows of targets' limits.
+    pub fn tell_news(&mut self) {
+        self.is_untold = true;
+    }
+
+    /// Time for which a limit that has no room is best left alone, where there will be room after `room_in`.
+    ///
+    /// With hundreds of routers the meter would otherwise be asked for each call that any of them would like to
+    /// send. Without a meter, a turn may come at any time.
+    pub fn refusal_pause(&self, tag: LimitTag, room_in: Duration) -> Duration {
+        let account = self.accounts.get(&tag);
+        let Some(account) = account.filter(|account| account.meter.is_some()) else {
+            return TURN_LOOK;
+        };
+        let ask_rate = ASK_RATE.max(ASKS_PER_UNIT * account.rule.limit.rate);
+        let fair = Duration::from_secs_f64(self.routers as f64 / ask_rate);
+        fair.max(room_in / 2).clamp(TURN_LOOK, LONGEST_REST)
+    }
+
     /// Whether a limit's meter is to be asked now.
     pub fn is_low(&self, tag: LimitTag) -> bool {
         let Some(account) = self.accounts.get(&tag) else { return false };
-        let shares = LimitShares::new(&account.limit, &self.terms, self.routers);
+        let shares = account.shares(self.routers);
         account.meter.is_some() && account.asked.is_none() && account.missing(&shares) >= 1.0
     }
 
@@ -364,7 +394,7 @@
         let account = self.accounts.get(&tag)?;
         let word = account.word;
         Some(AccountView {
-            rate: account.limit.rate,
+            rate: account.rule.limit.rate,
             used: u64::try_from(account.window.sum(now)).unwrap_or(0),
             left: word.map_or(account.balance, |word| word.left),
             age: word.map(|word| now.saturating_sub(word.at)),
--- a/crates/core/src/direct/limits/account/state.rs
+++ b/crates/core/src/direct/limits/account/state.rs
@@ -4,11 +4,12 @@
 use crate::{
     direct::limits::{
         messages::MeterTag,
-        terms::{LimitShares, LimitTerms, UsageCost, UsageLimit},
+        terms::{LimitRule, LimitShares, UsageCost},
     },
     ids::Timestamp,
 };
 use std::time::Duration;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// Time for which a meter's word is believed. Calls beyond a limit, and slices that are not granted, then cost no
 /// trip each.
@@ -22,6 +23,13 @@
 /// Longest time after which a caller is told to come back; by then much may have changed.
 const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 
+/// Time for which a router holds more than a slice that it does not use.
+const HOLD_LIFE: Duration = Duration::from_secs(1);
+/// Part of the limit for which turns are drawn: they come together at times.
+const TURN_SHARE: f64 = 0.5;
+/// Time for which a turn that was drawn may be used.
+const TURN_LIFE: Duration = Duration::from_secs(1);
+
 /// What a meter last said of a limit.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct MeterWord {
@@ -34,7 +42,9 @@
 /// The account of one limit.
 #[derive(Debug)]
 pub(super) struct LimitAccount {
-    pub(super) limit: UsageLimit,
+    pub(super) rule: LimitRule,
+    /// Decides with the time whose turn it is while there is no meter.
+    seed: u64,
     /// Units that may be used without asking; below 0 where calls went ahead of their grant.
     pub(super) balance: f64,
     pub(super) window: UsageWindow,
@@ -42,6 +52,8 @@
     /// Since when there is no meter.
     pub(super) alone_since: Timestamp,
     pub(super) refilled: Timestamp,
+    /// When it last drew a turn without a meter.
+    drawn: Timestamp,
     pub(super) enrolment: u64,
     /// Units granted since the enrolment; none before the meter has said.
     pub(super) granted: Option<u64>,
@@ -58,14 +70,16 @@
 }
 
 impl LimitAccount {
-    pub(super) fn new(limit: UsageLimit, terms: &LimitTerms, now: Timestamp) -> Self {
+    pub(super) fn new(rule: LimitRule, seed: u64, now: Timestamp) -> Self {
         Self {
-            limit,
+            rule,
+            seed,
             balance: 0.0,
-            window: UsageWindow::new(terms.window),
+            window: UsageWindow::new(rule.terms.window),
             meter: None,
             alone_since: now,
             refilled: now,
+            drawn: Duration::ZERO,
             enrolment: 0,
             granted: None,
             wanted: 0,
@@ -75,10 +89,14 @@
             used: now,
             spent: None,
             busy_since: None,
-            has_moved: false,
+            has_moved: rule.is_used_before,
         }
     }
 
+    pub(super) fn shares(&self, routers: usize) -> LimitShares {
+        LimitShares::new(&self.rule, routers)
+    }
+
     /// Whether no call has used the limit lately, but for those that ask for their first grant: a meter that
     /// is new to the limit may then give out all that the limit allows at once.
     pub(super) fn is_quiet(&self, now: Timestamp) -> bool {
@@ -90,7 +108,8 @@
         self.balance - f64::from(cost) >= -shares.ahead
     }
 
-    pub(super) fn spend(&mut self, cost: UsageCost, window: Duration, now: Timestamp) {
+    pub(super) fn spend(&mut self, cost: UsageCost, now: Timestamp) {
+        let window = self.rule.terms.window;
         if self.spent.is_none_or(|spent| now.saturating_sub(spent) >= window) {
             self.busy_since = Some(now);
         }
@@ -134,16 +153,31 @@
         SpendVerdict::Refused { room_in: Some(room.clamp(LEAST_PAUSE, LONGEST_PAUSE)) }
     }
 
-    /// Units to ask for now: what fills the slice again, and what the calls that wait need.
+    /// Units that the calls that wait need beyond what there is.
+    pub(super) fn needed(&self) -> f64 {
+        (self.waiting.cost() as f64 - self.balance).max(0.0).ceil()
+    }
+
+    /// Whole units to ask for now: what fills the slice again, and what the calls that wait need. Slices are not
+    /// rounded up: with hundreds of routers, that alone could be more than a small limit.
     pub(super) fn missing(&self, shares: &LimitShares) -> f64 {
         let waiting = self.waiting.cost() as f64;
         if waiting > 0.0 || self.balance < shares.slice / 2.0 {
-            (shares.slice + waiting - self.balance).max(0.0)
+            (shares.slice + waiting - self.balance).floor().max(self.needed())
         } else {
             0.0
         }
     }
 
+    /// Drops what was granted beyond a slice and not used at once, as where a caller left: the bucket counts it
+    /// as used, and used later it would add to what is granted then.
+    pub(super) fn drop_unused(&mut self, shares: &LimitShares, now: Timestamp) {
+        let is_idle = self.waiting.is_empty() && now.saturating_sub(self.used) >= HOLD_LIFE;
+        if self.meter.is_some() && is_idle {
+            self.balance = self.balance.min(shares.slice);
+        }
+    }
+
     /// Goes over to the limit's meter among those that can be reached.
     pub(super) fn set_meter(
         &mut self,
@@ -183,7 +217,23 @@
             return;
         }
         let units = shares.even_rate * now.saturating_sub(from).as_secs_f64();
-        self.balance = (self.balance + units).min(self.balance.max(shares.even_capacity));
         self.refilled = now;
+        if shares.even_capacity >= 1.0 {
+            self.balance = (self.balance + units).min(self.balance.max(shares.even_capacity));
+        } else {
+            self.draw_turn(units, now);
+        }
+    }
+
+    /// Takes a turn, or none, where a router's even share never holds a whole unit. Shares that were saved up
+    /// could all be used at once; turns that are drawn come one after the other, on the mean, and lapse.
+    fn draw_turn(&mut self, units: f64, now: Timestamp) {
+        let draw = xxh3_64_with_seed(&now.as_nanos().to_le_bytes(), self.seed);
+        if (draw as f64) < TURN_SHARE * units * u64::MAX as f64 {
+            self.balance = 1.0;
+            self.drawn = now;
+        } else if now.saturating_sub(self.drawn) >= TURN_LIFE {
+            self.balance = self.balance.min(0.0);
+        }
     }
 }
--- a/crates/core/src/direct/limits/messages.rs
+++ b/crates/core/src/direct/limits/messages.rs
@@ -1,7 +1,7 @@
 //! Messages between routers and meters about what limits are used.
 
 use super::LimitTag;
-use crate::direct::{config::ConfigNumber, messages::BootId};
+use crate::direct::{config::ConfigNumber, messages::BootId, target_limit::LimitNews};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -36,6 +36,8 @@
     pub config: ConfigNumber,
     /// Limits that the router uses at this meter now.
     pub wishes: Vec<UsageWish>,
+    /// What the router knows of targets' limits.
+    pub news: Vec<LimitNews>,
 }
 
 /// What a router wants of one limit.
@@ -70,6 +72,8 @@
     pub enrolment: EnrolmentId,
     /// For each wish of the report.
     pub grants: Vec<LimitGrant>,
+    /// Limits of targets that the router knows otherwise.
+    pub news: Vec<LimitNews>,
 }
 
 /// What a router may use of one limit.
--- a/crates/core/src/direct/limits/meter.rs
+++ b/crates/core/src/direct/limits/meter.rs
@@ -18,7 +18,7 @@
     meters::{first_meter, report_life},
 };
 use crate::{
-    direct::{config::ConfigNumber, messages::BootId},
+    direct::{config::ConfigNumber, messages::BootId, target_limit::LimitBook},
     ids::Timestamp,
 };
 use std::{collections::HashMap, time::Duration};
@@ -88,7 +88,12 @@
     }
 
     /// Takes a report; `None` where an older or doubled one needs no answer.
-    pub fn take(&mut self, report: &UsageReport, now: Timestamp) -> Option<UsageGrant> {
+    pub fn take(
+        &mut self,
+        report: &UsageReport,
+        book: &LimitBook,
+        now: Timestamp,
+    ) -> Option<UsageGrant> {
         if !self.note_router(report, now) {
             return None;
         }
@@ -96,10 +101,18 @@
         let enrolment = self.routers.get(&report.boot)?.enrolment;
         // Wants of another enrolment were counted from another beginning.
         let is_enrolled = report.enrolment == enrolment;
-        let grants =
-            report.wishes.iter().filter_map(|wish| self.grant(report, wish, is_enrolled, now));
-        let grants = grants.collect();
-        Some(UsageGrant { meter: report.meter, sequence: report.sequence, enrolment, grants })
+        let wishes = report.wishes.iter();
+        let grants = wishes.filter_map(|wish| {
+            let is_newest = book.is_newest(wish.tag, wish.rate);
+            self.grant(report, wish, is_enrolled, is_newest, now)
+        });
+        Some(UsageGrant {
+            meter: report.meter,
+            sequence: report.sequence,
+            enrolment,
+            grants: grants.collect(),
+            news: book.answer(&report.news, now),
+        })
     }
 
     fn note_router(&mut self, report: &UsageReport, now: Timestamp) -> bool {
@@ -175,6 +188,7 @@
         report: &UsageReport,
         wish: &UsageWish,
         is_enrolled: bool,
+        is_newest: Option<bool>,
         now: Timestamp,
     ) -> Option<LimitGrant> {
         let share = share(&self.groups, self.router_count, report.meter, wish.tag);
@@ -197,7 +211,7 @@
         });
         limit.used = now;
         limit.meter = report.meter;
-        if report.config >= limit.config {
+        if is_newest.unwrap_or(report.config >= limit.config) {
             limit.config = report.config;
             limit.rate = f64::from(wish.rate);
             limit.capacity = f64::from(wish.capacity);
--- a/crates/core/src/direct/limits/terms.rs
+++ b/crates/core/src/direct/limits/terms.rs
@@ -58,6 +58,17 @@
     pub slack: f64,
 }
 
+/// A limit, and by what it is judged.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct LimitRule {
+    /// The limit.
+    pub limit: UsageLimit,
+    /// By what it is judged.
+    pub terms: LimitTerms,
+    /// Whether calls may have used it before it was known: a meter that is new to it then grants no burst.
+    pub is_used_before: bool,
+}
+
 /// Part of the tolerance by which a burst is enlarged: its bucket then does not refuse what came
 /// a little closer together than the fleet's clocks tell.
 const BURST_SHARE: f64 = 0.2;
@@ -86,7 +97,7 @@
     pub ahead: f64,
     /// Units by which a grant may exceed what is left.
     pub overdraft: f64,
-    /// Most that a single call may cost: more would exceed the limit by itself.
+    /// Most that a single call may cost: more would exceed the limit by itself. One unit always may.
     pub largest: f64,
     /// Units that one router refills alone, a second, while it has no meter.
     pub even_rate: f64,
@@ -97,7 +108,8 @@
 
 impl LimitShares {
     /// Divides a limit among `routers` routers.
-    pub fn new(limit: &UsageLimit, terms: &LimitTerms, routers: usize) -> Self {
+    pub fn new(rule: &LimitRule, routers: usize) -> Self {
+        let LimitRule { limit, terms, .. } = rule;
         let (total, routers) = (limit.total(terms.window), routers.max(1) as f64);
         let tolerance = terms.overage * total + terms.slack;
         let capacity = limit.burst + BURST_SHARE * tolerance;
@@ -107,7 +119,7 @@
             slice: SLICE_SHARE * tolerance / routers,
             ahead: AHEAD_SHARE * tolerance / routers,
             overdraft: LARGE_SHARE * tolerance,
-            largest: total,
+            largest: total.max(1.0),
             even_rate: limit.rate / routers,
             even_capacity: capacity / routers,
         }
--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -10,6 +10,7 @@
     sync::Arc,
     time::Duration,
 };
+use xxhash_rust::xxh3::Xxh3;
 
 /// Id of a target. A target may start again under the id that it had; [`TargetLife`] tells its lives
 /// apart.
@@ -31,6 +32,15 @@
 }
 
 impl TargetLife {
+    /// Hash by which processes tell each other of this life.
+    pub fn life_hash(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        // Not as a seed: short ids and starts that differ alike would cancel out.
+        hasher.update(&self.started.unwrap_or_default().to_le_bytes());
+        hasher.update(self.id.as_bytes());
+        hasher.digest()
+    }
+
     /// Whether both can be the same life: a start that is not told fits any.
     pub fn may_be(&self, other: &Self) -> bool {
         let is_same_start = match (self.started, other.started) {
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -33,6 +33,8 @@
 const LEAVE_MS: f64 = 250.0;
 /// Cost of a target whose loader is silent, where a load is needed: nobody would order it.
 const NO_LOADER_MS: f64 = 5_000.0;
+/// Cost of a load at a target that takes few requests: when the adapter is there, there may be no room for the call.
+const LIMITED_LOAD_MS: f64 = 5_000.0;
 /// Cost of a failed call: about the objective that it misses.
 const FAILURE_MS: f64 = 1_500.0;
 /// Cost of each call whose first byte is overdue.
@@ -160,6 +162,7 @@
             && !target.has_ended()
             && !target.health.is_resting(now)
             && !target.is_dark(now)
+            && !target.is_limited()
     });
     let mut weighted: Vec<(u64, &TargetState)> =
         usable.map(|target| (weight(key, &target.entry.life.id), target)).collect();
@@ -174,6 +177,7 @@
 
 fn is_usable(target: &TargetState, need: &CallNeed<'_>, now: Timestamp) -> bool {
     is_alive(target, need, now)
+        && !target.is_full(now)
         && need.model.is_none_or(|call| target.holds_base(&call.need.base, now))
 }
 
@@ -189,9 +193,9 @@
 /// would all have to come back for it.
 fn awaits_base(pool: &TargetPool, need: &CallNeed<'_>, now: Timestamp) -> bool {
     need.model.is_some()
-        && pool
-            .service_targets(need.service)
-            .any(|target| is_alive(target, need, now) && !target.is_silent(now))
+        && pool.service_targets(need.service).any(|target| {
+            is_alive(target, need, now) && !target.is_silent(now) && !target.is_full(now)
+        })
 }
 
 fn zone_cost(target: &TargetState, need: &CallNeed<'_>) -> f64 {
@@ -263,6 +267,7 @@
     if target.is_silent(now) {
         return stray + NO_LOADER_MS;
     }
+    let stray = stray + if target.is_limited() { LIMITED_LOAD_MS } else { 0.0 };
     let Some(report) = target.fresh_report(now) else {
         return stray + pool.usual().load_ms() + pool.usual().queue_ms();
     };
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -79,6 +79,8 @@
     pub latency: LatencyGauge,
     /// The requests that it takes from all routers together.
     pub limit: KnownLimit,
+    /// Until when its limit is taken to have no room.
+    pub(super) full_until: Timestamp,
     /// What its loader reported.
     pub loader: Option<LoaderView>,
     /// When its loader was first asked for the report that has not come yet.
@@ -103,6 +105,7 @@
             health: TargetHealth::default(),
             latency: LatencyGauge::default(),
             limit: KnownLimit::default(),
+            full_until: Duration::ZERO,
             loader: None,
             question: None,
             noted_silence: None,
@@ -219,6 +222,16 @@
         self.is_displaced || self.is_superseded
     }
 
+    /// Whether it takes only so many requests of all routers together.
+    pub fn is_limited(&self) -> bool {
+        self.limit.rate.is_some()
+    }
+
+    /// Whether its limit was found to have no room.
+    pub fn is_full(&self, now: Timestamp) -> bool {
+        self.is_limited() && now < self.full_until
+    }
+
     /// Whether its loader says that it does not answer.
     pub fn is_dark(&self, now: Timestamp) -> bool {
         self.fresh_report(now).is_some_and(|report| !report.is_answering)
--- a/crates/core/src/direct/target_limit.rs
+++ b/crates/core/src/direct/target_limit.rs
@@ -1,10 +1,48 @@
 //! Limits that targets state in their answers: requests a second, from all routers together.
+//!
+//! A router keeps a target's limit like a customer's, by slices that meters grant. What a target stated is told
+//! onward between routers and loaders, so that a router knows of a limit before it has met it, and of its end
+//! without a request of its own.
 
+use super::limits::{
+    LimitTag,
+    terms::{LimitRule, LimitTerms, UsageLimit, UsageUnit},
+};
 use crate::ids::Timestamp;
+use serde::{Deserialize, Serialize};
+use std::{cmp::Reverse, collections::HashMap, time::Duration};
 
 /// Requests a second.
 pub type RequestRate = f64;
 
+/// What a target's limit is judged by.
+const TARGET_TERMS: LimitTerms =
+    LimitTerms { window: Duration::from_secs(4), overage: 0.5, slack: 5.0 };
+/// Lowest rate at which requests are sent to a limited target, also where it states a lower one: only its answers
+/// tell when the limit ends.
+const PROBE_RATE: RequestRate = 0.1;
+/// Time for which the end of a limit is told onward.
+const END_LIFE: Duration = Duration::from_mins(1);
+/// Time after which a loader forgets a limit that no router tells it any more.
+const NEWS_LIFE: Duration = Duration::from_mins(1);
+/// Limits in one message, the newest ones: some 1.5 kB.
+const NEWS_LIMIT: usize = 64;
+/// Limits that a loader remembers.
+const BOOK_LIMIT: usize = 4_096;
+
+/// How the routers keep a limit that a target states.
+pub fn target_rule(rate: RequestRate) -> LimitRule {
+    LimitRule {
+        limit: UsageLimit { unit: UsageUnit::Calls, rate: kept_rate(rate), burst: 0.0 },
+        terms: TARGET_TERMS,
+        is_used_before: true,
+    }
+}
+
+fn kept_rate(rate: RequestRate) -> RequestRate {
+    rate.max(PROBE_RATE)
+}
+
 /// What one answer says of the requests that its target takes.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum StatedLimit {
@@ -24,6 +62,8 @@
     pub rate: Option<RequestRate>,
     /// The time of which that is known.
     pub as_of: Timestamp,
+    /// When the last limit ended.
+    pub ended: Option<Timestamp>,
 }
 
 impl KnownLimit {
@@ -33,18 +73,120 @@
     /// stated before its request was sent.
     pub fn record(&mut self, stated: StatedLimit, sent: Timestamp, now: Timestamp) -> bool {
         match stated {
-            StatedLimit::Unlimited => self.merge(Self { rate: None, as_of: sent }),
-            StatedLimit::Limited(rate) => self.merge(Self { rate: Some(rate), as_of: now }),
+            StatedLimit::Unlimited => self.merge(Self { rate: None, as_of: sent, ended: None }),
+            StatedLimit::Limited(rate) => {
+                self.merge(Self { rate: Some(rate), as_of: now, ended: None })
+            }
             StatedLimit::Unreadable => false,
         }
     }
 
     /// Takes what somebody else knows if it is newer; returns whether the limit has changed.
-    pub fn merge(&mut self, other: Self) -> bool {
-        if other.as_of <= self.as_of {
+    ///
+    /// What is known already is not taken for newer when it comes back: each hop adds a little to its time, and an
+    /// end that a target has stated meanwhile would seem to be older.
+    pub fn take_news(&mut self, news: &LimitNews, now: Timestamp) -> bool {
+        news.rate != self.rate && self.merge(news.known(now))
+    }
+
+    fn merge(&mut self, other: Self) -> bool {
+        if other.as_of < self.as_of {
             return false;
         }
+        if self.rate.is_some() && other.rate.is_none() {
+            self.ended = Some(other.as_of);
+        }
         self.as_of = other.as_of;
         std::mem::replace(&mut self.rate, other.rate) != other.rate
     }
+
+    /// Whether others are to be told: there is a limit, or one has ended lately.
+    pub fn is_news(&self, now: Timestamp) -> bool {
+        let is_recent = |ended: Timestamp| now.saturating_sub(ended) < END_LIFE;
+        self.rate.is_some() || self.ended.is_some_and(is_recent)
+    }
+}
+
+/// What one process tells another of a target's limit.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct LimitNews {
+    /// The target's life.
+    pub tag: LimitTag,
+    /// The rate; `None` if the limit has ended.
+    pub rate: Option<RequestRate>,
+    /// Age of that word in ms.
+    pub age_ms: u32,
+}
+
+impl LimitNews {
+    fn new(tag: LimitTag, known: &KnownLimit, now: Timestamp) -> Self {
+        let age = now.saturating_sub(known.as_of).as_millis();
+        Self { tag, rate: known.rate, age_ms: u32::try_from(age).unwrap_or(u32::MAX) }
+    }
+
+    fn known(&self, now: Timestamp) -> KnownLimit {
+        let age = Duration::from_millis(self.age_ms.into());
+        KnownLimit { rate: self.rate, as_of: now.saturating_sub(age), ended: None }
+    }
+}
+
+/// What is to be told of these limits, the newest first.
+pub fn limit_news<'a>(
+    known: impl Iterator<Item = (LimitTag, &'a KnownLimit)>,
+    now: Timestamp,
+) -> Vec<LimitNews> {
+    let mut known: Vec<_> = known.filter(|(_, limit)| limit.is_news(now)).collect();
+    known.sort_unstable_by_key(|(tag, limit)| (Reverse(limit.as_of), *tag));
+    known.truncate(NEWS_LIMIT);
+    known.into_iter().map(|(tag, limit)| LimitNews::new(tag, limit, now)).collect()
+}
+
+#[derive(Debug)]
+struct ToldLimit {
+    known: KnownLimit,
+    told: Timestamp,
+}
+
+/// What routers have told a loader of targets' limits.
+#[derive(Debug, Default)]
+pub struct LimitBook {
+    told: HashMap<LimitTag, ToldLimit>,
+}
+
+impl LimitBook {
+    /// Takes what a router tells.
+    pub fn take(&mut self, news: &[LimitNews], now: Timestamp) {
+        for news in news {
+            if let Some(told) = self.told.get_mut(&news.tag) {
+                told.known.take_news(news, now);
+                told.told = now;
+                continue;
+            }
+            if self.told.len() >= BOOK_LIMIT {
+                self.told.retain(|_, told| now.saturating_sub(told.told) < NEWS_LIFE);
+            }
+            if self.told.len() < BOOK_LIMIT {
+                let mut known = news.known(now);
+                known.ended = known.rate.is_none().then_some(known.as_of);
+                self.told.insert(news.tag, ToldLimit { known, told: now });
+            }
+        }
+    }
+
+    /// What to tell a router that has told `theirs`: all that it does not know so.
+    pub fn answer(&self, theirs: &[LimitNews], now: Timestamp) -> Vec<LimitNews> {
+        let is_known = |tag: LimitTag, limit: &KnownLimit| {
+            theirs.iter().any(|news| news.tag == tag && news.rate == limit.rate)
+        };
+        let fresh = self.told.iter().filter(|(_, told)| now.saturating_sub(told.told) < NEWS_LIFE);
+        let unknown = fresh.filter(|(tag, told)| !is_known(**tag, &told.known));
+        limit_news(unknown.map(|(tag, told)| (*tag, &told.known)), now)
+    }
+
+    /// Whether a router that keeps a limit at `rate` has the newest word of it; `None` where no target's limit is
+    /// known by this tag.
+    pub fn is_newest(&self, tag: LimitTag, rate: f32) -> Option<bool> {
+        let newest = self.told.get(&tag)?.known.rate.map(kept_rate);
+        Some(newest.is_some_and(|newest| (newest as f32).to_bits() == rate.to_bits()))
+    }
 }
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -5,10 +5,12 @@
     config::{EngineSpec, RouteConfig},
     demand::FleetDemand,
     health::CallOutcome,
+    limits::LimitTag,
     membership::{InstanceId, ListChange, TargetEntry, TargetLife, TargetList},
     messages::{BaseOffer, LoaderReport},
     pressure::ConcurrencyGauge,
     target::{TargetState, WishState},
+    target_limit::{LimitNews, StatedLimit, limit_news},
     waits::UsualWaits,
 };
 use crate::ids::{AdapterVersion, ServiceName, Timestamp};
@@ -323,6 +325,59 @@
         }
     }
 
+    /// Takes what an answer says of the requests that its target takes, to a call that was sent at `sent`;
+    /// returns whether the target's limit has changed.
+    pub fn record_limit(
+        &mut self,
+        life: &TargetLife,
+        stated: StatedLimit,
+        sent: Timestamp,
+        now: Timestamp,
+    ) -> bool {
+        self.target_mut(life).is_some_and(|target| target.limit.record(stated, sent, now))
+    }
+
+    /// Takes what others know of targets' limits; returns the targets whose limits have changed.
+    pub fn take_limit_news(&mut self, news: &[LimitNews], now: Timestamp) -> Vec<TargetLife> {
+        if news.is_empty() {
+            return Vec::new();
+        }
+        let by_tag: HashMap<LimitTag, &LimitNews> =
+            news.iter().map(|news| (news.tag, news)).collect();
+        let mut changed = Vec::new();
+        for target in self.targets.values_mut() {
+            let Some(news) = by_tag.get(&target.entry.life.life_hash()) else { continue };
+            if target.limit.take_news(news, now) {
+                changed.push(target.entry.life.clone());
+            }
+        }
+        changed
+    }
+
+    /// What to tell others of targets' limits.
+    pub fn limit_news(&self, now: Timestamp) -> Vec<LimitNews> {
+        let limited = self.targets.values().filter(|target| target.limit.is_news(now));
+        limit_news(limited.map(|target| (target.entry.life.life_hash(), &target.limit)), now)
+    }
+
+    /// Whether limits of targets are to be kept, or their ends to be told.
+    pub fn has_limit_news(&self, now: Timestamp) -> bool {
+        self.targets.values().any(|target| target.limit.is_news(now))
+    }
+
+    /// A target's limit was found to have no room until then.
+    pub fn note_full(&mut self, life: &TargetLife, until: Timestamp) {
+        if let Some(target) = self.target_mut(life) {
+            target.full_until = until;
+        }
+    }
+
+    /// When a target of the service may have room again, if the limit of one has none now.
+    pub fn room_in(&self, service: &str, now: Timestamp) -> Option<Duration> {
+        let full = self.service_targets(service).filter(|target| target.is_full(now));
+        full.map(|target| target.full_until.saturating_sub(now)).min()
+    }
+
     /// Counts what a call met.
     pub fn record_outcome(&mut self, life: &TargetLife, outcome: CallOutcome, now: Timestamp) {
         if let Some(target) = self.target_mut(life) {
--- a/crates/core/tests/core/direct/customers.rs
+++ b/crates/core/tests/core/direct/customers.rs
@@ -1,6 +1,6 @@
 //! Customers: their keys, and limits that the whole fleet keeps together.
 
-mod fleet;
+pub(super) mod fleet;
 mod keys;
 mod limits;
 mod ways;
--- a/crates/core/tests/core/direct/customers/fleet.rs
+++ b/crates/core/tests/core/direct/customers/fleet.rs
@@ -9,9 +9,10 @@
             account::{AccountBook, CallTicket, Spend, SpendVerdict},
             messages::{UsageGrant, UsageReport},
             meter::UsageMeter,
-            terms::{LimitTerms, UsageLimit, UsageUnit},
+            terms::{LimitRule, LimitTerms, UsageLimit, UsageUnit},
         },
         membership::InstanceId,
+        target_limit::LimitBook,
     },
     ids::Timestamp,
 };
@@ -37,7 +38,12 @@
     UsageLimit { unit: UsageUnit::Tokens { plain: 200 }, rate, burst }
 }
 
-fn rule(limit: UsageLimit) -> Arc<CustomerRule> {
+/// How a customer's limit is kept.
+pub fn customer_rule(limit: UsageLimit) -> LimitRule {
+    LimitRule { limit, terms: TERMS, is_used_before: false }
+}
+
+fn customer(limit: UsageLimit) -> Arc<CustomerRule> {
     let (name, keys) = (CUSTOMER.into(), Vec::new());
     Arc::new(CustomerRule { name, keys, priority: None, limit: Some(limit) })
 }
@@ -106,8 +112,11 @@
     pub frozen_meters: HashMap<usize, u64>,
     pub frozen_routers: HashMap<usize, u64>,
     terms: LimitTerms,
+    /// Whether calls may have used the limit before it was known.
+    is_used_before: bool,
     routers: Vec<AccountBook>,
     meters: Vec<UsageMeter>,
+    books: Vec<LimitBook>,
     targets: Vec<InstanceId>,
     parcels: HashMap<u64, Parcel>,
     due: BinaryHeap<Reverse<(u64, u64)>>,
@@ -118,12 +127,17 @@
 
 impl LimitFleet {
     pub fn new(routers: usize, meters: usize, limit: UsageLimit, seed: u64) -> Self {
+        Self::with_rule(routers, meters, &customer_rule(limit), seed)
+    }
+
+    pub fn with_rule(routers: usize, meters: usize, rule: &LimitRule, seed: u64) -> Self {
+        let limit = rule.limit;
         let mut rng = StdRng::seed_from_u64(seed);
         let mut fleet = Self {
             now_ms: 20_000,
             limit,
             config: 1,
-            rule: rule(limit),
+            rule: customer(limit),
             records: Vec::new(),
             sent: 0,
             bytes: 0,
@@ -131,11 +145,11 @@
             is_cut: Box::new(|_, _| false),
             frozen_meters: HashMap::new(),
             frozen_routers: HashMap::new(),
-            terms: TERMS,
-            routers: (0..routers)
-                .map(|_| AccountBook::new(rng.random(), TERMS, Duration::ZERO))
-                .collect(),
+            terms: rule.terms,
+            is_used_before: rule.is_used_before,
+            routers: (0..routers).map(|_| AccountBook::new(rng.random(), Duration::ZERO)).collect(),
             meters: (0..meters).map(|_| UsageMeter::new(rng.random())).collect(),
+            books: (0..meters).map(|_| LimitBook::default()).collect(),
             targets: (0..meters).map(|meter| format!("e{meter}").into()).collect(),
             parcels: HashMap::new(),
             due: BinaryHeap::new(),
@@ -151,7 +165,7 @@
     /// A new configuration changes the limit; each router has it at its next look.
     pub fn set_limit(&mut self, limit: UsageLimit) {
         self.limit = limit;
-        self.rule = rule(limit);
+        self.rule = customer(limit);
         self.config += 1;
     }
 
@@ -159,9 +173,13 @@
         ms(self.now_ms)
     }
 
+    fn limit_rule(&self) -> LimitRule {
+        LimitRule { limit: self.limit, terms: self.terms, is_used_before: self.is_used_before }
+    }
+
     /// The router starts again, knowing nothing.
     pub fn restart_router(&mut self, router: usize) {
-        self.routers[router] = AccountBook::new(self.rng.random(), self.terms, self.now());
+        self.routers[router] = AccountBook::new(self.rng.random(), self.now());
         let at = self.now();
         let gone: Vec<_> = self.waiting.keys().filter(|(own, _)| *own == router).copied().collect();
         for key in gone {
@@ -175,10 +193,49 @@
         self.meters[meter] = UsageMeter::new(self.rng.random());
     }
 
+    /// One fault drawn at random, or none; says which.
+    pub fn disturb(&mut self, rng: &mut StdRng) -> Option<String> {
+        let (routers, meters) = (self.routers.len(), self.meters.len());
+        let at = self.now_ms;
+        let until = at + rng.random_range(100..6_000);
+        let meter = rng.random_range(0..meters.max(1));
+        let router = rng.random_range(0..routers);
+        match rng.random_range(0..7) {
+            0 if meters > 0 => {
+                self.restart_meter(meter);
+                Some(format!("{at}: meter {meter} starts again"))
+            }
+            1 => {
+                self.restart_router(router);
+                Some(format!("{at}: router {router} starts again"))
+            }
+            2 => {
+                self.frozen_meters.insert(meter, until);
+                Some(format!("{at}: meter {meter} frozen until {until}"))
+            }
+            3 => {
+                self.frozen_routers.insert(router, until);
+                Some(format!("{at}: router {router} frozen until {until}"))
+            }
+            4 => {
+                let (zones, phase) = (rng.random_range(2..4), rng.random_range(0..3));
+                self.is_cut =
+                    Box::new(move |router, meter| router % zones != (meter + phase) % zones);
+                Some(format!("{at}: {zones} zones part"))
+            }
+            5 => {
+                self.is_cut = Box::new(|_, _| false);
+                Some(format!("{at}: cuts heal"))
+            }
+            _ => None,
+        }
+    }
+
     /// A call comes in.
     pub fn call(&mut self, router: usize, cost: u32) {
         let now = self.now();
-        let spend = self.routers[router].spend(self.rule.tag(), &self.limit, cost, now);
+        let rule = self.limit_rule();
+        let spend = self.routers[router].spend(self.rule.tag(), &rule, cost, now);
         match spend {
             Spend::Decided(verdict) => self.record(verdict, cost, now),
             Spend::Waiting(ticket) => {
@@ -236,7 +293,9 @@
                 Parcel::Report(router, meter, report) => {
                     if let Some(until) = self.frozen(&self.frozen_meters, meter) {
                         self.put(until, Parcel::Report(router, meter, report));
-                    } else if let Some(grant) = self.meters[meter].take(&report, now) {
+                    } else if let Some(grant) =
+                        self.meters[meter].take(&report, &self.books[meter], now)
+                    {
                         self.send(router, meter, grant_bytes(&grant), Parcel::Grant(router, grant));
                     }
                 }
@@ -267,7 +326,7 @@
 
     fn send_reports(&mut self, router: usize) {
         let now = self.now();
-        for (target, report) in self.routers[router].take_reports(now) {
+        for (target, report) in self.routers[router].take_reports(&[], now) {
             let meter = self.targets.iter().position(|own| *own == target).expect("a meter");
             let bytes = postcard::to_allocvec(&report).expect("a message").len();
             self.send(router, meter, bytes, Parcel::Report(router, meter, report));
@@ -291,6 +350,39 @@
     }
 }
 
+/// A router that does not stand still: the one picked, or the first.
+pub fn awake(frozen: &HashMap<usize, u64>, picked: usize, routers: usize, now_ms: u64) -> usize {
+    if frozen.get(&picked).is_some_and(|until| *until > now_ms) {
+        (0..routers).find(|own| !frozen.contains_key(own)).unwrap_or(picked)
+    } else {
+        picked
+    }
+}
+
+/// Asks in turn, at a rate, for `seconds`; `pick` names the router of each call.
+pub fn load(
+    fleet: &mut LimitFleet,
+    rate: f64,
+    costs: (u32, u32),
+    seconds: u64,
+    mut pick: impl FnMut(&mut StdRng, u64) -> usize,
+) {
+    let mut rng = StdRng::seed_from_u64(fleet.now_ms);
+    let mean = f64::from(costs.0 + costs.1) / 2.0;
+    let calls_per_ms = rate / mean / 1_000.0;
+    for _ in 0..seconds * 1_000 {
+        let mut expected = calls_per_ms;
+        while expected > 0.0 {
+            if rng.random_bool(expected.min(1.0)) {
+                let router = pick(&mut rng, fleet.now_ms);
+                fleet.call(router, rng.random_range(costs.0..=costs.1));
+            }
+            expected -= 1.0;
+        }
+        fleet.pass(1);
+    }
+}
+
 fn grant_bytes(grant: &UsageGrant) -> usize {
     postcard::to_allocvec(grant).expect("a message").len()
 }
--- a/crates/core/tests/core/direct/customers/limits.rs
+++ b/crates/core/tests/core/direct/customers/limits.rs
@@ -1,6 +1,8 @@
 //! A customer's limit, kept by all routers together under faults.
 
-use super::fleet::{LimitFleet, TERMS, limit, most, refused_share, worst_window};
+use super::fleet::{
+    LimitFleet, TERMS, awake, customer_rule, limit, load, most, refused_share, worst_window,
+};
 use plantain_core::direct::{
     call::TokenCounts,
     limits::terms::{LimitShares, UsageLimit, UsageUnit},
@@ -38,31 +40,7 @@
     let mut fleet = LimitFleet::new(3, 2, limit, 1);
     fleet.call(0, 8_501);
     assert!(!fleet.records[0].is_run, "8 s hold 8,500");
-    assert!((LimitShares::new(&limit, &TERMS, 3).largest - 8_500.0).abs() < 1e-6);
-}
-
-/// Asks in turn, at a rate, for `seconds`; `pick` names the router of each call.
-fn load(
-    fleet: &mut LimitFleet,
-    rate: f64,
-    costs: (u32, u32),
-    seconds: u64,
-    mut pick: impl FnMut(&mut StdRng, u64) -> usize,
-) {
-    let mut rng = StdRng::seed_from_u64(fleet.now_ms);
-    let mean = f64::from(costs.0 + costs.1) / 2.0;
-    let calls_per_ms = rate / mean / 1_000.0;
-    for _ in 0..seconds * 1_000 {
-        let mut expected = calls_per_ms;
-        while expected > 0.0 {
-            if rng.random_bool(expected.min(1.0)) {
-                let router = pick(&mut rng, fleet.now_ms);
-                fleet.call(router, rng.random_range(costs.0..=costs.1));
-            }
-            expected -= 1.0;
-        }
-        fleet.pass(1);
-    }
+    assert!((LimitShares::new(&customer_rule(limit), 3).largest - 8_500.0).abs() < 1e-6);
 }
 
 struct SteadyCase {
@@ -157,7 +135,7 @@
 fn a_router_without_a_meter_serves_an_even_share() {
     let limit = limit(50_000.0, 50_000.0);
     let mut fleet = LimitFleet::new(5, 0, limit, 8);
-    let shares = LimitShares::new(&limit, &TERMS, 5);
+    let shares = LimitShares::new(&customer_rule(limit), 5);
     let cost = (shares.slice * 2.0) as u32;
     assert!(f64::from(cost) < shares.even_capacity);
     load(&mut fleet, 25_000.0, (cost, cost + 1), 10, |rng, _| rng.random_range(0..5));
@@ -216,39 +194,7 @@
     fleet.loss = if rng.random_bool(0.5) { 0.0 } else { rng.random_range(0.0..0.3) };
     let mut log = Vec::new();
     for _ in 0..rng.random_range(4..12) {
-        let at = fleet.now_ms;
-        let until = at + rng.random_range(100..6_000);
-        let meter = rng.random_range(0..meters.max(1));
-        let router = rng.random_range(0..routers);
-        match rng.random_range(0..7) {
-            0 if meters > 0 => {
-                fleet.restart_meter(meter);
-                log.push(format!("{at}: meter {meter} starts again"));
-            }
-            1 => {
-                fleet.restart_router(router);
-                log.push(format!("{at}: router {router} starts again"));
-            }
-            2 => {
-                fleet.frozen_meters.insert(meter, until);
-                log.push(format!("{at}: meter {meter} frozen until {until}"));
-            }
-            3 => {
-                fleet.frozen_routers.insert(router, until);
-                log.push(format!("{at}: router {router} frozen until {until}"));
-            }
-            4 => {
-                let (zones, phase) = (rng.random_range(2..4), rng.random_range(0..3));
-                fleet.is_cut =
-                    Box::new(move |router, meter| router % zones != (meter + phase) % zones);
-                log.push(format!("{at}: {zones} zones part"));
-            }
-            5 => {
-                fleet.is_cut = Box::new(|_, _| false);
-                log.push(format!("{at}: cuts heal"));
-            }
-            _ => {}
-        }
+        log.extend(fleet.disturb(&mut rng));
         let share = rng.random_range(0.2..6.0);
         let few = rng.random_range(0..routers);
         let largest = (rate * rng.random_range(0.01..0.3)).max(2.0) as u32;
@@ -256,12 +202,7 @@
         let seconds = rng.random_range(1..4);
         load(&mut fleet, rate * share, (1, largest), seconds, |rng, now| {
             let router = if few % 2 == 0 { few } else { rng.random_range(0..routers) };
-            let is_frozen = frozen.get(&router).is_some_and(|until| *until > now);
-            if is_frozen {
-                (0..routers).find(|own| !frozen.contains_key(own)).unwrap_or(router)
-            } else {
-                router
-            }
+            awake(&frozen, router, routers, now)
         });
     }
     let (worst, most) = (worst_window(&fleet.records, TERMS.window), most(&limit, &TERMS));
--- a/crates/core/tests/core/direct/customers/ways.rs
+++ b/crates/core/tests/core/direct/customers/ways.rs
@@ -5,7 +5,9 @@
 
 use super::{
     super::support::ms,
-    fleet::{LimitFleet, RunRecord, TERMS, limit, most, refused_share, worst_window},
+    fleet::{
+        LimitFleet, RunRecord, TERMS, customer_rule, limit, most, refused_share, worst_window,
+    },
 };
 use plantain_core::direct::limits::{
     bucket::TokenBucket,
@@ -128,7 +130,7 @@
     }
 
     fn write(&mut self, index: usize) {
-        let shares = LimitShares::new(&self.limit, &TERMS, self.routers.len());
+        let shares = LimitShares::new(&customer_rule(self.limit), self.routers.len());
         let router = &mut self.routers[index];
         let Some((done, version)) = router.write else { return };
         if done > self.now_ms {
--- a/crates/core/tests/core/direct/directory.rs
+++ b/crates/core/tests/core/direct/directory.rs
@@ -16,7 +16,7 @@
 }
 
 fn presence(zone: &str, index: u16, meets_here: bool) -> RouterPresence {
-    RouterPresence { zone: zone.into(), address: router(index), meets_here }
+    RouterPresence { zone: zone.into(), address: router(index), meets_here, news: Vec::new() }
 }
 
 struct MeetingCase {
--- a/crates/core/tests/core/direct/target_limit.rs
+++ b/crates/core/tests/core/direct/target_limit.rs
@@ -1,11 +1,25 @@
 //! Limits that targets state in their answers.
 
-use plantain_core::direct::target_limit::{KnownLimit, StatedLimit};
-use std::time::Duration;
+use super::{
+    customers::fleet::{LimitFleet, awake, load, refused_share, worst_window},
+    support::ms,
+};
+use plantain_core::direct::{
+    limits::{
+        messages::{UsageReport, UsageWish},
+        meter::UsageMeter,
+        terms::LimitShares,
+    },
+    target_limit::{KnownLimit, LimitBook, LimitNews, StatedLimit, target_rule},
+};
+use quickcheck::{Gen, QuickCheck};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{env, time::Duration};
 
-const fn ms(ms: u64) -> Duration {
-    Duration::from_millis(ms)
-}
+/// Time of a load, in seconds.
+const SECONDS: u64 = 30;
+/// Span over which a limit is judged.
+const WINDOW: Duration = Duration::from_secs(4);
 
 struct AnswerStep {
     stated: StatedLimit,
@@ -19,7 +33,7 @@
     steps: Vec<AnswerStep>,
 }
 
-const fn step(stated: StatedLimit, sent: u64, came: u64, rate: Option<f64>) -> AnswerStep {
+fn step(stated: StatedLimit, sent: u64, came: u64, rate: Option<f64>) -> AnswerStep {
     AnswerStep { stated, sent: ms(sent), came: ms(came), rate }
 }
 
@@ -72,3 +86,175 @@
         }
     }
 }
+
+/// Requests that a target may get in any window.
+fn allowed(rate: f64) -> f64 {
+    1.5 * rate * WINDOW.as_secs_f64() + 5.0
+}
+
+struct FleetCase {
+    name: &'static str,
+    routers: usize,
+    meters: usize,
+    rate: f64,
+    /// Calls a second that would like to go to the target.
+    calls: f64,
+    /// Part of the limit that must be used.
+    used: f64,
+}
+
+/// Guards against a limit that each of hundreds of routers keeps for itself, or rounds up: together they send many
+/// times what the target takes, or next to nothing.
+#[test]
+fn hundreds_of_routers_use_one_limit() {
+    let case = |name, routers, meters, rate, calls, used| FleetCase {
+        name,
+        routers,
+        meters,
+        rate,
+        calls,
+        used,
+    };
+    let cases = [
+        case("a few routers", 4, 8, 3.9, 40.0, 0.8),
+        case("330 routers", 330, 14, 3.9, 40.0, 0.8),
+        case("330 routers and a limit below one", 330, 14, 0.2, 40.0, 0.7),
+        case("330 routers and a high limit", 330, 14, 60.0, 200.0, 0.8),
+        case("below the limit", 330, 14, 60.0, 20.0, 0.0),
+        case("no meter", 4, 0, 3.9, 40.0, 0.2),
+        case("330 routers and no meter", 330, 0, 3.9, 400.0, 0.2),
+        case("330 routers, no meter and a limit below one", 330, 0, 0.2, 400.0, 0.0),
+    ];
+    for case in cases {
+        let rule = target_rule(case.rate);
+        let mut fleet = LimitFleet::with_rule(case.routers, case.meters, &rule, 1);
+        load(&mut fleet, case.calls, (1, 1), SECONDS, |rng, _| rng.random_range(0..case.routers));
+        let worst = worst_window(&fleet.records, WINDOW);
+        assert!(worst <= allowed(case.rate), "{}: {worst} in a window", case.name);
+        let run = fleet.records.iter().filter(|call| call.is_run).count() as f64;
+        let whole = case.rate * SECONDS as f64;
+        assert!(run >= case.used * whole, "{}: {run} of {whole}", case.name);
+        let refused = refused_share(&fleet.records, fleet.now().saturating_sub(ms(20_000)));
+        assert!(case.calls > case.rate || refused < 0.02, "{}: {refused} refused", case.name);
+    }
+}
+
+fn play(seed: u64) -> Result<(), String> {
+    let mut rng = StdRng::seed_from_u64(seed);
+    let routers = if rng.random_bool(0.1) { 120 } else { rng.random_range(1..12) };
+    let meters = rng.random_range(0..6);
+    let rate = 10_f64.powf(rng.random_range(-1.0..2.0));
+    let mut fleet = LimitFleet::with_rule(routers, meters, &target_rule(rate), seed);
+    fleet.loss = if rng.random_bool(0.5) { 0.0 } else { rng.random_range(0.0..0.3) };
+    let mut log = Vec::new();
+    for _ in 0..rng.random_range(4..12) {
+        log.extend(fleet.disturb(&mut rng));
+        let calls = (rate * rng.random_range(0.2..6.0)).max(5.0);
+        let few = rng.random_range(0..routers);
+        let frozen = fleet.frozen_routers.clone();
+        load(&mut fleet, calls, (1, 1), rng.random_range(1..4), |rng, now| {
+            let router = if few % 2 == 0 { few } else { rng.random_range(0..routers) };
+            awake(&frozen, router, routers, now)
+        });
+    }
+    let worst = worst_window(&fleet.records, WINDOW);
+    if worst <= allowed(rate) {
+        return Ok(());
+    }
+    Err(format!(
+        "seed {seed}: {worst} of {:.1}, rate {rate:.2}, {routers} routers, {meters} meters: {log:?}",
+        allowed(rate)
+    ))
+}
+
+/// Guards against a target that gets more than its limit while routers and meters start again, stand still, part and
+/// lose messages. `LIMIT_PLAYS=5000` plays as many others.
+#[test]
+fn no_window_ever_holds_more_than_a_target_takes() {
+    fn property(seed: u64) -> bool {
+        play(seed).map_err(|fault| eprintln!("{fault}")).is_ok()
+    }
+    let others = env::var("LIMIT_PLAYS").ok().and_then(|plays| plays.parse().ok());
+    let random = if others.is_some() { Gen::new(100) } else { Gen::from_size_and_seed(100, 1) };
+    let plays = others.unwrap_or(100);
+    let mut check = QuickCheck::new().rng(random).tests(plays).max_tests(plays);
+    check.quickcheck(property as fn(u64) -> bool);
+}
+
+fn news(rate: Option<f64>, age_ms: u32) -> LimitNews {
+    LimitNews { tag: 7, rate, age_ms }
+}
+
+/// Guards against limits that come back to life, or end, by words that were lost, doubled, late or sent in a circle.
+#[test]
+fn the_newest_word_of_a_limit_wins_wherever_it_comes_from() {
+    let mut book = LimitBook::default();
+    book.take(&[news(Some(3.9), 100)], ms(10_000));
+    assert_eq!(book.answer(&[], ms(10_500)), [news(Some(3.9), 600)]);
+    assert_eq!(book.answer(&[news(Some(3.9), 900)], ms(10_500)), [], "it is known there");
+    book.take(&[news(None, 500)], ms(12_000));
+    book.take(&[news(Some(3.9), 2_100)], ms(12_001));
+    assert_eq!(book.answer(&[news(Some(3.9), 2_200)], ms(12_100)), [news(None, 600)]);
+    book.take(&[news(Some(0.2), 0)], ms(13_000));
+    book.take(&[news(None, 1_500)], ms(13_001));
+    assert_eq!(book.answer(&[], ms(13_000)), [news(Some(0.2), 0)]);
+    assert_eq!(book.is_newest(7, 0.2), Some(true));
+    assert_eq!(book.is_newest(7, 3.9), Some(false));
+    assert_eq!(book.is_newest(8, 3.9), None);
+    // What is known already does not grow younger on its way.
+    let mut known = KnownLimit::default();
+    assert!(known.take_news(&news(Some(0.2), 1_000), ms(14_000)));
+    for step in 1..100 {
+        assert!(!known.take_news(&news(Some(0.2), 0), ms(14_000 + 100 * step)));
+    }
+    assert!(known.record(StatedLimit::Unlimited, ms(13_500), ms(24_000)));
+    assert!(known.is_news(ms(24_000)), "the end is told onward");
+    assert!(!known.is_news(ms(90_000)));
+}
+
+/// Guards against a lower rate at the meter that the routers of an older, higher one raise again.
+#[test]
+fn a_meter_goes_by_the_newest_rate() {
+    let (mut meter, mut book) = (UsageMeter::new(1), LimitBook::default());
+    let mut report = UsageReport {
+        boot: 5,
+        sequence: 1,
+        meter: 3,
+        enrolment: 0,
+        reachable: vec![3],
+        routers: 1,
+        config: 1,
+        wishes: Vec::new(),
+        news: Vec::new(),
+    };
+    let enrolment = meter.take(&report, &book, ms(1_000)).expect("an answer").enrolment;
+    report.enrolment = enrolment;
+    let mut granted = |rate: f64, wanted, at| {
+        report.sequence += 1;
+        let shares = LimitShares::new(&target_rule(rate), 1);
+        report.wishes = vec![UsageWish {
+            tag: 7,
+            rate: shares.rate as f32,
+            capacity: shares.capacity as f32,
+            overdraft: 0.0,
+            is_quiet: false,
+            wanted,
+            needed: wanted as u32,
+            first: 1,
+        }];
+        report.news = vec![LimitNews {
+            tag: 7,
+            rate: Some(rate),
+            age_ms: if rate < 1.0 { 0 } else { 9_000 },
+        }];
+        book.take(&report.news, at);
+        let grant = meter.take(&report, &book, at).expect("an answer");
+        grant.grants[0].granted
+    };
+    assert_eq!(granted(40.0, 100, ms(1_100)), 0, "the bucket is new");
+    assert_eq!(granted(0.5, 100, ms(1_200)), 1, "what came together under the old rate");
+    for at in 13..53 {
+        let in_all = granted(40.0, 100, ms(at * 100));
+        assert!(in_all <= 5, "an older word raised the rate: {in_all}");
+    }
+}
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -18,6 +18,7 @@
         membership::InstanceId,
         messages::{LoaderMessage, RouterMessage},
         orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
+        target_limit::LimitBook,
     },
     ids::Timestamp,
 };
@@ -64,6 +65,7 @@
     machine: LoaderMachine,
     meeting: MeetingPoint,
     meter: UsageMeter,
+    limits: LimitBook,
     engine: Rc<EngineClient>,
     settings: watch::Receiver<Arc<LoaderFile>>,
     socket: UdpSocket,
@@ -86,6 +88,7 @@
             machine: LoaderMachine::new(rand::random()),
             meeting: MeetingPoint::default(),
             meter: UsageMeter::new(rand::random()),
+            limits: LimitBook::default(),
             engine: Rc::new(EngineClient::new()),
             settings,
             socket,
@@ -164,11 +167,14 @@
         match postcard::from_bytes::<RouterMessage>(datagram) {
             Ok(RouterMessage::Notice(notice)) => self.machine.take_notice(router, notice, now),
             Ok(RouterMessage::Presence(presence)) => {
-                let directory = self.meeting.take(&presence, now);
+                self.limits.take(&presence.news, now);
+                let mut directory = self.meeting.take(&presence, now);
+                directory.news = self.limits.answer(&presence.news, now);
                 self.send(&LoaderMessage::Directory(directory), &[router]);
             }
             Ok(RouterMessage::Usage(report)) => {
-                if let Some(grant) = self.meter.take(&report, now) {
+                self.limits.take(&report.news, now);
+                if let Some(grant) = self.meter.take(&report, &self.limits, now) {
                     self.send(&LoaderMessage::Grant(grant), &[router]);
                 }
             }
--- a/crates/daemon/src/router/admission.rs
+++ b/crates/daemon/src/router/admission.rs
@@ -68,7 +68,7 @@
 }
 
 /// Callers that were refused together must not return together: there is room for one after the other only.
-fn spread(pause: Duration) -> Duration {
+pub(super) fn spread(pause: Duration) -> Duration {
     pause.mul_f64(1.0 + rand::random::<f64>())
 }
 
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -15,13 +15,12 @@
         membership::TargetLife,
         messages::BootId,
         selection::{CallNeed, adapter_of, preferred_targets},
-        target_limit::StatedLimit,
         targets::TargetPool,
     },
     fingerprint::CallFingerprint,
     ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
 };
-use slog::{Logger, info, warn};
+use slog::{Logger, warn};
 use std::{
     cell::{Cell, RefCell},
     collections::{HashMap, HashSet},
@@ -155,25 +154,6 @@
         self.routers.borrow_mut().note(directory, now);
     }
 
-    /// Takes what an answer says of the requests that its target takes, to a call that was sent then.
-    pub(crate) fn note_limit(&self, life: &TargetLife, stated: StatedLimit, sent: Timestamp) {
-        if stated != StatedLimit::Unlimited {
-            counter!("plantain_limited_answers_total").increment(1);
-        }
-        let now = clock::now();
-        let mut pool = self.pool.borrow_mut();
-        let Some(target) = pool.target_mut(life) else { return };
-        if stated == StatedLimit::Unreadable {
-            warn!(self.logger, "limit of target not understood"; "step" => "target_limit",
-                "target" => &*life.id, "started" => life.started);
-        } else if target.limit.record(stated, sent, now) {
-            info!(self.logger, "limit of target changed"; "step" => "target_limit",
-                "target" => &*life.id, "started" => life.started, "rate" => target.limit.rate,
-                "source" => "answer",
-                "sent_ms_ago" => now.saturating_sub(sent).as_millis() as u64);
-        }
-    }
-
     /// Other routers that are alive.
     pub(crate) fn peers(&self) -> Vec<PeerRouter> {
         self.routers.borrow().peers(self.settings.borrow().peer_listen, clock::now())
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -3,11 +3,13 @@
 mod sending;
 
 use super::{
+    admission::spread,
     connections::TargetConnection,
     constants,
     context::{AdapterNeed, CallGuard, RouterContext, WaitGuard},
     journal::{CallEnd, CallRecord},
     limits::UsageCharge,
+    turns::TargetTurn,
 };
 use crate::clock;
 use bytes::Bytes;
@@ -77,6 +79,15 @@
     reply: Option<Response<ReplyBody>>,
 }
 
+/// A target that was chosen for a send.
+struct ChosenTarget {
+    life: TargetLife,
+    /// What it holds of the call's adapter.
+    version: Option<AdapterVersion>,
+    /// What was counted against its limit, if it has one.
+    turn: Option<UsageCharge>,
+}
+
 /// A call that is taken: it has a route, is somebody's or may be anybody's, and is within its limit.
 pub(crate) struct AdmittedCall {
     pub(crate) method: Method,
@@ -206,19 +217,22 @@
         }
         let mut last: Option<SendFailure> = None;
         loop {
-            let (life, version) = match self.choose().await {
+            let choice = match self.choose().await {
                 Ok(choice) => choice,
                 Err(pause) => return self.give_up(last, GivenUp::NotRun(pause)),
             };
             // Targets may have ended under it since it came: in this call, or at other routers.
             if self.is_held() {
+                self.give_back_turn(choice.turn);
                 return self.give_up(last, GivenUp::Held(CRASH_LIFE));
             }
             if self.record.sends > 0 && !self.context.try_repeat(&self.service) {
                 self.note("repeat refused: budget spent");
+                self.give_back_turn(choice.turn);
                 return self.give_up(last, GivenUp::NotRun(constants::BUSY_PAUSE));
             }
-            let failure = match self.send(&life, version).await {
+            let life = choice.life.clone();
+            let failure = match self.send(choice).await {
                 Ok(answer) => return Opened::Success(answer),
                 Err(failure) => failure,
             };
@@ -234,6 +248,13 @@
         }
     }
 
+    /// Gives back what was counted for a send that did not reach its target.
+    fn give_back_turn(&self, turn: Option<UsageCharge>) {
+        if let Some(turn) = turn {
+            self.context.limits.give_back(turn);
+        }
+    }
+
     /// Whether the call must not go to any target, since too many have ended that ran it.
     fn is_held(&mut self) -> bool {
         let Some(crashes) = self.context.crashes.held_crashes(self.record.fingerprint) else {
@@ -303,7 +324,7 @@
 
     /// Chooses a target, and waits for the adapter to be loaded there; the error says when it is
     /// worth coming back.
-    async fn choose(&mut self) -> Result<(TargetLife, Option<AdapterVersion>), Duration> {
+    async fn choose(&mut self) -> Result<ChosenTarget, Duration> {
         let began = clock::now();
         let mut waiting: Option<WaitGuard> = None;
         loop {
@@ -312,11 +333,18 @@
                 return Err(constants::RETURN_PAUSE);
             }
             match self.choose_now(waiting.as_ref()) {
-                TargetChoice::Send(life, version) => {
-                    self.record.load_wait += clock::now().saturating_sub(began);
-                    return Ok((life, version));
-                }
+                TargetChoice::Send(life, version) => match self.context.take_turn(&life).await {
+                    TargetTurn::Granted(turn) => {
+                        self.record.load_wait += clock::now().saturating_sub(began);
+                        return Ok(ChosenTarget { life, version, turn });
+                    }
+                    TargetTurn::Full(grounds) => self.note(&grounds),
+                },
                 TargetChoice::Nowhere => {
+                    if let Some(room_in) = self.context.room_in(&self.service) {
+                        self.note("no room within the limits of targets");
+                        return Err(spread(room_in.max(constants::BUSY_PAUSE)));
+                    }
                     let known = self.context.pool.borrow().service_targets(&self.service).count();
                     let left_out = self.excluded.len();
                     self.note(&format!(
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -6,7 +6,7 @@
         constants,
         context::{CallGuard, RunEnd},
     },
-    CallExchange, OpenAnswer, SendFailure,
+    CallExchange, ChosenTarget, OpenAnswer, SendFailure,
 };
 use crate::clock;
 use bytes::Bytes;
@@ -36,11 +36,9 @@
 
 impl CallExchange {
     /// Sends the call to one target.
-    pub(super) async fn send(
-        &mut self,
-        life: &TargetLife,
-        version: Option<AdapterVersion>,
-    ) -> Result<OpenAnswer, SendFailure> {
+    pub(super) async fn send(&mut self, choice: ChosenTarget) -> Result<OpenAnswer, SendFailure> {
+        let ChosenTarget { life, version, turn } = choice;
+        let life = &life;
         let adapter = self.head.model.as_ref().and_then(adapter_of);
         let tokens = self.head.model.as_ref().map_or(0, |model| model.tokens_in);
         self.record.target = Some(life.clone());
@@ -55,6 +53,7 @@
         };
         let request = self.target_request(life, version);
         let (Some(address), Some(request)) = (address, request) else {
+            self.give_back_turn(turn);
             return Err(SendFailure { proof: RunProof::NotRun, reply: None });
         };
         let mut guard =
@@ -69,6 +68,7 @@
             }
             Some(SendEnd::Unsent(reason)) => {
                 self.record.runs -= 1;
+                self.give_back_turn(turn);
                 guard.set_end(RunEnd::Settled);
                 self.note(&format!("{life} not reached: {reason}"));
                 (RunProof::NotRun, CallOutcome::Silent)
--- a/crates/daemon/src/router/limits.rs
+++ b/crates/daemon/src/router/limits.rs
@@ -1,4 +1,4 @@
-//! Counts customers' calls against their limits, and lets those wait whose meter must be asked.
+//! Counts calls against limits, and lets those wait whose meter must be asked.
 
 use crate::clock;
 use metrics::{counter, gauge};
@@ -10,10 +10,11 @@
             LimitTag,
             account::{AccountBook, AccountView, CallTicket, Spend, SpendVerdict},
             messages::{UsageGrant, UsageReport},
-            terms::{LimitTerms, UsageCost, UsageLimit},
+            terms::{LimitRule, LimitTerms, UsageCost, UsageLimit},
         },
         membership::InstanceId,
         messages::BootId,
+        target_limit::{LimitNews, RequestRate, target_rule},
     },
     ids::Timestamp,
 };
@@ -21,20 +22,23 @@
     cell::{Cell, RefCell},
     collections::HashMap,
     sync::Arc,
+    time::Duration,
 };
 use tokio::sync::{Notify, oneshot};
 
 /// Use that was counted for a call.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct UsageCharge {
-    customer: LimitTag,
+    tag: LimitTag,
     pub(crate) cost: UsageCost,
     spent: Timestamp,
 }
 
-/// What customers use at this router.
+/// What is used of limits at this router.
 pub(crate) struct LimitKeeper {
     book: RefCell<AccountBook>,
+    /// What customers' limits are judged by.
+    customer_terms: Cell<LimitTerms>,
     waiting: RefCell<HashMap<CallTicket, oneshot::Sender<SpendVerdict>>>,
     /// Wakes the link to the meters.
     pub(crate) wake: Notify,
@@ -44,15 +48,16 @@
     /// Starts with nothing used.
     pub(crate) fn new(boot: BootId, terms: LimitTerms) -> Self {
         Self {
-            book: RefCell::new(AccountBook::new(boot, terms, clock::now())),
+            book: RefCell::new(AccountBook::new(boot, clock::now())),
+            customer_terms: Cell::new(terms),
             waiting: RefCell::default(),
             wake: Notify::new(),
         }
     }
 
-    /// Takes what limits are judged by.
+    /// Takes what customers' limits are judged by.
     pub(crate) fn set_terms(&self, terms: LimitTerms) {
-        self.book.borrow_mut().set_terms(terms);
+        self.customer_terms.set(terms);
     }
 
     /// Takes the limits of a configuration.
@@ -75,8 +80,33 @@
         limit: &UsageLimit,
         cost: UsageCost,
     ) -> (SpendVerdict, UsageCharge) {
-        let tag = customer.tag();
-        let spend = self.book.borrow_mut().spend(tag, limit, cost, clock::now());
+        let terms = self.customer_terms.get();
+        let rule = LimitRule { limit: *limit, terms, is_used_before: false };
+        let (verdict, charge) = self.spend(customer.tag(), &rule, cost).await;
+        let outcome = if verdict == SpendVerdict::Granted { "granted" } else { "refused" };
+        counter!("plantain_customer_units_total", "customer" => customer.name.to_string(),
+            "outcome" => outcome)
+        .increment(u64::from(cost));
+        (verdict, charge)
+    }
+
+    /// Counts a request against the limit that its target states. Where the target's meter must be asked, it waits
+    /// for that until it is dropped.
+    pub(crate) async fn take_turn(
+        &self,
+        target: LimitTag,
+        rate: RequestRate,
+    ) -> (SpendVerdict, UsageCharge) {
+        self.spend(target, &target_rule(rate), 1).await
+    }
+
+    async fn spend(
+        &self,
+        tag: LimitTag,
+        rule: &LimitRule,
+        cost: UsageCost,
+    ) -> (SpendVerdict, UsageCharge) {
+        let spend = self.book.borrow_mut().spend(tag, rule, cost, clock::now());
         if self.book.borrow().is_low(tag) {
             self.wake.notify_one();
         }
@@ -84,11 +114,18 @@
             Spend::Decided(verdict) => verdict,
             Spend::Waiting(ticket) => self.wait(ticket).await,
         };
-        let outcome = if verdict == SpendVerdict::Granted { "granted" } else { "refused" };
-        counter!("plantain_customer_units_total", "customer" => customer.name.to_string(),
-            "outcome" => outcome)
-        .increment(u64::from(cost));
-        (verdict, UsageCharge { customer: tag, cost, spent: clock::now() })
+        (verdict, UsageCharge { tag, cost, spent: clock::now() })
+    }
+
+    /// Pause after a refusal, where there will be room after `room_in`.
+    pub(crate) fn refusal_pause(&self, tag: LimitTag, room_in: Duration) -> Duration {
+        self.book.borrow().refusal_pause(tag, room_in)
+    }
+
+    /// Has the meters told at once what is known of targets' limits.
+    pub(crate) fn tell_news(&self) {
+        self.book.borrow_mut().tell_news();
+        self.wake.notify_one();
     }
 
     async fn wait(&self, ticket: CallTicket) -> SpendVerdict {
@@ -104,8 +141,8 @@
 
     /// A call that was counted was not run.
     pub(crate) fn give_back(&self, charge: UsageCharge) {
-        let UsageCharge { customer, cost, spent } = charge;
-        self.book.borrow_mut().give_back(customer, cost, spent, clock::now());
+        let UsageCharge { tag, cost, spent } = charge;
+        self.book.borrow_mut().give_back(tag, cost, spent, clock::now());
     }
 
     /// Takes what a meter answers.
@@ -115,8 +152,14 @@
     }
 
     /// Reports that are due, each with the target beside which its meter stands.
-    pub(crate) fn take_reports(&self, now: Timestamp) -> Vec<(InstanceId, UsageReport)> {
-        self.book.borrow_mut().take_reports(now)
+    ///
+    /// Each tells `news` of targets' limits.
+    pub(crate) fn take_reports(
+        &self,
+        news: &[LimitNews],
+        now: Timestamp,
+    ) -> Vec<(InstanceId, UsageReport)> {
+        self.book.borrow_mut().take_reports(news, now)
     }
 
     /// Shows on the metrics page what is known of customers' use.
@@ -136,7 +179,12 @@
 
     /// What is known of a customer's use.
     pub(crate) fn view(&self, customer: &CustomerRule, now: Timestamp) -> Option<AccountView> {
-        self.book.borrow().view(customer.tag(), now)
+        self.view_tag(customer.tag(), now)
+    }
+
+    /// What is known of a limit's use.
+    pub(crate) fn view_tag(&self, tag: LimitTag, now: Timestamp) -> Option<AccountView> {
+        self.book.borrow().view(tag, now)
     }
 
     fn settle(&self) {
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -65,19 +65,25 @@
         match postcard::from_bytes::<LoaderMessage>(datagram) {
             Ok(LoaderMessage::Report(report)) => self.take_report(report, host),
             Ok(LoaderMessage::Directory(directory)) => {
-                self.context.note_routers(&directory, clock::now());
+                let now = clock::now();
+                self.context.note_routers(&directory, now);
+                self.context.take_limit_news(&directory.news, now);
             }
             Ok(LoaderMessage::Grant(grant)) => {
-                self.context.limits.take_grant(&grant, clock::now());
+                let now = clock::now();
+                self.context.take_limit_news(&grant.news, now);
+                self.context.limits.take_grant(&grant, now);
                 self.send_usage();
             }
             Err(_) => counter!("plantain_link_faults_total").increment(1),
         }
     }
 
-    /// Tells the meters that are due what customers use and want.
+    /// Tells the meters that are due what is used and wanted of limits.
     fn send_usage(&self) {
-        for (target, report) in self.context.limits.take_reports(clock::now()) {
+        let now = clock::now();
+        let news = self.context.pool.borrow().limit_news(now);
+        for (target, report) in self.context.limits.take_reports(&news, now) {
             let host = {
                 let pool = self.context.pool.borrow();
                 let meter = pool.engines().find(|engine| engine.entry.life.id == target);
@@ -145,6 +151,7 @@
         if own.is_empty() {
             return;
         }
+        let news = self.context.pool.borrow().limit_news(clock::now());
         let turn = self.presences;
         self.presences += 1;
         if turn > 0 {
@@ -152,7 +159,7 @@
         }
         for host in own {
             let zone = Arc::clone(&zone);
-            let presence = RouterPresence { zone, address, meets_here: true };
+            let presence = RouterPresence { zone, address, meets_here: true, news: news.clone() };
             self.send(host, &RouterMessage::Presence(presence));
         }
         let others = self.other_zones(&zone);
@@ -160,7 +167,7 @@
             let hosts = self.meeting_hosts(other);
             let Some(host) = hosts.choose(&mut rand::rng()) else { continue };
             let zone = Arc::clone(&zone);
-            let presence = RouterPresence { zone, address, meets_here: false };
+            let presence = RouterPresence { zone, address, meets_here: false, news: news.clone() };
             self.send(*host, &RouterMessage::Presence(presence));
         }
     }
@@ -215,10 +222,12 @@
     meeting_targets(zone, alive)
 }
 
-/// Looks which loaders are meters: those at which the routers of any zone meet, while a customer has a limit.
+/// Looks which loaders are meters: those at which the routers of any zone meet, while a customer or a target has a
+/// limit.
 pub(crate) fn follow_meters(context: &RouterContext, now: Timestamp) {
     let config = Arc::clone(context.pool.borrow().config());
-    let is_limited = config.customers.rules().iter().any(|customer| customer.limit.is_some());
+    let is_limited = config.customers.rules().iter().any(|customer| customer.limit.is_some())
+        || context.pool.borrow().has_limit_news(now);
     context.limits.set_limits(&config);
     let mut meters = Vec::new();
     if is_limited {
--- /dev/null
+++ b/crates/daemon/src/router/turns.rs
@@ -0,0 +1,106 @@
+//! Leave to send requests to targets that take only so many.
+
+use super::{constants, context::RouterContext, limits::UsageCharge, links};
+use crate::clock;
+use metrics::counter;
+use plantain_core::{
+    direct::{
+        limits::account::SpendVerdict,
+        membership::TargetLife,
+        target_limit::{LimitNews, RequestRate, StatedLimit},
+    },
+    ids::Timestamp,
+};
+use slog::{info, warn};
+use std::{fmt::Write, time::Duration};
+use tokio::time::timeout;
+
+/// Whether a request may go to a target.
+pub(crate) enum TargetTurn {
+    /// It may; with what was counted, if the target has a limit.
+    Granted(Option<UsageCharge>),
+    /// The target's limit has no room; what decided that, for the log.
+    Full(String),
+}
+
+impl RouterContext {
+    /// Takes what an answer says of the requests that its target takes, to a call that was sent at `sent`.
+    pub(crate) fn note_limit(&self, life: &TargetLife, stated: StatedLimit, sent: Timestamp) {
+        if stated != StatedLimit::Unlimited {
+            counter!("plantain_limited_answers_total").increment(1);
+        }
+        if stated == StatedLimit::Unreadable {
+            warn!(self.logger, "limit of target not understood"; "step" => "target_limit",
+                "target" => &*life.id, "started" => life.started);
+        }
+        let now = clock::now();
+        let is_changed = self.pool.borrow_mut().record_limit(life, stated, sent, now);
+        if is_changed {
+            self.log_limit(life, "answer", now.saturating_sub(sent));
+            links::follow_meters(self, now);
+            self.limits.tell_news();
+        }
+    }
+
+    /// Takes what a loader tells of targets' limits.
+    pub(crate) fn take_limit_news(&self, news: &[LimitNews], now: Timestamp) {
+        let changed = self.pool.borrow_mut().take_limit_news(news, now);
+        if changed.is_empty() {
+            return;
+        }
+        for life in &changed {
+            let told = news.iter().find(|news| news.tag == life.life_hash());
+            let age = told.map_or(0, |news| news.age_ms);
+            self.log_limit(life, "loader", Duration::from_millis(age.into()));
+        }
+        links::follow_meters(self, now);
+    }
+
+    fn log_limit(&self, life: &TargetLife, source: &str, age: Duration) {
+        info!(self.logger, "limit of target changed"; "step" => "target_limit",
+            "target" => &*life.id, "started" => life.started, "rate" => self.limit_rate(life),
+            "source" => source, "age_ms" => age.as_millis() as u64);
+    }
+
+    fn limit_rate(&self, life: &TargetLife) -> Option<RequestRate> {
+        self.pool.borrow().target(life)?.limit.rate
+    }
+
+    /// Takes leave to send one request to a target.
+    pub(crate) async fn take_turn(&self, life: &TargetLife) -> TargetTurn {
+        let Some(rate) = self.limit_rate(life) else { return TargetTurn::Granted(None) };
+        let tag = life.life_hash();
+        let turn = timeout(constants::TURN_WAIT, self.limits.take_turn(tag, rate)).await;
+        let room_in = match turn {
+            Ok((SpendVerdict::Granted, charge)) => {
+                counter!("plantain_target_turns_total", "outcome" => "granted").increment(1);
+                return TargetTurn::Granted(Some(charge));
+            }
+            Ok((SpendVerdict::Refused { room_in }, _)) => room_in,
+            Err(_) => None,
+        };
+        if self.limit_rate(life).is_none() {
+            // The meter's answer told that the limit has ended.
+            return TargetTurn::Granted(None);
+        }
+        counter!("plantain_target_turns_total", "outcome" => "refused").increment(1);
+        let now = clock::now();
+        let pause = self.limits.refusal_pause(tag, room_in.unwrap_or_default());
+        let until = now + pause.mul_f64(0.5 + 0.5 * rand::random::<f64>());
+        self.pool.borrow_mut().note_full(life, until);
+        let mut grounds = format!("{life} takes {rate} requests a second");
+        match self.limits.view_tag(tag, now) {
+            Some(view) if view.age.is_some() => {
+                let age = view.age.unwrap_or_default().as_millis();
+                let _ = write!(grounds, ", left {:.1} as told {age} ms ago", view.left);
+            }
+            _ => grounds.push_str(", no meter heard"),
+        }
+        TargetTurn::Full(grounds)
+    }
+
+    /// When a target of the service may have room again, if the limit of one has none now.
+    pub(crate) fn room_in(&self, service: &str) -> Option<Duration> {
+        self.pool.borrow().room_in(service, clock::now())
+    }
+}
