Routers that no loader tells of others do not take a whole limit

Cause: a router that was told of no other took itself for the only one, so that its even share was the whole.

A router now writes its report in the store at its start, empty as it is, and again each ten minutes; all routers follow these, so each knows the others' names without loaders. What a router uses alone is divided by the most that there may be: by the names, by loaders' counts, or by 1,024 while the reports were not read or it started less than 3 s ago. Slices and meters go by loaders' counts as before.

--- a/crates/core/src/crashes.rs
+++ b/crates/core/src/crashes.rs
@@ -152,6 +152,11 @@
         is_news
     }
 
+    /// Has the own report told anew, so that the others go on counting this router.
+    pub fn renew(&mut self) {
+        self.own.sequence += 1;
+    }
+
     /// Drops what no longer counts; returns whether the own report has changed.
     pub fn expire(&mut self, now: Timestamp) -> bool {
         self.told.expire(now);
--- a/crates/core/src/crashes/report.rs
+++ b/crates/core/src/crashes/report.rs
@@ -114,6 +114,11 @@
         (self.sequence, self.size()) > (known.sequence, known.size())
     }
 
+    /// Whether it tells nothing but that its teller is there.
+    pub fn is_empty(&self) -> bool {
+        self.size() == 0
+    }
+
     pub(super) fn size(&self) -> usize {
         self.crashes.len() + self.survivals.len()
     }
--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -8,6 +8,7 @@
 
 use super::{membership::InstanceId, target_limit::LimitNews};
 use crate::{
+    crashes::REPORT_LIFE,
     ids::{Timestamp, ZoneName},
     rendezvous::weight,
 };
@@ -16,6 +17,7 @@
     cmp::Reverse,
     collections::{BTreeMap, HashMap},
     net::SocketAddr,
+    sync::Arc,
     time::Duration,
 };
 use xxhash_rust::xxh3::xxh3_64;
@@ -45,6 +47,11 @@
 /// Routers that a loader remembers; bounds its memory at about 100 kB.
 const MEMBER_LIMIT: usize = 2_048;
 
+/// Routers of the largest fleet.
+const LARGEST_FLEET: usize = 1_024;
+/// Time from a router's start to its having the names of those that started with it.
+const NAMING_TIME: Duration = Duration::from_secs(3);
+
 /// What a router tells a loader at which routers meet, to be told of the others.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RouterPresence {
@@ -154,6 +161,12 @@
 pub struct RouterRegister {
     seen: BTreeMap<PeerRouter, Timestamp>,
     counts: HashMap<ZoneName, (usize, Timestamp)>,
+    /// Routers whose reports are in the store, and when each was last read.
+    named: HashMap<Arc<str>, Timestamp>,
+    /// Whether all reports were read once.
+    is_listed: bool,
+    /// Whether reports cannot be read now.
+    is_lost: bool,
 }
 
 impl RouterRegister {
@@ -175,6 +188,40 @@
         }
     }
 
+    /// Another router's report was read from the store; returns whether the router was not known.
+    pub fn note_name(&mut self, name: &Arc<str>, now: Timestamp) -> bool {
+        self.named.insert(Arc::clone(name), now).is_none()
+    }
+
+    /// All routers' reports were read.
+    pub fn note_listed(&mut self) {
+        self.is_listed = true;
+    }
+
+    /// Reports cannot be read any more, or can again. Names do not age meanwhile: nobody can renew a report.
+    pub fn set_lost(&mut self, is_lost: bool, now: Timestamp) {
+        if self.is_lost && !is_lost {
+            self.named.values_mut().for_each(|read| *read = now);
+        }
+        self.is_lost = is_lost;
+    }
+
+    /// Drops the names of routers that have not renewed their reports.
+    pub fn expire(&mut self, now: Timestamp) {
+        if !self.is_lost {
+            self.named.retain(|_, read| now.saturating_sub(*read) < REPORT_LIFE);
+        }
+    }
+
+    /// The most routers that there may be, where `counted` are known by loaders and this one lives since `started`.
+    ///
+    /// A router that no loader tells of others is not the only one for that. Their reports in the store name them;
+    /// until those are read, the largest fleet is presumed.
+    pub fn presumed(&self, counted: usize, started: Timestamp, now: Timestamp) -> usize {
+        let is_new = now.saturating_sub(started) < NAMING_TIME;
+        if is_new || !self.is_listed { LARGEST_FLEET } else { counted.max(self.named.len() + 1) }
+    }
+
     /// Zones of `all` whose number is to be asked now, at this router's turn `turn`: all in its first turns,
     /// later those of which it does not know any, and one of the others.
     pub fn zones_to_ask<'a>(
--- a/crates/core/src/direct/limits/account.rs
+++ b/crates/core/src/direct/limits/account.rs
@@ -12,7 +12,7 @@
     LimitTag,
     messages::{LimitGrant, MeterTag, UsageGrant, UsageReport, UsageWish},
     meters::{MeterRegister, first_meter, report_life, report_pause},
-    terms::{LimitRule, LimitShares, RETURN_LIMIT, UsageCost, UsageLimit},
+    terms::{FleetSize, LimitRule, LimitShares, RETURN_LIMIT, UsageCost, UsageLimit},
 };
 use crate::{
     direct::{
@@ -82,7 +82,7 @@
     started: Timestamp,
     sequence: u32,
     config: ConfigNumber,
-    routers: usize,
+    fleet: FleetSize,
     meters: MeterRegister,
     accounts: HashMap<LimitTag, LimitAccount>,
     decided: Vec<(CallTicket, SpendVerdict)>,
@@ -98,7 +98,7 @@
             started: now,
             sequence: 0,
             config: 0,
-            routers: 1,
+            fleet: FleetSize::new(1, 1),
             meters: MeterRegister::default(),
             accounts: HashMap::new(),
             decided: Vec::new(),
@@ -107,8 +107,8 @@
     }
 
     /// Takes the number of routers and the targets beside which meters stand.
-    pub fn set_fleet(&mut self, routers: usize, targets: Vec<InstanceId>, now: Timestamp) {
-        self.routers = routers.max(1);
+    pub fn set_fleet(&mut self, fleet: FleetSize, targets: Vec<InstanceId>, now: Timestamp) {
+        self.fleet = fleet;
         self.meters.set_targets(targets);
         self.look(now);
     }
@@ -128,13 +128,13 @@
     }
 
     fn look(&mut self, now: Timestamp) {
-        if !self.meters.look(self.routers, now) {
+        if !self.meters.look(self.fleet.known, now) {
             return;
         }
         self.is_untold = true;
         let reachable = self.meters.reachable();
         for (tag, account) in &mut self.accounts {
-            let shares = account.shares(self.routers);
+            let shares = account.shares(self.fleet);
             account.set_meter(first_meter(*tag, reachable), &shares, now);
         }
     }
@@ -147,11 +147,11 @@
         cost: UsageCost,
         now: Timestamp,
     ) -> Spend {
-        let shares = LimitShares::new(rule, self.routers);
+        let shares = LimitShares::new(rule, self.fleet);
         if f64::from(cost) > shares.largest {
             return Spend::Decided(SpendVerdict::Refused { room_in: None });
         }
-        let life = report_life(self.routers);
+        let life = report_life(self.fleet.known);
         let reachable = self.meters.reachable();
         let seed = self.boot ^ tag;
         let account = self.accounts.entry(tag).or_insert_with(|| {
@@ -229,7 +229,7 @@
         }
         // What was not granted is not wanted any more: it is asked for anew.
         account.wanted = known.max(granted.granted);
-        let shares = account.shares(self.routers);
+        let shares = account.shares(self.fleet);
         while let Some((ticket, cost, asked_in)) = account.waiting.first() {
             let verdict = if account.fits(cost, &shares) {
                 account.spend(cost, now);
@@ -247,9 +247,9 @@
     /// Decides calls that have waited too long, and drops accounts that are not used any more.
     pub fn expire(&mut self, now: Timestamp) {
         self.look(now);
-        let life = report_life(self.routers);
+        let life = report_life(self.fleet.known);
         for account in self.accounts.values_mut() {
-            let shares = account.shares(self.routers);
+            let shares = account.shares(self.fleet);
             account.drop_unused(&shares, now);
             account.refill_alone(&shares, life, now);
             while let Some((ticket, cost, _)) = account.waiting.first() {
@@ -287,7 +287,7 @@
     ) -> Vec<(InstanceId, UsageReport)> {
         self.look(now);
         let is_changed = std::mem::take(&mut self.is_untold);
-        let pause = report_pause(self.routers);
+        let pause = report_pause(self.fleet.known);
         let mut reports = Vec::new();
         let links: Vec<(MeterTag, InstanceId, u64, bool)> = self
             .meters
@@ -313,7 +313,7 @@
                 meter,
                 enrolment,
                 reachable: self.meters.reachable().to_vec(),
-                routers: u16::try_from(self.routers).unwrap_or(u16::MAX),
+                routers: u16::try_from(self.fleet.known).unwrap_or(u16::MAX),
                 config: self.config,
                 wishes,
                 news: news.to_vec(),
@@ -335,7 +335,7 @@
             if account.enrolment != enrolment {
                 account.forget_grants(enrolment);
             }
-            let shares = account.shares(self.routers);
+            let shares = account.shares(self.fleet);
             let missing = account.missing(&shares);
             let is_asked = account.asked.is_some_and(|(_, at)| now.saturating_sub(at) < ASK_PAUSE);
             let has_new = account.waiting.has_unasked();
@@ -378,14 +378,14 @@
             return TURN_LOOK;
         };
         let ask_rate = ASK_RATE.max(ASKS_PER_UNIT * account.rule.limit.rate);
-        let fair = Duration::from_secs_f64(self.routers as f64 / ask_rate);
+        let fair = Duration::from_secs_f64(self.fleet.known as f64 / ask_rate);
         fair.max(room_in / 2).clamp(TURN_LOOK, LONGEST_REST)
     }
 
     /// Whether a limit's meter is to be asked now.
     pub fn is_low(&self, tag: LimitTag) -> bool {
         let Some(account) = self.accounts.get(&tag) else { return false };
-        let shares = account.shares(self.routers);
+        let shares = account.shares(self.fleet);
         account.meter.is_some() && account.asked.is_none() && account.missing(&shares) >= 1.0
     }
 
--- a/crates/core/src/direct/limits/account/state.rs
+++ b/crates/core/src/direct/limits/account/state.rs
@@ -4,7 +4,7 @@
 use crate::{
     direct::limits::{
         messages::MeterTag,
-        terms::{LimitRule, LimitShares, UsageCost},
+        terms::{FleetSize, LimitRule, LimitShares, UsageCost},
     },
     ids::Timestamp,
 };
@@ -93,8 +93,8 @@
         }
     }
 
-    pub(super) fn shares(&self, routers: usize) -> LimitShares {
-        LimitShares::new(&self.rule, routers)
+    pub(super) fn shares(&self, fleet: FleetSize) -> LimitShares {
+        LimitShares::new(&self.rule, fleet)
     }
 
     /// Whether no call has used the limit lately, but for those that ask for their first grant: a meter that
--- a/crates/core/src/direct/limits/terms.rs
+++ b/crates/core/src/direct/limits/terms.rs
@@ -84,6 +84,23 @@
 /// again in a window that does not hold its first use. The rest of the tolerance pays for this span.
 pub const RETURN_LIMIT: Duration = Duration::from_millis(300);
 
+/// How many routers share a limit.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct FleetSize {
+    /// Routers that are known, at least one.
+    pub known: usize,
+    /// The most that there may be: without a meter, none must use what is another's share.
+    pub presumed: usize,
+}
+
+impl FleetSize {
+    /// A fleet of which `known` routers are known, and that may have `presumed`.
+    pub fn new(known: usize, presumed: usize) -> Self {
+        let known = known.max(1);
+        Self { known, presumed: presumed.max(known) }
+    }
+}
+
 /// How a limit is divided among the routers.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct LimitShares {
@@ -107,21 +124,22 @@
 }
 
 impl LimitShares {
-    /// Divides a limit among `routers` routers.
-    pub fn new(rule: &LimitRule, routers: usize) -> Self {
+    /// Divides a limit among the routers of a fleet.
+    pub fn new(rule: &LimitRule, fleet: FleetSize) -> Self {
         let LimitRule { limit, terms, .. } = rule;
-        let (total, routers) = (limit.total(terms.window), routers.max(1) as f64);
+        let (total, routers) = (limit.total(terms.window), fleet.known as f64);
+        let presumed = fleet.presumed as f64;
         let tolerance = terms.overage * total + terms.slack;
         let capacity = limit.burst + BURST_SHARE * tolerance;
         Self {
             rate: limit.rate,
             capacity,
             slice: SLICE_SHARE * tolerance / routers,
-            ahead: AHEAD_SHARE * tolerance / routers,
+            ahead: AHEAD_SHARE * tolerance / presumed,
             overdraft: LARGE_SHARE * tolerance,
             largest: total.max(1.0),
-            even_rate: limit.rate / routers,
-            even_capacity: capacity / routers,
+            even_rate: limit.rate / presumed,
+            even_capacity: capacity / presumed,
         }
     }
 }
--- a/crates/core/tests/core/direct/customers/fleet.rs
+++ b/crates/core/tests/core/direct/customers/fleet.rs
@@ -5,11 +5,12 @@
 use plantain_core::{
     direct::{
         customers::CustomerRule,
+        directory::RouterRegister,
         limits::{
             account::{AccountBook, CallTicket, Spend, SpendVerdict},
             messages::{UsageGrant, UsageReport},
             meter::UsageMeter,
-            terms::{LimitRule, LimitTerms, UsageLimit, UsageUnit},
+            terms::{FleetSize, LimitRule, LimitTerms, UsageLimit, UsageUnit},
         },
         membership::InstanceId,
         target_limit::LimitBook,
@@ -114,6 +115,9 @@
     terms: LimitTerms,
     /// Whether calls may have used the limit before it was known.
     is_used_before: bool,
+    /// Whether routers know each other by their reports in the store alone.
+    pub are_strangers: bool,
+    started: Vec<Timestamp>,
     routers: Vec<AccountBook>,
     meters: Vec<UsageMeter>,
     books: Vec<LimitBook>,
@@ -147,6 +151,8 @@
             frozen_routers: HashMap::new(),
             terms: rule.terms,
             is_used_before: rule.is_used_before,
+            are_strangers: false,
+            started: vec![Duration::ZERO; routers],
             routers: (0..routers).map(|_| AccountBook::new(rng.random(), Duration::ZERO)).collect(),
             meters: (0..meters).map(|_| UsageMeter::new(rng.random())).collect(),
             books: (0..meters).map(|_| LimitBook::default()).collect(),
@@ -173,6 +179,20 @@
         ms(self.now_ms)
     }
 
+    /// How many routers one of them knows, and presumes.
+    fn size(&self, router: usize) -> FleetSize {
+        let all = self.routers.len();
+        if !self.are_strangers {
+            return FleetSize::new(all, all);
+        }
+        let mut register = RouterRegister::default();
+        register.note_listed();
+        for other in (0..all).filter(|other| *other != router) {
+            register.note_name(&format!("r{other}").into(), self.now());
+        }
+        FleetSize::new(1, register.presumed(1, self.started[router], self.now()))
+    }
+
     fn limit_rule(&self) -> LimitRule {
         LimitRule { limit: self.limit, terms: self.terms, is_used_before: self.is_used_before }
     }
@@ -180,6 +200,7 @@
     /// The router starts again, knowing nothing.
     pub fn restart_router(&mut self, router: usize) {
         self.routers[router] = AccountBook::new(self.rng.random(), self.now());
+        self.started[router] = self.now();
         let at = self.now();
         let gone: Vec<_> = self.waiting.keys().filter(|(own, _)| *own == router).copied().collect();
         for key in gone {
@@ -273,7 +294,8 @@
                         self.config,
                         &HashMap::from([(self.rule.tag(), self.rule.limit.expect("a limit"))]),
                     );
-                    self.routers[router].set_fleet(routers as usize, targets, now);
+                    let fleet = self.size(router);
+                    self.routers[router].set_fleet(fleet, targets, now);
                     self.routers[router].expire(now);
                     self.settle(router);
                 }
--- a/crates/core/tests/core/direct/customers/limits.rs
+++ b/crates/core/tests/core/direct/customers/limits.rs
@@ -5,7 +5,7 @@
 };
 use plantain_core::direct::{
     call::TokenCounts,
-    limits::terms::{LimitShares, UsageLimit, UsageUnit},
+    limits::terms::{FleetSize, LimitRule, LimitShares, LimitTerms, UsageLimit, UsageUnit},
 };
 use quickcheck::{Gen, QuickCheck};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
@@ -40,7 +40,10 @@
     let mut fleet = LimitFleet::new(3, 2, limit, 1);
     fleet.call(0, 8_501);
     assert!(!fleet.records[0].is_run, "8 s hold 8,500");
-    assert!((LimitShares::new(&customer_rule(limit), 3).largest - 8_500.0).abs() < 1e-6);
+    assert!(
+        (LimitShares::new(&customer_rule(limit), FleetSize::new(3, 3)).largest - 8_500.0).abs()
+            < 1e-6
+    );
 }
 
 struct SteadyCase {
@@ -135,7 +138,7 @@
 fn a_router_without_a_meter_serves_an_even_share() {
     let limit = limit(50_000.0, 50_000.0);
     let mut fleet = LimitFleet::new(5, 0, limit, 8);
-    let shares = LimitShares::new(&customer_rule(limit), 5);
+    let shares = LimitShares::new(&customer_rule(limit), FleetSize::new(5, 5));
     let cost = (shares.slice * 2.0) as u32;
     assert!(f64::from(cost) < shares.even_capacity);
     load(&mut fleet, 25_000.0, (cost, cost + 1), 10, |rng, _| rng.random_range(0..5));
@@ -184,6 +187,25 @@
     assert!(refused < 0.05, "{refused:.3} refused under the raised limit");
 }
 
+/// Guards against routers that no loader tells of others, and that each take all of a limit for their share.
+#[test]
+fn routers_that_never_met_keep_a_limit() {
+    let limit = UsageLimit { unit: UsageUnit::Calls, rate: 4.0, burst: 4.0 };
+    let terms = LimitTerms { window: Duration::from_secs(8), overage: 0.1, slack: 27.0 };
+    let rule = LimitRule { limit, terms, is_used_before: false };
+    let mut fleet = LimitFleet::with_rule(3, 0, &rule, 9);
+    fleet.are_strangers = true;
+    for _ in 0..4 {
+        load(&mut fleet, 40.0, (1, 1), 4, |rng, _| rng.random_range(0..3));
+        (0..3).for_each(|router| fleet.restart_router(router));
+    }
+    let worst = worst_window(&fleet.records, terms.window);
+    assert!(worst <= most(&limit, &terms), "{worst} of {}", most(&limit, &terms));
+    load(&mut fleet, 40.0, (1, 1), 20, |rng, _| rng.random_range(0..3));
+    let run = fleet.records.iter().filter(|call| call.is_run).count();
+    assert!(run as f64 >= 0.5 * limit.rate * 20.0, "{run} ran");
+}
+
 /// One play of faults drawn at random, which come together and overlap.
 fn play(seed: u64) -> Result<(), String> {
     let mut rng = StdRng::seed_from_u64(seed);
--- a/crates/core/tests/core/direct/customers/ways.rs
+++ b/crates/core/tests/core/direct/customers/ways.rs
@@ -11,7 +11,7 @@
 };
 use plantain_core::direct::limits::{
     bucket::TokenBucket,
-    terms::{LimitShares, UsageLimit},
+    terms::{FleetSize, LimitShares, UsageLimit},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::collections::VecDeque;
@@ -130,7 +130,10 @@
     }
 
     fn write(&mut self, index: usize) {
-        let shares = LimitShares::new(&customer_rule(self.limit), self.routers.len());
+        let shares = LimitShares::new(
+            &customer_rule(self.limit),
+            FleetSize::new(self.routers.len(), self.routers.len()),
+        );
         let router = &mut self.routers[index];
         let Some((done, version)) = router.write else { return };
         if done > self.now_ms {
--- a/crates/core/tests/core/direct/directory.rs
+++ b/crates/core/tests/core/direct/directory.rs
@@ -172,3 +172,28 @@
     assert_eq!(register.zones_to_ask(&zones, 10, ms(10_000)), [&zones[1]]);
     assert!(register.zones_to_ask(&[], 10, ms(10_000)).is_empty());
 }
+
+/// Guards against a router that takes itself for the only one because nobody has told it of others yet.
+#[test]
+fn a_router_that_met_nobody_presumes_others() {
+    let mut register = RouterRegister::default();
+    let (started, later) = (ms(1_000), ms(10_000));
+    assert!(register.presumed(1, started, later) >= 330, "nothing was read");
+    register.note_listed();
+    assert!(register.presumed(1, started, ms(1_500)) >= 330, "others have just started too");
+    assert_eq!(register.presumed(1, started, later), 1);
+    for name in ["a", "b", "a"] {
+        register.note_name(&name.into(), later);
+    }
+    assert_eq!(register.presumed(1, started, later), 3);
+    assert_eq!(register.presumed(7, started, later), 7, "loaders know more");
+    // Nobody can renew a report while the store is out.
+    register.set_lost(true, later);
+    register.expire(ms(100_000_000));
+    assert_eq!(register.presumed(1, started, ms(100_000_000)), 3);
+    register.set_lost(false, ms(100_000_000));
+    register.expire(ms(100_000_001));
+    assert_eq!(register.presumed(1, started, ms(100_000_001)), 3);
+    register.expire(ms(200_000_000));
+    assert_eq!(register.presumed(1, started, ms(200_000_000)), 1, "gone for good");
+}
--- a/crates/core/tests/core/direct/target_limit.rs
+++ b/crates/core/tests/core/direct/target_limit.rs
@@ -8,7 +8,7 @@
     limits::{
         messages::{UsageReport, UsageWish},
         meter::UsageMeter,
-        terms::LimitShares,
+        terms::{FleetSize, LimitShares},
     },
     target_limit::{KnownLimit, LimitBook, LimitNews, StatedLimit, target_rule},
 };
@@ -145,6 +145,8 @@
     let meters = rng.random_range(0..6);
     let rate = 10_f64.powf(rng.random_range(-1.0..2.0));
     let mut fleet = LimitFleet::with_rule(routers, meters, &target_rule(rate), seed);
+    // Where there are meters, routers know each other by them.
+    fleet.are_strangers = meters == 0;
     fleet.loss = if rng.random_bool(0.5) { 0.0 } else { rng.random_range(0.0..0.3) };
     let mut log = Vec::new();
     for _ in 0..rng.random_range(4..12) {
@@ -231,7 +233,7 @@
     report.enrolment = enrolment;
     let mut granted = |rate: f64, wanted, at| {
         report.sequence += 1;
-        let shares = LimitShares::new(&target_rule(rate), 1);
+        let shares = LimitShares::new(&target_rule(rate), FleetSize::new(1, 1));
         report.wishes = vec![UsageWish {
             tag: 7,
             rate: shares.rate as f32,
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -135,16 +135,23 @@
             log_list(&entries, context);
             context.pool.borrow_mut().replace_list(entries, now);
         }
-        ControlEvent::Listed(_, changes) | ControlEvent::Changed(changes) => {
+        ControlEvent::Listed(kind, changes) => {
             apply_changes(changes, context, now);
+            if kind == FollowedKind::Crashes {
+                context.routers_mut().note_listed();
+            }
         }
+        ControlEvent::Changed(changes) => apply_changes(changes, context, now),
         ControlEvent::Lost(FollowedKind::Targets) => context.pool.borrow_mut().note_outage(),
         ControlEvent::Regained(FollowedKind::Targets) => {
             context.pool.borrow_mut().note_contact(now);
         }
         ControlEvent::Lost(FollowedKind::Config) => context.may_be_behind.set(true),
         ControlEvent::Regained(FollowedKind::Config) => context.may_be_behind.set(false),
-        ControlEvent::Lost(_) | ControlEvent::Regained(_) => {}
+        ControlEvent::Lost(FollowedKind::Crashes) => context.routers_mut().set_lost(true, now),
+        ControlEvent::Regained(FollowedKind::Crashes) => context.routers_mut().set_lost(false, now),
+        ControlEvent::Lost(FollowedKind::Releases)
+        | ControlEvent::Regained(FollowedKind::Releases) => {}
     }
 }
 
@@ -237,6 +244,7 @@
         }
         context.pool.borrow_mut().expire(now);
         context.look_for_crashes(now);
+        context.routers_mut().expire(now);
         context.connections.expire(now);
         context.prefetch(now);
         links::follow_meters(&context, now);
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -12,6 +12,7 @@
         budget::RepeatBudget,
         call::{AdapterId, ModelCall},
         directory::{PeerRouter, RouterDirectory, RouterRegister},
+        limits::terms::FleetSize,
         membership::TargetLife,
         messages::BootId,
         selection::{CallNeed, adapter_of, preferred_targets},
@@ -22,7 +23,7 @@
 };
 use slog::{Logger, warn};
 use std::{
-    cell::{Cell, RefCell},
+    cell::{Cell, RefCell, RefMut},
     collections::{HashMap, HashSet},
     rc::Rc,
     sync::{
@@ -170,6 +171,17 @@
         self.routers.borrow().count(&settings.zone, settings.peer_listen, clock::now())
     }
 
+    /// How many routers there are, and may be.
+    pub(crate) fn fleet_size(&self, now: Timestamp) -> FleetSize {
+        let known = self.router_count();
+        FleetSize::new(known, self.routers.borrow().presumed(known, self.started, now))
+    }
+
+    /// Changes what is known of the other routers.
+    pub(crate) fn routers_mut(&self) -> RefMut<'_, RouterRegister> {
+        self.routers.borrow_mut()
+    }
+
     /// Wakes the calls that wait for an adapter at a target. Only these: a report comes from each
     /// loader several times a second, and each wake is a choice among all targets.
     pub(crate) fn wake_waiters(&self, life: &TargetLife) {
--- a/crates/daemon/src/router/crash_news.rs
+++ b/crates/daemon/src/router/crash_news.rs
@@ -37,7 +37,7 @@
 /// Pause between looks for reports whose routers are gone.
 const CLEAN_PAUSE: Duration = Duration::from_mins(1);
 
-/// Writes the report whenever it has changed, for as long as the process lives.
+/// Writes the report at the start, so that all others know of this router, and whenever it has changed.
 pub(super) async fn publish(link: Rc<ControlLink>, mut own: watch::Receiver<Arc<CrashReport>>) {
     let mut writer = ReportWriter {
         client: HttpClient::new(),
@@ -47,7 +47,11 @@
         link,
     };
     let mut backoff = RetryBackoff::new(FIRST_PAUSE, LONGEST_PAUSE);
-    while own.changed().await.is_ok() {
+    while !writer.link.is_current() {
+        // Nothing is to be had of a store that does not answer, and each call costs.
+        sleep(FIRST_PAUSE).await;
+    }
+    loop {
         loop {
             let report = Arc::clone(&own.borrow_and_update());
             match writer.write(&report).await {
@@ -61,6 +65,9 @@
         }
         backoff.reset();
         sleep(GATHER_PAUSE).await;
+        if own.changed().await.is_err() {
+            return;
+        }
     }
 }
 
--- a/crates/daemon/src/router/crashes.rs
+++ b/crates/daemon/src/router/crashes.rs
@@ -4,13 +4,21 @@
 use crate::clock;
 use metrics::counter;
 use plantain_core::{
-    crashes::{CrashLedger, CrashReport, LifePhase, OpenRun, OpenRuns},
+    crashes::{CRASH_LIFE, CrashLedger, CrashReport, LifePhase, OpenRun, OpenRuns},
     direct::{membership::TargetLife, messages::BootId},
     fingerprint::CallFingerprint,
     ids::Timestamp,
 };
 use slog::{info, warn};
-use std::{cell::RefCell, collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, sync::Arc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashSet,
+    io::ErrorKind,
+    net::SocketAddr,
+    rc::Rc,
+    sync::Arc,
+    time::Duration,
+};
 use tokio::{
     net::TcpStream,
     sync::watch,
@@ -18,6 +26,9 @@
     time::{sleep, timeout},
 };
 
+/// Pause after which a report is told again: half of the time for which others keep it.
+const RENEW_PAUSE: Duration = CRASH_LIFE;
+
 /// What this router knows of crashes.
 pub(crate) struct CrashKeeper {
     ledger: RefCell<CrashLedger>,
@@ -26,6 +37,8 @@
     probed: RefCell<HashSet<TargetLife>>,
     /// Calls that are held back, as far as was logged.
     held: RefCell<HashSet<CallFingerprint>>,
+    /// When the report was last told.
+    told: Cell<Timestamp>,
     /// What the control thread tells the others.
     news: watch::Sender<Arc<CrashReport>>,
 }
@@ -40,6 +53,7 @@
             runs: RefCell::default(),
             probed: RefCell::default(),
             held: RefCell::default(),
+            told: Cell::new(clock::now()),
             news,
         }
     }
@@ -68,7 +82,17 @@
         is_news
     }
 
+    /// Whether the report is to be told again although no crash was seen.
+    fn is_due(&self, now: Timestamp) -> bool {
+        let is_due = now.saturating_sub(self.told.get()) >= RENEW_PAUSE;
+        if is_due {
+            self.ledger.borrow_mut().renew();
+        }
+        is_due
+    }
+
     fn tell(&self) {
+        self.told.set(clock::now());
         self.news.send_replace(Arc::new(self.ledger.borrow().own_report().clone()));
     }
 }
@@ -132,8 +156,11 @@
         for target in ended {
             self.note_end(&target, "gone from the list, or dark to its loader");
         }
-        if self.crashes.ledger.borrow_mut().expire(now) {
+        let has_expired = self.crashes.ledger.borrow_mut().expire(now);
+        if has_expired {
             self.log_held();
+        }
+        if has_expired || self.crashes.is_due(now) {
             self.crashes.tell();
         }
     }
@@ -176,7 +203,12 @@
 
     /// Takes what another router tells of crashes.
     pub(crate) fn take_crashes(&self, report: &Arc<CrashReport>, now: Timestamp) {
-        if !self.crashes.take_report(report, now) {
+        let is_other = report.router != self.settings.borrow().name;
+        if is_other && self.routers_mut().note_name(&report.router, now) {
+            info!(self.logger, "router known by its report"; "step" => "routers",
+                "router" => &*report.router);
+        }
+        if !self.crashes.take_report(report, now) || report.is_empty() {
             return;
         }
         info!(self.logger, "crashes heard"; "step" => "crashes", "router" => &*report.router,
--- a/crates/daemon/src/router/limits.rs
+++ b/crates/daemon/src/router/limits.rs
@@ -10,7 +10,7 @@
             LimitTag,
             account::{AccountBook, AccountView, CallTicket, Spend, SpendVerdict},
             messages::{UsageGrant, UsageReport},
-            terms::{LimitRule, LimitTerms, UsageCost, UsageLimit},
+            terms::{FleetSize, LimitRule, LimitTerms, UsageCost, UsageLimit},
         },
         membership::InstanceId,
         messages::BootId,
@@ -66,8 +66,8 @@
     }
 
     /// Takes the number of routers and the targets beside which meters stand.
-    pub(crate) fn set_fleet(&self, routers: usize, targets: Vec<InstanceId>, now: Timestamp) {
-        self.book.borrow_mut().set_fleet(routers, targets, now);
+    pub(crate) fn set_fleet(&self, fleet: FleetSize, targets: Vec<InstanceId>, now: Timestamp) {
+        self.book.borrow_mut().set_fleet(fleet, targets, now);
         self.book.borrow_mut().expire(now);
         self.settle();
     }
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -236,5 +236,5 @@
         meters.sort_unstable();
         meters.dedup();
     }
-    context.limits.set_fleet(context.router_count(), meters, now);
+    context.limits.set_fleet(context.fleet_size(now), meters, now);
 }
