Selection: adapters keep away from a target whose limit turns calls away, not from each that states one

Were all engines to state generous limits, none would have been a preferred target of any adapter. A limit counts for placement for 10 s after it had no room for a call; where all are so, placement is as usual.

--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -33,8 +33,8 @@
 const LEAVE_MS: f64 = 250.0;
 /// Cost of a target whose loader is silent, where a load is needed: nobody would order it.
 const NO_LOADER_MS: f64 = 5_000.0;
-/// Cost of a load at a target that takes few requests: when the adapter is there, there may be no room for the call.
-const LIMITED_LOAD_MS: f64 = 5_000.0;
+/// Cost of a load at a target that turns calls away: when the adapter is there, there may be no room for the call.
+const CROWDED_LOAD_MS: f64 = 5_000.0;
 /// Cost of a failed call: about the objective that it misses.
 const FAILURE_MS: f64 = 1_500.0;
 /// Cost of each call whose first byte is overdue.
@@ -162,13 +162,14 @@
             && !target.has_ended()
             && !target.health.is_resting(now)
             && !target.is_dark(now)
-            && !target.is_limited()
     });
-    let mut weighted: Vec<(u64, &TargetState)> =
-        usable.map(|target| (weight(key, &target.entry.life.id), target)).collect();
-    weighted.sort_unstable_by_key(|(weight, _)| std::cmp::Reverse(*weight));
+    // A target that turns calls away is no place for copies, unless all others do so too.
+    let mut weighted: Vec<(bool, u64, &TargetState)> = usable
+        .map(|target| (!target.is_crowded(now), weight(key, &target.entry.life.id), target))
+        .collect();
+    weighted.sort_unstable_by_key(|(has_room, weight, _)| std::cmp::Reverse((*has_room, *weight)));
     weighted.truncate(copies + 1);
-    weighted.into_iter().map(|(_, target)| target.entry.life.clone()).collect()
+    weighted.into_iter().map(|(_, _, target)| target.entry.life.clone()).collect()
 }
 
 fn adapter_key(adapter: &AdapterId) -> u64 {
@@ -267,7 +268,7 @@
     if target.is_silent(now) {
         return stray + NO_LOADER_MS;
     }
-    let stray = stray + if target.is_limited() { LIMITED_LOAD_MS } else { 0.0 };
+    let stray = stray + if target.is_crowded(now) { CROWDED_LOAD_MS } else { 0.0 };
     let Some(report) = target.fresh_report(now) else {
         return stray + pool.usual().load_ms() + pool.usual().queue_ms();
     };
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -24,6 +24,9 @@
 /// Time after which a silent loader is asked again.
 const SILENCE_LIFE: Duration = Duration::from_secs(2);
 
+/// Time for which a limit that had no room keeps adapters away from its target.
+const CROWDED_LIFE: Duration = Duration::from_secs(10);
+
 /// What a loader last reported of its engine.
 #[derive(Clone, Debug)]
 pub struct LoaderView {
@@ -227,6 +230,13 @@
         self.limit.rate.is_some()
     }
 
+    /// Whether its limit had no room for a call lately, so that adapters had better be elsewhere.
+    pub fn is_crowded(&self, now: Timestamp) -> bool {
+        self.is_limited()
+            && !self.full_until.is_zero()
+            && now.saturating_sub(self.full_until) < CROWDED_LIFE
+    }
+
     /// Whether its limit was found to have no room.
     pub fn is_full(&self, now: Timestamp) -> bool {
         self.is_limited() && now < self.full_until
--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -1,6 +1,7 @@
 //! Choice of a target.
 
 mod costs;
+mod limits;
 
 use super::support::{BASE, DESK, ENGINES, adapter, config, model_call, ms, pool, report, target};
 use plantain_core::{
--- /dev/null
+++ b/crates/core/tests/core/direct/selection/limits.rs
@@ -0,0 +1,93 @@
+//! Choice among targets of which some take only so many requests.
+
+use super::{choose, need, sent_to, take_report};
+use crate::direct::support::{DESK, ENGINES, adapter, model_call, ms, pool, report};
+use plantain_core::direct::{
+    membership::TargetLife,
+    selection::{TargetChoice, preferred_targets},
+    target_limit::StatedLimit,
+    targets::TargetPool,
+};
+
+const ALL_ENGINES: [&str; 3] = ["e1", "e2", "e3"];
+
+fn state_limit(pool: &mut TargetPool, id: &str, rate: f64) {
+    let life = TargetLife::from(id);
+    assert!(pool.record_limit(&life, StatedLimit::Limited(rate), ms(1), ms(2)));
+}
+
+/// States a limit that has no room until `until`.
+fn fill(pool: &mut TargetPool, id: &str, until: u64) {
+    state_limit(pool, id, 3.9);
+    pool.note_full(&id.into(), ms(until));
+}
+
+fn engines_with(adapters: &[&str]) -> TargetPool {
+    let mut pool = pool();
+    let held: Vec<(&str, u32)> = adapters.iter().map(|name| (*name, 1)).collect();
+    for id in ALL_ENGINES {
+        take_report(&mut pool, report(id, 1, &held), ms(0));
+    }
+    pool
+}
+
+/// Guards against calls that wait for room at one target while others are free, or where there is none.
+#[test]
+fn a_target_without_room_is_left_out() {
+    let mut pool = engines_with(&["h7"]);
+    fill(&mut pool, "d1", 500);
+    assert_eq!(sent_to(&choose(&pool, DESK, None, 10)), Some("d2"));
+    assert_eq!(sent_to(&choose(&pool, DESK, None, 600)), Some("d1"), "it has room again");
+    fill(&mut pool, "d2", 700);
+    assert_eq!(choose(&pool, DESK, None, 10), TargetChoice::Nowhere);
+    assert_eq!(pool.room_in(DESK, ms(10)), Some(ms(490)));
+    assert_eq!(pool.room_in(DESK, ms(800)), None);
+    // Engines that have their base model are not waited for.
+    let call = model_call(Some("h7"));
+    for id in ALL_ENGINES {
+        fill(&mut pool, id, 500);
+    }
+    assert_eq!(choose(&pool, ENGINES, Some(&call), 10), TargetChoice::Nowhere);
+}
+
+/// Guards against a limit that outlives its target.
+#[test]
+fn a_limit_ends_with_its_targets_life() {
+    let mut pool = pool();
+    fill(&mut pool, "d1", 5_000);
+    let mut entry = pool.target(&"d1".into()).expect("a target").entry.as_ref().clone();
+    entry.life.started = Some(7);
+    let mut other = entry.clone();
+    other.life.started = Some(8);
+    for entry in [entry, other] {
+        let change = plantain_core::direct::membership::ListChange::Put(entry.into());
+        pool.apply_changes(&[change], ms(20));
+    }
+    assert_eq!(sent_to(&choose(&pool, DESK, None, 30)), Some("d1"));
+    assert!(!pool.has_limit_news(ms(30)));
+}
+
+/// Guards against loads and copies at a target that takes next to no calls for them, and against a limit that nobody
+/// reaches moving all adapters.
+#[test]
+fn adapters_are_placed_where_there_is_room() {
+    let mut pool = engines_with(&[]);
+    let call = model_call(Some("h7"));
+    let (service, zone) = (ENGINES.into(), "b".into());
+    let homes = |pool: &TargetPool, at| {
+        preferred_targets(pool, &need(&service, &zone, Some(&call)), &adapter("h7"), ms(at))
+    };
+    let usual = homes(&pool, 10);
+    state_limit(&mut pool, &usual[0].id, 500.0);
+    assert_eq!(homes(&pool, 10), usual, "its limit has room");
+    pool.note_full(&usual[0], ms(100));
+    assert!(!homes(&pool, 200).contains(&usual[0]));
+    let choice = choose(&pool, ENGINES, Some(&call), 200);
+    assert!(matches!(&choice, TargetChoice::Load(life, ..) if *life != usual[0]), "{choice:?}");
+    assert_eq!(homes(&pool, 60_000), usual, "no call was turned away for long");
+    for id in ALL_ENGINES {
+        pool.note_full(&id.into(), ms(100));
+        pool.record_limit(&id.into(), StatedLimit::Limited(3.9), ms(1), ms(3));
+    }
+    assert_eq!(homes(&pool, 200), usual, "there is no better place");
+}
