Only the outcome of a run ends a target's limit

A refusal (421, 503) may come without the header although the limit stands; each such answer would have ended it for all routers until the next success.

--- a/crates/core/src/direct/limits/account/state.rs
+++ b/crates/core/src/direct/limits/account/state.rs
@@ -22,7 +22,6 @@
 const LEAST_PAUSE: Duration = Duration::from_millis(200);
 /// Longest time after which a caller is told to come back; by then much may have changed.
 const LONGEST_PAUSE: Duration = Duration::from_secs(30);
-
 /// Time for which a router holds more than a slice that it does not use.
 const HOLD_LIFE: Duration = Duration::from_secs(1);
 /// Part of the limit for which turns are drawn: they come together at times.
@@ -65,7 +64,7 @@
     pub(super) spent: Option<Timestamp>,
     /// When calls began to use it after a window without use.
     pub(super) busy_since: Option<Timestamp>,
-    /// Whether another meter than this one has granted some of it, or none.
+    /// Whether some of it may have been used that this meter has not granted.
     pub(super) has_moved: bool,
 }
 
--- a/crates/core/src/direct/proof.rs
+++ b/crates/core/src/direct/proof.rs
@@ -72,6 +72,19 @@
     }
 }
 
+/// What an answer says of its target's limit, if anything.
+///
+/// Only the outcome of a run can say that there is none: a refusal may come from a part of the target that does not
+/// know.
+pub fn limit_word(proof: RunProof, head: &AnswerHead) -> Option<StatedLimit> {
+    let is_outcome = matches!(proof, RunProof::Succeeded | RunProof::Failed) && head.is_signed;
+    match head.limit {
+        _ if proof == RunProof::Unknown => None,
+        StatedLimit::Unlimited if !is_outcome => None,
+        stated => Some(stated),
+    }
+}
+
 /// How a failed run is told to the caller.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum FailureReply {
--- a/crates/core/tests/core/direct/proof.rs
+++ b/crates/core/tests/core/direct/proof.rs
@@ -2,7 +2,9 @@
 
 use plantain_core::direct::{
     config::CallKind,
-    proof::{AnswerHead, FailureReply, RunProof, failure_reply, judge_answer, may_send_again},
+    proof::{
+        AnswerHead, FailureReply, RunProof, failure_reply, judge_answer, limit_word, may_send_again,
+    },
     target_limit::StatedLimit,
 };
 
@@ -115,6 +117,44 @@
     }
 }
 
+struct LimitCase {
+    name: &'static str,
+    proof: RunProof,
+    signed: bool,
+    stated: StatedLimit,
+    word: Option<StatedLimit>,
+}
+
+/// Guards against a limit that ends by an answer which does not speak for its target, as a refusal without the word.
+#[test]
+fn only_the_outcome_of_a_run_ends_a_limit() {
+    const LIMITED: StatedLimit = StatedLimit::Limited(3.9);
+    const FREE: StatedLimit = StatedLimit::Unlimited;
+    let case = |name, proof, signed, stated, word| LimitCase { name, proof, signed, stated, word };
+    let cases = [
+        case("a success", RunProof::Succeeded, true, FREE, Some(FREE)),
+        case("a run that failed", RunProof::Failed, true, FREE, Some(FREE)),
+        case("an unsigned failure", RunProof::Failed, false, FREE, None),
+        case("a refusal", RunProof::NotRun, false, FREE, None),
+        case("a call that went astray", RunProof::Misdirected, false, FREE, None),
+        case("another call's answer", RunProof::Unknown, true, FREE, None),
+        case("a limited success", RunProof::Succeeded, true, LIMITED, Some(LIMITED)),
+        case("a limited refusal", RunProof::NotRun, false, LIMITED, Some(LIMITED)),
+        case("a limit in another call's answer", RunProof::Unknown, true, LIMITED, None),
+    ];
+    for case in cases {
+        let head = AnswerHead {
+            status: 200,
+            echoed_id: None,
+            is_signed: case.signed,
+            states_not_run: false,
+            instance: None,
+            limit: case.stated,
+        };
+        assert_eq!(limit_word(case.proof, &head), case.word, "{}", case.name);
+    }
+}
+
 struct RepeatCase {
     proof: RunProof,
     kind: CallKind,
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -17,7 +17,7 @@
         call::OnwardTerms,
         health::CallOutcome,
         membership::TargetLife,
-        proof::{FailureReply, RunProof, failure_reply, judge_answer},
+        proof::{FailureReply, RunProof, failure_reply, judge_answer, limit_word},
         selection::adapter_of,
     },
     ids::AdapterVersion,
@@ -151,8 +151,8 @@
         let (parts, body) = answer.into_parts();
         let head = calls::decode_answer(parts.status, &parts.headers);
         let proof = judge_answer(self.head.id.as_deref().unwrap_or_default(), &head);
-        if proof != RunProof::Unknown && !head.is_of_other(&life) {
-            self.context.note_limit(&life, head.limit, guard.sent());
+        if let Some(stated) = limit_word(proof, &head).filter(|_| !head.is_of_other(&life)) {
+            self.context.note_limit(&life, stated, guard.sent());
         }
         let took = match proof {
             RunProof::Succeeded | RunProof::Failed => Some(latency),
