--- a/crates/core/tests/core/direct/target_limit.rs
+++ b/crates/core/tests/core/direct/target_limit.rs
@@ -134,6 +134,14 @@
         let run = fleet.records.iter().filter(|call| call.is_run).count() as f64;
         let whole = case.rate * SECONDS as f64;
         assert!(run >= case.used * whole, "{}: {run} of {whole}", case.name);
+        println!(
+            "{}: worst window {worst} of {:.1}, {:.2} of the limit used, {:.0} datagrams and {:.0} bytes a second",
+            case.name,
+            allowed(case.rate),
+            run / whole,
+            fleet.sent as f64 / SECONDS as f64,
+            fleet.bytes as f64 / SECONDS as f64,
+        );
         let refused = refused_share(&fleet.records, fleet.now().saturating_sub(ms(20_000)));
         assert!(case.calls > case.rate || refused < 0.02, "{}: {refused} refused", case.name);
     }
