--- a/crates/core/src/direct/limits/meter.rs
+++ b/crates/core/src/direct/limits/meter.rs
@@ -1,9 +1,8 @@
 //! A meter: keeps some limits for all routers, beside an engine.
 //!
-//! Pattern: calls under a limit come in at many routers, more at one than at another and elsewhere in the next
-//! second. An even share for each router refuses most of what comes in at one while the others' shares lie
-//! idle. Here routers take what they need of one common bucket, in slices, so that a call seldom waits for
-//! the trip.
+//! Calls under a limit come in at many routers, and at other ones from second to second, so that even shares would
+//! refuse calls at one router while they lie idle at the others. Routers take what they need of one common bucket, in
+//! slices, so that a call seldom waits for the trip.
 //!
 //! A meter keeps nothing that must last. Where it is gone, each limit has a next meter in an order that all
 //! routers know alike. Two meters that both serve a limit, because some routers reach the one and some the
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -10,7 +10,7 @@
     messages::{BaseOffer, LoaderReport},
     pressure::ConcurrencyGauge,
     target::{TargetState, WishState},
-    target_limit::{LimitNews, StatedLimit, limit_news},
+    target_limit::{KnownLimit, LimitNews, StatedLimit, limit_news},
     waits::UsualWaits,
 };
 use crate::ids::{AdapterVersion, ServiceName, Timestamp};
@@ -21,6 +21,9 @@
     time::Duration,
 };
 
+/// Targets that have left the list whose limits are kept.
+const DEPARTED_LIMIT: usize = 256;
+
 /// All targets of all services.
 #[derive(Debug)]
 pub struct TargetPool {
@@ -32,6 +35,8 @@
     demand: FleetDemand,
     concurrency: HashMap<ServiceName, ConcurrencyGauge>,
     usual: UsualWaits,
+    /// Limits of targets that have left the list, and may come back in the same life.
+    departed_limits: HashMap<LimitTag, KnownLimit>,
 }
 
 impl Default for TargetPool {
@@ -52,6 +57,7 @@
             demand: FleetDemand::default(),
             concurrency: HashMap::new(),
             usual: UsualWaits::default(),
+            departed_limits: HashMap::new(),
         }
     }
 
@@ -351,13 +357,20 @@
                 changed.push(target.entry.life.clone());
             }
         }
+        for (tag, limit) in &mut self.departed_limits {
+            if let Some(news) = by_tag.get(tag) {
+                limit.take_news(news, now);
+            }
+        }
         changed
     }
 
     /// What to tell others of targets' limits.
     pub fn limit_news(&self, now: Timestamp) -> Vec<LimitNews> {
         let limited = self.targets.values().filter(|target| target.limit.is_news(now));
-        limit_news(limited.map(|target| (target.entry.life.life_hash(), &target.limit)), now)
+        let listed = limited.map(|target| (target.entry.life.life_hash(), &target.limit));
+        let departed = self.departed_limits.iter().map(|(tag, limit)| (*tag, limit));
+        limit_news(listed.chain(departed), now)
     }
 
     /// Whether limits of targets are to be kept, or their ends to be told.
@@ -464,7 +477,12 @@
                 Some(state) if state.entry.life.may_be(&entry.life) => {
                     TargetState { entry: Arc::clone(entry), ..state }
                 }
-                _ => TargetState::new(Arc::clone(entry)),
+                _ => {
+                    let mut state = TargetState::new(Arc::clone(entry));
+                    let limit = self.departed_limits.remove(&entry.life.life_hash());
+                    state.limit = limit.unwrap_or_default();
+                    state
+                }
             };
             let ids = self.by_service.entry(Arc::clone(&entry.service)).or_default();
             ids.push(Arc::clone(&entry.life.id));
@@ -473,6 +491,14 @@
         for ids in self.by_service.values_mut() {
             ids.sort_unstable();
         }
+        let departed = old.into_values().filter(TargetState::is_limited);
+        self.departed_limits
+            .extend(departed.map(|target| (target.entry.life.life_hash(), target.limit)));
+        while self.departed_limits.len() > DEPARTED_LIMIT {
+            let oldest = self.departed_limits.iter().min_by_key(|(_, limit)| limit.as_of);
+            let Some(tag) = oldest.map(|(tag, _)| *tag) else { break };
+            self.departed_limits.remove(&tag);
+        }
         self.mark_superseded();
     }
 }
--- a/crates/core/tests/core/direct/customers/fleet.rs
+++ b/crates/core/tests/core/direct/customers/fleet.rs
@@ -17,10 +17,12 @@
     },
     ids::Timestamp,
 };
+use quickcheck::{Gen, QuickCheck};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::{
     cmp::Reverse,
     collections::{BinaryHeap, HashMap},
+    env,
     sync::Arc,
     time::Duration,
 };
@@ -372,6 +374,14 @@
     }
 }
 
+/// Plays seeds, the same each time; `LIMIT_PLAYS=5000` plays as many others.
+pub fn check_plays(play: fn(u64) -> bool) {
+    let others = env::var("LIMIT_PLAYS").ok().and_then(|plays| plays.parse().ok());
+    let random = if others.is_some() { Gen::new(100) } else { Gen::from_size_and_seed(100, 1) };
+    let plays = others.unwrap_or(100);
+    QuickCheck::new().rng(random).tests(plays).max_tests(plays).quickcheck(play);
+}
+
 /// A router that does not stand still: the one picked, or the first.
 pub fn awake(frozen: &HashMap<usize, u64>, picked: usize, routers: usize, now_ms: u64) -> usize {
     if frozen.get(&picked).is_some_and(|until| *until > now_ms) {
--- a/crates/core/tests/core/direct/customers/limits.rs
+++ b/crates/core/tests/core/direct/customers/limits.rs
@@ -1,15 +1,15 @@
 //! A customer's limit, kept by all routers together under faults.
 
 use super::fleet::{
-    LimitFleet, TERMS, awake, customer_rule, limit, load, most, refused_share, worst_window,
+    LimitFleet, TERMS, awake, check_plays, customer_rule, limit, load, most, refused_share,
+    worst_window,
 };
 use plantain_core::direct::{
     call::TokenCounts,
     limits::terms::{FleetSize, LimitRule, LimitShares, LimitTerms, UsageLimit, UsageUnit},
 };
-use quickcheck::{Gen, QuickCheck};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use std::{env, time::Duration};
+use std::time::Duration;
 
 struct CostCase {
     unit: UsageUnit,
@@ -244,11 +244,7 @@
     fn property(seed: u64) -> bool {
         play(seed).map_err(|fault| eprintln!("{fault}")).is_ok()
     }
-    let others = env::var("LIMIT_PLAYS").ok().and_then(|plays| plays.parse().ok());
-    let random = if others.is_some() { Gen::new(100) } else { Gen::from_size_and_seed(100, 1) };
-    let plays = others.unwrap_or(100);
-    let mut check = QuickCheck::new().rng(random).tests(plays).max_tests(plays);
-    check.quickcheck(property as fn(u64) -> bool);
+    check_plays(property);
 }
 
 /// A router stands still while its customer's first calls come in. They take all that the limit allows at once,
--- a/crates/core/tests/core/direct/selection/limits.rs
+++ b/crates/core/tests/core/direct/selection/limits.rs
@@ -5,7 +5,7 @@
 use plantain_core::direct::{
     membership::TargetLife,
     selection::{TargetChoice, preferred_targets},
-    target_limit::StatedLimit,
+    target_limit::{LimitNews, StatedLimit},
     targets::TargetPool,
 };
 
@@ -67,6 +67,25 @@
     assert!(!pool.has_limit_news(ms(30)));
 }
 
+/// Guards against a limit that is forgotten while its target is missing from the list: an entry may lapse though its
+/// target lives on.
+#[test]
+fn a_limit_outlasts_a_gap_in_the_list() {
+    let mut pool = pool();
+    let entries: Vec<_> = pool.entries().cloned().collect();
+    state_limit(&mut pool, "d1", 3.9);
+    pool.replace_list(entries[..3].to_vec(), ms(10));
+    let told = pool.limit_news(ms(20));
+    assert_eq!(told.len(), 1, "others are told meanwhile");
+    pool.replace_list(entries.clone(), ms(30));
+    assert!(pool.target(&"d1".into()).expect("a target").is_limited());
+    pool.replace_list(entries[..3].to_vec(), ms(40));
+    let end = LimitNews { rate: None, age_ms: 0, ..told[0].clone() };
+    pool.take_limit_news(&[end], ms(50));
+    pool.replace_list(entries, ms(60));
+    assert!(!pool.target(&"d1".into()).expect("a target").is_limited(), "it ended meanwhile");
+}
+
 /// Guards against loads and copies at a target that takes next to no calls for them, and against a limit that nobody
 /// reaches moving all adapters.
 #[test]
--- a/crates/core/tests/core/direct/target_limit.rs
+++ b/crates/core/tests/core/direct/target_limit.rs
@@ -1,7 +1,7 @@
 //! Limits that targets state in their answers.
 
 use super::{
-    customers::fleet::{LimitFleet, awake, load, refused_share, worst_window},
+    customers::fleet::{LimitFleet, awake, check_plays, load, refused_share, worst_window},
     support::ms,
 };
 use plantain_core::direct::{
@@ -12,9 +12,8 @@
     },
     target_limit::{KnownLimit, LimitBook, LimitNews, StatedLimit, target_rule},
 };
-use quickcheck::{Gen, QuickCheck};
 use rand::{RngExt, SeedableRng, rngs::StdRng};
-use std::{env, time::Duration};
+use std::time::Duration;
 
 /// Time of a load, in seconds.
 const SECONDS: u64 = 30;
@@ -184,11 +183,7 @@
     fn property(seed: u64) -> bool {
         play(seed).map_err(|fault| eprintln!("{fault}")).is_ok()
     }
-    let others = env::var("LIMIT_PLAYS").ok().and_then(|plays| plays.parse().ok());
-    let random = if others.is_some() { Gen::new(100) } else { Gen::from_size_and_seed(100, 1) };
-    let plays = others.unwrap_or(100);
-    let mut check = QuickCheck::new().rng(random).tests(plays).max_tests(plays);
-    check.quickcheck(property as fn(u64) -> bool);
+    check_plays(property);
 }
 
 fn news(rate: Option<f64>, age_ms: u32) -> LimitNews {
