--- a/crates/core/src/direct/limits/account.rs
+++ b/crates/core/src/direct/limits/account.rs
@@ -86,7 +86,7 @@
     meters: MeterRegister,
     accounts: HashMap<LimitTag, LimitAccount>,
     decided: Vec<(CallTicket, SpendVerdict)>,
-    /// Whether the meters are to be told that others can be reached now.
+    /// Whether the meters are to be told at once which of them can be reached now, and of targets' limits.
     is_untold: bool,
 }
 
