--- a/crates/core/src/direct/limits/account/state.rs
+++ b/crates/core/src/direct/limits/account/state.rs
@@ -24,9 +24,9 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(30);
 /// Time for which a router holds more than a slice that it does not use.
 const HOLD_LIFE: Duration = Duration::from_secs(1);
-/// Part of the limit for which turns are drawn: they come together at times.
+/// Part of the limit for which units are drawn: several routers draw one at the same time now and then.
 const TURN_SHARE: f64 = 0.5;
-/// Time for which a turn that was drawn may be used.
+/// Time for which a drawn unit may be used.
 const TURN_LIFE: Duration = Duration::from_secs(1);
 
 /// What a meter last said of a limit.
@@ -42,7 +42,7 @@
 #[derive(Debug)]
 pub(super) struct LimitAccount {
     pub(super) rule: LimitRule,
-    /// Decides with the time whose turn it is while there is no meter.
+    /// Seed of the draws without a meter.
     seed: u64,
     /// Units that may be used without asking; below 0 where calls went ahead of their grant.
     pub(super) balance: f64,
@@ -51,7 +51,7 @@
     /// Since when there is no meter.
     pub(super) alone_since: Timestamp,
     pub(super) refilled: Timestamp,
-    /// When it last drew a turn without a meter.
+    /// When it last drew a unit without a meter.
     drawn: Timestamp,
     pub(super) enrolment: u64,
     /// Units granted since the enrolment; none before the meter has said.
@@ -224,8 +224,8 @@
         }
     }
 
-    /// Takes a turn, or none, where a router's even share never holds a whole unit. Shares that were saved up
-    /// could all be used at once; turns that are drawn come one after the other, on the mean, and lapse.
+    /// Draws whether one unit may be used, where a router's even share never holds a whole one. Saved-up shares of all
+    /// routers could be used at the same moment; drawn units are spread over time, and lapse.
     fn draw_turn(&mut self, units: f64, now: Timestamp) {
         let draw = xxh3_64_with_seed(&now.as_nanos().to_le_bytes(), self.seed);
         if (draw as f64) < TURN_SHARE * units * u64::MAX as f64 {
--- a/crates/core/src/direct/target_limit.rs
+++ b/crates/core/src/direct/target_limit.rs
@@ -1,8 +1,7 @@
-//! Limits that targets state in their answers: requests a second, from all routers together.
+//! Rate limits that targets state in their answers: requests a second, from all routers together.
 //!
-//! A router keeps a target's limit like a customer's, by slices that meters grant. What a target stated is told
-//! onward between routers and loaders, so that a router knows of a limit before it has met it, and of its end
-//! without a request of its own.
+//! Meters keep them like customers' limits. Routers and loaders tell each other what targets have stated, so that a
+//! router knows of a limit before its first request there, and of its end without a further one.
 
 use super::limits::{
     LimitTag,
@@ -15,11 +14,11 @@
 /// Requests a second.
 pub type RequestRate = f64;
 
-/// What a target's limit is judged by.
+/// By what a target's limit is judged: in any window, one and a half times its rate and five requests.
 const TARGET_TERMS: LimitTerms =
     LimitTerms { window: Duration::from_secs(4), overage: 0.5, slack: 5.0 };
-/// Lowest rate at which requests are sent to a limited target, also where it states a lower one: only its answers
-/// tell when the limit ends.
+/// Lowest rate of requests to a limited target, also where it states a lower one: only its answers show when the
+/// limit ends.
 const PROBE_RATE: RequestRate = 0.1;
 /// Time for which the end of a limit is told onward.
 const END_LIFE: Duration = Duration::from_mins(1);
@@ -43,13 +42,13 @@
     rate.max(PROBE_RATE)
 }
 
-/// What one answer says of the requests that its target takes.
+/// What one answer states of its target's limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum StatedLimit {
-    /// As many as come.
+    /// None.
     #[default]
     Unlimited,
-    /// So many from all routers together.
+    /// Requests a second from all routers together.
     Limited(RequestRate),
     /// A limit that cannot be read.
     Unreadable,
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -57,8 +57,8 @@
 pub(crate) const FIRST_QUESTIONS: u32 = 3;
 /// Time that a call must wait for each further question.
 pub(crate) const QUESTION_PAUSE: Duration = Duration::from_millis(300);
-/// Longest wait of a call for leave to send to a target that takes only so many requests: a meter answers within
-/// some ms, and other targets may have room.
+/// Longest wait of a call for a unit of its target's rate limit: a meter answers within some ms, and other targets
+/// may have room.
 pub(crate) const TURN_WAIT: Duration = Duration::from_millis(60);
 /// Largest datagram.
 pub(crate) const DATAGRAM_LIMIT: usize = 16 << 10;
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -248,7 +248,7 @@
         }
     }
 
-    /// Gives back what was counted for a send that did not reach its target.
+    /// Gives back the unit of a target's limit that was taken for a request which did not reach it.
     fn give_back_turn(&self, turn: Option<UsageCharge>) {
         if let Some(turn) = turn {
             self.context.limits.give_back(turn);
--- a/crates/daemon/src/router/turns.rs
+++ b/crates/daemon/src/router/turns.rs
@@ -1,4 +1,4 @@
-//! Leave to send requests to targets that take only so many.
+//! Rate limits of targets: before a request is sent, it takes a unit of its target's limit.
 
 use super::{constants, context::RouterContext, limits::UsageCharge, links};
 use crate::clock;
@@ -15,16 +15,16 @@
 use std::{fmt::Write, time::Duration};
 use tokio::time::timeout;
 
-/// Whether a request may go to a target.
+/// Whether a request may be sent to a target.
 pub(crate) enum TargetTurn {
-    /// It may; with what was counted, if the target has a limit.
+    /// It may; with the unit that it took, if the target has a limit.
     Granted(Option<UsageCharge>),
-    /// The target's limit has no room; what decided that, for the log.
+    /// The limit is used up; with what decided that, for the log.
     Full(String),
 }
 
 impl RouterContext {
-    /// Takes what an answer says of the requests that its target takes, to a call that was sent at `sent`.
+    /// Takes what an answer states of its target's limit, to a call that was sent at `sent`.
     pub(crate) fn note_limit(&self, life: &TargetLife, stated: StatedLimit, sent: Timestamp) {
         if stated != StatedLimit::Unlimited {
             counter!("plantain_limited_answers_total").increment(1);
@@ -66,7 +66,7 @@
         self.pool.borrow().target(life)?.limit.rate
     }
 
-    /// Takes leave to send one request to a target.
+    /// Takes a unit of a target's limit for one request, if the target has one.
     pub(crate) async fn take_turn(&self, life: &TargetLife) -> TargetTurn {
         let Some(rate) = self.limit_rate(life) else { return TargetTurn::Granted(None) };
         let tag = life.life_hash();
@@ -80,7 +80,7 @@
             Err(_) => None,
         };
         if self.limit_rate(life).is_none() {
-            // The meter's answer told that the limit has ended.
+            // The meter's answer said that the limit has ended.
             return TargetTurn::Granted(None);
         }
         counter!("plantain_target_turns_total", "outcome" => "refused").increment(1);
@@ -99,7 +99,7 @@
         TargetTurn::Full(grounds)
     }
 
-    /// When a target of the service may have room again, if the limit of one has none now.
+    /// Time until a limit that is used up may have room again, if a target of the service has one.
     pub(crate) fn room_in(&self, service: &str) -> Option<Duration> {
         self.pool.borrow().room_in(service, clock::now())
     }
