--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -3,10 +3,15 @@
 //! Pattern: routers of an availability zone share one watch of the platform's store, and all routers of the
 //! fleet share one budget of repeats, so each must know the others of its zone and the number of all. While
 //! every loader told every router, that traffic grew with routers times loaders. Instead the routers of a
-//! zone meet at two loaders, which all of them choose alike without a message and come by at in turn. Of
+//! zone meet at two loaders, which all of them choose alike without a message and come by at in turn; while no
+//! loader is known, as after a start of everything, they meet at the routers that their settings name. Of
 //! each other zone a router only learns the number, which it asks where that zone's routers meet.
 
-use super::{membership::InstanceId, target_limit::LimitNews};
+use super::{
+    membership::InstanceId,
+    sharing::order::{RelayOrder, relay_rank},
+    target_limit::LimitNews,
+};
 use crate::{
     crashes::REPORT_LIFE,
     ids::{Timestamp, ZoneName},
@@ -39,14 +44,19 @@
 /// until each zone's turn comes round again. With half of all answers lost, four turns left one router of
 /// forty with a number of 27 for twenty seconds; eight leave none below 30.
 const EARLY_TURNS: usize = 8;
-/// Routers of its own zone that a router is told: those first in line to follow the store for the zone.
-/// Bounds an answer at about 150 bytes, however many routers a zone has.
-const NEAR_LIMIT: usize = 8;
+/// Routers of its own zone that a router is told at least, if there are so many: those first in line to pass
+/// on what the store tells.
+const NEAR_FLOOR: usize = 8;
 /// Routers of other zones that a router is told, to be asked while its own zone cannot reach the store.
 const FAR_LIMIT: usize = 4;
 /// Routers that a loader remembers; bounds its memory at about 100 kB.
 const MEMBER_LIMIT: usize = 2_048;
 
+/// Shortest pause between calls of a router that ask whether the store is back, where others tell it.
+const PROBE_PAUSE: Duration = Duration::from_millis(1_500);
+/// Part of such a pause for each router that asks before it.
+const PLACE_PAUSE: Duration = Duration::from_millis(250);
+
 /// Routers of the largest fleet.
 const LARGEST_FLEET: usize = 1_024;
 /// Time from a router's start to its having the names of those that started with it.
@@ -91,17 +101,21 @@
     ranked.into_iter().take(MEETING_LOADERS).map(|(_, _, id)| id.clone()).collect()
 }
 
-/// Rank of a router among those of its zone that could follow the store for it; the highest does.
-pub(super) fn watcher_rank(router: &SocketAddr) -> u64 {
-    weight(0, &router.to_string())
+/// Routers of a zone of `routers` that pass on what the store tells. With as many relays as each has
+/// routers behind it, the busiest answers the fewest.
+fn near_limit(routers: usize) -> usize {
+    NEAR_FLOOR.max(routers.isqrt() + 1)
 }
 
 /// A router that came by.
 #[derive(Debug)]
 struct Member {
     zone: ZoneName,
-    meets_here: bool,
+    /// Its [`relay_rank`].
+    rank: u64,
     seen: Timestamp,
+    /// When it last came by as one whose zone's routers meet here.
+    met: Option<Timestamp>,
 }
 
 /// The routers that come by at one loader.
@@ -115,31 +129,44 @@
     pub fn take(&mut self, presence: &RouterPresence, now: Timestamp) -> RouterDirectory {
         self.members.retain(|_, member| now.saturating_sub(member.seen) < PRESENCE_LIFE);
         if self.members.len() < MEMBER_LIMIT || self.members.contains_key(&presence.address) {
-            let (zone, meets_here) = (presence.zone.clone(), presence.meets_here);
-            self.members.insert(presence.address, Member { zone, meets_here, seen: now });
+            let member = self.members.entry(presence.address).or_insert_with(|| Member {
+                zone: presence.zone.clone(),
+                rank: relay_rank(&presence.address),
+                seen: now,
+                met: None,
+            });
+            member.zone.clone_from(&presence.zone);
+            member.seen = now;
+            if presence.meets_here {
+                member.met = Some(now);
+            }
         }
-        self.directory(&presence.zone)
+        self.directory(&presence.zone, now)
     }
 
-    fn directory(&self, zone: &ZoneName) -> RouterDirectory {
+    fn directory(&self, zone: &ZoneName, now: Timestamp) -> RouterDirectory {
         let (mut near, mut far): (Vec<_>, Vec<_>) =
             self.members.iter().partition(|(_, member)| member.zone == *zone);
-        near.sort_unstable_by_key(|(address, _)| Reverse(watcher_rank(address)));
+        near.sort_unstable_by_key(|(_, member)| Reverse(member.rank));
         far.sort_unstable_by_key(|(_, member)| Reverse(member.seen));
         let first = |members: Vec<(&SocketAddr, &Member)>, limit: usize| {
             members.into_iter().take(limit).map(|(address, _)| *address).collect()
         };
+        let relays = near_limit(near.len());
         RouterDirectory {
-            near: first(near, NEAR_LIMIT),
+            near: first(near, relays),
             far: first(far, FAR_LIMIT),
-            counts: self.counts().into_iter().collect(),
+            counts: self.counts(now).into_iter().collect(),
             news: Vec::new(),
         }
     }
 
-    fn counts(&self) -> BTreeMap<ZoneName, u16> {
+    fn counts(&self, now: Timestamp) -> BTreeMap<ZoneName, u16> {
         let mut counts = BTreeMap::new();
-        for member in self.members.values().filter(|member| member.meets_here) {
+        let is_here = |member: &&Member| {
+            member.met.is_some_and(|met| now.saturating_sub(met) < PRESENCE_LIFE)
+        };
+        for member in self.members.values().filter(is_here) {
             let count: &mut u16 = counts.entry(member.zone.clone()).or_default();
             *count = count.saturating_add(1);
         }
@@ -156,6 +183,30 @@
     pub is_near: bool,
 }
 
+/// The routers that one may ask for what the store tells.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct PeerView {
+    /// The first routers of its availability zone, itself counted.
+    pub near: RelayOrder,
+    /// Some routers of other zones.
+    pub far: Vec<SocketAddr>,
+    /// Number of routers of its zone.
+    pub zone_routers: usize,
+}
+
+impl PeerView {
+    /// Shortest pause between calls of the router at `own` that ask whether the store is back. One that others tell
+    /// goes on asking only in case that the store serves it and not them, and does so the more rarely, the more
+    /// ask before it: the calls of a zone in an outage do not grow with its routers.
+    pub fn probe_pause(&self, own: SocketAddr) -> Duration {
+        if self.near.upstream(own, |_| true).is_none() {
+            return Duration::ZERO;
+        }
+        let place = self.near.place(own).unwrap_or(self.zone_routers);
+        PROBE_PAUSE.max(PLACE_PAUSE.saturating_mul(u32::try_from(place).unwrap_or(u32::MAX)))
+    }
+}
+
 /// What one router knows of the others.
 #[derive(Debug, Default)]
 pub struct RouterRegister {
@@ -188,9 +239,14 @@
         }
     }
 
-    /// Another router's report was read from the store; returns whether the router was not known.
-    pub fn note_name(&mut self, name: &Arc<str>, now: Timestamp) -> bool {
-        self.named.insert(Arc::clone(name), now).is_none()
+    /// Another router's report was read from the store.
+    pub fn note_name(&mut self, name: &Arc<str>, now: Timestamp) {
+        self.named.insert(Arc::clone(name), now);
+    }
+
+    /// Number of other routers whose reports were read.
+    pub fn named(&self) -> usize {
+        self.named.len()
     }
 
     /// All routers' reports were read.
@@ -237,6 +293,20 @@
         asked.collect()
     }
 
+    /// The other routers as the control thread sees them, for the router at `own` in `zone`.
+    pub fn view(&self, zone: &ZoneName, own: SocketAddr, now: Timestamp) -> PeerView {
+        let alive = self.seen.iter().filter(|(_, seen)| now.saturating_sub(**seen) < PEER_LIFE);
+        let (near, far): (Vec<_>, Vec<_>) =
+            alive.map(|(peer, _)| *peer).partition(|peer| peer.is_near);
+        let addresses = |peers: Vec<PeerRouter>| peers.into_iter().map(|peer| peer.address);
+        let zone_routers = self.counted(zone, now).max(self.near_count(own, now));
+        PeerView {
+            near: RelayOrder::new(addresses(near)),
+            far: addresses(far).collect(),
+            zone_routers,
+        }
+    }
+
     /// All but the router at `own`, in order.
     pub fn peers(&self, own: SocketAddr, now: Timestamp) -> Vec<PeerRouter> {
         let alive = self
@@ -248,10 +318,13 @@
 
     /// Routers in all, the one at `own` in `zone` counted.
     pub fn count(&self, zone: &ZoneName, own: SocketAddr, now: Timestamp) -> usize {
-        let near = self.peers(own, now).iter().filter(|peer| peer.is_near).count() + 1;
         let others = self.counts.keys().filter(|other| *other != zone);
         let elsewhere: usize = others.map(|other| self.counted(other, now)).sum();
-        elsewhere + self.counted(zone, now).max(near)
+        elsewhere + self.counted(zone, now).max(self.near_count(own, now))
+    }
+
+    fn near_count(&self, own: SocketAddr, now: Timestamp) -> usize {
+        self.peers(own, now).iter().filter(|peer| peer.is_near).count() + 1
     }
 
     fn counted(&self, zone: &ZoneName, now: Timestamp) -> usize {
--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -6,6 +6,7 @@
 use std::{
     collections::{BTreeMap, HashMap},
     fmt::{self, Display, Formatter},
+    hash::{Hash, Hasher},
     net::SocketAddr,
     sync::Arc,
     time::Duration,
@@ -73,7 +74,7 @@
 pub const LAPSE_HOLD: Duration = Duration::from_millis(2_200);
 
 /// A base model that a target holds, with adapters of it.
-#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct BaseHolding {
     /// The base model.
     pub base: BaseName,
@@ -92,7 +93,7 @@
 }
 
 /// What the list says of a target.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct TargetEntry {
     /// Which life of which target this is.
     pub life: TargetLife,
@@ -115,6 +116,26 @@
     pub holdings: Vec<BaseHolding>,
 }
 
+impl TargetEntry {
+    /// Whether the target as it is here differs from `other` in the adapters that it holds and in nothing else.
+    pub fn differs_in_adapters_only(&self, other: &Self) -> bool {
+        self.without_adapters() == other.without_adapters()
+    }
+
+    /// Hash of all but the adapters that it holds.
+    pub fn hash_without_adapters(&self) -> u64 {
+        let mut hasher = Xxh3::new();
+        self.without_adapters().hash(&mut hasher);
+        hasher.finish()
+    }
+
+    fn without_adapters(&self) -> Self {
+        let mut entry = self.clone();
+        entry.holdings.iter_mut().for_each(|holding| holding.adapters.clear());
+        entry
+    }
+}
+
 /// A change of the list.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum ListChange {
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -23,7 +23,7 @@
     Usage(UsageReport),
 }
 
-/// A datagram of a loader to a router.
+/// A datagram to a router: of a loader, or of a router that knows no loader.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum LoaderMessage {
     /// What it knows of its engine.
@@ -32,6 +32,8 @@
     Directory(RouterDirectory),
     /// What a router's customers may use.
     Grant(UsageGrant),
+    /// That another router is alive, told to one of those in its settings.
+    Presence(RouterPresence),
 }
 
 /// A router's wish for one adapter at the loader's engine.
--- a/crates/core/src/direct/sharing.rs
+++ b/crates/core/src/direct/sharing.rs
@@ -1,29 +1,33 @@
-//! What the platform's store tells, heard by one router of an availability zone for all of them.
+//! What the platform's store tells, passed on from router to router in each availability zone.
 //!
 //! Every answer of the store costs, and each change answers the watch of every router: with all of them
-//! watching, its calls grow with the routers. One router of each zone, chosen alike by all without a
-//! message, keeps the latest changes for the others, under the store's own revisions, so that a router
-//! can go on at the store at any time, and loses nothing when it does.
+//! watching, its calls grow with the routers. One router of each zone watches; a few relays ask it, and all
+//! others ask a relay, so that nobody answers more than about the square root of the zone's routers. All
+//! choose alike without a message. Changes are passed on under the store's own revisions, so that a router
+//! can go on at the store or at another router at any time, and loses nothing when it does.
+
+pub mod order;
+pub mod source;
 
 use super::{
     call::{AdapterId, AdapterRelease},
-    directory::watcher_rank,
     membership::{InstanceId, ListChange},
     messages::BootId,
     snapshot::ConfigRecord,
 };
-
 use crate::crashes::CrashReport;
 use serde::{Deserialize, Serialize};
 use std::{
-    collections::{HashSet, VecDeque},
-    net::SocketAddr,
+    collections::{HashMap, VecDeque, hash_map::Entry},
     sync::Arc,
 };
 
 /// Rounds of changes that are kept. A router that asks at all asks several times a second, so that one
 /// which is further behind was away and reads the whole kind.
 const LOG_LENGTH: usize = 32;
+/// Hints in one answer. Engines' entries change with every adapter that comes or goes, so that hints would
+/// grow with all engines; beyond this a router learns what an engine holds when it asks its loader.
+const HINT_LIMIT: usize = 32;
 
 /// A change of something that the store holds; the latest one of a thing says all.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -69,34 +73,59 @@
     pub changes: Vec<SharedChange>,
 }
 
-/// What a router tells another that asks for changes of several kinds, in the order of the question.
-pub type SharedNews = Vec<KindNews>;
+/// What a router tells another that asks for changes.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct SharedNews {
+    /// Time in ms since the router at the head of the line last heard of the store.
+    pub age_ms: u32,
+    /// Time in ms since that router could read the list of targets again, if it had lost it shortly before.
+    pub regained_ms: Option<u32>,
+    /// Changes by kind, in the order of the question.
+    pub kinds: Vec<KindNews>,
+}
+
+/// Whether a router can do without a change.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ChangeWeight {
+    /// It must be told.
+    Needed,
+    /// It saves a question to a loader.
+    Hint,
+}
+
+/// A change as the log keeps it.
+#[derive(Clone, Debug)]
+pub struct LoggedChange {
+    /// The change.
+    pub change: SharedChange,
+    /// Whether it must be told.
+    pub weight: ChangeWeight,
+}
 
 /// Latest changes of one kind.
 #[derive(Debug, Default)]
 pub struct ChangeLog {
-    is_direct: bool,
+    is_followed: bool,
     /// Revision from which on all changes are kept.
     from: u64,
     revision: u64,
-    rounds: VecDeque<(u64, Vec<SharedChange>)>,
+    rounds: VecDeque<(u64, Vec<LoggedChange>)>,
 }
 
 impl ChangeLog {
-    /// Whether this router follows the store itself, without interruption. Only then may others rely on
-    /// it: two that rely on each other would both hear nothing for ever.
-    pub fn is_direct(&self) -> bool {
-        self.is_direct
+    /// Whether this router follows the kind without interruption. Only then may others rely on it.
+    pub fn is_followed(&self) -> bool {
+        self.is_followed
     }
 
     /// All of the kind was read at `revision`; what changed before is not known.
     pub fn restart(&mut self, revision: u64) {
-        *self = Self { is_direct: true, from: revision, revision, rounds: VecDeque::new() };
+        *self = Self { is_followed: true, from: revision, revision, rounds: VecDeque::new() };
     }
 
-    /// Changes after `from` and up to `revision` were heard of the store.
-    pub fn append(&mut self, from: u64, revision: u64, changes: Vec<SharedChange>) {
-        if !self.is_direct || from != self.revision {
+    /// Changes after `from` and up to `revision` were heard.
+    pub fn append(&mut self, from: u64, revision: u64, changes: Vec<LoggedChange>) {
+        if !self.is_followed || from != self.revision {
             self.restart(from);
         }
         self.revision = revision;
@@ -116,32 +145,55 @@
         self.revision
     }
 
-    /// The store is not followed any more: changes from now on are missed.
+    /// The kind is not followed any more: changes from now on are missed.
     pub fn stop(&mut self) {
         *self = Self::default();
     }
 
+    /// Whether there is anything to tell one that knows all up to `revision`.
+    pub fn has_news(&self, revision: u64) -> bool {
+        let is_newer = self.rounds.back().is_some_and(|(at, _)| *at > revision);
+        !self.is_followed || revision < self.from || is_newer
+    }
+
     /// What has changed since `revision`; `None` if that is not known. One who asks may be ahead, having
     /// heard of the store itself.
     pub fn since(&self, revision: u64) -> Option<KindNews> {
-        if !self.is_direct || revision < self.from {
+        if !self.is_followed || revision < self.from {
             return None;
         }
         let newer = self.rounds.iter().rev().take_while(|(at, _)| *at > revision);
-        let mut seen = HashSet::new();
-        let mut changes = Vec::new();
-        for change in newer.flat_map(|(_, round)| round.iter().rev()) {
-            if seen.insert(change.thing()) {
-                changes.push(change.clone());
-            }
-        }
+        let newest_first = newer.flat_map(|(_, round)| round.iter().rev());
+        let mut changes = without_excess_hints(latest_of_each(newest_first));
         changes.reverse();
         Some(KindNews { revision: revision.max(self.revision), is_whole: false, changes })
     }
 }
 
-/// The router that follows the store for itself and for the `others` of its zone: the same one wherever
-/// the same routers are known.
-pub fn zone_watcher(own: SocketAddr, others: impl Iterator<Item = SocketAddr>) -> SocketAddr {
-    others.chain([own]).max_by_key(watcher_rank).unwrap_or(own)
+/// The latest change of each thing, newest first. It must be told if an earlier change of the thing had to be.
+fn latest_of_each<'a>(newest_first: impl Iterator<Item = &'a LoggedChange>) -> Vec<LoggedChange> {
+    let mut latest: Vec<LoggedChange> = Vec::new();
+    let mut places = HashMap::new();
+    for logged in newest_first {
+        match places.entry(logged.change.thing()) {
+            Entry::Vacant(place) => {
+                place.insert(latest.len());
+                latest.push(logged.clone());
+            }
+            Entry::Occupied(place) if logged.weight == ChangeWeight::Needed => {
+                latest[*place.get()].weight = ChangeWeight::Needed;
+            }
+            Entry::Occupied(_) => {}
+        }
+    }
+    latest
+}
+
+fn without_excess_hints(newest_first: Vec<LoggedChange>) -> Vec<SharedChange> {
+    let mut hints = 0;
+    let kept = newest_first.into_iter().filter(|logged| {
+        hints += usize::from(logged.weight == ChangeWeight::Hint);
+        logged.weight == ChangeWeight::Needed || hints <= HINT_LIMIT
+    });
+    kept.map(|logged| logged.change).collect()
 }
--- /dev/null
+++ b/crates/core/src/direct/sharing/order.rs
@@ -0,0 +1,74 @@
+//! Which router of an availability zone asks which.
+
+use crate::rendezvous::weight;
+use std::{cmp::Reverse, net::SocketAddr};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Rank of a router among those of its zone; the highest watches the store for it.
+pub(in crate::direct) fn relay_rank(router: &SocketAddr) -> u64 {
+    weight(0, &router.to_string())
+}
+
+/// A router and its rank.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+struct RankedRouter {
+    rank: u64,
+    address: SocketAddr,
+}
+
+/// The first routers of an availability zone, in the order in which they pass on what the store tells: the
+/// watcher, then the relays.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RelayOrder {
+    first: Vec<RankedRouter>,
+}
+
+impl RelayOrder {
+    /// Puts the first routers of a zone in order.
+    pub fn new(routers: impl IntoIterator<Item = SocketAddr>) -> Self {
+        let ranked = |address| RankedRouter { rank: relay_rank(&address), address };
+        let mut first: Vec<RankedRouter> = routers.into_iter().map(ranked).collect();
+        first.sort_unstable_by_key(|router| Reverse((router.rank, router.address)));
+        first.dedup();
+        Self { first }
+    }
+
+    /// Whether no router is known.
+    pub fn is_empty(&self) -> bool {
+        self.first.is_empty()
+    }
+
+    /// The routers, in order.
+    pub fn routers(&self) -> impl Iterator<Item = SocketAddr> {
+        self.first.iter().map(|router| router.address)
+    }
+
+    /// Place of a router among the first; `None` if it is behind them all.
+    pub fn place(&self, router: SocketAddr) -> Option<usize> {
+        self.first.iter().position(|first| first.address == router)
+    }
+
+    /// The router that the one at `own` asks, of those that `is_usable`; `None` if it has to ask the store.
+    ///
+    /// That router is always ahead of it in the order, so that no two ask each other.
+    pub fn upstream(
+        &self,
+        own: SocketAddr,
+        is_usable: impl Fn(&SocketAddr) -> bool,
+    ) -> Option<SocketAddr> {
+        let own_rank = relay_rank(&own);
+        let is_ahead =
+            |router: &&RankedRouter| router.rank > own_rank && is_usable(&router.address);
+        let ahead: Vec<&RankedRouter> = self.first.iter().filter(is_ahead).collect();
+        let chosen = match &ahead[..] {
+            [_, relays @ ..] if !relays.is_empty() && self.place(own).is_none() => {
+                let weight = |router: &&&RankedRouter| {
+                    xxh3_64_with_seed(&router.rank.to_le_bytes(), own_rank)
+                };
+                relays.iter().max_by_key(weight)
+            }
+            _ => ahead.first(),
+        };
+        chosen.map(|router| router.address)
+    }
+}
--- a/crates/core/src/direct/snapshot.rs
+++ b/crates/core/src/direct/snapshot.rs
@@ -5,8 +5,8 @@
     call::{AdapterId, AdapterRelease},
     config::{CallerLimits, ConfigNumber, RouteConfig, RouteRule, ServiceSpec},
     customers::{CustomerBook, CustomerFault, CustomerRule},
-    membership::{InstanceId, ListChange, TargetEntry},
-    sharing::SharedChange,
+    membership::{InstanceId, ListChange, TargetEntry, TargetLife},
+    sharing::{ChangeWeight, LoggedChange, SharedChange},
 };
 use crate::{
     crashes::{CrashReport, CrashReports},
@@ -15,6 +15,9 @@
 use serde::{Deserialize, Serialize};
 use std::{collections::HashMap, sync::Arc};
 
+/// Hash of a list of targets, in any order.
+pub type ListHash = u64;
+
 /// A configuration as sent between routers.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ConfigRecord {
@@ -58,12 +61,14 @@
     pub is_current: bool,
     /// The configuration, if it is newer than the one that the asker has.
     pub config: Option<ConfigRecord>,
-    /// The list of targets; `None` if it was never read.
+    /// The list of targets; `None` if it was never read, or the asker has the same.
     pub targets: Option<Vec<Arc<TargetEntry>>>,
     /// Newest versions of adapters.
     pub releases: Vec<(Arc<str>, Arc<str>, AdapterVersion)>,
     /// What routers tell of crashes.
     pub crashes: Vec<Arc<CrashReport>>,
+    /// Revisions up to which the teller knows each kind of object; `None` for one that it has not read.
+    pub revisions: Vec<Option<u64>>,
 }
 
 /// What a router has read of the platform so far, whether directly or from a peer.
@@ -113,6 +118,26 @@
         }
     }
 
+    /// Whether this life of a target is in the list.
+    pub fn knows_target(&self, life: &TargetLife) -> bool {
+        self.targets.get(&life.id).is_some_and(|entry| entry.life == *life)
+    }
+
+    /// A change that was just heard, as the log keeps it.
+    ///
+    /// What an engine holds is told by its loader, so that a change of its adapters alone is no more than a hint.
+    pub fn weigh(&self, change: SharedChange) -> LoggedChange {
+        let is_hint = match &change {
+            SharedChange::Target(ListChange::Put(entry)) => {
+                let known = self.targets.get(&entry.life.id);
+                known.is_some_and(|known| known.differs_in_adapters_only(entry))
+            }
+            _ => false,
+        };
+        let weight = if is_hint { ChangeWeight::Hint } else { ChangeWeight::Needed };
+        LoggedChange { change, weight }
+    }
+
     /// Takes a version of an adapter unless it is older.
     pub fn take_release(&mut self, release: &AdapterRelease) {
         let known = self.releases.entry(release.adapter.clone()).or_insert(release.version);
@@ -155,8 +180,21 @@
         releases.map(SharedChange::Release).collect()
     }
 
-    /// What a peer is told that has the configuration `number`.
-    pub fn snapshot(&self, number: ConfigNumber, is_current: bool) -> PeerSnapshot {
+    /// Tells lists apart that name other targets, or say something else of them than which adapters they hold;
+    /// `None` if the list was never read.
+    pub fn list_hash(&self) -> Option<ListHash> {
+        let hashes = self.targets.values().map(|entry| entry.hash_without_adapters());
+        self.has_targets.then(|| hashes.fold(0, u64::wrapping_add))
+    }
+
+    /// What a peer is told that has the configuration `number`, and a list of hash `list`.
+    pub fn snapshot(
+        &self,
+        number: ConfigNumber,
+        list: Option<ListHash>,
+        is_current: bool,
+    ) -> PeerSnapshot {
+        let is_news = self.has_targets && self.list_hash() != list;
         let newer = self.config.as_ref().filter(|config| config.number > number);
         let releases = self.releases.iter().map(|(adapter, version)| {
             (Arc::clone(&adapter.base), Arc::clone(&adapter.name), *version)
@@ -164,9 +202,10 @@
         PeerSnapshot {
             is_current,
             config: newer.map(|config| ConfigRecord::new(config)),
-            targets: self.has_targets.then(|| self.targets.values().cloned().collect()),
+            targets: is_news.then(|| self.targets.values().cloned().collect()),
             releases: releases.collect(),
             crashes: self.crashes.iter().cloned().collect(),
+            revisions: Vec::new(),
         }
     }
 }
--- a/crates/core/tests/core/direct/directory.rs
+++ b/crates/core/tests/core/direct/directory.rs
@@ -5,7 +5,7 @@
     direct::{
         directory::{MeetingPoint, RouterPresence, RouterRegister, meeting_targets},
         membership::InstanceId,
-        sharing::zone_watcher,
+        sharing::order::RelayOrder,
     },
     ids::ZoneName,
 };
@@ -74,13 +74,14 @@
     for index in 0..60 {
         meeting.take(&presence("a", index, true), ms(u64::from(index)));
     }
-    let expected = zone_watcher(router(0), (0..60).map(router));
+    let expected = RelayOrder::new((0..60).map(router)).routers().next().expect("a router");
     for index in 0..60 {
         let mut register = RouterRegister::default();
         register.note(&meeting.take(&presence("a", index, true), ms(100)), ms(100));
         let own = router(index);
-        let near = register.peers(own, ms(100)).into_iter().filter(|peer| peer.is_near);
-        assert_eq!(zone_watcher(own, near.map(|peer| peer.address)), expected, "router {index}");
+        let order = register.view(&zone, own, ms(100)).near;
+        assert_eq!(order.routers().next(), Some(expected), "router {index}");
+        assert_eq!(order.upstream(own, |_| true).is_none(), own == expected, "router {index}");
         assert_eq!(register.count(&zone, own, ms(100)), 60, "router {index}");
     }
 }
--- a/crates/core/tests/core/direct/fleet/simulation.rs
+++ b/crates/core/tests/core/direct/fleet/simulation.rs
@@ -386,7 +386,7 @@
                 router.pool.take_report(host(index).ip(), report, now);
             }
             LoaderMessage::Directory(directory) => router.register.note(&directory, now),
-            LoaderMessage::Grant(_) => {}
+            LoaderMessage::Grant(_) | LoaderMessage::Presence(_) => {}
         }
     }
 
--- a/crates/core/tests/core/direct/sharing.rs
+++ b/crates/core/tests/core/direct/sharing.rs
@@ -1,9 +1,12 @@
 //! The list of targets, shared by the routers of a zone.
 
+mod growth;
+mod zone;
+
 use super::support::{DESK, target};
 use plantain_core::direct::{
     membership::{InstanceId, ListChange},
-    sharing::{ChangeLog, SharedChange, zone_watcher},
+    sharing::{ChangeLog, ChangeWeight, LoggedChange, SharedChange, order::RelayOrder},
 };
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use std::{
@@ -85,6 +88,11 @@
     }
 }
 
+fn needed(changes: Vec<SharedChange>) -> Vec<LoggedChange> {
+    let weight = ChangeWeight::Needed;
+    changes.into_iter().map(|change| LoggedChange { change, weight }).collect()
+}
+
 /// A router follows the keeper now and then, and otherwise asks one of two others that lose the keeper
 /// and find it again. If it took a list that lacks a change, a target that has left would get calls for
 /// as long as its entry does not change again. Whatever the order, its list is the keeper's own at the
@@ -100,7 +108,7 @@
                 ShareStep::Change { target, is_removed } => keeper.change(target, is_removed),
                 ShareStep::Read { log } => {
                     let (log, known) = &mut logs[log];
-                    log.append(*known, keeper.revision(), keeper.after(*known));
+                    log.append(*known, keeper.revision(), needed(keeper.after(*known)));
                     *known = keeper.revision();
                 }
                 ShareStep::Lose { log } => {
@@ -152,7 +160,7 @@
         log.restart(0);
         for round in 0..case.rounds {
             keeper.change(round as usize % TARGETS.len(), false);
-            log.append(round, round + 1, keeper.after(round));
+            log.append(round, round + 1, needed(keeper.after(round)));
         }
         let told = log.since(case.since).map(|news| news.changes.len());
         assert_eq!(told, case.told, "{}", case.name);
@@ -170,9 +178,10 @@
         .iter()
         .map(|own| {
             let others = routers.iter().rev().copied().filter(|other| other != own);
-            zone_watcher(*own, others)
+            let order = RelayOrder::new(others.chain([*own]));
+            order.upstream(*own, |_| true).unwrap_or(*own)
         })
         .collect();
     assert_eq!(named.len(), 1);
-    assert_eq!(zone_watcher(routers[0], std::iter::empty()), routers[0], "one alone");
+    assert_eq!(RelayOrder::new([routers[0]]).upstream(routers[0], |_| true), None, "one alone");
 }
--- /dev/null
+++ b/crates/core/tests/core/direct/sharing/zone.rs
@@ -0,0 +1,355 @@
+//! The routers of one availability zone and the store, in simulated time: the real state machines choose whom to
+//! ask, keep the changes and tell them.
+
+use super::super::support::{ENGINES, ms, target};
+use plantain_core::{
+    direct::{
+        directory::{MeetingPoint, PeerView, RouterPresence, RouterRegister},
+        membership::{BaseHolding, ListChange, TargetEntry},
+        sharing::{
+            ChangeLog, ChangeWeight, LoggedChange, SharedChange, SharedNews,
+            source::{SourceMachine, SourceView, StoreSource, UpstreamWord},
+        },
+    },
+    ids::ZoneName,
+};
+use std::{collections::BTreeMap, net::SocketAddr, sync::Arc};
+
+/// Step of the simulation in ms.
+const STEP: u64 = 50;
+/// Time in ms from a target's leaving to the last call that may reach it.
+pub const DRAIN: u64 = 4_000;
+/// Time in ms for which a question waits for changes.
+const QUESTION_WAIT: u64 = 300;
+/// Time in ms after which a question without an answer is given up.
+const QUESTION_LIMIT: u64 = 500;
+/// Pause in ms after a denial.
+const RETRY_PAUSE: u64 = 250;
+/// Time in ms for which changes gather at a watcher, and for which its watch waits.
+const WATCH_ROUND: u64 = DRAIN * 65 / 100;
+/// Pause in ms of a router that cannot read the store.
+const FAILED_PAUSE: u64 = 500;
+/// Pause in ms between a router's turns of telling that it is alive.
+const PRESENCE_PAUSE: u64 = 500;
+/// Pause in ms after which an engine holds other adapters.
+const CHANGE_PAUSE: u64 = 2_600;
+const ADAPTERS: usize = 9;
+
+/// What happens to a router.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum RouterFault {
+    None,
+    /// It answers nobody, and does nothing.
+    Frozen,
+    /// The store turns it away.
+    TurnedAway,
+}
+
+#[derive(Clone, Copy)]
+struct Question {
+    upstream: usize,
+    asked: u64,
+}
+
+struct Router {
+    machine: SourceMachine,
+    register: RouterRegister,
+    view: PeerView,
+    log: ChangeLog,
+    revision: Option<u64>,
+    heard_at: u64,
+    question: Option<Question>,
+    next_question: u64,
+    next_watch: u64,
+    fault: RouterFault,
+}
+
+/// What was seen.
+#[derive(Clone, Debug, Default)]
+pub struct ZoneCounts {
+    /// Calls of the store that cost in full.
+    pub store_calls: usize,
+    /// Lists that may be old.
+    pub recent_lists: usize,
+    /// Bytes that each router told others.
+    pub told_bytes: Vec<usize>,
+    /// Routers that each one answered last.
+    pub askers: BTreeMap<usize, Vec<usize>>,
+}
+
+impl ZoneCounts {
+    /// Routers that the busiest one answers.
+    pub fn most_askers(&self) -> usize {
+        self.askers.values().map(Vec::len).max().unwrap_or(0)
+    }
+}
+
+/// One zone.
+pub struct Zone {
+    now: u64,
+    routers: Vec<Router>,
+    meeting: MeetingPoint,
+    /// Changes in the store, one a revision.
+    changes: Vec<LoggedChange>,
+    engines: usize,
+    is_out: bool,
+    pub counts: ZoneCounts,
+}
+
+fn address(index: usize) -> SocketAddr {
+    ([10, 0, (index >> 8) as u8, index as u8], 9_000).into()
+}
+
+fn router_index(address: SocketAddr) -> usize {
+    match address {
+        SocketAddr::V4(address) => {
+            let [_, _, high, low] = address.ip().octets();
+            usize::from(high) << 8 | usize::from(low)
+        }
+        SocketAddr::V6(_) => unreachable!("routers of this zone have IPv4 addresses"),
+    }
+}
+
+fn zone_name() -> ZoneName {
+    "a".into()
+}
+
+fn entry(index: usize, round: u64) -> TargetEntry {
+    let entry = target(&format!("engine-{index:04}"), ENGINES, "a", 1);
+    let adapters = (0..ADAPTERS).map(|place| (format!("a{}", round * 7 + place as u64).into(), 1));
+    let holding = BaseHolding { base: "m0".into(), version: 1, adapters: adapters.collect() };
+    TargetEntry { holdings: vec![holding], generation: index as u64, ..entry }
+}
+
+impl Zone {
+    /// A zone whose routers all start now, before `engines` engines.
+    pub fn new(routers: usize, engines: usize) -> Self {
+        let mut zone = Self {
+            now: 0,
+            routers: Vec::new(),
+            meeting: MeetingPoint::default(),
+            changes: Vec::new(),
+            engines,
+            is_out: false,
+            counts: ZoneCounts::default(),
+        };
+        for index in 0..engines {
+            zone.put(entry(index, 0), ChangeWeight::Needed);
+        }
+        zone.routers = (0..routers).map(|index| new_router(index, 0)).collect();
+        zone.reset_counts();
+        zone
+    }
+
+    pub fn reset_counts(&mut self) {
+        let told_bytes = vec![0; self.routers.len()];
+        self.counts = ZoneCounts { told_bytes, ..ZoneCounts::default() };
+    }
+
+    /// The store answers nobody, or everybody again.
+    pub fn set_out(&mut self, is_out: bool) {
+        self.is_out = is_out;
+    }
+
+    pub fn set_fault(&mut self, router: usize, fault: RouterFault) {
+        self.routers[router].fault = fault;
+    }
+
+    /// Routers that ask the store.
+    pub fn watchers(&self) -> Vec<usize> {
+        let is_watcher =
+            |index: &usize| self.routers[*index].machine.source() == StoreSource::Store;
+        (0..self.routers.len()).filter(is_watcher).collect()
+    }
+
+    /// The oldest knowledge of any router without a fault, in ms.
+    pub fn oldest(&self) -> u64 {
+        let sound = self.routers.iter().filter(|router| router.fault == RouterFault::None);
+        sound.map(|router| self.now - router.heard_at).max().unwrap_or(0)
+    }
+
+    /// Plays for `time` ms; returns the oldest knowledge that any sound router had after `from` of them.
+    pub fn play(&mut self, time: u64, from: u64) -> u64 {
+        let (until, from) = (self.now + time, self.now + from);
+        let mut oldest = 0;
+        while self.now < until {
+            self.now += STEP;
+            self.change_engines();
+            for index in 0..self.routers.len() {
+                if self.routers[index].fault != RouterFault::Frozen {
+                    self.step(index);
+                }
+            }
+            if self.now >= from {
+                oldest = oldest.max(self.oldest());
+            }
+        }
+        oldest
+    }
+
+    fn put(&mut self, entry: TargetEntry, weight: ChangeWeight) {
+        let change = SharedChange::Target(ListChange::Put(Arc::new(entry)));
+        self.changes.push(LoggedChange { change, weight });
+    }
+
+    fn change_engines(&mut self) {
+        for index in 0..self.engines {
+            let phase = index as u64 * STEP % CHANGE_PAUSE;
+            if self.now % CHANGE_PAUSE == phase {
+                self.put(entry(index, self.now / CHANGE_PAUSE), ChangeWeight::Hint);
+            }
+        }
+    }
+
+    fn revision(&self) -> u64 {
+        self.changes.len() as u64
+    }
+
+    fn step(&mut self, index: usize) {
+        if self.now % PRESENCE_PAUSE == index as u64 * STEP % PRESENCE_PAUSE {
+            let (zone, address) = (zone_name(), address(index));
+            let news = Vec::new();
+            let presence = RouterPresence { zone, address, meets_here: true, news };
+            let directory = self.meeting.take(&presence, ms(self.now));
+            let router = &mut self.routers[index];
+            router.register.note(&directory, ms(self.now));
+            router.view = router.register.view(&zone_name(), address, ms(self.now));
+        }
+        if self.routers[index].revision.is_none() {
+            self.list(index);
+            return;
+        }
+        let now = ms(self.now);
+        let router = &mut self.routers[index];
+        let view = SourceView {
+            order: &router.view.near,
+            is_listed: true,
+            heard_at: ms(router.heard_at),
+            drain_time: ms(DRAIN),
+        };
+        if router.machine.look(&view, now).is_some() {
+            router.next_watch = self.now;
+        }
+        match router.question {
+            Some(question) => self.follow_question(index, question),
+            None if self.now >= router.next_question => {
+                let upstream = router.machine.upstream(&router.view.near).map(router_index);
+                router.question = upstream.map(|upstream| Question { upstream, asked: self.now });
+            }
+            None => {}
+        }
+        if self.routers[index].machine.source() == StoreSource::Store {
+            self.watch(index);
+        }
+    }
+
+    fn list(&mut self, index: usize) {
+        self.counts.recent_lists += 1;
+        if self.is_out || self.routers[index].fault == RouterFault::TurnedAway {
+            return;
+        }
+        let revision = self.revision();
+        let router = &mut self.routers[index];
+        router.revision = Some(revision);
+        router.log.restart(revision);
+    }
+
+    fn watch(&mut self, index: usize) {
+        if self.now < self.routers[index].next_watch {
+            return;
+        }
+        self.counts.store_calls += 1;
+        let revision = self.revision();
+        let router = &mut self.routers[index];
+        if self.is_out || router.fault == RouterFault::TurnedAway {
+            router.log.stop();
+            let pause = router.view.probe_pause(address(index)).as_millis() as u64;
+            router.next_watch = self.now + pause.max(FAILED_PAUSE);
+            return;
+        }
+        let from = router.revision.unwrap_or(0);
+        router.log.append(from, revision, self.changes[from as usize..].to_vec());
+        router.revision = Some(revision);
+        router.heard_at = self.now;
+        router.next_watch = self.now + WATCH_ROUND;
+    }
+
+    fn follow_question(&mut self, index: usize, question: Question) {
+        let waited = self.now - question.asked;
+        let known = self.routers[index].revision.unwrap_or(0);
+        let upstream = &self.routers[question.upstream];
+        let is_frozen = upstream.fault == RouterFault::Frozen;
+        let has_news = upstream.log.has_news(known);
+        let word = if is_frozen {
+            if waited < QUESTION_LIMIT {
+                return;
+            }
+            UpstreamWord::Silent
+        } else if upstream.machine.source() == StoreSource::Undecided {
+            UpstreamWord::Denied
+        } else if !has_news && waited < QUESTION_WAIT {
+            return;
+        } else if self.told_life_is_over(question.upstream) {
+            UpstreamWord::Stale
+        } else if upstream.log.is_followed() {
+            UpstreamWord::News
+        } else {
+            UpstreamWord::Denied
+        };
+        if word == UpstreamWord::News {
+            self.tell(question.upstream, index);
+        }
+        let now = self.now;
+        let router = &mut self.routers[index];
+        router.question = None;
+        let is_left = router.machine.take_word(address(question.upstream), word, ms(now));
+        if word != UpstreamWord::News && !is_left {
+            router.next_question = now + RETRY_PAUSE;
+        }
+    }
+
+    fn told_life_is_over(&self, index: usize) -> bool {
+        let router = &self.routers[index];
+        let life = router.machine.source().told_life(ms(DRAIN));
+        ms(self.now - router.heard_at) >= life
+    }
+
+    fn tell(&mut self, teller: usize, asker: usize) {
+        let known = self.routers[asker].revision.unwrap_or(0);
+        let upstream = &self.routers[teller];
+        let (heard_at, revision) = (upstream.heard_at, upstream.log.revision());
+        let news = upstream.log.since(known);
+        let logged = upstream.revision.map_or(0, |_| revision);
+        let kinds: Vec<_> = news.into_iter().collect();
+        let changes: Vec<SharedChange> =
+            kinds.iter().flat_map(|news| news.changes.iter().cloned()).collect();
+        let told = SharedNews { age_ms: 0, regained_ms: None, kinds };
+        let bytes = postcard::to_allocvec(&told).expect("news").len();
+        self.counts.told_bytes[teller] += bytes;
+        for askers in self.counts.askers.values_mut() {
+            askers.retain(|known| *known != asker);
+        }
+        self.counts.askers.entry(teller).or_default().push(asker);
+        let router = &mut self.routers[asker];
+        let weight = ChangeWeight::Hint;
+        let hints = changes.into_iter().map(|change| LoggedChange { change, weight }).collect();
+        router.log.append(known, logged.max(known), hints);
+        router.revision = Some(logged.max(known));
+        router.heard_at = router.heard_at.max(heard_at);
+    }
+}
+
+fn new_router(index: usize, now: u64) -> Router {
+    Router {
+        machine: SourceMachine::new(address(index)),
+        register: RouterRegister::default(),
+        view: PeerView::default(),
+        log: ChangeLog::default(),
+        revision: None,
+        heard_at: now,
+        question: None,
+        next_question: now,
+        next_watch: now,
+        fault: RouterFault::None,
+    }
+}
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -29,7 +29,7 @@
 use eyre::{Result, WrapErr};
 use plantain_core::{
     direct::{
-        directory::PeerRouter,
+        directory::PeerView,
         membership::{InstanceId, ListChange, TargetEntry},
         targets::TargetPool,
     },
@@ -43,13 +43,14 @@
     net::SocketAddr,
     rc::Rc,
     sync::{Arc, atomic::AtomicBool},
+    time::Duration,
 };
 use tokio::{
     net::UdpSocket,
     runtime::Builder,
     sync::{mpsc, watch},
     task::{LocalSet, spawn_local},
-    time::interval,
+    time::{interval, timeout},
 };
 
 /// Runs a router until it is told to stop and its calls in flight have ended.
@@ -70,12 +71,13 @@
         let context =
             RouterContext::new(Arc::clone(&settings), boot, logger.clone(), is_ready, stopping);
         let settings = reload::follow(site, logger.clone())?;
-        let peers = watch::channel(Vec::new());
+        let peers = watch::channel(PeerView::default());
         let events = start_control(&settings, peers.1, &context).await?;
 
         spawn_local(follow_settings(settings, Rc::clone(&context)));
         spawn_local(take_events(events, Rc::clone(&context)));
-        spawn_local(keep_time(peers.0, Rc::clone(&context)));
+        spawn_local(keep_time(Rc::clone(&context)));
+        spawn_local(tell_peers(peers.0, Rc::clone(&context)));
         spawn_local(readiness::serve(ready, Rc::clone(&context)));
         spawn_local(links::run(link, Rc::clone(&context)));
         info!(logger, "router listens"; "step" => "start",
@@ -88,7 +90,7 @@
 
 async fn start_control(
     settings: &watch::Receiver<Arc<RouterFile>>,
-    peers: watch::Receiver<Vec<PeerRouter>>,
+    peers: watch::Receiver<PeerView>,
     context: &RouterContext,
 ) -> Result<mpsc::Receiver<ControlEvent>> {
     let address = settings.borrow().peer_listen;
@@ -173,13 +175,11 @@
                 pool.take_release(release);
             }
             FollowedChange::Crashes(report) => context.take_crashes(&report, now),
-            FollowedChange::Target(change) => {
-                log_target(&change, &pool, context);
-                list.push(change);
-            }
+            FollowedChange::Target(change) => list.push(change),
         }
     }
     if !list.is_empty() {
+        log_targets(list.iter(), &pool, context);
         pool.apply_changes(&list, now);
     }
 }
@@ -194,14 +194,41 @@
     }
     for entry in entries {
         gone.remove(&entry.life.id);
-        log_target(&ListChange::Put(Arc::clone(entry)), &pool, context);
     }
-    for id in gone {
-        log_target(&ListChange::Removed(Arc::clone(id)), &pool, context);
+    let put = entries.iter().map(|entry| ListChange::Put(Arc::clone(entry)));
+    let removed = gone.into_iter().map(|id| ListChange::Removed(Arc::clone(id)));
+    let changes: Vec<ListChange> = put.chain(removed).collect();
+    log_targets(changes.iter(), &pool, context);
+}
+
+/// Writes a line for each change that changes which targets get calls, up to [`constants::TARGET_LINES`], and one
+/// for all others: where every target starts anew, each router would write a line for each.
+fn log_targets<'a>(
+    changes: impl Iterator<Item = &'a ListChange>,
+    pool: &TargetPool,
+    context: &RouterContext,
+) {
+    let told: Vec<&ListChange> = changes.filter(|change| is_turnover(change, pool)).collect();
+    for change in told.iter().take(constants::TARGET_LINES) {
+        log_target(change, pool, context);
+    }
+    if told.len() > constants::TARGET_LINES {
+        info!(context.logger, "more targets changed"; "step" => "targets",
+            "targets" => told.len() - constants::TARGET_LINES);
+    }
+}
+
+/// Whether a change changes which targets get calls.
+fn is_turnover(change: &ListChange, pool: &TargetPool) -> bool {
+    match change {
+        ListChange::Removed(_) => true,
+        ListChange::Put(entry) => {
+            let known = pool.target(&entry.life);
+            known.is_none_or(|known| known.entry.is_leaving != entry.is_leaving)
+        }
     }
 }
 
-/// Writes a line where a change of the list changes which targets get calls.
 fn log_target(change: &ListChange, pool: &TargetPool, context: &RouterContext) {
     let logger = &context.logger;
     match change {
@@ -227,11 +254,31 @@
     }
 }
 
+/// The number of other routers whose reports were read, as it was last logged.
+#[derive(Default)]
+struct NamedCount {
+    told: usize,
+    told_at: Timestamp,
+}
+
+impl NamedCount {
+    /// Writes a line if it has changed, at most one a second.
+    fn tell(&mut self, context: &RouterContext, now: Timestamp) {
+        let named = context.routers_mut().named();
+        if named != self.told && now.saturating_sub(self.told_at) >= Duration::from_secs(1) {
+            info!(context.logger, "routers known by their reports"; "step" => "routers",
+                "routers" => named);
+            (self.told, self.told_at) = (named, now);
+        }
+    }
+}
+
 /// Drops what has outlived its time, looks for adapters that deserve more copies, and notices a
 /// suspension of the process.
-async fn keep_time(peers: watch::Sender<Vec<PeerRouter>>, context: Rc<RouterContext>) {
+async fn keep_time(context: Rc<RouterContext>) {
     let mut ticks = interval(constants::TICK);
     let mut last = clock::now();
+    let mut named = NamedCount::default();
     loop {
         ticks.tick().await;
         let now = clock::now();
@@ -245,15 +292,23 @@
         context.pool.borrow_mut().expire(now);
         context.look_for_crashes(now);
         context.routers_mut().expire(now);
+        named.tell(&context, now);
         context.connections.expire(now);
         context.prefetch(now);
         links::follow_meters(&context, now);
         readiness::update(&context);
-        let known = context.peers();
+    }
+}
+
+/// Tells the control thread which other routers there are, as soon as that changes.
+async fn tell_peers(peers: watch::Sender<PeerView>, context: Rc<RouterContext>) {
+    loop {
+        let known = context.peer_view();
         peers.send_if_modified(|peers| {
             let is_changed = *peers != known;
             *peers = known;
             is_changed
         });
+        let _ = timeout(constants::TICK, context.routers_heard.notified()).await;
     }
 }
--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -203,6 +203,8 @@
     let started = clock::now();
     let (parts, body) = request.into_parts();
     let head = calls::decode_call(&parts);
+    let patience = head.time_left.unwrap_or(constants::START_WAIT);
+    context.first_config(started + patience.saturating_sub(constants::SERVE_TIME)).await;
     let config = Arc::clone(context.pool.borrow().config());
     let mut identity = None;
     match admit(&parts, &head, body, &config, context, &mut identity).await {
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -38,6 +38,11 @@
 /// Longest wait of a call for the base model of engines that have just started: a load takes 0.8 s from
 /// the host's disk and 2.1 s from the weight store.
 pub(crate) const BASE_WAIT: Duration = Duration::from_millis(2_500);
+/// Time after a router's start for which calls wait for the configuration and the list: a router that has just
+/// started reads both within about a second, sooner than a caller that is turned away comes back.
+pub(crate) const START_WAIT: Duration = Duration::from_millis(2_500);
+/// Pause between looks at whether they are there.
+pub(crate) const START_LOOK: Duration = Duration::from_millis(20);
 /// Pause between looks at a load that a call waits for, beside the loader's reports.
 pub(crate) const LOAD_LOOK: Duration = Duration::from_millis(60);
 /// Time for which a wish ahead of calls is kept.
@@ -49,6 +54,11 @@
 pub(crate) const NOTICE_LOOK: Duration = Duration::from_millis(50);
 /// Pause between turns in which a router tells that it is alive; loaders believe it for five of them.
 pub(crate) const PRESENCE_PAUSE: Duration = Duration::from_secs(1);
+/// The same in the first [`EARLY_PRESENCES`] turns: routers that start together are to know each other before
+/// they choose which of them asks the store.
+pub(crate) const EARLY_PRESENCE_PAUSE: Duration = Duration::from_millis(200);
+/// Turns after a router's start that come faster.
+pub(crate) const EARLY_PRESENCES: usize = 5;
 /// Longest wait of a call for the answer to one question, after which it looks whether the loader has
 /// become silent meanwhile.
 pub(crate) const QUESTION_LOOK: Duration = Duration::from_millis(40);
@@ -84,5 +94,7 @@
 pub(crate) const LOG_RATE: f64 = 150.0;
 /// Lines that may come at once.
 pub(crate) const LOG_BURST: f64 = 300.0;
+/// Lines about targets that one change of the list brings.
+pub(crate) const TARGET_LINES: usize = 16;
 /// Time for which a body may take to arrive, from its head.
 pub(crate) const BODY_LIMIT: Duration = Duration::from_secs(5);
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -11,7 +11,7 @@
     direct::{
         budget::RepeatBudget,
         call::{AdapterId, ModelCall},
-        directory::{PeerRouter, RouterDirectory, RouterRegister},
+        directory::{MeetingPoint, PeerView, RouterDirectory, RouterRegister},
         limits::terms::FleetSize,
         membership::TargetLife,
         messages::BootId,
@@ -73,6 +73,10 @@
     started: Timestamp,
     budgets: RefCell<HashMap<ServiceName, RepeatBudget>>,
     routers: RefCell<RouterRegister>,
+    /// Wakes the one who tells the control thread of the other routers.
+    pub(crate) routers_heard: Notify,
+    /// Routers that come by at this one, since they know no loader.
+    pub(crate) meeting: RefCell<MeetingPoint>,
 }
 
 impl RouterContext {
@@ -103,9 +107,24 @@
             started: clock::now(),
             budgets: RefCell::default(),
             routers: RefCell::default(),
+            routers_heard: Notify::new(),
+            meeting: RefCell::default(),
         })
     }
 
+    /// Whether the router has started so lately that it may not have read yet what it needs.
+    pub(crate) fn is_starting(&self) -> bool {
+        clock::now().saturating_sub(self.started) < constants::START_WAIT
+    }
+
+    /// Waits for a first configuration, at most until `deadline`, if the router has just started.
+    pub(crate) async fn first_config(&self, deadline: Timestamp) {
+        let is_missing = || self.pool.borrow().config().number == 0;
+        while is_missing() && self.is_starting() && clock::now() < deadline {
+            sleep(constants::START_LOOK).await;
+        }
+    }
+
     /// Whether the process was told to stop.
     pub(crate) fn is_stopping(&self) -> bool {
         *self.stopping.borrow()
@@ -153,11 +172,13 @@
     /// Notes the routers that a loader names.
     pub(crate) fn note_routers(&self, directory: &RouterDirectory, now: Timestamp) {
         self.routers.borrow_mut().note(directory, now);
+        self.routers_heard.notify_one();
     }
 
-    /// Other routers that are alive.
-    pub(crate) fn peers(&self) -> Vec<PeerRouter> {
-        self.routers.borrow().peers(self.settings.borrow().peer_listen, clock::now())
+    /// The other routers as the control thread sees them.
+    pub(crate) fn peer_view(&self) -> PeerView {
+        let settings = self.settings.borrow();
+        self.routers.borrow().view(&settings.zone, settings.peer_listen, clock::now())
     }
 
     /// Zones of `all` whose number of routers is to be asked at this router's turn `turn`.
--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -5,10 +5,11 @@
 use plantain_core::{
     crashes::CrashReport,
     direct::{
-        directory::PeerRouter,
+        directory::PeerView,
+        membership::ListChange,
         messages::BootId,
-        sharing::{ChangeLog, SharedChange, zone_watcher},
-        snapshot::FollowedState,
+        sharing::{ChangeLog, LoggedChange, SharedChange, source::StoreSource},
+        snapshot::{FollowedState, PeerSnapshot},
     },
     ids::Timestamp,
 };
@@ -25,8 +26,16 @@
     net::TcpListener,
     sync::{Notify, mpsc, watch},
     task::spawn_local,
+    time::sleep,
 };
 
+/// Time from a router's start in which others of its zone may still be named to it.
+const NAME_WAIT: Duration = Duration::from_millis(150);
+/// Time from its start for which a router behind the relays waits for what they have read.
+const SNAPSHOT_WAIT: Duration = Duration::from_millis(700);
+/// Pause between looks at both.
+const START_LOOK: Duration = Duration::from_millis(10);
+
 /// What the control thread tells the serving thread.
 #[derive(Debug)]
 pub(crate) enum ControlEvent {
@@ -57,6 +66,7 @@
     pub(super) logger: Logger,
     /// This process's start.
     pub(super) boot: BootId,
+    started: Timestamp,
     pub(super) state: RefCell<FollowedState>,
     /// How far each kind is followed.
     progress: [KindProgress; FollowedKind::ALL.len()],
@@ -64,12 +74,16 @@
     pub(super) logs: RefCell<[ChangeLog; FollowedKind::ALL.len()]>,
     /// Wakes those who wait for changes.
     pub(super) log_changed: Notify,
-    /// When the store last answered this router.
+    /// Up to when all changes are known: when the store last answered this router, or the one that watches for it.
     pub(super) heard_at: Cell<Timestamp>,
-    /// Whether another router follows the store for this one.
-    is_shared: watch::Sender<bool>,
+    /// When the list of targets could be read again, after an outage.
+    pub(super) regained_at: Cell<Option<Timestamp>>,
+    source: watch::Sender<StoreSource>,
+    /// Whether the configuration's follower has yet to find out if the store answers this router.
+    is_proving: Cell<bool>,
+    proved: Notify,
     settings: watch::Receiver<Arc<RouterFile>>,
-    peers: watch::Receiver<Vec<PeerRouter>>,
+    peers: watch::Receiver<PeerView>,
     events: mpsc::Sender<ControlEvent>,
     lost: Cell<u32>,
     is_config_lost: Cell<bool>,
@@ -95,8 +109,9 @@
     /// Routers that may be asked: those alive as far as is known, and those of the settings.
     pub(super) fn peers(&self) -> Vec<SocketAddr> {
         let settings = self.settings.borrow();
-        let alive = self.peers.borrow();
-        let mut peers: Vec<SocketAddr> = alive.iter().map(|peer| peer.address).collect();
+        let view = self.peers.borrow();
+        let mut peers: Vec<SocketAddr> = view.near.routers().collect();
+        peers.extend(&view.far);
         peers.extend(&settings.peers);
         peers.sort_unstable();
         peers.dedup();
@@ -109,11 +124,64 @@
         &self.progress[kind as usize]
     }
 
-    /// Revisions of all kinds; none before all of them were read.
-    pub(super) fn revisions(&self) -> Option<Vec<u64>> {
+    /// Whether the configuration and the list were read, or told by another router.
+    pub(super) fn is_listed(&self) -> bool {
+        let is_complete = self.state.borrow().is_complete();
+        is_complete || (self.has_read(FollowedKind::Config) && self.has_read(FollowedKind::Targets))
+    }
+
+    /// Whether a kind was read, or told by another router.
+    pub(super) fn has_read(&self, kind: FollowedKind) -> bool {
+        self.progress(kind).revision.get().is_some()
+    }
+
+    /// The relay that tells this router what it needs at its start, so that not all routers which start together
+    /// read all of the store; `None` where this router reads for itself.
+    pub(super) fn first_teller(&self) -> Option<SocketAddr> {
+        let is_new = self.age() < SNAPSHOT_WAIT && self.source() == StoreSource::Undecided;
+        if !is_new || self.state.borrow().is_complete() {
+            return None;
+        }
+        let (order, own) = (&self.peers.borrow().near, self.own_address());
+        if order.place(own).is_some() { None } else { order.upstream(own, |_| true) }
+    }
+
+    /// Waits until it is known that this router has to read the store for itself, or until it has what it needs.
+    pub(super) async fn reads_itself(&self) {
+        loop {
+            let is_named = !self.peers.borrow().near.is_empty();
+            let may_be_named = !is_named && self.age() < NAME_WAIT;
+            if self.is_listed() || !(may_be_named || self.first_teller().is_some()) {
+                return;
+            }
+            sleep(START_LOOK).await;
+        }
+    }
+
+    fn age(&self) -> Duration {
+        clock::now().saturating_sub(self.started)
+    }
+
+    /// Takes the revisions of a snapshot that holds the configuration and the list, if it is the first.
+    pub(super) fn take_revisions(&self, snapshot: &PeerSnapshot) {
+        let is_first = !self.is_listed() && snapshot.config.is_some() && snapshot.targets.is_some();
+        let kinds = FollowedKind::ALL.into_iter().zip(&snapshot.revisions);
+        for (kind, revision) in kinds.filter(|(kind, _)| is_first && *kind != FollowedKind::Crashes)
+        {
+            self.progress(kind).revision.set(*revision);
+        }
+    }
+
+    /// Revisions of all kinds, as far as they were read.
+    pub(super) fn known_revisions(&self) -> Vec<Option<u64>> {
         self.progress.iter().map(|progress| progress.revision.get()).collect()
     }
 
+    /// Revisions of all kinds; 0 for one that was not read yet.
+    pub(super) fn revisions(&self) -> Vec<u64> {
+        self.progress.iter().map(|progress| progress.revision.get().unwrap_or(0)).collect()
+    }
+
     /// Has the next watch of each kind answered at once.
     pub(super) fn set_doubtful(&self) {
         for progress in &self.progress {
@@ -121,63 +189,104 @@
         }
     }
 
-    /// Whether another router follows the store for this one.
-    pub(super) fn is_shared(&self) -> bool {
-        *self.is_shared.borrow()
+    /// Where this router hears what the store tells.
+    pub(super) fn source(&self) -> StoreSource {
+        *self.source.borrow()
     }
 
-    /// Waits until another router follows the store for this one, or does so no longer.
+    /// Waits until this router hears from another one, or until it does so no longer.
     pub(super) async fn shared_becomes(&self, is_shared: bool) {
-        let _ = self.is_shared.subscribe().wait_for(|shared| *shared == is_shared).await;
+        let is_wanted = |source: &StoreSource| (*source == StoreSource::Router) == is_shared;
+        let _ = self.source.subscribe().wait_for(is_wanted).await;
+    }
+
+    /// Waits until this router asks the store.
+    pub(super) async fn asks_store(&self) {
+        let _ = self.source.subscribe().wait_for(|source| *source == StoreSource::Store).await;
     }
 
-    /// Has another router follow the store for this one, or no longer; whether that is a change.
-    pub(super) fn set_shared(&self, is_shared: bool) -> bool {
-        if !is_shared && self.is_shared() {
+    /// Changes where this router hears what the store tells; returns whether that is a change.
+    pub(super) fn set_source(&self, source: StoreSource) -> bool {
+        if self.source() == source {
+            return false;
+        }
+        if source == StoreSource::Store {
             self.set_doubtful();
+            self.is_proving.set(true);
+        } else {
+            self.settle_proof();
         }
-        if is_shared {
-            for log in self.logs.borrow_mut().iter_mut() {
-                log.stop();
-            }
-            self.log_changed.notify_waiters();
+        self.source.send_replace(source);
+        true
+    }
+
+    /// It is known now whether the store answers this router.
+    pub(super) fn settle_proof(&self) {
+        if self.is_proving.take() {
+            self.proved.notify_waiters();
         }
-        self.is_shared.send_replace(is_shared) != is_shared
+    }
+
+    /// Whether others may ask this router: it has decided where it hears from, and the store answers if that is it.
+    pub(super) fn is_decided(&self) -> bool {
+        self.source() != StoreSource::Undecided && !self.is_proving.get()
+    }
+
+    /// Waits until the configuration's follower knows whether the store answers, if it is finding out.
+    pub(super) async fn proof(&self) {
+        while self.is_proving.get() {
+            self.proved.notified().await;
+        }
+    }
+
+    /// This router's address for other routers.
+    pub(super) fn own_address(&self) -> SocketAddr {
+        self.settings.borrow().peer_listen
+    }
+
+    /// The other routers, as far as loaders have told.
+    pub(super) fn peer_view(&self) -> PeerView {
+        self.peers.borrow().clone()
     }
 
     /// Whether other routers of this zone may rely on this one.
     pub(super) fn has_near_peers(&self) -> bool {
-        let own = self.settings.borrow().peer_listen;
-        self.peers.borrow().iter().any(|peer| peer.is_near && peer.address != own)
+        self.peers.borrow().zone_routers > 1
     }
 
-    /// How much longer others may rely on this router if the store stays silent.
+    /// How much longer others may rely on what is known here.
     pub(super) fn fresh_for(&self) -> Duration {
-        let limit = self.drain_time().mul_f64(follow::FRESH_SHARE);
+        let limit = self.source().told_life(self.drain_time());
         limit.saturating_sub(clock::now().saturating_sub(self.heard_at.get()))
     }
 
-    /// The router of this zone that follows the store, if it is another one.
-    pub(super) fn zone_watcher(&self) -> Option<SocketAddr> {
-        let own = self.settings.borrow().peer_listen;
-        let peers = self.peers.borrow();
-        let near = peers.iter().filter(|peer| peer.is_near).map(|peer| peer.address);
-        let watcher = zone_watcher(own, near);
-        (watcher != own).then_some(watcher)
-    }
-
     /// Changes the log of a kind, and wakes those who wait for it.
     pub(super) fn change_log(&self, kind: FollowedKind, change: impl FnOnce(&mut ChangeLog)) {
         change(&mut self.logs.borrow_mut()[kind as usize]);
         self.log_changed.notify_waiters();
     }
 
+    /// Whether a change names a life of a target that is not known yet.
+    pub(super) fn is_new_target(&self, change: &FollowedChange) -> bool {
+        let FollowedChange::Target(ListChange::Put(entry)) = change else { return false };
+        !self.state.borrow().knows_target(&entry.life)
+    }
+
+    /// Changes as the log keeps them, before they are taken.
+    pub(super) fn weigh(&self, changes: impl Iterator<Item = SharedChange>) -> Vec<LoggedChange> {
+        let state = self.state.borrow();
+        changes.map(|change| state.weigh(change)).collect()
+    }
+
     /// The store, or a router that follows it, has told of a kind.
     pub(super) async fn note_contact(&self, kind: FollowedKind) {
         let Some(since) = self.progress(kind).failing_since.take() else { return };
         let out_for = clock::now().saturating_sub(since);
         info!(self.logger, "store regained"; "step" => "follow", "kind" => kind.name(),
             "out_ms" => out_for.as_millis() as u64);
+        if kind == FollowedKind::Targets {
+            self.regained_at.set(Some(clock::now()));
+        }
         self.send(ControlEvent::Regained(kind)).await;
     }
 
@@ -257,7 +366,7 @@
     /// Settings, which may change.
     pub(crate) settings: watch::Receiver<Arc<RouterFile>>,
     /// Other routers that are alive.
-    pub(crate) peers: watch::Receiver<Vec<PeerRouter>>,
+    pub(crate) peers: watch::Receiver<PeerView>,
     /// This process's start.
     pub(crate) boot: BootId,
     /// What this router tells of crashes.
@@ -286,12 +395,16 @@
     let link = Rc::new(ControlLink {
         logger: start.logger,
         boot: start.boot,
+        started: clock::now(),
         state: RefCell::default(),
         progress: Default::default(),
         logs: RefCell::default(),
         log_changed: Notify::new(),
         heard_at: Cell::default(),
-        is_shared: watch::channel(false).0,
+        regained_at: Cell::new(None),
+        source: watch::channel(StoreSource::Undecided).0,
+        is_proving: Cell::new(false),
+        proved: Notify::new(),
         settings: start.settings,
         peers: start.peers,
         events: start.events,
--- a/crates/daemon/src/router/crash_news.rs
+++ b/crates/daemon/src/router/crash_news.rs
@@ -9,6 +9,7 @@
 use metrics::counter;
 use plantain_core::{
     crashes::{CRASH_LIFE, CrashReport},
+    direct::sharing::source::StoreSource,
     ids::Timestamp,
 };
 use plantain_net::{
@@ -34,6 +35,8 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(100);
 /// Longest pause after failed writes; when the store is back, news is there within it.
 const LONGEST_PAUSE: Duration = Duration::from_secs(1);
+/// Time over which routers that start together spread their first reports: each is told to all watchers.
+const START_SPREAD: Duration = Duration::from_secs(1);
 /// Pause between looks for reports whose routers are gone.
 const CLEAN_PAUSE: Duration = Duration::from_mins(1);
 
@@ -44,13 +47,16 @@
         started: clock::now(),
         earlier: None,
         revision: None,
+        is_read: false,
         link,
     };
     let mut backoff = RetryBackoff::new(FIRST_PAUSE, LONGEST_PAUSE);
-    while !writer.link.is_current() {
-        // Nothing is to be had of a store that does not answer, and each call costs.
+    while !writer.link.is_current() || !writer.link.has_read(FollowedKind::Crashes) {
+        // Nothing is to be had of a store that does not answer, and each call costs. The first write replaces
+        // what an earlier start had told, so that this must have been taken before.
         sleep(FIRST_PAUSE).await;
     }
+    sleep(START_SPREAD.mul_f64(rand::random())).await;
     loop {
         loop {
             let report = Arc::clone(&own.borrow_and_update());
@@ -78,7 +84,7 @@
     loop {
         sleep(CLEAN_PAUSE).await;
         let stale = link.state.borrow_mut().expire_crashes(clock::now());
-        let is_direct = link.logs.borrow()[FollowedKind::Crashes as usize].is_direct();
+        let is_direct = link.source() == StoreSource::Store;
         for report in stale.iter().filter(|_| is_direct) {
             match remove(&client, &link, report).await {
                 Ok(()) => {
@@ -135,6 +141,8 @@
     earlier: Option<CrashReport>,
     /// Revision of the object, once it is known.
     revision: Option<u64>,
+    /// Whether the object was read at this start.
+    is_read: bool,
 }
 
 impl ReportWriter {
@@ -143,6 +151,7 @@
     async fn write(&mut self, report: &CrashReport) -> Result<()> {
         if self.revision.is_none() {
             self.read().await?;
+            self.is_read = true;
         }
         let mut whole = report.clone();
         let is_counted = clock::now().saturating_sub(self.started) < CRASH_LIFE;
@@ -166,9 +175,15 @@
         Ok(())
     }
 
-    /// Reads the object as it is, and what an earlier start of this router told there.
+    /// Reads the object, and what an earlier start of this router told there. What the first write needs may be
+    /// seconds old: the revision that it names shows whether it was.
     async fn read(&mut self) -> Result<()> {
-        let path = crashes::report_path(&self.link.router_name());
+        let name = self.link.router_name();
+        let path = if self.is_read {
+            crashes::report_path(&name)
+        } else {
+            crashes::recent_report_path(&name)
+        };
         let (status, body) = self.call(Method::GET, &path, Vec::new()).await?;
         if status == StatusCode::NOT_FOUND {
             return Ok(());
--- a/crates/daemon/src/router/crashes.rs
+++ b/crates/daemon/src/router/crashes.rs
@@ -203,10 +203,8 @@
 
     /// Takes what another router tells of crashes.
     pub(crate) fn take_crashes(&self, report: &Arc<CrashReport>, now: Timestamp) {
-        let is_other = report.router != self.settings.borrow().name;
-        if is_other && self.routers_mut().note_name(&report.router, now) {
-            info!(self.logger, "router known by its report"; "step" => "routers",
-                "router" => &*report.router);
+        if report.router != self.settings.borrow().name {
+            self.routers_mut().note_name(&report.router, now);
         }
         if !self.crashes.take_report(report, now) || report.is_empty() {
             return;
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -346,6 +346,10 @@
                         return Err(spread(room_in.max(constants::BUSY_PAUSE)));
                     }
                     let known = self.context.pool.borrow().service_targets(&self.service).count();
+                    if known == 0 && self.context.is_starting() {
+                        sleep(constants::START_LOOK).await;
+                        continue;
+                    }
                     let left_out = self.excluded.len();
                     self.note(&format!(
                         "no target can take it: {known} known, {left_out} had it already"
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -6,16 +6,21 @@
 use eyre::{Result, eyre};
 use hyper::{Method, StatusCode};
 use metrics::counter;
-use plantain_core::direct::{
-    membership::{ListChange, TargetEntry},
-    sharing::{ChangeLog, SharedChange, SharedNews},
-    snapshot::ConfigRecord,
+use plantain_core::{
+    direct::{
+        membership::{LAPSE_HOLD, ListChange, TargetEntry},
+        sharing::{ChangeLog, KindNews, SharedChange, SharedNews, source::StoreSource},
+        snapshot::ConfigRecord,
+    },
+    ids::Timestamp,
 };
 use plantain_net::{
     backoff::RetryBackoff,
     client::{HttpClient, url},
 };
-use plantain_platform::objects::{self, FollowedChange, FollowedKind, FollowedPage, HISTORY_GONE};
+use plantain_platform::objects::{
+    self, FollowedChange, FollowedKind, FollowedPage, HISTORY_GONE, ListAge,
+};
 use slog::{info, warn};
 use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::time::sleep;
@@ -36,18 +41,16 @@
 /// the calls that are on their way.
 const GATHER_SHARE: f64 = 0.55;
 /// The same for a router on which others rely. With [`RELIED_WAIT_SHARE`] it has word of the store at least
-/// each 0.65 of that time, and the others leave it at [`FRESH_SHARE`].
+/// each 0.65 of that time, before those who rely on it look for another one.
 const RELIED_GATHER_SHARE: f64 = 0.45;
 /// Part of that time for which a watch of the list waits at a router on which others rely.
 const RELIED_WAIT_SHARE: f64 = 0.2;
-/// Part of that time for which others rely on a router that has no word of the store. The store may fall
-/// silent to one router and serve the rest: its connections stay open, and its own watches take seconds
-/// to run out. What is left of the time is for the others' own calls.
-pub(super) const FRESH_SHARE: f64 = 0.75;
 /// Part of that time for which a watch of the list waits. The store may cut watches while it drops its
 /// history, and one that is begun in that moment hears nothing: it was seen to wait out all of its time,
 /// 20 s, in which targets came and went. Most lists change more often than this, so it costs few calls.
 const LIST_WAIT_SHARE: f64 = 0.9;
+/// Pause after a change that names new targets: more are likely to follow, and calls may wait for them.
+const NEW_GATHER: Duration = Duration::from_millis(150);
 /// Pause after a change of the reports of crashes, in which further ones gather: each router that had calls
 /// at a target which ended writes its own.
 const CRASH_GATHER: Duration = Duration::from_millis(100);
@@ -58,9 +61,6 @@
 const FIRST_PAUSE: Duration = Duration::from_millis(150);
 /// Longest pause after failed calls: a store that is back is noticed within this.
 const LONGEST_PAUSE: Duration = Duration::from_millis(500);
-/// The same for a router that another one tells when the store is back, once it has failed for as long: it
-/// goes on asking only in case that the store serves it and not the other one.
-const SHARED_PAUSE: Duration = Duration::from_millis(1_500);
 /// Longest time for which a kind waits for another one to find the store back.
 const OTHERS_PAUSE: Duration = Duration::from_secs(3);
 
@@ -79,25 +79,53 @@
 
 /// Takes what another router has heard of the store.
 pub(super) async fn take_shared(news: SharedNews, link: &ControlLink) {
-    for (kind, news) in FollowedKind::ALL.into_iter().zip(news) {
-        let known = &link.progress(kind).revision;
-        if known.get().is_some_and(|known| known > news.revision) {
-            // A watch of this router's own was answered meanwhile; older changes would undo it.
-            continue;
-        }
-        known.set(Some(news.revision));
-        link.note_contact(kind).await;
-        let changes = from_shared(news.changes, link);
-        if news.is_whole {
-            info!(link.logger, "read whole through a router"; "step" => "follow",
-                "kind" => kind.name(), "revision" => news.revision);
-            link.send(ControlEvent::Listed(kind, changes)).await;
-        } else if !changes.is_empty() {
-            link.send(ControlEvent::Changed(changes)).await;
-        }
+    let now = clock::now();
+    let heard_at = now.saturating_sub(Duration::from_millis(news.age_ms.into()));
+    link.heard_at.set(heard_at.max(link.heard_at.get()));
+    if let Some(age) = news.regained_ms {
+        take_regained(now.saturating_sub(Duration::from_millis(age.into())), link).await;
+    }
+    for (kind, news) in FollowedKind::ALL.into_iter().zip(news.kinds) {
+        take_kind(kind, news, link).await;
+    }
+}
+
+/// Another router lost the list for a while, and this one did not notice. Entries that lapsed meanwhile must be
+/// held here too: their targets live, and write them anew within [`LAPSE_HOLD`].
+async fn take_regained(regained_at: Timestamp, link: &ControlLink) {
+    let is_known = link.regained_at.get().is_some_and(|known| regained_at < known + LAPSE_HOLD);
+    let is_lost = link.progress(FollowedKind::Targets).failing_since.get().is_some();
+    if !is_known && !is_lost {
+        link.regained_at.set(Some(regained_at));
+        link.send(ControlEvent::Lost(FollowedKind::Targets)).await;
+        link.send(ControlEvent::Regained(FollowedKind::Targets)).await;
     }
 }
 
+async fn take_kind(kind: FollowedKind, news: KindNews, link: &ControlLink) {
+    let known = link.progress(kind).revision.get();
+    if known.is_some_and(|known| known > news.revision) {
+        // A watch of this router's own was answered meanwhile; older changes would undo it.
+        return;
+    }
+    link.note_contact(kind).await;
+    if news.is_whole {
+        info!(link.logger, "read whole through a router"; "step" => "follow",
+            "kind" => kind.name(), "revision" => news.revision);
+        link.send(ControlEvent::Listed(kind, from_shared(news.changes, link))).await;
+        link.progress(kind).revision.set(Some(news.revision));
+        link.change_log(kind, |log| log.restart(news.revision));
+        return;
+    }
+    let logged = link.weigh(news.changes.iter().cloned());
+    if !news.changes.is_empty() {
+        link.send(ControlEvent::Changed(from_shared(news.changes, link))).await;
+    }
+    link.progress(kind).revision.set(Some(news.revision));
+    let from = known.unwrap_or(news.revision);
+    link.change_log(kind, |log| log.append(from, news.revision, logged));
+}
+
 struct KindFollower {
     kind: FollowedKind,
     client: HttpClient,
@@ -107,14 +135,38 @@
 
 impl KindFollower {
     async fn step(&mut self) {
+        if self.link.source() == StoreSource::Router {
+            self.link.shared_becomes(false).await;
+            return;
+        }
+        if self.kind != FollowedKind::Config {
+            self.link.proof().await;
+        }
         let result = match self.progress().revision.get() {
-            None => self.list().await,
-            Some(_) if self.link.is_shared() => {
-                self.link.shared_becomes(false).await;
+            Some(revision) if self.link.source() == StoreSource::Store => {
+                self.watch(revision).await
+            }
+            None if self.kind != FollowedKind::Crashes => {
+                self.link.reads_itself().await;
+                if self.progress().revision.get().is_some() {
+                    return;
+                }
+                self.list().await
+            }
+            None if self.link.source() == StoreSource::Store => self.list().await,
+            _ => {
+                // Other routers may tell the rest; the store is asked if they do not.
+                let link = Rc::clone(&self.link);
+                tokio::select! {
+                    () = link.asks_store() => {}
+                    () = link.shared_becomes(true) => {}
+                }
                 return;
             }
-            Some(revision) => self.watch(revision).await,
         };
+        if self.kind == FollowedKind::Config {
+            self.link.settle_proof();
+        }
         match result {
             Ok(()) => self.note_contact().await,
             Err(error) => self.note_failure(&error).await,
@@ -131,9 +183,16 @@
         // The first page's revision: what changes while further pages are read comes again. It is kept
         // only once all pages are there: a list that was broken off would lack targets for good.
         let mut first = None;
+        let age = match self.link.source() {
+            StoreSource::Undecided => ListAge::Recent,
+            StoreSource::Store | StoreSource::Router => ListAge::Current,
+        };
         let revision = loop {
-            let path = objects::list_path(self.kind, after.as_deref());
+            let path = objects::list_path(self.kind, after.as_deref(), age);
             let body = self.get(&path, LIST_LIMIT).await?;
+            if age == ListAge::Current {
+                self.link.heard_at.set(clock::now());
+            }
             let body = body.ok_or_else(|| eyre!("{path}: history gone"))?;
             let page = objects::decode_list(self.kind, &body)?;
             self.tell_faults(&page);
@@ -144,12 +203,10 @@
                 break revision;
             }
         };
-        self.progress().revision.set(Some(revision));
         self.note_contact().await;
         self.link.send(ControlEvent::Listed(self.kind, changes)).await;
-        if !self.link.is_shared() {
-            self.link.change_log(self.kind, |log| log.restart(revision));
-        }
+        self.progress().revision.set(Some(revision));
+        self.link.change_log(self.kind, |log| log.restart(revision));
         Ok(())
     }
 
@@ -161,6 +218,7 @@
             body = self.get(&path, wait + ANSWER_SLACK) => body?,
             () = link.shared_becomes(true) => return Ok(()),
         };
+        self.link.heard_at.set(clock::now());
         let Some(body) = body else {
             info!(self.link.logger, "history gone; list again"; "step" => "follow",
                 "kind" => self.kind.name(), "revision" => revision);
@@ -169,15 +227,18 @@
         };
         let page = objects::decode_watch(self.kind, &body)?;
         self.tell_faults(&page);
-        self.progress().revision.set(Some(page.revision));
         self.note_contact().await;
-        let shared: Vec<SharedChange> = page.changes.iter().map(to_shared).collect();
+        let logged = self.link.weigh(page.changes.iter().map(to_shared));
+        let has_new_target = page.changes.iter().any(|change| self.link.is_new_target(change));
         let is_change = !page.changes.is_empty();
         if is_change {
             self.link.send(ControlEvent::Changed(page.changes)).await;
         }
-        self.link.change_log(self.kind, |log| log.append(revision, page.revision, shared));
-        if is_change {
+        self.progress().revision.set(Some(page.revision));
+        self.link.change_log(self.kind, |log| log.append(revision, page.revision, logged));
+        if has_new_target {
+            sleep(NEW_GATHER).await;
+        } else if is_change {
             sleep(self.gather_time()).await;
         }
         Ok(())
@@ -217,7 +278,6 @@
         counter!("plantain_store_calls_total", "kind" => self.kind.name()).increment(1);
         let store: SocketAddr = self.link.store();
         let answer = self.client.call(Method::GET, &url(store, path), Bytes::new(), limit).await?;
-        self.link.heard_at.set(clock::now());
         match answer.status {
             StatusCode::OK => Ok(Some(answer.body)),
             status if status.as_u16() == HISTORY_GONE => Ok(None),
@@ -262,10 +322,8 @@
         let is_asked_for = self.kind != FollowedKind::Config && self.link.is_config_lost();
         let pause = if is_asked_for {
             OTHERS_PAUSE
-        } else if self.is_told_by_others() {
-            self.backoff.next_pause().max(SHARED_PAUSE)
         } else {
-            self.backoff.next_pause()
+            self.backoff.next_pause().max(self.told_pause())
         };
         tokio::select! {
             () = sleep(pause) => {}
@@ -274,11 +332,13 @@
         }
     }
 
-    fn is_told_by_others(&self) -> bool {
+    /// Pause of a router that others tell when the store is back; its first try is repeated at once.
+    fn told_pause(&self) -> Duration {
         let failing_since = self.progress().failing_since.get();
-        let has_lasted =
-            failing_since.is_some_and(|since| clock::now().saturating_sub(since) >= SHARED_PAUSE);
-        has_lasted && self.link.zone_watcher().is_some() && self.link.revisions().is_some()
+        let is_repeated =
+            failing_since.is_some_and(|since| clock::now().saturating_sub(since) >= FIRST_PAUSE);
+        let pause = self.link.peer_view().probe_pause(self.link.own_address());
+        if is_repeated { pause } else { Duration::ZERO }
     }
 }
 
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -13,6 +13,7 @@
     ids::{Timestamp, ZoneName},
 };
 use rand::seq::IndexedRandom;
+use serde::Serialize;
 use slog::{info, warn};
 use std::{
     collections::BTreeSet,
@@ -25,16 +26,17 @@
 /// Exchanges datagrams with the loaders for as long as the process lives.
 pub(crate) async fn run(socket: UdpSocket, context: Rc<RouterContext>) {
     let schedule = NoticeSchedule::new(context.boot);
-    let mut link = LoaderLink { context, socket, schedule, presences: 0 };
+    let next_presence = clock::now();
+    let mut link = LoaderLink { context, socket, schedule, presences: 0, next_presence };
     let mut ticks = interval(constants::NOTICE_LOOK);
-    let mut presences = interval(constants::PRESENCE_PAUSE);
+    let mut shows = interval(constants::PRESENCE_PAUSE);
     let mut buffer = vec![0; constants::DATAGRAM_LIMIT];
     let context = Rc::clone(&link.context);
     loop {
         tokio::select! {
             received = link.socket.recv_from(&mut buffer) => {
-                if let Ok((length, loader)) = received {
-                    link.take_datagram(&buffer[..length], loader.ip());
+                if let Ok((length, sender)) = received {
+                    link.take_datagram(&buffer[..length], sender);
                 }
             }
             () = context.hurry.notified() => link.send_hurried(),
@@ -42,9 +44,9 @@
             _ = ticks.tick() => {
                 link.send_due();
                 link.send_usage();
+                link.send_due_presence();
             }
-            _ = presences.tick() => {
-                link.send_presence();
+            _ = shows.tick() => {
                 let config = Arc::clone(context.pool.borrow().config());
                 context.limits.show(config.customers.rules(), clock::now());
             }
@@ -58,12 +60,18 @@
     schedule: NoticeSchedule,
     /// Turns in which this router told that it is alive.
     presences: usize,
+    /// When the next turn is due.
+    next_presence: Timestamp,
 }
 
 impl LoaderLink {
-    fn take_datagram(&mut self, datagram: &[u8], host: IpAddr) {
+    fn take_datagram(&mut self, datagram: &[u8], sender: SocketAddr) {
         match postcard::from_bytes::<LoaderMessage>(datagram) {
-            Ok(LoaderMessage::Report(report)) => self.take_report(report, host),
+            Ok(LoaderMessage::Report(report)) => self.take_report(report, sender.ip()),
+            Ok(LoaderMessage::Presence(presence)) => {
+                let directory = self.context.meeting.borrow_mut().take(&presence, clock::now());
+                self.send(sender.ip(), &LoaderMessage::Directory(directory));
+            }
             Ok(LoaderMessage::Directory(directory)) => {
                 let now = clock::now();
                 self.context.note_routers(&directory, now);
@@ -140,6 +148,20 @@
         self.send(host, &RouterMessage::Notice(notice));
     }
 
+    fn send_due_presence(&mut self) {
+        let now = clock::now();
+        if now < self.next_presence {
+            return;
+        }
+        let pause = match self.presences {
+            0 if self.context.is_starting() => constants::NOTICE_LOOK,
+            0..constants::EARLY_PRESENCES => constants::EARLY_PRESENCE_PAUSE,
+            _ => constants::PRESENCE_PAUSE,
+        };
+        self.next_presence = now + pause;
+        self.send_presence();
+    }
+
     /// Comes by at a loader where the routers of this zone meet, at both of them the first time, and asks
     /// for the numbers of routers in other zones.
     fn send_presence(&mut self) {
@@ -149,6 +171,12 @@
         };
         let mut own = self.meeting_hosts(&zone);
         if own.is_empty() {
+            self.meet_at_routers(&RouterPresence {
+                zone,
+                address,
+                meets_here: true,
+                news: Vec::new(),
+            });
             return;
         }
         let news = self.context.pool.borrow().limit_news(clock::now());
@@ -172,6 +200,14 @@
         }
     }
 
+    /// Comes by at the routers of the settings, while no loader is known.
+    fn meet_at_routers(&self, presence: &RouterPresence) {
+        let peers = self.context.settings.borrow().peers.clone();
+        for peer in peers {
+            self.send(peer.ip(), &LoaderMessage::Presence(presence.clone()));
+        }
+    }
+
     /// All zones but this router's own.
     fn other_zones(&self, own: &ZoneName) -> Vec<ZoneName> {
         let mut zones = all_zones(&self.context);
@@ -189,7 +225,7 @@
         hosts.map(|engine| engine.entry.address.ip()).collect()
     }
 
-    fn send(&self, host: IpAddr, message: &RouterMessage) {
+    fn send(&self, host: IpAddr, message: &impl Serialize) {
         let address = SocketAddr::new(host, self.context.settings.borrow().link_port);
         match postcard::to_allocvec(message) {
             Ok(datagram) => {
@@ -199,7 +235,7 @@
             }
             Err(error) => {
                 warn!(self.context.logger, "message not encoded"; "step" => "link",
-                    "loader" => %address, "error" => %error);
+                    "peer" => %address, "error" => %error);
             }
         }
     }
--- a/crates/daemon/src/router/peers.rs
+++ b/crates/daemon/src/router/peers.rs
@@ -17,7 +17,7 @@
     call::{AdapterId, AdapterRelease},
     config::ConfigNumber,
     membership::ListChange,
-    snapshot::PeerSnapshot,
+    snapshot::{ListHash, PeerSnapshot},
 };
 use plantain_net::client::{HttpClient, url};
 use plantain_platform::objects::{FollowedChange, FollowedKind};
@@ -27,7 +27,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
-    time::{interval, sleep},
+    time::sleep,
 };
 
 /// Path at which a router is asked for what it knows.
@@ -35,6 +35,8 @@
 /// Pause between questions to peers while the store is out: a configuration must be in force within
 /// two seconds.
 const ASK_PAUSE: Duration = Duration::from_millis(400);
+/// The same at the start, of a relay that reads the store for the routers behind it.
+const FIRST_ASK_PAUSE: Duration = Duration::from_millis(40);
 /// Longest wait for a peer.
 const ASK_LIMIT: Duration = Duration::from_millis(400);
 /// Time given to the store at the start before peers are asked.
@@ -43,17 +45,19 @@
 /// so several times a second; those that ask for a snapshot use another one next time.
 const IDLE_LIMIT: Duration = Duration::from_secs(5);
 
-/// Asks peers for as long as the process lives, whenever the store is out.
+/// Asks peers for as long as the process lives, whenever the store is out, and at the start.
 pub(super) async fn ask(link: Rc<ControlLink>) {
     let client = HttpClient::new();
-    sleep(START_PAUSE).await;
-    let mut turns = interval(ASK_PAUSE);
+    let began = clock::now();
     loop {
-        turns.tick().await;
-        if !link.is_lost() {
+        let teller = link.first_teller();
+        sleep(if teller.is_some() { FIRST_ASK_PAUSE } else { ASK_PAUSE }).await;
+        let is_early = clock::now().saturating_sub(began) < START_PAUSE;
+        if !link.is_lost() || (teller.is_none() && is_early) {
             continue;
         }
-        let Some(peer) = link.peers().choose(&mut rand::rng()).copied() else { continue };
+        let peer = teller.or_else(|| link.peers().choose(&mut rand::rng()).copied());
+        let Some(peer) = peer else { continue };
         match fetch(&client, peer, &link).await {
             Ok(snapshot) => take_snapshot(snapshot, peer, &link).await,
             Err(error) => {
@@ -65,14 +69,19 @@
 }
 
 async fn fetch(client: &HttpClient, peer: SocketAddr, link: &ControlLink) -> Result<PeerSnapshot> {
-    let number = link.state.borrow().config_number();
-    let uri = url(peer, &format!("{SNAPSHOT_PATH}?config={number}"));
+    let (number, list) = {
+        let state = link.state.borrow();
+        (state.config_number(), state.list_hash())
+    };
+    let list = list.map_or_else(String::new, |list| format!(",{list}"));
+    let uri = url(peer, &format!("{SNAPSHOT_PATH}?known={number}{list}"));
     let answer = client.call(Method::GET, &uri, Bytes::new(), ASK_LIMIT).await?;
     ensure!(answer.status.is_success(), "GET {uri}: {}", answer.status);
     postcard::from_bytes(&answer.body).wrap_err_with(|| format!("decode snapshot of {peer}"))
 }
 
 async fn take_snapshot(snapshot: PeerSnapshot, peer: SocketAddr, link: &ControlLink) {
+    link.take_revisions(&snapshot);
     let mut changes = Vec::new();
     if let Some(record) = snapshot.config {
         info!(link.logger, "configuration from a peer"; "step" => "peers", "peer" => %peer,
@@ -129,12 +138,14 @@
         *reply.status_mut() = status;
         return reply;
     }
-    tell_snapshot(request, value.parse().unwrap_or(0), link)
+    let known: Vec<u64> = value.split(',').filter_map(|number| number.parse().ok()).collect();
+    tell_snapshot(request, known.first().copied().unwrap_or(0), known.get(1).copied(), link)
 }
 
 fn tell_snapshot(
     request: &Request<Incoming>,
     number: ConfigNumber,
+    list: Option<ListHash>,
     link: &ControlLink,
 ) -> Response<Full<Bytes>> {
     let began = clock::now();
@@ -143,7 +154,8 @@
         *reply.status_mut() = StatusCode::NOT_FOUND;
         return reply;
     }
-    let snapshot = link.state.borrow().snapshot(number, link.is_current());
+    let known = link.state.borrow().snapshot(number, list, link.is_current());
+    let snapshot = PeerSnapshot { revisions: link.known_revisions(), ..known };
     match postcard::to_allocvec(&snapshot) {
         Ok(bytes) => *reply.body_mut() = Full::new(bytes.into()),
         Err(_) => *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
--- a/crates/daemon/src/router/sharing.rs
+++ b/crates/daemon/src/router/sharing.rs
@@ -1,11 +1,21 @@
-//! One router of a zone follows the store, the others ask it.
+//! Hears what the store tells from another router of the zone, and passes it on.
 
 use super::{control::ControlLink, follow};
+use crate::clock;
 use bytes::Bytes;
 use eyre::{Result, WrapErr, ensure};
 use hyper::{Method, StatusCode};
 use metrics::counter;
-use plantain_core::direct::sharing::{KindNews, SharedNews};
+use plantain_core::{
+    direct::{
+        membership::LAPSE_HOLD,
+        sharing::{
+            KindNews, SharedNews,
+            source::{SourceMachine, SourceView, UpstreamWord},
+        },
+    },
+    ids::Timestamp,
+};
 use plantain_net::client::{HttpClient, url};
 use plantain_platform::objects::FollowedKind;
 use slog::{info, warn};
@@ -16,92 +26,96 @@
 pub(super) const CHANGES_PATH: &str = "/changes";
 /// Status of an answer by a router that does not follow the store.
 const DENIED: StatusCode = StatusCode::SERVICE_UNAVAILABLE;
-/// Status of an answer by one that has not heard of it for too long.
+/// Status of an answer by one that knows nothing new enough.
 const STALE: StatusCode = StatusCode::GATEWAY_TIMEOUT;
-/// Time for which a question waits for changes. With [`ANSWER_LIMIT`] it bounds how long a watcher that
+/// Time for which a question waits for changes. With [`ANSWER_LIMIT`] it bounds how long an upstream that
 /// has frozen goes unnoticed: half a second, which with the watcher's own pause and a call to the store
 /// is less than the time in which a leaving target must be known.
 const WAIT_LIMIT: Duration = Duration::from_millis(300);
 /// Longest wait for an answer beyond that.
 const ANSWER_LIMIT: Duration = Duration::from_millis(200);
-/// Pause before the next question after a watcher said that it does not follow the store. The store cuts
+/// Pause before the next question after an upstream said that it does not follow the store. The store cuts
 /// all watches when it drops its history, and the watcher follows it again within about this.
 const RETRY_PAUSE: Duration = Duration::from_millis(250);
-/// Times in a row that a watcher says so before this router follows the store itself. With the pause it
-/// also keeps this router from a watch that is begun just as the store drops its history, and that would
-/// hear nothing until its wait ends.
-const DENIALS: u32 = 2;
-/// Time for which a watcher that did not answer is left alone; one that has ended is not named any more
-/// after it.
-const AVOID_TIME: Duration = Duration::from_secs(3);
-/// Pause between looks at who the watcher is.
-const LOOK_PAUSE: Duration = Duration::from_millis(300);
+/// Pause between looks at which upstream there is.
+const LOOK_PAUSE: Duration = Duration::from_millis(100);
 
-/// Asks the zone's watcher for as long as the process lives, whenever that is another router.
+/// Hears from an upstream for as long as the process lives, whenever there is one.
 pub(super) async fn run(link: Rc<ControlLink>) {
-    let client = HttpClient::new();
-    let mut denials = 0;
+    let machine = SourceMachine::new(link.own_address());
+    let mut listener = UpstreamListener { link, client: HttpClient::new(), machine };
     loop {
-        let Some(watcher) = link.zone_watcher() else {
-            leave(&link, "this router watches");
-            sleep(LOOK_PAUSE).await;
-            continue;
-        };
-        let Some(revisions) = link.revisions() else {
-            sleep(LOOK_PAUSE).await;
-            continue;
+        listener.turn().await;
+    }
+}
+
+struct UpstreamListener {
+    link: Rc<ControlLink>,
+    client: HttpClient,
+    machine: SourceMachine,
+}
+
+impl UpstreamListener {
+    async fn turn(&mut self) {
+        let order = self.link.peer_view().near;
+        let view = SourceView {
+            order: &order,
+            is_listed: self.link.is_listed(),
+            heard_at: self.link.heard_at.get(),
+            drain_time: self.link.drain_time(),
         };
-        match ask(&client, watcher, &revisions).await {
+        if let Some(reason) = self.machine.look(&view, clock::now()) {
+            info!(self.link.logger, "store followed directly"; "step" => "sharing",
+                "reason" => reason);
+            self.link.set_source(self.machine.source());
+        }
+        match self.machine.upstream(&order) {
+            Some(upstream) => self.hear(upstream).await,
+            None => sleep(LOOK_PAUSE).await,
+        }
+    }
+
+    async fn hear(&mut self, upstream: SocketAddr) {
+        let (word, reason) = match ask(&self.client, upstream, &self.link.revisions()).await {
             Ok(Heard::News(news)) => {
-                denials = 0;
-                if link.set_shared(true) {
-                    info!(link.logger, "store followed through a router"; "step" => "sharing",
-                        "peer" => %watcher);
+                self.machine.take_word(upstream, UpstreamWord::News, clock::now());
+                if self.link.set_source(self.machine.source()) {
+                    info!(self.link.logger, "store followed through a router"; "step" => "sharing",
+                        "peer" => %upstream);
                 }
-                follow::take_shared(news, &link).await;
+                follow::take_shared(news, &self.link).await;
+                return;
             }
+            Ok(Heard::Denied) => (UpstreamWord::Denied, "it does not follow the store".to_owned()),
             Ok(Heard::Stale) => {
-                leave(&link, "the watcher has not heard of it for too long");
-                sleep(RETRY_PAUSE).await;
-            }
-            Ok(Heard::Denied) => {
-                denials += 1;
-                if denials >= DENIALS {
-                    leave(&link, "the watcher does not follow it");
-                }
-                sleep(RETRY_PAUSE).await;
-            }
-            Err(error) => {
-                warn!(link.logger, "watcher lost"; "step" => "sharing", "peer" => %watcher,
-                    "error" => %format!("{error:#}"));
-                leave(&link, "the watcher is silent");
-                sleep(AVOID_TIME).await;
+                (UpstreamWord::Stale, "it has not heard of the store for too long".to_owned())
             }
+            Err(error) => (UpstreamWord::Silent, format!("{error:#}")),
+        };
+        if self.machine.take_word(upstream, word, clock::now()) {
+            warn!(self.link.logger, "upstream left"; "step" => "sharing", "peer" => %upstream,
+                "reason" => reason);
+        } else {
+            sleep(RETRY_PAUSE).await;
         }
     }
 }
 
-fn leave(link: &ControlLink, reason: &str) {
-    if link.set_shared(false) {
-        info!(link.logger, "store followed directly"; "step" => "sharing", "reason" => reason);
-    }
-}
-
-/// What a watcher answers.
+/// What an upstream answers.
 enum Heard {
     /// Changes.
     News(SharedNews),
     /// It does not follow the store.
     Denied,
-    /// It has not heard of the store for too long to be relied on.
+    /// What it knows is too old to be relied on.
     Stale,
 }
 
 /// Asks for changes after the revisions of the kinds.
-async fn ask(client: &HttpClient, watcher: SocketAddr, revisions: &[u64]) -> Result<Heard> {
+async fn ask(client: &HttpClient, upstream: SocketAddr, revisions: &[u64]) -> Result<Heard> {
     counter!("plantain_sharing_calls_total").increment(1);
     let since: Vec<String> = revisions.iter().map(u64::to_string).collect();
-    let uri = url(watcher, &format!("{CHANGES_PATH}?since={}", since.join(",")));
+    let uri = url(upstream, &format!("{CHANGES_PATH}?since={}", since.join(",")));
     let limit = WAIT_LIMIT + ANSWER_LIMIT;
     let answer = client.call(Method::GET, &uri, Bytes::new(), limit).await?;
     match answer.status {
@@ -110,8 +124,9 @@
         status => ensure!(status == StatusCode::OK, "GET {uri}: {status}"),
     }
     let news: SharedNews = postcard::from_bytes(&answer.body)
-        .wrap_err_with(|| format!("decode changes of {watcher}"))?;
-    ensure!(news.len() == revisions.len(), "{watcher} told of {} kinds", news.len());
+        .wrap_err_with(|| format!("decode changes of {upstream}"))?;
+    let kinds = news.kinds.len();
+    ensure!(kinds == revisions.len(), "{upstream} told of {kinds} kinds");
     Ok(Heard::News(news))
 }
 
@@ -133,28 +148,43 @@
         }
     };
     let _ = timeout(WAIT_LIMIT.min(link.fresh_for()), changed).await;
+    if !link.is_decided() {
+        return (DENIED, Bytes::new());
+    }
     if link.fresh_for().is_zero() {
         return (STALE, Bytes::new());
     }
+    let Some(news) = news_since(link, &revisions) else { return (DENIED, Bytes::new()) };
+    match postcard::to_allocvec(&news) {
+        Ok(bytes) => (StatusCode::OK, bytes.into()),
+        Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+    }
+}
+
+/// What has changed since the revisions; `None` unless this router follows all kinds.
+fn news_since(link: &ControlLink, revisions: &[u64]) -> Option<SharedNews> {
     let logs = link.logs.borrow();
-    if logs.iter().any(|log| !log.is_direct()) {
-        return (DENIED, Bytes::new());
+    if logs.iter().any(|log| !log.is_followed()) {
+        return None;
     }
-    let kinds = FollowedKind::ALL.into_iter().zip(logs.iter()).zip(&revisions);
-    let news = kinds.map(|((kind, log), revision)| {
+    let now = clock::now();
+    let age_of = |at: Timestamp| now.saturating_sub(at).as_millis().try_into().unwrap_or(u32::MAX);
+    let is_lately = |at: &Timestamp| now.saturating_sub(*at) < LAPSE_HOLD;
+    let kinds = FollowedKind::ALL.into_iter().zip(logs.iter()).zip(revisions);
+    let kinds = kinds.map(|((kind, log), revision)| {
         let whole =
             || KindNews { revision: log.revision(), is_whole: true, changes: link.whole(kind) };
         log.since(*revision).unwrap_or_else(whole)
     });
-    let news: SharedNews = news.collect();
-    match postcard::to_allocvec(&news) {
-        Ok(bytes) => (StatusCode::OK, bytes.into()),
-        Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
-    }
+    Some(SharedNews {
+        age_ms: age_of(link.heard_at.get()),
+        regained_ms: link.regained_at.get().filter(is_lately).map(age_of),
+        kinds: kinds.collect(),
+    })
 }
 
 fn has_news(link: &ControlLink, revisions: &[u64]) -> bool {
     let logs = link.logs.borrow();
     let mut kinds = logs.iter().zip(revisions);
-    kinds.any(|(log, revision)| log.since(*revision).is_none_or(|news| !news.changes.is_empty()))
+    kinds.any(|(log, revision)| log.has_news(*revision))
 }
