A call that waits for a version of an adapter wishes anew when the next is announced

Callers saw 503 after all of their time: a call waited for version 2 of its adapter, version 3 was announced before that was there, and the call's wish went on to name version 2. The loader loaded 2 and took the wish for met; the router, which by then wanted 3, waited until the call's deadline. Calls that came later wished for 3 and so freed it; alone it got nothing. Evidence: site::changes::versions_announced_one_after_the_other_come_into_force failed five of five times ("not served now" after 5 s, one order to load version 2 in the loader's log), and passes three of three with the fix. The guard of a waiting call now knows its version, so that another one makes a new wish; loaders tell routers anew what was met where only the version of a wish has changed.

--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -462,8 +462,8 @@
 }
 
 fn has_same_wishes(state: &NoticeState, notice: &RouterNotice) -> bool {
-    let known = state.notice.wishes.iter().map(|wish| &wish.adapter);
-    known.eq(notice.wishes.iter().map(|wish| &wish.adapter))
+    let known = state.notice.wishes.iter().map(|wish| (&wish.adapter, wish.version));
+    known.eq(notice.wishes.iter().map(|wish| (&wish.adapter, wish.version)))
 }
 
 fn as_millis(time: Duration) -> u16 {
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -438,6 +438,7 @@
     woken: Rc<Notify>,
     life: TargetLife,
     adapter: AdapterId,
+    version: AdapterVersion,
     due: Timestamp,
 }
 
@@ -469,6 +470,7 @@
             woken: context.waiter(life),
             life: life.clone(),
             adapter: adapter.clone(),
+            version,
             due,
         }
     }
@@ -483,9 +485,15 @@
         let _ = timeout(limit, self.woken.notified()).await;
     }
 
-    /// Whether it waits for this adapter at this target.
-    pub(crate) fn is_for(&self, life: &TargetLife, adapter: &AdapterId) -> bool {
-        self.life == *life && self.adapter == *adapter
+    /// Whether it waits for this version of the adapter at this target. A version that is announced meanwhile must
+    /// be wished for anew, or its loader takes the wish for met once the one before is there.
+    pub(crate) fn is_for(
+        &self,
+        life: &TargetLife,
+        adapter: &AdapterId,
+        version: AdapterVersion,
+    ) -> bool {
+        self.life == *life && self.adapter == *adapter && self.version == version
     }
 }
 
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -366,8 +366,9 @@
                 }
                 TargetChoice::AwaitBase => sleep(constants::LOAD_LOOK).await,
                 TargetChoice::Load(life, adapter, version) => {
-                    let is_same =
-                        waiting.as_ref().is_some_and(|guard| guard.is_for(&life, &adapter));
+                    let is_same = waiting
+                        .as_ref()
+                        .is_some_and(|guard| guard.is_for(&life, &adapter, version));
                     if !is_same {
                         self.note(&format!("load {}@{version} at {life}", adapter.name));
                         waiting = Some(self.wait_for(&life, &adapter, version));
