Routers wait longer to be named others at a start, and pass a whole list on as changes

After a power cut of the whole fleet two thirds of the routers read the list for themselves all the same: routers start over half a second, and those of the settings were not up within the 150 ms in which others wait to be named. The list was known 1.0 to 1.8 s after a router's start, for its 400 kB a router fill the store's link. Three seconds after the start each router that was behind its upstream's log read whole kinds, one after the other down the relays, and 63 of a zone's questions went unanswered for half a second. A relay that read a whole list now keeps its log and appends what has changed. Test: sharing::a_whole_list_is_passed_on_as_changes.

--- a/crates/core/src/direct/snapshot.rs
+++ b/crates/core/src/direct/snapshot.rs
@@ -123,6 +123,24 @@
         self.targets.get(&life.id).is_some_and(|entry| entry.life == *life)
     }
 
+    /// The changes that turn the list as it is known into `whole`.
+    pub fn changes_to(&self, whole: &[SharedChange]) -> Vec<SharedChange> {
+        let entries = whole.iter().filter_map(|change| match change {
+            SharedChange::Target(ListChange::Put(entry)) => Some(entry),
+            _ => None,
+        });
+        let mut gone = self.targets.clone();
+        let mut changes = Vec::new();
+        for entry in entries {
+            if gone.remove(&entry.life.id).is_none_or(|known| known != *entry) {
+                changes.push(SharedChange::Target(ListChange::Put(Arc::clone(entry))));
+            }
+        }
+        let removed = gone.into_keys().map(|id| SharedChange::Target(ListChange::Removed(id)));
+        changes.extend(removed);
+        changes
+    }
+
     /// A change that was just heard, as the log keeps it.
     ///
     /// What an engine holds is told by its loader, so that a change of its adapters alone is no more than a hint.
--- a/crates/core/tests/core/direct/sharing.rs
+++ b/crates/core/tests/core/direct/sharing.rs
@@ -7,6 +7,7 @@
 use plantain_core::direct::{
     membership::{InstanceId, ListChange},
     sharing::{ChangeLog, ChangeWeight, LoggedChange, SharedChange, order::RelayOrder},
+    snapshot::FollowedState,
 };
 use quickcheck::{Arbitrary, Gen, quickcheck};
 use std::{
@@ -185,3 +186,18 @@
     assert_eq!(named.len(), 1);
     assert_eq!(RelayOrder::new([routers[0]]).upstream(routers[0], |_| true), None, "one alone");
 }
+
+/// Guards against routers that read the whole list one after the other: a relay that did passes on what has changed.
+#[test]
+fn a_whole_list_is_passed_on_as_changes() {
+    let put = |id: &str, port| ListChange::Put(Arc::new(target(id, DESK, "a", port)));
+    let mut state = FollowedState::default();
+    for (id, port) in [("same", 1), ("changed", 2), ("gone", 3)] {
+        state.take_change(&put(id, port));
+    }
+    let whole = [put("same", 1), put("changed", 9), put("new", 4)].map(SharedChange::Target);
+    let changes = state.changes_to(&whole);
+    let removed = ListChange::Removed("gone".into());
+    let expected = [put("changed", 9), put("new", 4), removed].map(SharedChange::Target);
+    assert_eq!(changes, expected);
+}
--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -30,9 +30,9 @@
 };
 
 /// Time from a router's start in which others of its zone may still be named to it.
-const NAME_WAIT: Duration = Duration::from_millis(150);
+const NAME_WAIT: Duration = Duration::from_millis(400);
 /// Time from its start for which a router behind the relays waits for what they have read.
-const SNAPSHOT_WAIT: Duration = Duration::from_millis(700);
+const SNAPSHOT_WAIT: Duration = Duration::from_millis(900);
 /// Pause between looks at both.
 const START_LOOK: Duration = Duration::from_millis(10);
 
@@ -272,6 +272,19 @@
         !self.state.borrow().knows_target(&entry.life)
     }
 
+    /// What a whole list that was told changes of what is known, as the log keeps it.
+    pub(super) fn weigh_whole(
+        &self,
+        kind: FollowedKind,
+        whole: &[SharedChange],
+    ) -> Vec<LoggedChange> {
+        if kind == FollowedKind::Targets {
+            let changes = self.state.borrow().changes_to(whole);
+            return self.weigh(changes.into_iter());
+        }
+        self.weigh(whole.iter().cloned())
+    }
+
     /// Changes as the log keeps them, before they are taken.
     pub(super) fn weigh(&self, changes: impl Iterator<Item = SharedChange>) -> Vec<LoggedChange> {
         let state = self.state.borrow();
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -112,9 +112,14 @@
     if news.is_whole {
         info!(link.logger, "read whole through a router"; "step" => "follow",
             "kind" => kind.name(), "revision" => news.revision);
+        let logged = link.weigh_whole(kind, &news.changes);
         link.send(ControlEvent::Listed(kind, from_shared(news.changes, link))).await;
         link.progress(kind).revision.set(Some(news.revision));
-        link.change_log(kind, |log| log.restart(news.revision));
+        // Those behind this router need not read it whole for that.
+        link.change_log(kind, |log| match known {
+            Some(known) => log.append(known, news.revision, logged),
+            None => log.restart(news.revision),
+        });
         return;
     }
     let logged = link.weigh(news.changes.iter().cloned());
