--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -49,6 +49,15 @@
     Regained(FollowedKind),
 }
 
+/// Whether the store answers a router that has just turned to it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum StoreProof {
+    /// It does.
+    Answers,
+    /// It does not.
+    Silent,
+}
+
 /// How far one kind is followed.
 #[derive(Debug, Default)]
 pub(crate) struct KindProgress {
@@ -233,10 +242,14 @@
     }
 
     /// Waits until the configuration's follower knows whether the store answers, if it is finding out.
-    pub(super) async fn proof(&self) {
+    pub(super) async fn proof(&self) -> Option<StoreProof> {
+        if !self.is_proving.get() {
+            return None;
+        }
         while self.is_proving.get() {
             self.proved.notified().await;
         }
+        Some(if self.is_config_lost() { StoreProof::Silent } else { StoreProof::Answers })
     }
 
     /// This router's address for other routers.
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -1,18 +1,17 @@
 //! Follows the platform's objects by watches, on the control thread.
 
-use super::control::{ControlEvent, ControlLink, KindProgress};
+pub(super) mod told;
+
+use super::control::{ControlEvent, ControlLink, KindProgress, StoreProof};
 use crate::clock;
 use bytes::Bytes;
 use eyre::{Result, eyre};
 use hyper::{Method, StatusCode};
 use metrics::counter;
-use plantain_core::{
-    direct::{
-        membership::{LAPSE_HOLD, ListChange, TargetEntry},
-        sharing::{ChangeLog, KindNews, SharedChange, SharedNews, source::StoreSource},
-        snapshot::ConfigRecord,
-    },
-    ids::Timestamp,
+use plantain_core::direct::{
+    membership::{ListChange, TargetEntry},
+    sharing::{ChangeLog, SharedChange, source::StoreSource},
+    snapshot::ConfigRecord,
 };
 use plantain_net::{
     backoff::RetryBackoff,
@@ -77,60 +76,6 @@
     }
 }
 
-/// Takes what another router has heard of the store.
-pub(super) async fn take_shared(news: SharedNews, link: &ControlLink) {
-    let now = clock::now();
-    let heard_at = now.saturating_sub(Duration::from_millis(news.age_ms.into()));
-    link.heard_at.set(heard_at.max(link.heard_at.get()));
-    if let Some(age) = news.regained_ms {
-        take_regained(now.saturating_sub(Duration::from_millis(age.into())), link).await;
-    }
-    for (kind, news) in FollowedKind::ALL.into_iter().zip(news.kinds) {
-        take_kind(kind, news, link).await;
-    }
-}
-
-/// Another router lost the list for a while, and this one did not notice. Entries that lapsed meanwhile must be
-/// held here too: their targets live, and write them anew within [`LAPSE_HOLD`].
-async fn take_regained(regained_at: Timestamp, link: &ControlLink) {
-    let is_known = link.regained_at.get().is_some_and(|known| regained_at < known + LAPSE_HOLD);
-    let is_lost = link.progress(FollowedKind::Targets).failing_since.get().is_some();
-    if !is_known && !is_lost {
-        link.regained_at.set(Some(regained_at));
-        link.send(ControlEvent::Lost(FollowedKind::Targets)).await;
-        link.send(ControlEvent::Regained(FollowedKind::Targets)).await;
-    }
-}
-
-async fn take_kind(kind: FollowedKind, news: KindNews, link: &ControlLink) {
-    let known = link.progress(kind).revision.get();
-    if known.is_some_and(|known| known > news.revision) {
-        // A watch of this router's own was answered meanwhile; older changes would undo it.
-        return;
-    }
-    link.note_contact(kind).await;
-    if news.is_whole {
-        info!(link.logger, "read whole through a router"; "step" => "follow",
-            "kind" => kind.name(), "revision" => news.revision);
-        let logged = link.weigh_whole(kind, &news.changes);
-        link.send(ControlEvent::Listed(kind, from_shared(news.changes, link))).await;
-        link.progress(kind).revision.set(Some(news.revision));
-        // Those behind this router need not read it whole for that.
-        link.change_log(kind, |log| match known {
-            Some(known) => log.append(known, news.revision, logged),
-            None => log.restart(news.revision),
-        });
-        return;
-    }
-    let logged = link.weigh(news.changes.iter().cloned());
-    if !news.changes.is_empty() {
-        link.send(ControlEvent::Changed(from_shared(news.changes, link))).await;
-    }
-    link.progress(kind).revision.set(Some(news.revision));
-    let from = known.unwrap_or(news.revision);
-    link.change_log(kind, |log| log.append(from, news.revision, logged));
-}
-
 struct KindFollower {
     kind: FollowedKind,
     client: HttpClient,
@@ -145,7 +90,11 @@
             return;
         }
         if self.kind != FollowedKind::Config {
-            self.link.proof().await;
+            let is_out = self.link.proof().await == Some(StoreProof::Silent);
+            if is_out && self.progress().failing_since.get().is_none() {
+                self.note_failure(&eyre!("the store does not answer for the configuration")).await;
+                return;
+            }
         }
         let result = match self.progress().revision.get() {
             Some(revision) if self.link.source() == StoreSource::Store => {
@@ -326,7 +275,7 @@
     async fn pause(&mut self) {
         let is_asked_for = self.kind != FollowedKind::Config && self.link.is_config_lost();
         let pause = if is_asked_for {
-            OTHERS_PAUSE
+            OTHERS_PAUSE.max(self.told_pause())
         } else {
             self.backoff.next_pause().max(self.told_pause())
         };
@@ -364,27 +313,3 @@
         FollowedChange::Crashes(report) => SharedChange::Crashes(Arc::clone(report)),
     }
 }
-
-fn from_shared(changes: Vec<SharedChange>, link: &ControlLink) -> Vec<FollowedChange> {
-    let changes = changes.into_iter().filter_map(|change| match change {
-        SharedChange::Config(record) => take_record(ConfigRecord::clone(&record), link),
-        SharedChange::Target(change) => Some(FollowedChange::Target(change)),
-        SharedChange::Release(release) => Some(FollowedChange::Release(release)),
-        SharedChange::Crashes(report) => Some(FollowedChange::Crashes(report)),
-    });
-    changes.collect()
-}
-
-/// A configuration that another router tells; one whose customers cannot be told apart leaves the last one in
-/// force.
-pub(super) fn take_record(record: ConfigRecord, link: &ControlLink) -> Option<FollowedChange> {
-    let number = record.number;
-    match record.into_config() {
-        Ok(config) => Some(FollowedChange::Config(Arc::new(config))),
-        Err(fault) => {
-            warn!(link.logger, "configuration not understood"; "step" => "follow",
-                "config" => number, "fault" => %fault);
-            None
-        }
-    }
-}
--- a/crates/daemon/src/router/peers.rs
+++ b/crates/daemon/src/router/peers.rs
@@ -2,7 +2,7 @@
 
 use super::{
     control::{ControlEvent, ControlLink},
-    follow,
+    follow::told,
     sharing::{self, CHANGES_PATH},
 };
 use crate::clock;
@@ -86,7 +86,7 @@
     if let Some(record) = snapshot.config {
         info!(link.logger, "configuration from a peer"; "step" => "peers", "peer" => %peer,
             "config" => record.number);
-        changes.extend(follow::take_record(record, link));
+        changes.extend(told::take_record(record, link));
     }
     changes.extend(snapshot.releases.into_iter().map(|(base, name, version)| {
         FollowedChange::Release(AdapterRelease { adapter: AdapterId { base, name }, version })
--- a/crates/daemon/src/router/sharing.rs
+++ b/crates/daemon/src/router/sharing.rs
@@ -1,6 +1,6 @@
 //! Hears what the store tells from another router of the zone, and passes it on.
 
-use super::{control::ControlLink, follow};
+use super::{control::ControlLink, follow::told};
 use crate::clock;
 use bytes::Bytes;
 use eyre::{Result, WrapErr, ensure};
@@ -83,7 +83,7 @@
                     info!(self.link.logger, "store followed through a router"; "step" => "sharing",
                         "peer" => %upstream);
                 }
-                follow::take_shared(news, &self.link).await;
+                told::take_shared(news, &self.link).await;
                 return;
             }
             Ok(Heard::Denied) => (UpstreamWord::Denied, "it does not follow the store".to_owned()),
