A router that has just started hears a meter before it refuses a call for its customer's limit

Callers saw 429 with a Retry-After of some 40 s from each router that had just started: until a meter has told it how many share a limit, a router takes itself for one of 1,024. A size that holds only while routers know each other. A refused call waits for the first word of its customer's meter now, 400 ms at most, and is counted anew.

--- a/crates/daemon/src/router/admission.rs
+++ b/crates/daemon/src/router/admission.rs
@@ -13,6 +13,7 @@
     ids::{CustomerName, ServiceName},
 };
 use std::{fmt::Write, sync::Arc, time::Duration};
+use tokio::time::{sleep, timeout};
 
 /// Why a request is not taken.
 #[derive(Clone, Copy, Debug)]
@@ -116,7 +117,10 @@
     let Some(customer) = identity.customer() else { return Ok(None) };
     let Some(limit) = &customer.limit else { return Ok(None) };
     let cost = limit.cost(head.tokens);
-    let (verdict, charge) = context.limits.charge(customer, limit, cost).await;
+    let (mut verdict, mut charge) = context.limits.charge(customer, limit, cost).await;
+    if verdict != SpendVerdict::Granted && hears_first_meter(context, customer).await {
+        (verdict, charge) = context.limits.charge(customer, limit, cost).await;
+    }
     match verdict {
         SpendVerdict::Granted => Ok(Some(charge)),
         SpendVerdict::Refused { room_in: Some(room_in) } => Err(CallRejection::OverLimit(room_in)),
@@ -124,6 +128,25 @@
     }
 }
 
+/// Waits for the first word of a customer's meter at a router that has just started; returns whether it came.
+async fn hears_first_meter(context: &RouterContext, customer: &CustomerRule) -> bool {
+    if is_metered(context, customer) || !context.is_starting() {
+        return false;
+    }
+    let heard = async {
+        while !is_metered(context, customer) {
+            sleep(constants::START_LOOK).await;
+        }
+    };
+    timeout(constants::METER_WAIT, heard).await.is_ok()
+}
+
+/// Whether a meter has told this router what is left of a customer's limit.
+fn is_metered(context: &RouterContext, customer: &CustomerRule) -> bool {
+    let view = context.limits.view(customer, clock::now());
+    view.is_some_and(|view| view.age.is_some())
+}
+
 /// What decided a rejection, for its line in the log.
 pub(super) fn grounds(
     context: &RouterContext,
