--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -6,7 +6,10 @@
     admission::spread,
     connections::TargetConnection,
     constants,
-    context::{AdapterNeed, CallGuard, RouterContext, WaitGuard},
+    context::{
+        RouterContext,
+        guards::{AdapterNeed, CallGuard, WaitGuard},
+    },
     journal::{CallEnd, CallRecord},
     limits::UsageCharge,
     turns::TargetTurn,
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -4,7 +4,7 @@
     super::{
         connections::{SendEnd, TargetConnection},
         constants,
-        context::{CallGuard, RunEnd},
+        context::guards::{CallGuard, RunEnd},
     },
     CallExchange, ChosenTarget, OpenAnswer, SendFailure,
 };
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -2,7 +2,7 @@
 
 use super::{
     constants,
-    context::RunEnd,
+    context::guards::RunEnd,
     exchange::{CallExchange, GivenUp, OpenAnswer, Opened},
     journal::CallEnd,
 };
