--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -74,7 +74,7 @@
 pub const LAPSE_HOLD: Duration = Duration::from_millis(2_200);
 
 /// A base model that a target holds, with adapters of it.
-#[derive(Clone, Debug, Default, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BaseHolding {
     /// The base model.
     pub base: BaseName,
@@ -93,7 +93,7 @@
 }
 
 /// What the list says of a target.
-#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct TargetEntry {
     /// Which life of which target this is.
     pub life: TargetLife,
@@ -129,10 +129,13 @@
         hasher.finish()
     }
 
-    fn without_adapters(&self) -> Self {
-        let mut entry = self.clone();
-        entry.holdings.iter_mut().for_each(|holding| holding.adapters.clear());
-        entry
+    /// All but the adapters that it holds, to be compared and hashed.
+    fn without_adapters(&self) -> impl Eq + Hash {
+        let Self { life, service, address, zone, slots, generation, is_leaving, cold, holdings } =
+            self;
+        let bases: Vec<_> =
+            holdings.iter().map(|holding| (&holding.base, holding.version)).collect();
+        (life, service, address, zone, slots, generation, is_leaving, cold, bases)
     }
 }
 
--- a/crates/core/tests/core/direct/sharing.rs
+++ b/crates/core/tests/core/direct/sharing.rs
@@ -3,9 +3,9 @@
 mod growth;
 mod zone;
 
-use super::support::{DESK, target};
+use super::support::{DESK, ENGINES, target};
 use plantain_core::direct::{
-    membership::{InstanceId, ListChange},
+    membership::{InstanceId, ListChange, TargetEntry},
     sharing::{ChangeLog, ChangeWeight, LoggedChange, SharedChange, order::RelayOrder},
     snapshot::FollowedState,
 };
@@ -201,3 +201,41 @@
     let expected = [put("changed", 9), put("new", 4), removed].map(SharedChange::Target);
     assert_eq!(changes, expected);
 }
+
+struct HintCase {
+    name: &'static str,
+    change: fn(&mut TargetEntry),
+    weight: ChangeWeight,
+}
+
+/// Guards against a change of a target that is left out as a hint: calls would go on to one that leaves, has moved, or
+/// has lost its base model.
+#[test]
+fn only_a_change_of_adapters_alone_is_a_hint() {
+    let needed = ChangeWeight::Needed;
+    let case = |name, weight, change| HintCase { name, change, weight };
+    let cases = [
+        case("adapters", ChangeWeight::Hint, |entry| {
+            entry.holdings[0].adapters.insert("a1".into(), 2);
+        }),
+        case("leaving", needed, |entry| entry.is_leaving = true),
+        case("address", needed, |entry| entry.address.set_port(9)),
+        case("another life", needed, |entry| entry.life.started = Some(7)),
+        case("another base model", needed, |entry| entry.holdings[0].base = "other".into()),
+        case("other weights", needed, |entry| entry.holdings[0].version += 1),
+        case("no base model", needed, |entry| entry.holdings.clear()),
+        case("adapters and slots", needed, |entry| {
+            entry.holdings[0].adapters.insert("a1".into(), 2);
+            entry.slots += 1;
+        }),
+    ];
+    let known = target("t0", ENGINES, "a", 1);
+    let mut state = FollowedState::default();
+    state.take_change(&ListChange::Put(Arc::new(known.clone())));
+    for case in cases {
+        let mut changed = known.clone();
+        (case.change)(&mut changed);
+        let change = SharedChange::Target(ListChange::Put(Arc::new(changed)));
+        assert_eq!(state.weigh(change).weight, case.weight, "{}", case.name);
+    }
+}
