--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -275,7 +275,7 @@
     /// until those are read, the largest fleet is presumed.
     pub fn presumed(&self, counted: usize, started: Timestamp, now: Timestamp) -> usize {
         let is_new = now.saturating_sub(started) < NAMING_TIME;
-        if is_new || !self.is_listed { LARGEST_FLEET } else { counted.max(self.named.len() + 1) }
+        if is_new || !self.is_listed { LARGEST_FLEET } else { counted.max(self.named() + 1) }
     }
 
     /// Zones of `all` whose number is to be asked now, at this router's turn `turn`: all in its first turns,
--- a/crates/core/src/direct/snapshot.rs
+++ b/crates/core/src/direct/snapshot.rs
@@ -205,12 +205,14 @@
         self.has_targets.then(|| hashes.fold(0, u64::wrapping_add))
     }
 
-    /// What a peer is told that has the configuration `number`, and a list of hash `list`.
+    /// What a peer is told that has the configuration `number`, and a list of hash `list`; all is known up to
+    /// `revisions`.
     pub fn snapshot(
         &self,
         number: ConfigNumber,
         list: Option<ListHash>,
         is_current: bool,
+        revisions: Vec<Option<u64>>,
     ) -> PeerSnapshot {
         let is_news = self.has_targets && self.list_hash() != list;
         let newer = self.config.as_ref().filter(|config| config.number > number);
@@ -223,7 +225,7 @@
             targets: is_news.then(|| self.targets.values().cloned().collect()),
             releases: releases.collect(),
             crashes: self.crashes.iter().cloned().collect(),
-            revisions: Vec::new(),
+            revisions,
         }
     }
 }
--- a/crates/daemon/src/router/admission.rs
+++ b/crates/daemon/src/router/admission.rs
@@ -1,6 +1,10 @@
 //! Whether a call is taken: its route, whose it is, and what that customer has left.
 
-use super::{constants, context::RouterContext, limits::UsageCharge};
+use super::{
+    constants,
+    context::{RouterContext, becomes_true},
+    limits::UsageCharge,
+};
 use crate::clock;
 use hyper::StatusCode;
 use plantain_core::{
@@ -13,7 +17,6 @@
     ids::{CustomerName, ServiceName},
 };
 use std::{fmt::Write, sync::Arc, time::Duration};
-use tokio::time::{sleep, timeout};
 
 /// Why a request is not taken.
 #[derive(Clone, Copy, Debug)]
@@ -133,12 +136,7 @@
     if is_metered(context, customer) || !context.is_starting() {
         return false;
     }
-    let heard = async {
-        while !is_metered(context, customer) {
-            sleep(constants::START_LOOK).await;
-        }
-    };
-    timeout(constants::METER_WAIT, heard).await.is_ok()
+    becomes_true(clock::now() + constants::METER_WAIT, || is_metered(context, customer)).await
 }
 
 /// Whether a meter has told this router what is left of a customer's limit.
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -118,10 +118,8 @@
 
     /// Waits for a first configuration, at most until `deadline`, if the router has just started.
     pub(crate) async fn first_config(&self, deadline: Timestamp) {
-        let is_missing = || self.pool.borrow().config().number == 0;
-        while is_missing() && self.is_starting() && clock::now() < deadline {
-            sleep(constants::START_LOOK).await;
-        }
+        let deadline = deadline.min(self.started + constants::START_WAIT);
+        becomes_true(deadline, || self.pool.borrow().config().number > 0).await;
     }
 
     /// Whether the process was told to stop.
@@ -280,6 +278,18 @@
     }
 }
 
+/// Waits for something that a router which has just started is about to learn, at most until `deadline`; returns
+/// whether it has.
+pub(crate) async fn becomes_true(deadline: Timestamp, is_true: impl Fn() -> bool) -> bool {
+    while !is_true() {
+        if clock::now() >= deadline {
+            return false;
+        }
+        sleep(constants::START_LOOK).await;
+    }
+    true
+}
+
 /// The service whose engines hold the adapter's base model.
 fn service_of(pool: &TargetPool, adapter: &AdapterId) -> Option<ServiceName> {
     let mut services = pool.config().services.iter();
--- a/crates/daemon/src/router/peers.rs
+++ b/crates/daemon/src/router/peers.rs
@@ -154,8 +154,8 @@
         *reply.status_mut() = StatusCode::NOT_FOUND;
         return reply;
     }
-    let known = link.state.borrow().snapshot(number, list, link.is_current());
-    let snapshot = PeerSnapshot { revisions: link.known_revisions(), ..known };
+    let state = link.state.borrow();
+    let snapshot = state.snapshot(number, list, link.is_current(), link.known_revisions());
     match postcard::to_allocvec(&snapshot) {
         Ok(bytes) => *reply.body_mut() = Full::new(bytes.into()),
         Err(_) => *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
