A line for a call whose caller leaves before an answer, and where the call was

A caller that left before its first byte left no line at all, and one that left later did not say where its call was: logs could not tell a router that does not learn of it from one that has nobody to tell. The line is written when the call is dropped; phase is waiting, sent or answering. No change of behaviour.

--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -10,7 +10,7 @@
         RouterContext,
         guards::{AdapterNeed, CallGuard, WaitGuard},
     },
-    journal::{CallEnd, CallRecord},
+    journal::{CallEnd, CallPhase, CallRecord},
     limits::UsageCharge,
     turns::TargetTurn,
 };
@@ -33,7 +33,7 @@
     ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
 };
 use plantain_net::body::ReplyBody;
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 use tokio::time::sleep;
 
 /// Whether a call that began to wait then still waits for a base model.
@@ -121,6 +121,18 @@
     pub(crate) record: CallRecord,
     pub(crate) resume_after: Option<u64>,
     excluded: Vec<TargetLife>,
+    is_finished: Cell<bool>,
+}
+
+/// Status in the line of a call that was never answered.
+const NO_STATUS: u16 = 0;
+
+impl Drop for CallExchange {
+    fn drop(&mut self) {
+        if !self.is_finished.get() {
+            self.write_line(CallEnd::CallerLeft, NO_STATUS);
+        }
+    }
 }
 
 impl CallExchange {
@@ -161,6 +173,7 @@
             deadline: started + limit,
             record,
             excluded: Vec::new(),
+            is_finished: Cell::new(false),
         }
     }
 
@@ -193,9 +206,14 @@
         self.record.note(age, step);
     }
 
-    /// Writes the call's line.
+    /// Writes the call's line. A call that is dropped without it has lost its caller.
     pub(crate) fn finish(&self, end: CallEnd, status: StatusCode) {
-        self.context.journal.finish(&self.record, end, status.as_u16(), self.age());
+        self.write_line(end, status.as_u16());
+    }
+
+    fn write_line(&self, end: CallEnd, status: u16) {
+        self.is_finished.set(true);
+        self.context.journal.finish(&self.record, end, status, self.age());
     }
 
     /// Whether the call may go to a further target although one may have run it.
@@ -327,6 +345,7 @@
     /// worth coming back.
     async fn choose(&mut self) -> Result<ChosenTarget, Duration> {
         let began = clock::now();
+        self.record.phase = CallPhase::Waiting;
         let mut waiting: Option<WaitGuard> = None;
         loop {
             if self.time_left() < constants::SERVE_TIME {
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -5,6 +5,7 @@
         connections::{SendEnd, TargetConnection},
         constants,
         context::guards::{CallGuard, RunEnd},
+        journal::CallPhase,
     },
     CallExchange, ChosenTarget, OpenAnswer, SendFailure,
 };
@@ -58,6 +59,7 @@
         };
         let mut guard =
             CallGuard::new(&self.context, life, self.record.fingerprint, adapter.clone(), tokens);
+        self.record.phase = CallPhase::Sent;
         self.record.sends += 1;
         self.record.runs += 1;
         let end = self.await_answer(life, address, request, &mut guard).await;
@@ -171,6 +173,7 @@
             self.context.pool.borrow_mut().record_latency(&life, took, clock::now());
         }
         if proof == RunProof::Succeeded {
+            self.record.phase = CallPhase::Answering;
             let head = calls::relay_answer(parts.status, &parts.headers, ());
             return Ok(OpenAnswer { head, body, connection, guard });
         }
--- a/crates/daemon/src/router/journal.rs
+++ b/crates/daemon/src/router/journal.rs
@@ -53,6 +53,28 @@
     }
 }
 
+/// Where a call is.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum CallPhase {
+    /// It waits for a target, or for its adapter there.
+    #[default]
+    Waiting,
+    /// It is at a target that has not answered.
+    Sent,
+    /// A target's answer to it is on its way.
+    Answering,
+}
+
+impl CallPhase {
+    fn name(self) -> &'static str {
+        match self {
+            Self::Waiting => "waiting",
+            Self::Sent => "sent",
+            Self::Answering => "answering",
+        }
+    }
+}
+
 /// What a line about a call says.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct CallRecord {
@@ -82,6 +104,8 @@
     pub(crate) runs: u32,
     /// Sends in all.
     pub(crate) sends: u32,
+    /// Where it is; in its line, where it was at its end.
+    pub(crate) phase: CallPhase,
     /// Time spent waiting for an adapter.
     pub(crate) load_wait: Duration,
     /// Time to the first byte of the answer.
@@ -144,6 +168,7 @@
         let fingerprint = is_told.then(|| format!("{:032x}", record.fingerprint));
         info!(self.logger, "call ended"; "step" => "call",
             "id" => record.id.as_deref(), "fingerprint" => fingerprint, "outcome" => end.name(), "status" => status,
+            "phase" => record.phase.name(),
             "customer" => record.customer.as_deref(), "cost" => record.cost, "route" => &record.route, "objective_ms" => record.objective.as_millis() as u64,
             "config" => record.config, "adapter" => adapter,
             "target" => record.target.as_ref().map(|life| &*life.id),
