Callers' connections are read on behind bytes sent ahead, so that targets learn that a caller has left

What callers saw: nothing; targets worked on for callers that had left, up to the deadline, if these had sent an empty line or the next request behind the call (GONE). Cause: the HTTP server does not read while bytes wait in its buffer, and meets no end of the connection behind them. Fix: a watch polled by the connection's task after the server reads what the server leaves, up to 256 KiB, and looks every 100 ms for the end beyond that; when the end is there and the server has not met it, the connection is dropped, and with it the call and its connection to the target. Why it works: whatever state the call is in, it is dropped with its connection; the server still reads first, so that all else is as before. The same server stands before entries, agents and stand-ins: both paths have it.

--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -32,6 +32,7 @@
 };
 use plantain_net::{
     body::{BodyAbort, ReplyBody},
+    caller::watched,
     server::json_reply,
 };
 use plantain_platform::calls;
@@ -167,10 +168,11 @@
             Ok::<_, Infallible>(reply.map(|body| GuardedBody { body, _guard: guard }))
         }
     });
+    let (socket, mut watch) = watched(stream);
     let connection = http1::Builder::new()
         .header_read_timeout(None)
         .max_buf_size(header_bytes.max(BUFFER_FLOOR))
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     let mut stopping = context.stopping.clone();
     let lingered = async {
@@ -181,7 +183,7 @@
     let mut looks = interval(constants::IDLE_LOOK);
     loop {
         tokio::select! {
-            _ = connection.as_mut() => return,
+            _ = watch.serve(connection.as_mut()) => return,
             () = &mut lingered => break,
             _ = looks.tick() => {
                 let limit = context.pool.borrow().config().limits.idle_timeout;
@@ -193,7 +195,7 @@
         }
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let _ = watch.serve(connection).await;
 }
 
 async fn serve_request(
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod backoff;
 pub mod body;
+pub mod caller;
 pub mod client;
 pub mod config_store;
 pub mod count;
--- a/crates/net/src/server.rs
+++ b/crates/net/src/server.rs
@@ -1,7 +1,7 @@
 //! An HTTP server over hyper: time limits against slow callers, a connection limit, and a graceful
 //! stop that lets requests in flight end.
 
-use crate::{body::ReplyBody, count::CountGuard};
+use crate::{body::ReplyBody, caller::watched, count::CountGuard};
 use eyre::{Result, WrapErr};
 use hyper::{
     Request, Response, StatusCode,
@@ -107,19 +107,20 @@
         let handler = handler.clone();
         async move { Ok::<_, Infallible>(handler.handle(request, peer).await) }
     });
+    let (socket, mut watch) = watched(stream);
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(HEAD_TIMEOUT)
         .max_buf_size(HEAD_LIMIT)
         .half_close(false)
-        .serve_connection(TokioIo::new(stream), service);
+        .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
     tokio::select! {
-        _ = connection.as_mut() => return,
+        _ = watch.serve(connection.as_mut()) => return,
         _ = stopping.wait_for(|stop| *stop) => {}
     }
     connection.as_mut().graceful_shutdown();
-    let _ = connection.await;
+    let _ = watch.serve(connection).await;
 }
 
 /// An answer with a JSON body.
--- a/crates/standin/tests/integration/answers.rs
+++ b/crates/standin/tests/integration/answers.rs
@@ -7,8 +7,12 @@
     cluster::plan::ClusterPlan,
     engine::{EngineFaults, EngineRecords},
 };
-use std::time::Duration;
-use tokio::time::timeout;
+use std::{net::SocketAddr, time::Duration};
+use tokio::{
+    io::AsyncWriteExt,
+    net::TcpStream,
+    time::{sleep, timeout},
+};
 
 /// Tokens of an answer that takes seconds.
 const LONG_ANSWER: u32 = 2_000;
@@ -93,3 +97,64 @@
         .await?;
     finish(cluster).await
 }
+
+/// What a caller has sent, and how long it stays.
+struct LeaveCase {
+    name: &'static str,
+    is_streamed: bool,
+    /// What it sends behind its request.
+    ahead: &'static [u8],
+    /// Whether it resets its connection instead of closing it.
+    is_reset: bool,
+}
+
+impl LeaveCase {
+    /// Sends a call and leaves once it is under way.
+    async fn leave(&self, entry: SocketAddr) -> Result<()> {
+        let mut call = ChatCall::new("house-0001", "All rules?", LONG_ANSWER);
+        call.streamed = self.is_streamed;
+        let body = call.body().to_string();
+        let head = "POST /v1/chat/completions HTTP/1.1\r\nhost: entry\r\n";
+        let mut bytes = format!("{head}content-length: {}\r\n\r\n{body}", body.len()).into_bytes();
+        bytes.extend(self.ahead);
+        let mut caller = TcpStream::connect(entry).await?;
+        caller.write_all(&bytes).await?;
+        sleep(Duration::from_millis(300)).await;
+        if self.is_reset {
+            caller.set_zero_linger()?;
+        }
+        Ok(())
+    }
+}
+
+const NEXT_REQUEST: &[u8] = b"GET /healthz HTTP/1.1\r\nhost: entry\r\n\r\n";
+
+/// Guards against an entry that does not see the end of a connection behind bytes which its caller has sent ahead: the
+/// engine works on for nobody.
+#[tokio::test]
+async fn bytes_sent_ahead_do_not_hide_that_a_caller_has_left() -> Result<()> {
+    let case =
+        |name, is_streamed, ahead, is_reset| LeaveCase { name, is_streamed, ahead, is_reset };
+    let cases = [
+        case("stream", true, &b""[..], false),
+        case("stream, empty line behind it", true, b"\r\n", false),
+        case("stream, next request behind it", true, NEXT_REQUEST, false),
+        case("stream, next request behind it, reset", true, NEXT_REQUEST, true),
+        case("whole answer", false, b"", false),
+        case("whole answer, empty line behind it", false, b"\r\n", true),
+        case("whole answer, next request behind it", false, NEXT_REQUEST, false),
+    ];
+    let cluster = start(ClusterPlan::new(1, 1, &["kandy"])).await?;
+    ask(&cluster, 0, &ChatCall::new("house-0001", "Open?", 2), "house-0001@1").await?;
+    for (index, case) in cases.iter().enumerate() {
+        case.leave(cluster.entry(0)).await?;
+        cluster
+            .wait_for(case.name, async || {
+                let records: EngineRecords =
+                    cluster.page(cluster.engine(0), "/standin/records").await?;
+                Ok(records.cancelled == index as u64 + 1)
+            })
+            .await?;
+    }
+    finish(cluster).await
+}
