Offered path: a request whose caller leaves is no longer counted as in flight for ever, and leaves a line

What operators saw: plantain_in_flight grew with each caller that left before its answer, and no line told of the request. Cause: the count was taken back after the answer, which a dropped request never reaches. The test failed before (not so after 60 s) and passes now. Found while asking who learns that a caller has left.

--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -166,9 +166,9 @@
         let id: RequestId = self.next_id.fetch_add(1, Ordering::Relaxed);
         let name = request_name(request.headers(), id);
         let mut facts = None;
-        gauge!(names::IN_FLIGHT).increment(1.0);
+        let guard = RequestGuard::new(&name, &self.logger, started);
         let result = self.serve(request, id, &name, &mut facts).await;
-        gauge!(names::IN_FLIGHT).decrement(1.0);
+        guard.end();
         if let Some(facts) = facts {
             self.status.record(&facts.outcome(&result, started.elapsed()));
         }
@@ -335,6 +335,36 @@
     let _ = timeout(constants::DISCARD_TIMEOUT, discarded).await;
 }
 
+/// Counts a request in flight, and tells if its caller leaves before it has an answer.
+struct RequestGuard<'a> {
+    name: &'a str,
+    logger: &'a Logger,
+    started: Instant,
+    is_answered: bool,
+}
+
+impl<'a> RequestGuard<'a> {
+    fn new(name: &'a str, logger: &'a Logger, started: Instant) -> Self {
+        gauge!(names::IN_FLIGHT).increment(1.0);
+        Self { name, logger, started, is_answered: false }
+    }
+
+    fn end(mut self) {
+        self.is_answered = true;
+    }
+}
+
+impl Drop for RequestGuard<'_> {
+    fn drop(&mut self) {
+        gauge!(names::IN_FLIGHT).decrement(1.0);
+        if !self.is_answered {
+            counter!(names::REQUESTS, "outcome" => "caller_left").increment(1);
+            info!(self.logger, "request"; "step" => "answer", "request" => self.name,
+                "outcome" => "caller_left", "ms" => self.started.elapsed().as_millis() as u64);
+        }
+    }
+}
+
 /// What the report on service-level burn says of a request.
 struct RequestFacts {
     priority: Priority,
--- a/crates/standin/tests/integration/answers.rs
+++ b/crates/standin/tests/integration/answers.rs
@@ -2,6 +2,8 @@
 
 use crate::support::{ask, finish, start};
 use eyre::{Result, ensure};
+use hyper::Method;
+use plantain_net::client::url;
 use plantain_standin::{
     call::ChatCall,
     cluster::plan::ClusterPlan,
@@ -158,3 +160,24 @@
     }
     finish(cluster).await
 }
+
+/// Guards against requests that count as in flight for ever, and leave no line, because their callers left before an
+/// answer.
+#[tokio::test]
+async fn a_caller_that_leaves_is_counted_and_told() -> Result<()> {
+    let cluster = start(ClusterPlan::new(1, 1, &["kandy"])).await?;
+    ask(&cluster, 0, &ChatCall::new("house-0001", "Open?", 2), "house-0001@1").await?;
+    let case = LeaveCase { name: "whole answer", is_streamed: false, ahead: b"", is_reset: false };
+    case.leave(cluster.entry(0)).await?;
+    let page = url(cluster.entry_admin(0), "/metrics");
+    cluster
+        .wait_for("the caller's leaving on the metrics page", async || {
+            let answer =
+                cluster.http().call(Method::GET, &page, "", Duration::from_secs(2)).await?;
+            let text = answer.text();
+            Ok(text.lines().any(|line| line == "plantain_in_flight 0")
+                && text.contains("outcome=\"caller_left\"} 1"))
+        })
+        .await?;
+    finish(cluster).await
+}
