Routers read what targets state of themselves in answers, and write a line when it is news

That a target leaves, and for how long one that turns requests away wants none. Kept in the core by the target's life, beside its limit, also while its entry has lapsed. Nothing is decided by it yet: the lines tell a router that does not read the words from one that passes them by.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -22,5 +22,6 @@
 pub mod snapshot;
 pub mod target;
 pub mod target_limit;
+pub mod target_statement;
 pub mod targets;
 pub mod waits;
--- a/crates/core/src/direct/proof.rs
+++ b/crates/core/src/direct/proof.rs
@@ -6,6 +6,7 @@
     membership::{InstanceId, TargetLife},
     target_limit::StatedLimit,
 };
+use std::time::Duration;
 
 /// What a target's head of an answer says, decoded from the wire.
 #[derive(Clone, Debug, PartialEq)]
@@ -22,6 +23,10 @@
     pub instance: Option<InstanceId>,
     /// What it says of the requests that the target takes.
     pub limit: StatedLimit,
+    /// Whether it says that the target leaves.
+    pub is_leaving: bool,
+    /// For how long it asks for no further requests.
+    pub rest: Option<Duration>,
 }
 
 impl AnswerHead {
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -8,6 +8,7 @@
     messages::{AdapterUse, AdapterWish, LoaderReport},
     pressure::LatencyGauge,
     target_limit::KnownLimit,
+    target_statement::TargetStatement,
 };
 use crate::ids::{AdapterVersion, Timestamp};
 use std::{collections::HashMap, sync::Arc, time::Duration};
@@ -82,6 +83,8 @@
     pub latency: LatencyGauge,
     /// The requests that it takes from all routers together.
     pub limit: KnownLimit,
+    /// What it has stated of itself.
+    pub statement: TargetStatement,
     /// Until when its limit is taken to have no room.
     pub(super) full_until: Timestamp,
     /// What its loader reported.
@@ -108,6 +111,7 @@
             health: TargetHealth::default(),
             latency: LatencyGauge::default(),
             limit: KnownLimit::default(),
+            statement: TargetStatement::default(),
             full_until: Duration::ZERO,
             loader: None,
             question: None,
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -1,7 +1,10 @@
 //! The targets as one router sees them: the list, the loaders' reports, and its own calls.
 
+mod departed;
 mod limits;
+mod statements;
 
+use self::departed::DepartedTarget;
 use super::{
     call::{AdapterId, AdapterRelease},
     config::{EngineSpec, RouteConfig},
@@ -12,7 +15,6 @@
     messages::{BaseOffer, LoaderReport},
     pressure::ConcurrencyGauge,
     target::{TargetState, WishState},
-    target_limit::KnownLimit,
     waits::UsualWaits,
 };
 use crate::ids::{AdapterVersion, ServiceName, Timestamp};
@@ -34,8 +36,8 @@
     demand: FleetDemand,
     concurrency: HashMap<ServiceName, ConcurrencyGauge>,
     usual: UsualWaits,
-    /// Limits of targets that have left the list, and may come back in the same life.
-    departed_limits: HashMap<LimitTag, KnownLimit>,
+    /// Targets that have left the list, and may come back in the same life.
+    departed: HashMap<LimitTag, DepartedTarget>,
 }
 
 impl Default for TargetPool {
@@ -56,7 +58,7 @@
             demand: FleetDemand::default(),
             concurrency: HashMap::new(),
             usual: UsualWaits::default(),
-            departed_limits: HashMap::new(),
+            departed: HashMap::new(),
         }
     }
 
@@ -418,8 +420,9 @@
                 }
                 _ => {
                     let mut state = TargetState::new(Arc::clone(entry));
-                    let limit = self.departed_limits.remove(&entry.life.life_hash());
-                    state.limit = limit.unwrap_or_default();
+                    let departed = self.departed.remove(&entry.life.life_hash());
+                    let departed = departed.unwrap_or_default();
+                    (state.limit, state.statement) = (departed.limit, departed.statement);
                     state
                 }
             };
@@ -430,7 +433,7 @@
         for ids in self.by_service.values_mut() {
             ids.sort_unstable();
         }
-        self.keep_departed_limits(old.into_values());
+        self.keep_departed(old.into_values());
         self.mark_superseded();
     }
 }
--- a/crates/core/src/direct/targets/limits.rs
+++ b/crates/core/src/direct/targets/limits.rs
@@ -1,10 +1,9 @@
-//! Limits that targets state, also of those that have left the list.
+//! Limits that targets state.
 
 use super::{
     super::{
         limits::LimitTag,
         membership::TargetLife,
-        target::TargetState,
         target_limit::{LimitNews, StatedLimit, limit_news},
     },
     TargetPool,
@@ -12,9 +11,6 @@
 use crate::ids::Timestamp;
 use std::{collections::HashMap, time::Duration};
 
-/// Targets that have left the list whose limits are kept.
-const DEPARTED_LIMIT: usize = 256;
-
 impl TargetPool {
     /// Takes what an answer says of the requests that its target takes, to a call that was sent at `sent`;
     /// returns whether the target's limit has changed.
@@ -42,9 +38,9 @@
                 changed.push(target.entry.life.clone());
             }
         }
-        for (tag, limit) in &mut self.departed_limits {
+        for (tag, departed) in &mut self.departed {
             if let Some(news) = by_tag.get(tag) {
-                limit.take_news(news, now);
+                departed.limit.take_news(news, now);
             }
         }
         changed
@@ -54,7 +50,7 @@
     pub fn limit_news(&self, now: Timestamp) -> Vec<LimitNews> {
         let limited = self.targets.values().filter(|target| target.limit.is_news(now));
         let listed = limited.map(|target| (target.entry.life.life_hash(), &target.limit));
-        let departed = self.departed_limits.iter().map(|(tag, limit)| (*tag, limit));
+        let departed = self.departed.iter().map(|(tag, departed)| (*tag, &departed.limit));
         limit_news(listed.chain(departed), now)
     }
 
@@ -75,16 +71,4 @@
         let full = self.service_targets(service).filter(|target| target.is_full(now));
         full.map(|target| target.full_until.saturating_sub(now)).min()
     }
-
-    /// Keeps the limits of targets that have left the list.
-    pub(super) fn keep_departed_limits(&mut self, departed: impl Iterator<Item = TargetState>) {
-        let limited = departed.filter(TargetState::is_limited);
-        self.departed_limits
-            .extend(limited.map(|target| (target.entry.life.life_hash(), target.limit)));
-        while self.departed_limits.len() > DEPARTED_LIMIT {
-            let oldest = self.departed_limits.iter().min_by_key(|(_, limit)| limit.as_of);
-            let Some(tag) = oldest.map(|(tag, _)| *tag) else { break };
-            self.departed_limits.remove(&tag);
-        }
-    }
 }
--- a/crates/core/tests/core/direct/proof.rs
+++ b/crates/core/tests/core/direct/proof.rs
@@ -126,6 +126,8 @@
             states_not_run: case.not_run,
             instance: None,
             limit: StatedLimit::Unlimited,
+            is_leaving: false,
+            rest: None,
         };
         assert_eq!(judge_answer("c1", &head), case.proof, "{}", case.name);
     }
@@ -164,6 +166,8 @@
             states_not_run: false,
             instance: None,
             limit: case.stated,
+            is_leaving: false,
+            rest: None,
         };
         assert_eq!(limit_word(case.proof, &head), case.word, "{}", case.name);
     }
@@ -281,6 +285,8 @@
             states_not_run,
             instance: None,
             limit: StatedLimit::Unlimited,
+            is_leaving: false,
+            rest: None,
         };
         match self {
             Self::Unreached => RunProof::NotRun,
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -17,6 +17,7 @@
 mod readiness;
 mod relay;
 mod sharing;
+mod statements;
 mod turns;
 
 use crate::{
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -163,6 +163,7 @@
         if let Some(stated) = limit_word(proof, &head).filter(|_| !head.is_of_other(&life)) {
             self.context.note_limit(&life, stated, guard.sent());
         }
+        self.context.note_statement(&life, proof, &head);
         let took = match proof {
             RunProof::Succeeded | RunProof::Failed => Some(latency),
             // A queue that is full takes about as long as the objective.
--- /dev/null
+++ b/crates/daemon/src/router/statements.rs
@@ -0,0 +1,30 @@
+//! What targets state of themselves in their answers: that they leave, or want no requests for a time.
+
+use super::context::RouterContext;
+use crate::clock;
+use metrics::counter;
+use plantain_core::direct::{
+    membership::TargetLife,
+    proof::{AnswerHead, RunProof},
+    target_statement::{stated_rest, states_leaving},
+};
+use slog::info;
+
+impl RouterContext {
+    /// Takes what an answer says of the target that was asked.
+    pub(crate) fn note_statement(&self, life: &TargetLife, proof: RunProof, head: &AnswerHead) {
+        let now = clock::now();
+        if states_leaving(head, life) && self.pool.borrow_mut().record_leaving(life, now) {
+            counter!("plantain_target_statements_total", "kind" => "leaving").increment(1);
+            info!(self.logger, "target says that it leaves"; "step" => "target_statement",
+                "target" => &*life.id, "started" => life.started);
+        }
+        let Some(rest) = stated_rest(proof, head) else { return };
+        if self.pool.borrow_mut().record_rest(life, rest, now) {
+            counter!("plantain_target_statements_total", "kind" => "rest").increment(1);
+            info!(self.logger, "target wants no requests"; "step" => "target_statement",
+                "target" => &*life.id, "started" => life.started,
+                "for_ms" => u64::try_from(rest.as_millis()).unwrap_or(u64::MAX));
+        }
+    }
+}
