What a life of a target has stated outlasts an older list that shows an earlier one

What targets saw: limits forgotten by a router that got a list from before the target's restart, until its next answer. Cause: the state of a life that a list replaces by another life of the same id was dropped, where that of one that leaves the list was kept.

--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -412,13 +412,16 @@
     /// Targets follow the list; what is known of those that stay is kept.
     fn rebuild(&mut self) {
         let mut old = std::mem::take(&mut self.targets);
+        let mut gone = Vec::new();
         self.by_service.clear();
         for entry in self.list.entries() {
+            let is_same_life = |state: &TargetState| state.entry.life.may_be(&entry.life);
             let state = match old.remove(&entry.life.id) {
-                Some(state) if state.entry.life.may_be(&entry.life) => {
+                Some(state) if is_same_life(&state) => {
                     TargetState { entry: Arc::clone(entry), ..state }
                 }
-                _ => {
+                other_life => {
+                    gone.extend(other_life);
                     let mut state = TargetState::new(Arc::clone(entry));
                     let departed = self.departed.remove(&entry.life.life_hash());
                     let departed = departed.unwrap_or_default();
@@ -433,7 +436,7 @@
         for ids in self.by_service.values_mut() {
             ids.sort_unstable();
         }
-        self.keep_departed(old.into_values());
+        self.keep_departed(gone.into_iter().chain(old.into_values()));
         self.mark_superseded();
     }
 }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -17,4 +17,5 @@
 mod sharing;
 mod support;
 mod target_limit;
+mod target_statement;
 mod transit;
--- /dev/null
+++ b/crates/core/tests/core/direct/target_statement.rs
@@ -0,0 +1,203 @@
+//! What targets state of themselves, against lists and reports that come late.
+
+use super::support::{DESK, ENGINES, config, model_call, ms, report, target};
+use plantain_core::{
+    direct::{
+        call::ModelCall,
+        membership::{ListChange, TargetEntry, TargetLife},
+        proof::{AnswerHead, RunProof},
+        selection::{CallNeed, TargetChoice, choose_target, preferred_targets},
+        target_limit::StatedLimit,
+        target_statement::states_leaving,
+        targets::TargetPool,
+    },
+    ids::{ServiceName, ZoneName},
+};
+use rand::{RngExt, SeedableRng, rngs::StdRng};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+/// Drawn plays, and events of each.
+const PLAYS: u64 = 2_000;
+const EVENTS: usize = 120;
+/// Ids, services and ports of the targets of a play.
+const TARGETS: [(&str, &str, u16); 5] =
+    [("e1", ENGINES, 1), ("e2", ENGINES, 2), ("e3", ENGINES, 3), ("d1", DESK, 4), ("d2", DESK, 5)];
+
+fn answer(status: u16, instance: Option<&str>) -> AnswerHead {
+    AnswerHead {
+        status,
+        echoed_id: None,
+        is_signed: false,
+        states_not_run: false,
+        instance: instance.map(Into::into),
+        limit: StatedLimit::Unlimited,
+        is_leaving: true,
+        rest: None,
+    }
+}
+
+/// Guards against a target that is left out because another one, which has its address now, leaves.
+#[test]
+fn an_answer_speaks_for_the_target_that_was_asked() {
+    let cases = [
+        ("a success", answer(200, None), true),
+        ("a refusal", answer(503, None), true),
+        ("a failure that names itself", answer(500, Some("d1")), true),
+        ("it holds something else", answer(421, Some("d1")), true),
+        ("another target", answer(421, Some("d2")), false),
+        ("a target that does not name itself", answer(421, None), false),
+        ("another target's late answer", answer(200, Some("d2")), false),
+    ];
+    for (name, head, is_heard) in cases {
+        assert_eq!(states_leaving(&head, &"d1".into()), is_heard, "{name}");
+        let silent = AnswerHead { is_leaving: false, ..head };
+        assert!(!states_leaving(&silent, &"d1".into()), "{name}, without the word");
+    }
+}
+
+/// What a target has said, by itself and not by what a router makes of it.
+#[derive(Clone, Copy, Debug, Default)]
+struct SaidSoFar {
+    is_leaving: bool,
+}
+
+impl SaidSoFar {
+    fn takes_calls(self, _now: Duration) -> bool {
+        !self.is_leaving
+    }
+}
+
+/// A router's view of targets that speak, start again, and leave and join the list.
+struct StatementPlay {
+    pool: TargetPool,
+    random: StdRng,
+    now: Duration,
+    /// Start of each target's present life.
+    starts: HashMap<&'static str, u64>,
+    said: HashMap<TargetLife, SaidSoFar>,
+}
+
+impl StatementPlay {
+    fn new(seed: u64) -> Self {
+        let mut pool = TargetPool::new();
+        pool.take_config(Arc::new(config(1, Vec::new())));
+        let starts = TARGETS.iter().map(|(id, ..)| (*id, 1)).collect();
+        let random = StdRng::seed_from_u64(seed);
+        let mut play = Self { pool, random, now: ms(0), starts, said: HashMap::new() };
+        play.replace_list();
+        play
+    }
+
+    fn life(&self, id: &str) -> TargetLife {
+        TargetLife { id: id.into(), started: Some(self.starts[id]) }
+    }
+
+    /// An entry of the present life, or of an earlier one, which says that the target is ready.
+    fn entry(&mut self, (id, service, port): (&str, &str, u16)) -> Arc<TargetEntry> {
+        let life = self.life(id);
+        let is_old = self.random.random_bool(0.1);
+        let started = life.started.map(|start| if is_old { start.max(2) - 1 } else { start });
+        let life = TargetLife { started, ..life };
+        Arc::new(TargetEntry { life, ..target(id, service, "a", port) })
+    }
+
+    fn replace_list(&mut self) {
+        let entries = TARGETS.map(|target| self.entry(target)).into_iter();
+        let kept: Vec<_> = entries.filter(|_| self.random.random_bool(0.8)).collect();
+        self.pool.replace_list(kept, self.now);
+    }
+
+    fn step(&mut self) {
+        self.now += ms(self.random.random_range(1..400));
+        let drawn = TARGETS[self.random.random_range(0..TARGETS.len())];
+        let life = self.life(drawn.0);
+        match self.random.random_range(0..10) {
+            0 => self.replace_list(),
+            1 => {
+                let entry = self.entry(drawn);
+                self.pool.apply_changes(&[ListChange::Put(entry)], self.now);
+            }
+            2 => self.pool.apply_changes(&[ListChange::Removed(drawn.0.into())], self.now),
+            3 => self.pool.note_outage(),
+            4 => self.pool.note_contact(self.now),
+            5 if self.random.random_bool(0.3) => *self.starts.entry(drawn.0).or_default() += 1,
+            6 if drawn.1 == ENGINES => {
+                let mut report = report(drawn.0, self.random.random_range(0..9), &[]);
+                report.life = life;
+                let host = [127, 0, 0, drawn.2 as u8].into();
+                self.pool.take_report(host, report, self.now);
+            }
+            7 if self.random.random_bool(0.3) => {
+                self.said.entry(life.clone()).or_default().is_leaving = true;
+                self.pool.record_leaving(&life, self.now);
+            }
+            _ => {}
+        }
+    }
+
+    fn check(&mut self, seed: u64) {
+        let zone: ZoneName = "a".into();
+        let call = model_call(Some("a1"));
+        for (service, model) in [(ENGINES, Some(&call)), (DESK, None)] {
+            let service: ServiceName = service.into();
+            let need = need(&service, &zone, model);
+            let choice = choose_target(&self.pool, &need, self.now, || 0.5);
+            let preferred = model.map_or(Vec::new(), |call| {
+                let adapter = plantain_core::direct::selection::adapter_of(call);
+                preferred_targets(&self.pool, &need, &adapter.expect("an adapter"), self.now)
+            });
+            let chosen = match choice {
+                TargetChoice::Send(life, _)
+                | TargetChoice::Ask(life)
+                | TargetChoice::Load(life, ..) => Some(life),
+                TargetChoice::AwaitBase | TargetChoice::Nowhere => None,
+            };
+            for life in chosen.iter().chain(&preferred) {
+                let said = self.said.get(life).copied().unwrap_or_default();
+                assert!(said.takes_calls(self.now), "seed {seed}: {life} was chosen: {said:?}");
+            }
+        }
+    }
+}
+
+fn need<'a>(
+    service: &'a ServiceName,
+    zone: &'a ZoneName,
+    model: Option<&'a ModelCall>,
+) -> CallNeed<'a> {
+    CallNeed { service, model, zone, excluded: &[], routers: 2, waiting_at: None, may_ask: false }
+}
+
+/// Guards against what a target has said being undone by an older list, a report, a lapse of its entry or an outage.
+#[test]
+fn what_a_life_has_said_holds_whatever_comes_late() {
+    let mut chosen = 0;
+    for seed in 0..PLAYS {
+        let mut play = StatementPlay::new(seed);
+        for _ in 0..EVENTS {
+            play.step();
+            play.check(seed);
+        }
+        chosen += usize::from(play.said.values().any(|said| !said.takes_calls(play.now)));
+    }
+    assert!(chosen as u64 > PLAYS / 2, "targets spoke in {chosen} plays only");
+}
+
+/// Guards against an older list that shows an earlier life of a target, and so makes a router forget what the present one
+/// has stated.
+#[test]
+fn an_older_list_does_not_end_what_a_later_life_has_stated() {
+    let entry = |started| {
+        let life = TargetLife { id: "d1".into(), started: Some(started) };
+        Arc::new(TargetEntry { life, ..target("d1", DESK, "a", 4) })
+    };
+    let (earlier, present) = (entry(1), entry(2));
+    let mut pool = TargetPool::new();
+    pool.take_config(Arc::new(config(1, Vec::new())));
+    pool.replace_list(vec![Arc::clone(&present)], ms(0));
+    pool.record_limit(&present.life, StatedLimit::Limited(3.9), ms(10), ms(20));
+    pool.replace_list(vec![earlier], ms(30));
+    pool.replace_list(vec![Arc::clone(&present)], ms(40));
+    let target = pool.target(&present.life).expect("the present life");
+    assert_eq!(target.limit.rate, Some(3.9));
+}
