A target that says in an answer that it leaves gets no new call

Cause: nobody read the word. Fix: it is one of the things by which the core takes a target for leaving, kept by its life, so that choices, repeats, resumed streams, preferred targets and waits for adapters all heed it; a call that waited for a turn of the target's limit looks again.

--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -218,10 +218,10 @@
         })
     }
 
-    /// Whether it is leaving, by the list or by its loader.
+    /// Whether it is leaving, by the list, by its loader, or by its own word.
     pub fn is_leaving(&self) -> bool {
         let by_loader = self.loader.as_ref().is_some_and(|view| view.report.is_leaving);
-        self.entry.is_leaving || by_loader
+        self.entry.is_leaving || by_loader || self.statement.is_leaving
     }
 
     /// Whether this life has ended, as far as is known.
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -354,6 +354,10 @@
             }
             match self.choose_now(waiting.as_ref()) {
                 TargetChoice::Send(life, version) => match self.context.take_turn(&life).await {
+                    // It may have spoken while the turn was waited for.
+                    TargetTurn::Granted(turn) if !self.context.is_open(&life) => {
+                        self.give_back_turn(turn);
+                    }
                     TargetTurn::Granted(turn) => {
                         self.record.load_wait += clock::now().saturating_sub(began);
                         return Ok(ChosenTarget { life, version, turn });
--- a/crates/daemon/src/router/statements.rs
+++ b/crates/daemon/src/router/statements.rs
@@ -11,6 +11,11 @@
 use slog::info;
 
 impl RouterContext {
+    /// Whether a target takes requests, as far as it has said itself.
+    pub(crate) fn is_open(&self, life: &TargetLife) -> bool {
+        self.pool.borrow().target(life).is_none_or(|target| !target.is_leaving())
+    }
+
     /// Takes what an answer says of the target that was asked.
     pub(crate) fn note_statement(&self, life: &TargetLife, proof: RunProof, head: &AnswerHead) {
         let now = clock::now();
