A target that turns a request away and asks for no more for a time is left alone for that time

What callers saw: calls that went there first, 10 to 280 ms each. Cause: routers only wrote Retry-After and never read it. Fix: the rest is kept by the target's life, the longest counts, ten minutes at the most; no choice takes a target at rest, neither for a first send nor for a repeat, a resumed stream, an adapter's place or a base model. Where all targets rest, callers are refused at once and told when the first is back, spread over a second. Why it works: as for targets that leave, nothing is sent without a choice, and the drawn plays now draw rests too.

Core tests: only a request that is turned away asks for rest; absurd rests are bounded.

--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -160,6 +160,7 @@
     let usable = pool.service_targets(need.service).filter(|target| {
         !target.is_leaving()
             && !target.has_ended()
+            && !target.is_at_rest(now)
             && !target.health.is_resting(now)
             && !target.is_dark(now)
     });
@@ -185,6 +186,7 @@
 fn is_alive(target: &TargetState, need: &CallNeed<'_>, now: Timestamp) -> bool {
     !target.is_leaving()
         && !target.has_ended()
+        && !target.is_at_rest(now)
         && !target.is_dark(now)
         && !need.excluded.contains(&target.entry.life)
 }
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -224,6 +224,11 @@
         self.entry.is_leaving || by_loader || self.statement.is_leaving
     }
 
+    /// Whether it has asked for no requests now.
+    pub fn is_at_rest(&self, now: Timestamp) -> bool {
+        self.statement.is_at_rest(now)
+    }
+
     /// Whether this life has ended, as far as is known.
     pub fn has_ended(&self) -> bool {
         self.is_displaced || self.is_superseded
--- a/crates/core/src/direct/targets/statements.rs
+++ b/crates/core/src/direct/targets/statements.rs
@@ -18,6 +18,15 @@
         self.change_statement(life, |statement| statement.record_rest(rest, now))
     }
 
+    /// When a target of the service may take requests again, if all that are left have asked for none.
+    pub fn rest_left(&self, service: &str, now: Timestamp) -> Option<Duration> {
+        let alive = self
+            .service_targets(service)
+            .filter(|target| !target.is_leaving() && !target.has_ended() && !target.is_dark(now));
+        let first = alive.map(|target| target.statement.rest_until).min()?;
+        Some(first.saturating_sub(now)).filter(|left| !left.is_zero())
+    }
+
     /// An answer may come after its target's entry has lapsed.
     fn change_statement(
         &mut self,
--- a/crates/core/tests/core/direct/target_statement.rs
+++ b/crates/core/tests/core/direct/target_statement.rs
@@ -8,7 +8,7 @@
         proof::{AnswerHead, RunProof},
         selection::{CallNeed, TargetChoice, choose_target, preferred_targets},
         target_limit::StatedLimit,
-        target_statement::states_leaving,
+        target_statement::{REST_LIMIT, TargetStatement, stated_rest, states_leaving},
         targets::TargetPool,
     },
     ids::{ServiceName, ZoneName},
@@ -59,11 +59,12 @@
 #[derive(Clone, Copy, Debug, Default)]
 struct SaidSoFar {
     is_leaving: bool,
+    rest_until: Duration,
 }
 
 impl SaidSoFar {
-    fn takes_calls(self, _now: Duration) -> bool {
-        !self.is_leaving
+    fn takes_calls(self, now: Duration) -> bool {
+        !self.is_leaving && now >= self.rest_until
     }
 }
 
@@ -131,6 +132,12 @@
                 self.said.entry(life.clone()).or_default().is_leaving = true;
                 self.pool.record_leaving(&life, self.now);
             }
+            8 => {
+                let rest = ms(self.random.random_range(0..3_000));
+                let said = self.said.entry(life.clone()).or_default();
+                said.rest_until = said.rest_until.max(self.now + rest);
+                self.pool.record_rest(&life, rest, self.now);
+            }
             _ => {}
         }
     }
@@ -201,3 +208,63 @@
     let target = pool.target(&present.life).expect("the present life");
     assert_eq!(target.limit.rate, Some(3.9));
 }
+
+struct RestCase {
+    name: &'static str,
+    proof: RunProof,
+    status: u16,
+    stated: Option<Duration>,
+    rest: Option<Duration>,
+}
+
+/// Guards against a target that is left alone because a run of its own failed with advice to one caller.
+#[test]
+fn only_a_request_that_is_turned_away_asks_for_rest() {
+    let case = |name, proof, status, stated, rest| RestCase { name, proof, status, stated, rest };
+    let some = Some(ms(3_000));
+    let cases = [
+        case("turned away", RunProof::NotRun, 503, some, some),
+        case("turned away without a time", RunProof::NotRun, 503, None, None),
+        case("turned away for no time", RunProof::NotRun, 503, Some(ms(0)), None),
+        case("a limit for one customer", RunProof::NotRun, 429, some, None),
+        case("a run that failed", RunProof::Failed, 503, some, None),
+        case("another call's answer", RunProof::Unknown, 503, some, None),
+        case("another target", RunProof::Misdirected, 421, some, None),
+    ];
+    for case in cases {
+        let head = AnswerHead { rest: case.stated, ..answer(case.status, None) };
+        assert_eq!(stated_rest(case.proof, &head), case.rest, "{}", case.name);
+    }
+}
+
+/// Guards against a rest that a shorter one cuts, and against one that keeps a target out of use for good.
+#[test]
+fn the_longest_rest_counts_and_is_bounded() {
+    let mut statement = TargetStatement::default();
+    assert!(statement.record_rest(ms(3_000), ms(100)), "news");
+    assert!(!statement.record_rest(ms(200), ms(150)), "no news");
+    assert!(statement.is_at_rest(ms(3_099)) && !statement.is_at_rest(ms(3_100)));
+    statement.record_rest(Duration::MAX, ms(4_000));
+    assert_eq!(statement.rest_until, ms(4_000) + REST_LIMIT);
+}
+
+/// Guards against callers that are told to come back in a moment, or wait for a base model, where all targets are at rest;
+/// and against callers that are sent away for long where one target is well.
+#[test]
+fn the_first_target_to_end_its_rest_says_when_to_come_back() {
+    let mut pool = super::support::pool();
+    let (zone, service): (ZoneName, ServiceName) = ("a".into(), ENGINES.into());
+    let call = model_call(None);
+    for (id, rest) in [("e1", 3_000), ("e2", 2_000)] {
+        pool.record_rest(&id.into(), ms(rest), ms(0));
+    }
+    assert_eq!(pool.rest_left(ENGINES, ms(0)), None, "one is well");
+    pool.record_rest(&"e3".into(), ms(5_000), ms(0));
+    assert_eq!(pool.rest_left(ENGINES, ms(500)), Some(ms(1_500)));
+    let need = need(&service, &zone, Some(&call));
+    assert_eq!(choose_target(&pool, &need, ms(500), || 0.5), TargetChoice::Nowhere);
+    assert_eq!(pool.rest_left(ENGINES, ms(2_000)), None, "the second is back");
+    assert_eq!(pool.rest_left(DESK, ms(0)), None);
+    pool.record_leaving(&"e2".into(), ms(2_000));
+    assert_eq!(pool.rest_left(ENGINES, ms(2_000)), Some(ms(1_000)), "and leaves");
+}
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -80,6 +80,8 @@
 pub(crate) const RETURN_PAUSE: Duration = Duration::from_millis(400);
 /// Suggested pause for callers where targets were full, or the budget for repeats was spent.
 pub(crate) const BUSY_PAUSE: Duration = Duration::from_millis(150);
+/// Time over which callers come back that were refused because all targets had asked for no requests.
+pub(crate) const REST_SPREAD: Duration = Duration::from_secs(1);
 /// Time that a stopping router goes on taking connections: the balancer asks once a second and sends
 /// new ones until the second miss.
 pub(crate) const STOP_LINGER: Duration = Duration::from_millis(2_600);
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -365,6 +365,13 @@
                     TargetTurn::Full(grounds) => self.note(&grounds),
                 },
                 TargetChoice::Nowhere => {
+                    if let Some(rest) = self.context.rest_left(&self.service) {
+                        self.note(&format!(
+                            "all targets want no requests for {} ms",
+                            rest.as_millis()
+                        ));
+                        return Err(rest + constants::REST_SPREAD.mul_f64(rand::random::<f64>()));
+                    }
                     if let Some(room_in) = self.context.room_in(&self.service) {
                         self.note("no room within the limits of targets");
                         return Err(spread(room_in.max(constants::BUSY_PAUSE)));
--- a/crates/daemon/src/router/statements.rs
+++ b/crates/daemon/src/router/statements.rs
@@ -9,11 +9,18 @@
     target_statement::{stated_rest, states_leaving},
 };
 use slog::info;
+use std::time::Duration;
 
 impl RouterContext {
     /// Whether a target takes requests, as far as it has said itself.
     pub(crate) fn is_open(&self, life: &TargetLife) -> bool {
-        self.pool.borrow().target(life).is_none_or(|target| !target.is_leaving())
+        let (pool, now) = (self.pool.borrow(), clock::now());
+        pool.target(life).is_none_or(|target| !target.is_leaving() && !target.is_at_rest(now))
+    }
+
+    /// Time until a target of a service may take requests again, if all have asked for none.
+    pub(crate) fn rest_left(&self, service: &str) -> Option<Duration> {
+        self.pool.borrow().rest_left(service, clock::now())
     }
 
     /// Takes what an answer says of the target that was asked.
