--- a/crates/standin/src/service.rs
+++ b/crates/standin/src/service.rs
@@ -3,7 +3,11 @@
 
 use eyre::Result;
 use http_body_util::BodyExt;
-use hyper::{Request, StatusCode, body::Incoming, header::HeaderValue};
+use hyper::{
+    Request, StatusCode,
+    body::Incoming,
+    header::{HeaderValue, RETRY_AFTER},
+};
 use plantain_net::server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply};
 use serde::{Deserialize, Serialize};
 use std::{
@@ -41,6 +45,8 @@
 pub struct ServiceFaults {
     /// So many calls are executed twice.
     pub execute_twice: u32,
+    /// Calls are turned away with this as `Retry-After`.
+    pub rest: Option<String>,
 }
 
 #[derive(Clone)]
@@ -86,6 +92,12 @@
             body_bytes: body.len(),
         };
         self.execute(call);
+        let rest = self.faults.lock().expect("no panic while locked").rest.clone();
+        if let Some(rest) = rest.and_then(|rest| HeaderValue::from_str(&rest).ok()) {
+            let mut reply = text_reply(StatusCode::SERVICE_UNAVAILABLE, "busy");
+            reply.headers_mut().insert(RETRY_AFTER, rest);
+            return reply;
+        }
         sleep(self.call_time).await;
         let text = format!("{} {path}\n{}", parts.method, String::from_utf8_lossy(&body));
         let mut reply = text_reply(StatusCode::OK, text);
--- a/crates/standin/tests/integration/services.rs
+++ b/crates/standin/tests/integration/services.rs
@@ -9,10 +9,10 @@
 use plantain_standin::{
     cluster::{Cluster, plan::ClusterPlan},
     fault::{DirectionFaults, ProxyFaults},
-    service::CallRecord,
+    service::{CallRecord, ServiceFaults},
 };
 use serde_json::Value;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest wait for an answer.
 const ANSWER_LIMIT: Duration = Duration::from_secs(20);
@@ -102,3 +102,31 @@
     ensure!(stamps.count() == 0, "a stamp was executed");
     finish(cluster).await
 }
+
+/// Guards against a plain service that asks for no requests for a time and goes on getting them, and against callers that
+/// are not told when to come back.
+#[tokio::test]
+async fn a_service_that_asks_for_rest_is_left_alone() -> Result<()> {
+    let cluster = start(ClusterPlan::new(1, 1, &["kandy"])).await?;
+    let faults = ServiceFaults { rest: Some("2".to_owned()), ..ServiceFaults::default() };
+    cluster.set(cluster.service(0), "/standin/faults", &faults).await?;
+    let turned_away = call(&cluster, Method::GET, "/services/desk/slots", "").await?;
+    let told = Instant::now();
+    ensure!(turned_away.status == 503, "{}", turned_away.status);
+    for _ in 0..10 {
+        let answer = call(&cluster, Method::GET, "/services/desk/slots", "").await?;
+        ensure!(answer.status == 503, "{}", answer.status);
+        let pause = answer.headers.get("retry-after-ms").and_then(|text| text.to_str().ok());
+        let pause: u64 = pause.unwrap_or_default().parse()?;
+        ensure!(pause > 500, "told to come back after {pause} ms of a rest of 2 s");
+    }
+    ensure!(told.elapsed() < Duration::from_secs(1), "refused after {:?}", told.elapsed());
+    ensure!(executed(&cluster).await?.len() == 1, "{:?}", executed(&cluster).await?);
+    cluster.set(cluster.service(0), "/standin/faults", &ServiceFaults::default()).await?;
+    cluster
+        .wait_for("the end of the rest", async || {
+            Ok(call(&cluster, Method::GET, "/services/desk/slots", "").await?.status == 200)
+        })
+        .await?;
+    finish(cluster).await
+}
