Offered path: an agent refuses offers while its target wants no requests

What targets saw: each offer was handed on within a rest that they had asked for by 503 with Retry-After; what callers saw: the target's 503 each time. Cause: agents handed the answer on and did not read it. Fix: the agent keeps the rest as routers do (ten minutes at the most, until the target starts again), refuses offers and what waits with the time that is left, and starts nothing meanwhile; entries go elsewhere or tell callers when to come back. The targets' protocol on this path says nothing of leaving, so nothing is read of it.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -18,8 +18,9 @@
         residency::{EvictionPolicy, ResidentTable},
     },
     config::PresetRecord,
+    direct::target_statement::TargetStatement,
     ids::{AdapterDigest, AdapterKey, ConfigRevision, Timestamp},
-    outcome::RefusalReason,
+    outcome::{Refusal, RefusalReason},
     protocol::{TargetReport, WorkItem},
     stats::RunningMean,
     target::TargetKind,
@@ -81,6 +82,7 @@
     leaving: bool,
     leased: bool,
     target_up: bool,
+    statement: TargetStatement,
     running: u32,
     works: HashMap<WorkId, WorkRecord>,
     queue: WorkQueue,
@@ -101,6 +103,7 @@
             leaving: false,
             leased: true,
             target_up: false,
+            statement: TargetStatement::default(),
             running: 0,
             works: HashMap::new(),
             queue: WorkQueue::default(),
@@ -128,7 +131,8 @@
                 self.want_missing(now);
             }
             AgentEvent::TargetRestarted => self.target_restarted(now),
-            AgentEvent::TargetUp(up) => self.target_up = up,
+            AgentEvent::TargetUp(up) => self.set_target_up(up),
+            AgentEvent::TargetRests(rest) => self.target_rests(rest, now),
             AgentEvent::LeaseHeld(held) => self.leased = held,
             AgentEvent::Configured { revision, queue_limit } => {
                 self.revision = self.revision.max(revision);
@@ -343,7 +347,28 @@
         }
     }
 
+    /// Work that the target does not have yet had better go elsewhere.
+    fn target_rests(&mut self, rest: Duration, now: Timestamp) {
+        self.statement.record_rest(rest, now);
+        let is_waiting = |record: &&WorkRecord| record.phase != WorkPhase::Running;
+        let waiting: Vec<WorkId> =
+            self.works.values().filter(is_waiting).map(|record| record.offer.work).collect();
+        for work in waiting {
+            let refusal = self.rest_refusal(now);
+            self.refuse_with(work, refusal);
+        }
+    }
+
+    /// One that comes back after it was down is taken for a new life: not all targets tell of their starts.
+    fn set_target_up(&mut self, up: bool) {
+        if up && !self.target_up {
+            self.statement = TargetStatement::default();
+        }
+        self.target_up = up;
+    }
+
     fn target_restarted(&mut self, now: Timestamp) {
+        self.statement = TargetStatement::default();
         self.residents.clear();
         self.loads.forget_started();
         self.want_missing(now);
@@ -373,6 +398,10 @@
 
     fn refuse_accepted(&mut self, work: WorkId, reason: RefusalReason) {
         let refusal = self.refusal(reason);
+        self.refuse_with(work, refusal);
+    }
+
+    fn refuse_with(&mut self, work: WorkId, refusal: Refusal) {
         self.forget(work);
         self.actions.push(AgentAction::Refuse { work, refusal });
     }
--- a/crates/core/src/agent/admission.rs
+++ b/crates/core/src/agent/admission.rs
@@ -36,6 +36,9 @@
         if !self.target_up {
             return Err(self.refusal(RefusalReason::TargetDown));
         }
+        if self.statement.is_at_rest(now) {
+            return Err(self.rest_refusal(now));
+        }
         let expected = self.expected_start(&offer.item, now);
         if self.is_too_late(expected, offer.time_left) {
             let delay = expected.max(RETRY_AFTER_FLOOR);
@@ -69,6 +72,11 @@
         Refusal::new(reason).with_retry_after(delay)
     }
 
+    pub(super) fn rest_refusal(&self, now: Timestamp) -> Refusal {
+        let left = self.statement.rest_until.saturating_sub(now);
+        Refusal::new(RefusalReason::TargetDown).with_retry_after(left.max(RETRY_AFTER_FLOOR))
+    }
+
     /// Expected time until the target could start such a request.
     fn expected_start(&self, item: &WorkItem, now: Timestamp) -> Duration {
         let limit = self.options.batch_limit.max(1);
--- a/crates/core/src/agent/events.rs
+++ b/crates/core/src/agent/events.rs
@@ -92,6 +92,8 @@
     TargetRestarted,
     /// Whether the target answers.
     TargetUp(bool),
+    /// The target turned a request away and wants none for so long.
+    TargetRests(Duration),
     /// Whether this process holds the lease of its target.
     LeaseHeld(bool),
     /// A configuration is in force.
--- a/crates/core/src/outcome.rs
+++ b/crates/core/src/outcome.rs
@@ -31,7 +31,7 @@
     WrongTarget,
     /// The two ends speak different protocol versions.
     WrongProtocol,
-    /// The target does not answer.
+    /// The target does not answer, or wants no requests now.
     TargetDown,
     /// No target is known, or none could be reached.
     Unreachable,
--- a/crates/core/tests/core/agent.rs
+++ b/crates/core/tests/core/agent.rs
@@ -75,6 +75,15 @@
             change: |_| {},
             reason: RefusalReason::TargetDown,
         },
+        Admission {
+            name: "engine at rest",
+            prepare: |state| {
+                let rests = AgentEvent::TargetRests(Duration::from_secs(3));
+                drop(state.handle(rests, Duration::ZERO));
+            },
+            change: |_| {},
+            reason: RefusalReason::TargetDown,
+        },
         Admission {
             name: "another base model",
             prepare: |_| {},
@@ -215,3 +224,32 @@
     }
     assert_eq!(evicted, [key(0), key(1), key(2)]);
 }
+
+/// Guards against work that waits at an agent whose target wants no requests, and reaches it all the same; and against a
+/// rest that outlasts the target's restart.
+#[test]
+fn a_target_at_rest_gets_no_work_until_its_rest_is_over() {
+    let at = Duration::from_secs;
+    let offered = |work| AgentEvent::Offered(Box::new(offer(work, 1)));
+    let is_start = |action: &AgentAction| matches!(action, AgentAction::Start { .. });
+    let mut state = AgentState::new(AgentOptions { batch_limit: 1, ..options() });
+    state.handle(AgentEvent::TargetUp(true), at(0));
+    state.handle(AgentEvent::Inventory(vec![key(1)]), at(0));
+    assert!(state.handle(offered(1), at(0)).iter().any(is_start));
+    state.handle(offered(2), at(0));
+    let actions = state.handle(AgentEvent::TargetRests(at(3)), at(1));
+    let told = actions.iter().find_map(|action| match action {
+        AgentAction::Refuse { work: 2, refusal } => refusal.retry_after,
+        _ => None,
+    });
+    assert_eq!(told, Some(at(3)), "{actions:?}");
+    let finished = AgentEvent::Finished { work: 1, service_time: at(1) };
+    assert!(!state.handle(finished, at(2)).iter().any(is_start));
+    assert!(!state.handle(offered(3), at(3)).iter().any(is_start));
+    assert!(state.handle(offered(4), at(4)).iter().any(is_start), "the rest is over");
+    state.handle(AgentEvent::TargetRests(Duration::MAX), at(5));
+    state.handle(AgentEvent::TargetRestarted, at(6));
+    state.handle(AgentEvent::Finished { work: 4, service_time: at(1) }, at(6));
+    state.handle(AgentEvent::Inventory(vec![key(1)]), at(6));
+    assert!(state.handle(offered(5), at(6)).iter().any(is_start), "the next life takes work");
+}
--- a/crates/daemon/src/agent/targets.rs
+++ b/crates/daemon/src/agent/targets.rs
@@ -13,7 +13,7 @@
 use hyper::{
     Request, Response, StatusCode,
     body::Incoming,
-    header::{CONTENT_TYPE, HOST},
+    header::{CONTENT_TYPE, HOST, RETRY_AFTER},
 };
 use plantain_core::{
     agent::events::{AgentEvent, WorkId},
@@ -209,6 +209,13 @@
             Err(error) if error.unsent => return RunEnd::Unsent,
             Err(error) => return RunEnd::Failed(error.message),
         };
+        if let Some(rest) = stated_rest(&reply) {
+            warn!(self.context.logger, "target wants no requests"; "step" => "run",
+                "peer" => %self.context.settings.target,
+                "for_ms" => u64::try_from(rest.as_millis()).unwrap_or(u64::MAX));
+            let event = AgentEvent::TargetRests(rest);
+            let _ = self.context.commands.send(AgentCommand::Event(event)).await;
+        }
         let result = match &self.offer.work {
             WorkItem::Service { .. } => self.pass(reply, None).await,
             WorkItem::Completion { key, .. } => match reply.status() {
@@ -306,6 +313,13 @@
     }
 }
 
+/// For how long a target that is unavailable wants no requests, if it says so in seconds.
+fn stated_rest(reply: &Response<Incoming>) -> Option<Duration> {
+    let is_unavailable = reply.status() == StatusCode::SERVICE_UNAVAILABLE;
+    let stated = reply.headers().get(RETRY_AFTER).filter(|_| is_unavailable)?;
+    stated.to_str().ok()?.trim().parse().ok().map(Duration::from_secs)
+}
+
 async fn next_piece(body: &mut Incoming) -> Result<Option<Bytes>> {
     while let Some(frame) = body.frame().await {
         if let Ok(data) = frame.wrap_err("read answer")?.into_data() {
