At most 64 KiB of a caller's bytes are read ahead of the server

256 KiB for each of some thousand connections would be all of a small host's memory; a few requests of a usual size, which is what callers pipeline, fit into 64. The end behind more than that is looked for as before.

--- a/crates/net/src/caller.rs
+++ b/crates/net/src/caller.rs
@@ -21,8 +21,8 @@
     time::{Sleep, sleep},
 };
 
-/// Bytes that are read ahead of the server: some requests with bodies of a usual size.
-const AHEAD_LIMIT: usize = 256 << 10;
+/// Bytes that are read ahead of the server: some requests of a usual size.
+const AHEAD_LIMIT: usize = 64 << 10;
 /// Bytes that are read at a time.
 const READ_SIZE: usize = 4 << 10;
 /// Pause between looks whether a connection has ended behind more bytes than are read ahead.
