--- a/crates/net/src/caller.rs
+++ b/crates/net/src/caller.rs
@@ -7,6 +7,7 @@
 use std::{
     future::{Future, poll_fn},
     io,
+    mem::MaybeUninit,
     pin::Pin,
     sync::{Arc, Mutex, MutexGuard},
     task::{Context, Poll, ready},
@@ -69,8 +70,8 @@
 
     /// Reads ahead; ready once something has come or the end is there.
     fn poll_ahead(&mut self, context: &mut Context<'_>) -> Poll<()> {
-        let mut bytes = [0; READ_SIZE];
-        let mut buffer = ReadBuf::new(&mut bytes);
+        let mut bytes = [MaybeUninit::uninit(); READ_SIZE];
+        let mut buffer = ReadBuf::uninit(&mut bytes);
         match ready!(Pin::new(&mut self.half).poll_read(context, &mut buffer)) {
             Ok(()) if buffer.filled().is_empty() => self.end = Some(InboundEnd::Closed),
             Ok(()) => self.ahead.extend_from_slice(buffer.filled()),
