A call under a limit waits for the first meter at a router that knows no word of one yet

Cause: traced with the time of each call. The first call at a router waited 400 ms for the first word of its customer's meter, and was then refused with a Retry-After of 53 s (3 calls a second over a presumed fleet of 1,024). The word could not come: a router asks a meter by itself only where a slice holds a whole unit, which it does not for small limits, or with hundreds of routers, and the waiting call was in no line of the account. Routers that had been up for longer did not wait at all when an operator set the first limit: refused at once.

Change: the account keeps a call in line for 400 ms after meters became known, as it does for the trip to a meter; a router that has just started waits only until it knows which meters there are; meters are looked up as soon as a configuration is in force, not at the next tick.

Failing before: customers::a_router_that_has_just_started_hears_a_meter_before_it_refuses, now with a small limit too (429, retry-after 34.2 s), and customers::a_first_limit_is_asked_of_a_meter_before_calls_are_refused (429).

--- a/crates/core/src/direct/limits/account.rs
+++ b/crates/core/src/direct/limits/account.rs
@@ -109,7 +109,7 @@
     /// Takes the number of routers and the targets beside which meters stand.
     pub fn set_fleet(&mut self, fleet: FleetSize, targets: Vec<InstanceId>, now: Timestamp) {
         self.fleet = fleet;
-        self.meters.set_targets(targets);
+        self.meters.set_targets(targets, now);
         self.look(now);
     }
 
@@ -127,6 +127,11 @@
         }
     }
 
+    /// Whether there are meters that may keep limits.
+    pub fn knows_meters(&self) -> bool {
+        !self.meters.links().is_empty()
+    }
+
     fn look(&mut self, now: Timestamp) {
         if !self.meters.look(self.fleet.known, now) {
             return;
@@ -153,6 +158,7 @@
         }
         let life = report_life(self.fleet.known);
         let reachable = self.meters.reachable();
+        let is_awaited = self.meters.is_awaited(now);
         let seed = self.boot ^ tag;
         let account = self.accounts.entry(tag).or_insert_with(|| {
             let mut account = LimitAccount::new(*rule, seed, now);
@@ -166,7 +172,7 @@
             account.spend(cost, now);
             return Spend::Decided(SpendVerdict::Granted);
         }
-        if account.meter.is_none() || account.is_short(now) {
+        if (account.meter.is_none() && !is_awaited) || account.is_short(now) {
             return Spend::Decided(account.refusal(cost, &shares, now));
         }
         Spend::Waiting(account.waiting.push(tag, cost, now))
@@ -248,13 +254,14 @@
     pub fn expire(&mut self, now: Timestamp) {
         self.look(now);
         let life = report_life(self.fleet.known);
+        let is_awaited = self.meters.is_awaited(now);
         for account in self.accounts.values_mut() {
             let shares = account.shares(self.fleet);
             account.drop_unused(&shares, now);
             account.refill_alone(&shares, life, now);
             while let Some((ticket, cost, _)) = account.waiting.first() {
                 let has_waited = now.saturating_sub(ticket.began) >= WAIT_LIMIT;
-                if account.meter.is_some() && !has_waited {
+                if (account.meter.is_some() || is_awaited) && !has_waited {
                     break;
                 }
                 account.waiting.pop();
--- a/crates/core/src/direct/limits/meters.rs
+++ b/crates/core/src/direct/limits/meters.rs
@@ -23,6 +23,8 @@
 /// Time for which a meter must answer before it is used again, so that it has heard of all routers that
 /// use it before it grants anything.
 const RETURN_TIME: Duration = Duration::from_secs(1);
+/// Time for a first answer once meters are known.
+const FIRST_ANSWER_TIME: Duration = Duration::from_millis(400);
 
 /// Pause between reports to a meter from which nothing is wanted, with so many routers.
 pub fn report_pause(routers: usize) -> Duration {
@@ -105,11 +107,14 @@
 pub struct MeterRegister {
     links: Vec<MeterLink>,
     reachable: Vec<MeterTag>,
+    /// When meters became known where there was none.
+    known_since: Option<Timestamp>,
 }
 
 impl MeterRegister {
     /// Takes the targets beside which meters stand.
-    pub fn set_targets(&mut self, targets: Vec<InstanceId>) {
+    pub fn set_targets(&mut self, targets: Vec<InstanceId>, now: Timestamp) {
+        self.known_since = if targets.is_empty() { None } else { self.known_since.or(Some(now)) };
         self.links.retain(|link| targets.contains(&link.target));
         for target in targets {
             if !self.links.iter().any(|link| link.target == target) {
@@ -140,6 +145,12 @@
         is_changed
     }
 
+    /// Whether no meter can be reached yet, and the first answer may still come.
+    pub fn is_awaited(&self, now: Timestamp) -> bool {
+        let is_new = |since| now.saturating_sub(since) < FIRST_ANSWER_TIME;
+        self.reachable.is_empty() && self.known_since.is_some_and(is_new)
+    }
+
     /// Meters that can be reached, in order.
     pub fn reachable(&self) -> &[MeterTag] {
         &self.reachable
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -161,11 +161,13 @@
 fn apply_changes(changes: Vec<FollowedChange>, context: &RouterContext, now: Timestamp) {
     let mut pool = context.pool.borrow_mut();
     let mut list = Vec::new();
+    let mut has_new_config = false;
     for change in changes {
         match change {
             FollowedChange::Config(config) => {
                 let (number, routes) = (config.number, config.route_count());
                 if pool.take_config(config) {
+                    has_new_config = true;
                     info!(context.logger, "configuration in force"; "step" => "config",
                         "config" => number, "routes" => routes);
                 }
@@ -183,6 +185,10 @@
         log_targets(list.iter(), &pool, context);
         pool.apply_changes(&list, now);
     }
+    drop(pool);
+    if has_new_config {
+        links::follow_meters(context, now);
+    }
 }
 
 /// Writes a line for each target that a whole list changes, but one in all for the first list.
--- a/crates/daemon/src/router/admission.rs
+++ b/crates/daemon/src/router/admission.rs
@@ -121,7 +121,7 @@
     let Some(limit) = &customer.limit else { return Ok(None) };
     let cost = limit.cost(head.tokens);
     let (mut verdict, mut charge) = context.limits.charge(customer, limit, cost).await;
-    if verdict != SpendVerdict::Granted && hears_first_meter(context, customer).await {
+    if verdict != SpendVerdict::Granted && learns_first_meters(context).await {
         (verdict, charge) = context.limits.charge(customer, limit, cost).await;
     }
     match verdict {
@@ -131,18 +131,13 @@
     }
 }
 
-/// Waits for the first word of a customer's meter at a router that has just started; returns whether it came.
-async fn hears_first_meter(context: &RouterContext, customer: &CustomerRule) -> bool {
-    if is_metered(context, customer) || !context.is_starting() {
+/// Waits at a router that has just started until it knows which meters there are; returns whether it has learned that.
+async fn learns_first_meters(context: &RouterContext) -> bool {
+    let limits = &context.limits;
+    if limits.knows_meters() || !context.is_starting() {
         return false;
     }
-    becomes_true(clock::now() + constants::METER_WAIT, || is_metered(context, customer)).await
-}
-
-/// Whether a meter has told this router what is left of a customer's limit.
-fn is_metered(context: &RouterContext, customer: &CustomerRule) -> bool {
-    let view = context.limits.view(customer, clock::now());
-    view.is_some_and(|view| view.age.is_some())
+    becomes_true(clock::now() + constants::METER_WAIT, || limits.knows_meters()).await
 }
 
 /// What decided a rejection, for its line in the log.
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -41,8 +41,8 @@
 /// Time after a router's start for which calls wait for the configuration and the list: a router that has just
 /// started reads both within about a second, sooner than a caller that is turned away comes back.
 pub(crate) const START_WAIT: Duration = Duration::from_millis(2_500);
-/// Longest wait of a call for the first word of its customer's meter at a router that has just started: until then
-/// the router takes a share of the limit as one of the largest fleet. Meters answer within some ms.
+/// Longest wait of a call until a router that has just started knows which meters there are: until then the router
+/// takes a share of the limit as one of the largest fleet.
 pub(crate) const METER_WAIT: Duration = Duration::from_millis(400);
 /// Pause between looks at whether they are there.
 pub(crate) const START_LOOK: Duration = Duration::from_millis(20);
--- a/crates/daemon/src/router/limits.rs
+++ b/crates/daemon/src/router/limits.rs
@@ -72,6 +72,11 @@
         self.settle();
     }
 
+    /// Whether there are meters that may keep limits.
+    pub(crate) fn knows_meters(&self) -> bool {
+        self.book.borrow().knows_meters()
+    }
+
     /// Counts a call against its customer's limit, and waits for the customer's meter where that must
     /// be asked. A caller that goes away meanwhile is not counted.
     pub(crate) async fn charge(
