Routers: what the control thread's duties share, and what is known of crashes, are files without circles

control.rs held both the state that its duties share and the function that starts them, so that it and its six duties needed each other; router::context and router::crashes needed each other for the same reason. control/link.rs and crashes/keeper.rs now hold the state. No behaviour is meant to change.

--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -26,7 +26,10 @@
     reload, telemetry,
 };
 use context::RouterContext;
-use control::{ControlEvent, ControlStart};
+use control::{
+    ControlStart,
+    link::{ControlEvent, listed_targets},
+};
 use eyre::{Result, WrapErr};
 use plantain_core::{
     direct::{
@@ -134,7 +137,7 @@
     let now = clock::now();
     match event {
         ControlEvent::Listed(FollowedKind::Targets, changes) => {
-            let entries = follow::listed_targets(&changes);
+            let entries = listed_targets(&changes);
             log_list(&entries, context);
             context.pool.borrow_mut().replace_list(entries, now);
         }
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -3,7 +3,7 @@
 pub(crate) mod guards;
 
 use super::{
-    connections::ConnectionPool, constants, crashes::CrashKeeper, journal::RequestJournal,
+    connections::ConnectionPool, constants, crashes::keeper::CrashKeeper, journal::RequestJournal,
     limits::LimitKeeper,
 };
 use crate::{clock, options::site::RouterFile};
--- a/crates/daemon/src/router/crash_news.rs
+++ b/crates/daemon/src/router/crash_news.rs
@@ -1,7 +1,7 @@
 //! Keeps this router's report of crashes in the platform's store, where all others hear of it and where it
 //! outlives the process.
 
-use super::control::ControlLink;
+use super::control::link::ControlLink;
 use crate::clock;
 use bytes::Bytes;
 use eyre::{Result, ensure};
--- a/crates/daemon/src/router/crashes.rs
+++ b/crates/daemon/src/router/crashes.rs
@@ -1,102 +1,24 @@
 //! Crashes of targets, and the calls that were there, on the serving thread.
 
+pub(super) mod keeper;
+
 use super::{constants, context::RouterContext};
 use crate::clock;
 use metrics::counter;
 use plantain_core::{
-    crashes::{CRASH_LIFE, CrashLedger, CrashReport, LifePhase, OpenRun, OpenRuns},
-    direct::{membership::TargetLife, messages::BootId},
+    crashes::{CrashReport, LifePhase, OpenRun},
+    direct::membership::TargetLife,
     fingerprint::CallFingerprint,
     ids::Timestamp,
 };
 use slog::{info, warn};
-use std::{
-    cell::{Cell, RefCell},
-    collections::HashSet,
-    io::ErrorKind,
-    net::SocketAddr,
-    rc::Rc,
-    sync::Arc,
-    time::Duration,
-};
+use std::{io::ErrorKind, net::SocketAddr, rc::Rc, sync::Arc};
 use tokio::{
     net::TcpStream,
-    sync::watch,
     task::spawn_local,
     time::{sleep, timeout},
 };
 
-/// Pause after which a report is told again: half of the time for which others keep it.
-const RENEW_PAUSE: Duration = CRASH_LIFE;
-
-/// What this router knows of crashes.
-pub(crate) struct CrashKeeper {
-    ledger: RefCell<CrashLedger>,
-    runs: RefCell<OpenRuns>,
-    /// Targets to which a connection is being tried.
-    probed: RefCell<HashSet<TargetLife>>,
-    /// Calls that are held back, as far as was logged.
-    held: RefCell<HashSet<CallFingerprint>>,
-    /// When the report was last told.
-    told: Cell<Timestamp>,
-    /// What the control thread tells the others.
-    news: watch::Sender<Arc<CrashReport>>,
-}
-
-impl CrashKeeper {
-    /// Starts with nothing known, at this start of the named router.
-    pub(crate) fn new(router: &Arc<str>, boot: BootId) -> Self {
-        let ledger = CrashLedger::new(Arc::clone(router), boot);
-        let news = watch::channel(Arc::new(ledger.own_report().clone())).0;
-        Self {
-            ledger: RefCell::new(ledger),
-            runs: RefCell::default(),
-            probed: RefCell::default(),
-            held: RefCell::default(),
-            told: Cell::new(clock::now()),
-            news,
-        }
-    }
-
-    /// What this router tells the others, whenever it changes.
-    pub(crate) fn subscribe(&self) -> watch::Receiver<Arc<CrashReport>> {
-        self.news.subscribe()
-    }
-
-    /// Targets that ended under a call, if these are too many to hand it to another one.
-    pub(crate) fn held_crashes(&self, call: CallFingerprint) -> Option<usize> {
-        let ledger = self.ledger.borrow();
-        ledger.is_held(call).then(|| ledger.crashes_under(call))
-    }
-
-    /// Takes what another router tells, and tells what this one knows better; returns whether it was news.
-    fn take_report(&self, report: &Arc<CrashReport>, now: Timestamp) -> bool {
-        let (is_news, is_changed) = {
-            let mut ledger = self.ledger.borrow_mut();
-            let before = ledger.own_report().sequence;
-            (ledger.take_report(report, now), ledger.own_report().sequence != before)
-        };
-        if is_changed {
-            self.tell();
-        }
-        is_news
-    }
-
-    /// Whether the report is to be told again although no crash was seen.
-    fn is_due(&self, now: Timestamp) -> bool {
-        let is_due = now.saturating_sub(self.told.get()) >= RENEW_PAUSE;
-        if is_due {
-            self.ledger.borrow_mut().renew();
-        }
-        is_due
-    }
-
-    fn tell(&self) {
-        self.told.set(clock::now());
-        self.news.send_replace(Arc::new(self.ledger.borrow().own_report().clone()));
-    }
-}
-
 impl RouterContext {
     /// A call's run has come to its end at a target, well or not.
     pub(crate) fn note_survival(&self, target: &TargetLife, call: CallFingerprint) {
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -2,14 +2,13 @@
 
 pub(super) mod told;
 
-use super::control::{ControlEvent, ControlLink, KindProgress, StoreProof};
+use super::control::link::{ControlEvent, ControlLink, KindProgress, StoreProof};
 use crate::clock;
 use bytes::Bytes;
 use eyre::{Result, eyre};
 use hyper::{Method, StatusCode};
 use metrics::counter;
 use plantain_core::direct::{
-    membership::{ListChange, TargetEntry},
     sharing::{ChangeLog, SharedChange, source::StoreSource},
     snapshot::ConfigRecord,
 };
@@ -296,15 +295,6 @@
     }
 }
 
-/// The list that changes make up, for a kind whose whole list was read.
-pub(super) fn listed_targets(changes: &[FollowedChange]) -> Vec<Arc<TargetEntry>> {
-    let entries = changes.iter().filter_map(|change| match change {
-        FollowedChange::Target(ListChange::Put(entry)) => Some(Arc::clone(entry)),
-        _ => None,
-    });
-    entries.collect()
-}
-
 fn to_shared(change: &FollowedChange) -> SharedChange {
     match change {
         FollowedChange::Config(config) => SharedChange::Config(Arc::new(ConfigRecord::new(config))),
--- a/crates/daemon/src/router/follow/told.rs
+++ b/crates/daemon/src/router/follow/told.rs
@@ -1,6 +1,6 @@
 //! What another router tells of the store.
 
-use super::super::control::{ControlEvent, ControlLink};
+use super::super::control::link::{ControlEvent, ControlLink};
 use crate::clock;
 use plantain_core::{
     direct::{
--- a/crates/daemon/src/router/peers.rs
+++ b/crates/daemon/src/router/peers.rs
@@ -1,7 +1,7 @@
 //! What routers tell each other while the store is out: the configuration, the list and the versions.
 
 use super::{
-    control::{ControlEvent, ControlLink},
+    control::link::{ControlEvent, ControlLink},
     follow::told,
     sharing::{self, CHANGES_PATH},
 };
--- a/crates/daemon/src/router/sharing.rs
+++ b/crates/daemon/src/router/sharing.rs
@@ -1,6 +1,6 @@
 //! Hears what the store tells from another router of the zone, and passes it on.
 
-use super::{control::ControlLink, follow::told};
+use super::{control::link::ControlLink, follow::told};
 use crate::clock;
 use bytes::Bytes;
 use eyre::{Result, WrapErr, ensure};
