--- a/crates/core/src/crashes.rs
+++ b/crates/core/src/crashes.rs
@@ -12,9 +12,9 @@
 mod runs;
 
 use crate::{
-    direct::{membership::TargetLife, messages::BootId},
+    direct::membership::TargetLife,
     fingerprint::CallFingerprint,
-    ids::Timestamp,
+    ids::{BootId, Timestamp},
 };
 pub use report::{CrashRecord, CrashReport, CrashReports, LifeHash, RECORD_LIMIT, REPORT_LIFE};
 pub use runs::{LifePhase, OpenRun, OpenRuns};
--- a/crates/core/src/crashes/report.rs
+++ b/crates/core/src/crashes/report.rs
@@ -2,9 +2,9 @@
 
 use super::CRASH_LIFE;
 use crate::{
-    direct::{membership::TargetLife, messages::BootId},
+    direct::membership::TargetLife,
     fingerprint::CallFingerprint,
-    ids::Timestamp,
+    ids::{BootId, Timestamp},
 };
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de::Error};
 use std::{
--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -1,5 +1,7 @@
 //! The configuration of routes, services and callers' limits, as one version of it.
 
+pub mod record;
+
 use super::customers::CustomerBook;
 use crate::ids::{BaseName, ServiceName};
 use serde::{Deserialize, Serialize};
--- /dev/null
+++ b/crates/core/src/direct/config/record.rs
@@ -0,0 +1,45 @@
+//! Configurations as routers send them to each other.
+
+use super::{CallerLimits, ConfigNumber, RouteConfig, RouteRule, ServiceSpec};
+use crate::{
+    direct::customers::{CustomerBook, CustomerFault, CustomerRule},
+    ids::ServiceName,
+};
+use serde::{Deserialize, Serialize};
+use std::{collections::HashMap, sync::Arc};
+
+/// A configuration as sent between routers.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct ConfigRecord {
+    /// Its number.
+    pub number: ConfigNumber,
+    /// Its routes.
+    pub routes: Vec<Arc<RouteRule>>,
+    /// Its services.
+    pub services: HashMap<ServiceName, Arc<ServiceSpec>>,
+    /// Limits for callers.
+    pub limits: CallerLimits,
+    /// Its customers.
+    pub customers: Vec<Arc<CustomerRule>>,
+}
+
+impl ConfigRecord {
+    /// Copies a configuration.
+    pub fn new(config: &RouteConfig) -> Self {
+        Self {
+            number: config.number,
+            routes: config.routes().cloned().collect(),
+            services: config.services.clone(),
+            limits: config.limits.clone(),
+            customers: config.customers.rules().to_vec(),
+        }
+    }
+
+    /// Indexes the configuration; the error says why its customers cannot be told apart.
+    pub fn into_config(self) -> Result<RouteConfig, CustomerFault> {
+        let routes = self.routes.into_iter().map(Arc::unwrap_or_clone).collect();
+        let customers = CustomerBook::new(self.customers)?;
+        let config = RouteConfig::new(self.number, routes, self.services, self.limits);
+        Ok(config.with_customers(customers))
+    }
+}
--- a/crates/core/src/direct/limits/account.rs
+++ b/crates/core/src/direct/limits/account.rs
@@ -15,10 +15,8 @@
     terms::{FleetSize, LimitRule, LimitShares, RETURN_LIMIT, UsageCost, UsageLimit},
 };
 use crate::{
-    direct::{
-        config::ConfigNumber, membership::InstanceId, messages::BootId, target_limit::LimitNews,
-    },
-    ids::Timestamp,
+    direct::{config::ConfigNumber, membership::InstanceId, target_limit::LimitNews},
+    ids::{BootId, Timestamp},
 };
 use state::{LimitAccount, MeterWord};
 use std::{collections::HashMap, time::Duration};
--- a/crates/core/src/direct/limits/messages.rs
+++ b/crates/core/src/direct/limits/messages.rs
@@ -1,7 +1,10 @@
 //! Messages between routers and meters about what limits are used.
 
 use super::LimitTag;
-use crate::direct::{config::ConfigNumber, messages::BootId, target_limit::LimitNews};
+use crate::{
+    direct::{config::ConfigNumber, target_limit::LimitNews},
+    ids::BootId,
+};
 use serde::{Deserialize, Serialize};
 use xxhash_rust::xxh3::xxh3_64;
 
--- a/crates/core/src/direct/limits/meter.rs
+++ b/crates/core/src/direct/limits/meter.rs
@@ -17,8 +17,8 @@
     meters::{first_meter, report_life},
 };
 use crate::{
-    direct::{config::ConfigNumber, messages::BootId, target_limit::LimitBook},
-    ids::Timestamp,
+    direct::{config::ConfigNumber, target_limit::LimitBook},
+    ids::{BootId, Timestamp},
 };
 use std::{collections::HashMap, time::Duration};
 
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -17,10 +17,13 @@
     call::AdapterId,
     demand::RECENT_HALF_LIFE,
     membership::{InstanceId, TargetLife},
-    messages::{AdapterWish, BaseOffer, BootId, RouterNotice},
+    messages::{AdapterWish, BaseOffer, RouterNotice},
     orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
 };
-use crate::{demand::DecayedCount, ids::Timestamp};
+use crate::{
+    demand::DecayedCount,
+    ids::{BootId, Timestamp},
+};
 use host_memory::HostMemory;
 use lost_orders::LostOrders;
 use replies::{EngineState, ToldMet};
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -6,12 +6,9 @@
     limits::messages::{UsageGrant, UsageReport},
     membership::{BaseHolding, TargetLife},
 };
-use crate::ids::{AdapterName, AdapterVersion, BaseName};
+use crate::ids::{AdapterName, AdapterVersion, BaseName, BootId};
 use serde::{Deserialize, Serialize};
 
-/// Number drawn at a process's start; a restart is a new one.
-pub type BootId = u64;
-
 /// A datagram of a router to a loader.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum RouterMessage {
--- a/crates/core/src/direct/notices.rs
+++ b/crates/core/src/direct/notices.rs
@@ -7,12 +7,9 @@
 //! which costs a trip of about a millisecond, and what a host sends grows with its own calls alone.
 
 use super::{
-    membership::TargetLife,
-    messages::{BootId, RouterNotice},
-    target::TargetState,
-    targets::TargetPool,
+    membership::TargetLife, messages::RouterNotice, target::TargetState, targets::TargetPool,
 };
-use crate::ids::Timestamp;
+use crate::ids::{BootId, Timestamp};
 use std::{collections::HashMap, time::Duration};
 
 /// Pause after which a question that was not answered is sent again: datagrams are lost at times.
--- a/crates/core/src/direct/sharing.rs
+++ b/crates/core/src/direct/sharing.rs
@@ -11,11 +11,10 @@
 
 use super::{
     call::{AdapterId, AdapterRelease},
+    config::record::ConfigRecord,
     membership::{InstanceId, ListChange},
-    messages::BootId,
-    snapshot::ConfigRecord,
 };
-use crate::crashes::CrashReport;
+use crate::{crashes::CrashReport, ids::BootId};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{HashMap, VecDeque, hash_map::Entry},
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -12,6 +12,8 @@
 pub type AdapterDigest = u64;
 /// Name of a base model that adapters extend.
 pub type BaseName = Arc<str>;
+/// Number drawn at a process's start; a restart is a new one.
+pub type BootId = u64;
 /// Name of a caller, as configured.
 pub type CallerName = Arc<str>;
 /// Revision of the configuration root; it only grows.
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -15,11 +15,10 @@
         directory::{MeetingPoint, PeerView, RouterDirectory, RouterRegister},
         limits::terms::FleetSize,
         membership::TargetLife,
-        messages::BootId,
         selection::{CallNeed, adapter_of, preferred_targets},
         targets::TargetPool,
     },
-    ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
+    ids::{AdapterVersion, BootId, ServiceName, Timestamp, ZoneName},
 };
 use slog::{Logger, warn};
 use std::{
--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -5,10 +5,7 @@
 use self::link::{ControlEvent, ControlLink, LinkStart};
 use super::{constants, crash_news, follow, peers, sharing};
 use crate::{clock, options::site::RouterFile};
-use plantain_core::{
-    crashes::CrashReport,
-    direct::{directory::PeerView, messages::BootId},
-};
+use plantain_core::{crashes::CrashReport, direct::directory::PeerView, ids::BootId};
 use plantain_platform::objects::FollowedKind;
 use slog::Logger;
 use std::{rc::Rc, sync::Arc};
--- a/crates/daemon/src/router/control/link.rs
+++ b/crates/daemon/src/router/control/link.rs
@@ -5,11 +5,10 @@
     direct::{
         directory::PeerView,
         membership::{ListChange, TargetEntry},
-        messages::BootId,
         sharing::{ChangeLog, LoggedChange, SharedChange, source::StoreSource},
         snapshot::{FollowedState, PeerSnapshot},
     },
-    ids::Timestamp,
+    ids::{BootId, Timestamp},
 };
 use plantain_platform::objects::{FollowedChange, FollowedKind};
 use slog::{Logger, info};
--- a/crates/daemon/src/router/crashes/keeper.rs
+++ b/crates/daemon/src/router/crashes/keeper.rs
@@ -3,9 +3,9 @@
 use crate::clock;
 use plantain_core::{
     crashes::{CRASH_LIFE, CrashLedger, CrashReport, OpenRuns},
-    direct::{membership::TargetLife, messages::BootId},
+    direct::membership::TargetLife,
     fingerprint::CallFingerprint,
-    ids::Timestamp,
+    ids::{BootId, Timestamp},
 };
 use std::{
     cell::{Cell, RefCell},
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -9,8 +9,8 @@
 use hyper::{Method, StatusCode};
 use metrics::counter;
 use plantain_core::direct::{
+    config::record::ConfigRecord,
     sharing::{ChangeLog, SharedChange, source::StoreSource},
-    snapshot::ConfigRecord,
 };
 use plantain_net::{
     backoff::RetryBackoff,
--- a/crates/daemon/src/router/follow/told.rs
+++ b/crates/daemon/src/router/follow/told.rs
@@ -4,9 +4,9 @@
 use crate::clock;
 use plantain_core::{
     direct::{
+        config::record::ConfigRecord,
         membership::LAPSE_HOLD,
         sharing::{KindNews, SharedChange, SharedNews},
-        snapshot::ConfigRecord,
     },
     ids::Timestamp,
 };
--- a/crates/daemon/src/router/limits.rs
+++ b/crates/daemon/src/router/limits.rs
@@ -13,10 +13,9 @@
             terms::{FleetSize, LimitRule, LimitTerms, UsageCost, UsageLimit},
         },
         membership::InstanceId,
-        messages::BootId,
         target_limit::{LimitNews, RequestRate, target_rule},
     },
-    ids::Timestamp,
+    ids::{BootId, Timestamp},
 };
 use std::{
     cell::{Cell, RefCell},
