At a start two routers of a zone read the store, and the others are told at once

Causes: all relays read (their number is a root of the zone, and early on everybody is among the named); a router slept out the pause between questions to peers (0.4 s) after a relay was named to it; it gave up after 0.9 s.

Change: only the first two in order read. All others ask one ahead of them, from the moment at which it is named, for up to 2 s while that one answers; it holds the answer for 150 ms while it reads, and says at once that it cannot where the store fails it. Whoever gets no answer reads for itself, as before.

--- a/crates/core/src/direct/sharing/order.rs
+++ b/crates/core/src/direct/sharing/order.rs
@@ -4,6 +4,9 @@
 use std::{cmp::Reverse, net::SocketAddr};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+/// Routers of a zone that read the store at a start; the second stands in for the first.
+const FIRST_READERS: usize = 2;
+
 /// Rank of a router among those of its zone; the highest watches the store for it.
 pub(in crate::direct) fn relay_rank(router: &SocketAddr) -> u64 {
     weight(0, &router.to_string())
@@ -48,6 +51,15 @@
         self.first.iter().position(|first| first.address == router)
     }
 
+    /// The router that tells the one at `own` what it needs at its start; `None` if that reads the store.
+    ///
+    /// Each router goes by those that it has been named so far, so that some more than [`FIRST_READERS`] read: the
+    /// logarithm of all.
+    pub fn first_teller(&self, own: SocketAddr) -> Option<SocketAddr> {
+        let is_reader = self.place(own).is_some_and(|place| place < FIRST_READERS);
+        if is_reader { None } else { self.upstream(own, |_| true) }
+    }
+
     /// The router that the one at `own` asks, of those that `is_usable`; `None` if it has to ask the store.
     ///
     /// That router is always ahead of it in the order, so that no two ask each other.
--- a/crates/core/tests/core/direct/directory.rs
+++ b/crates/core/tests/core/direct/directory.rs
@@ -65,6 +65,22 @@
     }
 }
 
+/// Guards against a start in which all routers that are named early read the store for themselves: their lists then share
+/// its link, and all know their targets late. Each goes by those that came by before it.
+#[test]
+fn few_routers_of_a_zone_read_the_store_at_a_start() {
+    for routers in [6, 60, 200, 400] {
+        let mut meeting = MeetingPoint::default();
+        let reads = |index: &u16| {
+            let named = meeting.take(&presence("a", *index, true), ms(u64::from(*index))).near;
+            RelayOrder::new(named).first_teller(router(*index)).is_none()
+        };
+        let readers = (0..routers).filter(reads).count() as u32;
+        let most = 3 * u32::from(routers).ilog2() + 2;
+        assert!((1..=most).contains(&readers), "{readers} of {routers} read");
+    }
+}
+
 /// A zone has more routers than one answer names. All of them must still agree on the one that follows the
 /// store for the zone, and count all.
 #[test]
--- a/crates/daemon/src/router/control/link.rs
+++ b/crates/daemon/src/router/control/link.rs
@@ -14,19 +14,21 @@
 use slog::{Logger, info};
 use std::{
     cell::{Cell, RefCell},
+    future::pending,
     net::SocketAddr,
+    pin::pin,
     sync::Arc,
     time::Duration,
 };
 use tokio::{
     sync::{Notify, mpsc, watch},
-    time::sleep,
+    time::{sleep, timeout},
 };
 
 /// Time from a router's start in which others of its zone may still be named to it.
 const NAME_WAIT: Duration = Duration::from_millis(400);
-/// Time from its start for which a router behind the relays waits for what they have read.
-const SNAPSHOT_WAIT: Duration = Duration::from_millis(900);
+/// Time from its start for which a router waits for what others have read, while the one that it asks answers.
+const TELLER_WAIT: Duration = Duration::from_secs(2);
 /// Pause between looks at both.
 const START_LOOK: Duration = Duration::from_millis(10);
 
@@ -85,6 +87,8 @@
     /// Whether the configuration's follower has yet to find out if the store answers this router.
     is_proving: Cell<bool>,
     proved: Notify,
+    /// Whether the router that was to tell this one what it needs at its start does not.
+    has_silent_teller: Cell<bool>,
     settings: watch::Receiver<Arc<RouterFile>>,
     peers: watch::Receiver<PeerView>,
     events: mpsc::Sender<ControlEvent>,
@@ -124,6 +128,7 @@
             source: watch::channel(StoreSource::Undecided).0,
             is_proving: Cell::new(false),
             proved: Notify::new(),
+            has_silent_teller: Cell::new(false),
             settings,
             peers,
             events,
@@ -177,15 +182,37 @@
         self.progress(kind).revision.get().is_some()
     }
 
-    /// The relay that tells this router what it needs at its start, so that not all routers which start together
-    /// read all of the store; `None` where this router reads for itself.
+    /// The router that tells this one what it needs at its start, so that not all routers which start together read
+    /// all of the store; `None` where this router reads for itself.
     pub(in crate::router) fn first_teller(&self) -> Option<SocketAddr> {
-        let is_new = self.age() < SNAPSHOT_WAIT && self.source() == StoreSource::Undecided;
-        if !is_new || self.state.borrow().is_complete() {
+        let is_new = self.age() < TELLER_WAIT && self.source() == StoreSource::Undecided;
+        if !is_new || self.has_silent_teller.get() || self.state.borrow().is_complete() {
             return None;
         }
-        let (order, own) = (&self.peers.borrow().near, self.own_address());
-        if order.place(own).is_some() { None } else { order.upstream(own, |_| true) }
+        self.peers.borrow().near.first_teller(self.own_address())
+    }
+
+    /// The first teller does not tell: this router reads for itself.
+    pub(in crate::router) fn leave_first_teller(&self) {
+        self.has_silent_teller.set(true);
+    }
+
+    /// Waits until this router has a configuration and a list, as long as it may still have them soon; returns
+    /// whether others can be told.
+    pub(in crate::router) async fn can_tell(&self, limit: Duration) -> bool {
+        let is_failing = || self.progress.iter().any(|kind| kind.failing_since.get().is_some());
+        let told = async {
+            loop {
+                // Enabled before the look, so that a change between the two is not missed.
+                let mut woken = pin!(self.log_changed.notified());
+                woken.as_mut().enable();
+                if self.state.borrow().is_complete() || is_failing() {
+                    return;
+                }
+                woken.await;
+            }
+        };
+        timeout(limit, told).await.is_err() || !is_failing()
     }
 
     /// Waits until it is known that this router has to read the store for itself, or until it has what it needs.
@@ -200,6 +227,16 @@
         }
     }
 
+    /// Waits until [`Self::first_teller`] is known; for ever where there is none in time.
+    pub(in crate::router) async fn first_teller_named(&self) {
+        let mut peers = self.peers.clone();
+        while self.first_teller().is_none() {
+            if self.age() >= TELLER_WAIT || peers.changed().await.is_err() {
+                pending::<()>().await;
+            }
+        }
+    }
+
     fn age(&self) -> Duration {
         clock::now().saturating_sub(self.started)
     }
--- a/crates/daemon/src/router/peers.rs
+++ b/crates/daemon/src/router/peers.rs
@@ -32,13 +32,19 @@
 
 /// Path at which a router is asked for what it knows.
 const SNAPSHOT_PATH: &str = "/snapshot";
+/// The same by a router that starts, and waits for what the one that it asks is reading.
+const FIRST_SNAPSHOT_PATH: &str = "/first-snapshot";
 /// Pause between questions to peers while the store is out: a configuration must be in force within
 /// two seconds.
 const ASK_PAUSE: Duration = Duration::from_millis(400);
-/// The same at the start, of a relay that reads the store for the routers behind it.
-const FIRST_ASK_PAUSE: Duration = Duration::from_millis(40);
+/// The same at the start, of the router that is to tell what it reads.
+const FIRST_ASK_PAUSE: Duration = Duration::from_millis(10);
 /// Longest wait for a peer.
 const ASK_LIMIT: Duration = Duration::from_millis(400);
+/// The same for the whole list, which one router sends to several at a start.
+const FIRST_ASK_LIMIT: Duration = Duration::from_millis(800);
+/// Time for which an answer waits for what is being read.
+const HOLD_LIMIT: Duration = Duration::from_millis(150);
 /// Time given to the store at the start before peers are asked.
 const START_PAUSE: Duration = Duration::from_millis(250);
 /// Time after which an unused connection of a peer is closed. Those that ask for changes of the list do
@@ -50,17 +56,31 @@
     let client = HttpClient::new();
     let began = clock::now();
     loop {
+        if link.first_teller().is_some() {
+            sleep(FIRST_ASK_PAUSE).await;
+        } else {
+            tokio::select! {
+                () = sleep(ASK_PAUSE) => {}
+                () = link.first_teller_named() => {}
+            }
+        }
         let teller = link.first_teller();
-        sleep(if teller.is_some() { FIRST_ASK_PAUSE } else { ASK_PAUSE }).await;
         let is_early = clock::now().saturating_sub(began) < START_PAUSE;
         if !link.is_lost() || (teller.is_none() && is_early) {
             continue;
         }
         let peer = teller.or_else(|| link.peers().choose(&mut rand::rng()).copied());
         let Some(peer) = peer else { continue };
-        match fetch(&client, peer, &link).await {
+        let (path, limit) = match teller {
+            Some(_) => (FIRST_SNAPSHOT_PATH, FIRST_ASK_LIMIT),
+            None => (SNAPSHOT_PATH, ASK_LIMIT),
+        };
+        match fetch(&client, peer, path, limit, &link).await {
             Ok(snapshot) => take_snapshot(snapshot, peer, &link).await,
             Err(error) => {
+                if teller.is_some() {
+                    link.leave_first_teller();
+                }
                 debug!(link.logger, "peer not heard"; "step" => "peers", "peer" => %peer,
                     "error" => %format!("{error:#}"));
             }
@@ -68,14 +88,20 @@
     }
 }
 
-async fn fetch(client: &HttpClient, peer: SocketAddr, link: &ControlLink) -> Result<PeerSnapshot> {
+async fn fetch(
+    client: &HttpClient,
+    peer: SocketAddr,
+    path: &str,
+    limit: Duration,
+    link: &ControlLink,
+) -> Result<PeerSnapshot> {
     let (number, list) = {
         let state = link.state.borrow();
         (state.config_number(), state.list_hash())
     };
     let list = list.map_or_else(String::new, |list| format!(",{list}"));
-    let uri = url(peer, &format!("{SNAPSHOT_PATH}?known={number}{list}"));
-    let answer = client.call(Method::GET, &uri, Bytes::new(), ASK_LIMIT).await?;
+    let uri = url(peer, &format!("{path}?known={number}{list}"));
+    let answer = client.call(Method::GET, &uri, Bytes::new(), limit).await?;
     ensure!(answer.status.is_success(), "GET {uri}: {}", answer.status);
     postcard::from_bytes(&answer.body).wrap_err_with(|| format!("decode snapshot of {peer}"))
 }
@@ -101,6 +127,7 @@
         let entries =
             entries.into_iter().map(|entry| FollowedChange::Target(ListChange::Put(entry)));
         link.send(ControlEvent::Listed(FollowedKind::Targets, entries.collect())).await;
+        link.log_changed.notify_waiters();
     }
 }
 
@@ -138,6 +165,11 @@
         *reply.status_mut() = status;
         return reply;
     }
+    if request.uri().path() == FIRST_SNAPSHOT_PATH && !link.can_tell(HOLD_LIMIT).await {
+        let mut reply = Response::new(Full::default());
+        *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
+        return reply;
+    }
     let known: Vec<u64> = value.split(',').filter_map(|number| number.parse().ok()).collect();
     tell_snapshot(request, known.first().copied().unwrap_or(0), known.get(1).copied(), link)
 }
@@ -150,7 +182,7 @@
 ) -> Response<Full<Bytes>> {
     let began = clock::now();
     let mut reply = Response::new(Full::default());
-    if request.uri().path() != SNAPSHOT_PATH {
+    if ![SNAPSHOT_PATH, FIRST_SNAPSHOT_PATH].contains(&request.uri().path()) {
         *reply.status_mut() = StatusCode::NOT_FOUND;
         return reply;
     }
