A starting router is told all that it needs, or that its teller is still reading

Cause: a teller that was still reading answered with what it had. The configuration came with the first answer, the list with the second, and revisions were only taken from an answer that holds both; without a revision a router reads.

Change: a router that starts asks without saying what it knows; its teller answers with everything and the revisions, says that it is still reading, or that the store fails it.

--- a/crates/daemon/src/router/control/link.rs
+++ b/crates/daemon/src/router/control/link.rs
@@ -54,6 +54,17 @@
     Silent,
 }
 
+/// Whether a router can tell one that starts what it needs.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(in crate::router) enum ReadinessToTell {
+    /// It can.
+    Ready,
+    /// It is reading.
+    NotYet,
+    /// It cannot read the store.
+    Denied,
+}
+
 /// How far one kind is followed.
 #[derive(Debug, Default)]
 pub(crate) struct KindProgress {
@@ -197,22 +208,31 @@
         self.has_silent_teller.set(true);
     }
 
-    /// Waits until this router has a configuration and a list, as long as it may still have them soon; returns
-    /// whether others can be told.
-    pub(in crate::router) async fn can_tell(&self, limit: Duration) -> bool {
+    /// Whether a router that starts can be told all that it needs, with the revisions from which it can go on.
+    fn has_all_to_tell(&self) -> bool {
+        let mut kinds = FollowedKind::ALL.into_iter();
+        let is_read = |kind| kind == FollowedKind::Crashes || self.has_read(kind);
+        self.state.borrow().is_complete() && kinds.all(is_read)
+    }
+
+    /// Waits for at most `limit` until this router has what a starting one needs.
+    pub(in crate::router) async fn readiness_to_tell(&self, limit: Duration) -> ReadinessToTell {
         let is_failing = || self.progress.iter().any(|kind| kind.failing_since.get().is_some());
-        let told = async {
+        let decided = async {
             loop {
                 // Enabled before the look, so that a change between the two is not missed.
                 let mut woken = pin!(self.log_changed.notified());
                 woken.as_mut().enable();
-                if self.state.borrow().is_complete() || is_failing() {
-                    return;
+                if self.has_all_to_tell() {
+                    return ReadinessToTell::Ready;
+                }
+                if is_failing() {
+                    return ReadinessToTell::Denied;
                 }
                 woken.await;
             }
         };
-        timeout(limit, told).await.is_err() || !is_failing()
+        timeout(limit, decided).await.unwrap_or(ReadinessToTell::NotYet)
     }
 
     /// Waits until it is known that this router has to read the store for itself, or until it has what it needs.
--- a/crates/daemon/src/router/peers.rs
+++ b/crates/daemon/src/router/peers.rs
@@ -1,7 +1,7 @@
 //! What routers tell each other while the store is out: the configuration, the list and the versions.
 
 use super::{
-    control::link::{ControlEvent, ControlLink},
+    control::link::{ControlEvent, ControlLink, ReadinessToTell},
     follow::told,
     sharing::{self, CHANGES_PATH},
 };
@@ -19,7 +19,7 @@
     membership::ListChange,
     snapshot::{ListHash, PeerSnapshot},
 };
-use plantain_net::client::{HttpClient, url};
+use plantain_net::client::{HttpAnswer, HttpClient, url};
 use plantain_platform::objects::{FollowedChange, FollowedKind};
 use rand::seq::IndexedRandom;
 use slog::{debug, info};
@@ -34,6 +34,8 @@
 const SNAPSHOT_PATH: &str = "/snapshot";
 /// The same by a router that starts, and waits for what the one that it asks is reading.
 const FIRST_SNAPSHOT_PATH: &str = "/first-snapshot";
+/// Status of an answer by a router that is reading what it is asked for.
+const NOT_YET: StatusCode = StatusCode::GATEWAY_TIMEOUT;
 /// Pause between questions to peers while the store is out: a configuration must be in force within
 /// two seconds.
 const ASK_PAUSE: Duration = Duration::from_millis(400);
@@ -71,16 +73,14 @@
         }
         let peer = teller.or_else(|| link.peers().choose(&mut rand::rng()).copied());
         let Some(peer) = peer else { continue };
-        let (path, limit) = match teller {
-            Some(_) => (FIRST_SNAPSHOT_PATH, FIRST_ASK_LIMIT),
-            None => (SNAPSHOT_PATH, ASK_LIMIT),
+        let told = match teller {
+            Some(teller) => ask_first(&client, teller, &link).await,
+            None => fetch(&client, &known_uri(peer, &link), ASK_LIMIT).await.map(Some),
         };
-        match fetch(&client, peer, path, limit, &link).await {
-            Ok(snapshot) => take_snapshot(snapshot, peer, &link).await,
+        match told {
+            Ok(Some(snapshot)) => take_snapshot(snapshot, peer, &link).await,
+            Ok(None) => {}
             Err(error) => {
-                if teller.is_some() {
-                    link.leave_first_teller();
-                }
                 debug!(link.logger, "peer not heard"; "step" => "peers", "peer" => %peer,
                     "error" => %format!("{error:#}"));
             }
@@ -88,22 +88,39 @@
     }
 }
 
-async fn fetch(
+/// Asks the router that is to tell this one what it needs at its start; `None` while that is reading.
+async fn ask_first(
     client: &HttpClient,
-    peer: SocketAddr,
-    path: &str,
-    limit: Duration,
+    teller: SocketAddr,
     link: &ControlLink,
-) -> Result<PeerSnapshot> {
-    let (number, list) = {
-        let state = link.state.borrow();
-        (state.config_number(), state.list_hash())
-    };
-    let list = list.map_or_else(String::new, |list| format!(",{list}"));
-    let uri = url(peer, &format!("{path}?known={number}{list}"));
-    let answer = client.call(Method::GET, &uri, Bytes::new(), limit).await?;
+) -> Result<Option<PeerSnapshot>> {
+    let uri = url(teller, FIRST_SNAPSHOT_PATH);
+    let answer = client.call(Method::GET, &uri, Bytes::new(), FIRST_ASK_LIMIT).await;
+    let told = answer.and_then(|answer| match answer.status {
+        NOT_YET => Ok(None),
+        _ => decode_snapshot(&uri, &answer).map(Some),
+    });
+    if told.is_err() {
+        link.leave_first_teller();
+    }
+    told
+}
+
+/// Path at a peer for what it knows better than this router.
+fn known_uri(peer: SocketAddr, link: &ControlLink) -> String {
+    let state = link.state.borrow();
+    let list = state.list_hash().map_or_else(String::new, |list| format!(",{list}"));
+    url(peer, &format!("{SNAPSHOT_PATH}?known={}{list}", state.config_number()))
+}
+
+async fn fetch(client: &HttpClient, uri: &str, limit: Duration) -> Result<PeerSnapshot> {
+    let answer = client.call(Method::GET, uri, Bytes::new(), limit).await?;
+    decode_snapshot(uri, &answer)
+}
+
+fn decode_snapshot(uri: &str, answer: &HttpAnswer) -> Result<PeerSnapshot> {
     ensure!(answer.status.is_success(), "GET {uri}: {}", answer.status);
-    postcard::from_bytes(&answer.body).wrap_err_with(|| format!("decode snapshot of {peer}"))
+    postcard::from_bytes(&answer.body).wrap_err_with(|| format!("decode snapshot of {uri}"))
 }
 
 async fn take_snapshot(snapshot: PeerSnapshot, peer: SocketAddr, link: &ControlLink) {
@@ -165,10 +182,17 @@
         *reply.status_mut() = status;
         return reply;
     }
-    if request.uri().path() == FIRST_SNAPSHOT_PATH && !link.can_tell(HOLD_LIMIT).await {
-        let mut reply = Response::new(Full::default());
-        *reply.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
-        return reply;
+    if request.uri().path() == FIRST_SNAPSHOT_PATH {
+        let denial = match link.readiness_to_tell(HOLD_LIMIT).await {
+            ReadinessToTell::Ready => None,
+            ReadinessToTell::NotYet => Some(NOT_YET),
+            ReadinessToTell::Denied => Some(StatusCode::SERVICE_UNAVAILABLE),
+        };
+        if let Some(status) = denial {
+            let mut reply = Response::new(Full::default());
+            *reply.status_mut() = status;
+            return reply;
+        }
     }
     let known: Vec<u64> = value.split(',').filter_map(|number| number.parse().ok()).collect();
     tell_snapshot(request, known.first().copied().unwrap_or(0), known.get(1).copied(), link)
