--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -3,17 +3,16 @@
 mod costs;
 mod limits;
 
-use super::support::{BASE, DESK, ENGINES, adapter, config, model_call, ms, pool, report, target};
-use plantain_core::{
-    direct::{
-        call::{AdapterRelease, ModelCall},
-        health::CallOutcome,
-        membership::{ListChange, TargetEntry, TargetLife},
-        messages::LoaderReport,
-        selection::{CallNeed, TargetChoice, choose_target, preferred_targets, queued_plain_ms},
-        targets::TargetPool,
-    },
-    ids::{ServiceName, ZoneName},
+use super::support::{
+    BASE, DESK, ENGINES, adapter, config, model_call, ms, need, pool, report, target,
+};
+use plantain_core::direct::{
+    call::{AdapterRelease, ModelCall},
+    health::CallOutcome,
+    membership::{ListChange, TargetEntry, TargetLife},
+    messages::LoaderReport,
+    selection::{CallNeed, TargetChoice, choose_target, preferred_targets, queued_plain_ms},
+    targets::TargetPool,
 };
 use std::{sync::Arc, time::Duration};
 
@@ -39,15 +38,6 @@
     choose_target(pool, &need, ms(at), || 0.5)
 }
 
-/// What a call of one of two routers needs.
-fn need<'a>(
-    service: &'a ServiceName,
-    zone: &'a ZoneName,
-    model: Option<&'a ModelCall>,
-) -> CallNeed<'a> {
-    CallNeed { service, model, zone, excluded: &[], routers: 2, waiting_at: None, may_ask: false }
-}
-
 fn sent_to(choice: &TargetChoice) -> Option<&str> {
     match choice {
         TargetChoice::Send(life, _) => Some(&life.id),
--- a/crates/core/tests/core/direct/support.rs
+++ b/crates/core/tests/core/direct/support.rs
@@ -9,9 +9,10 @@
         },
         membership::{BaseHolding, TargetEntry},
         messages::LoaderReport,
+        selection::CallNeed,
         targets::TargetPool,
     },
-    ids::AdapterVersion,
+    ids::{AdapterVersion, ServiceName, ZoneName},
 };
 use std::{sync::Arc, time::Duration};
 
@@ -124,3 +125,12 @@
         parts: Vec::new(),
     }
 }
+
+/// What a call of one of two routers needs.
+pub fn need<'a>(
+    service: &'a ServiceName,
+    zone: &'a ZoneName,
+    model: Option<&'a ModelCall>,
+) -> CallNeed<'a> {
+    CallNeed { service, model, zone, excluded: &[], routers: 2, waiting_at: None, may_ask: false }
+}
--- a/crates/core/tests/core/direct/target_statement.rs
+++ b/crates/core/tests/core/direct/target_statement.rs
@@ -1,12 +1,11 @@
 //! What targets state of themselves, against lists and reports that come late.
 
-use super::support::{DESK, ENGINES, config, model_call, ms, report, target};
+use super::support::{DESK, ENGINES, config, model_call, ms, need, report, target};
 use plantain_core::{
     direct::{
-        call::ModelCall,
         membership::{ListChange, TargetEntry, TargetLife},
         proof::{AnswerHead, RunProof},
-        selection::{CallNeed, TargetChoice, choose_target, preferred_targets},
+        selection::{TargetChoice, choose_target, preferred_targets},
         target_limit::StatedLimit,
         target_statement::{REST_LIMIT, TargetStatement, stated_rest, states_leaving},
         targets::TargetPool,
@@ -167,14 +166,6 @@
     }
 }
 
-fn need<'a>(
-    service: &'a ServiceName,
-    zone: &'a ZoneName,
-    model: Option<&'a ModelCall>,
-) -> CallNeed<'a> {
-    CallNeed { service, model, zone, excluded: &[], routers: 2, waiting_at: None, may_ask: false }
-}
-
 /// Guards against what a target has said being undone by an older list, a report, a lapse of its entry or an outage.
 #[test]
 fn what_a_life_has_said_holds_whatever_comes_late() {
