Router: a call that goes on without its caller says so

Cause: a non-idempotent call whose caller left had the line of an answered call, so that lines could not tell a call sent on after its caller had left from one sent before. Change: the call's line has sent_ms and caller_left_ms, a counter counts such calls. No behaviour changed; nothing measured.

--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -16,6 +16,7 @@
 mod links;
 mod peers;
 mod permits;
+mod progress;
 mod readiness;
 mod relay;
 mod sharing;
--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -7,6 +7,7 @@
     context::RouterContext,
     exchange::{AdmittedCall, CallExchange, DispatchResult, GiveUpReason},
     journal::{CallEnd, CallRecord},
+    progress::DisconnectGuard,
     relay::{PlainRead, read_plain, relay_stream},
 };
 use crate::clock;
@@ -267,10 +268,12 @@
 /// would leave unknown whether it ran.
 async fn run_call(exchange: CallExchange) -> Response<ReplyBody> {
     if exchange.route.kind == CallKind::NonIdempotent {
-        let running = spawn_local(answer_call(exchange));
-        return running.await.unwrap_or_else(|_| {
+        let guard = DisconnectGuard::new(&exchange.progress);
+        let reply = spawn_local(answer_call(exchange)).await.unwrap_or_else(|_| {
             final_reply(StatusCode::INTERNAL_SERVER_ERROR, "router failed", "unknown")
         });
+        guard.finish();
+        return reply;
     }
     answer_call(exchange).await
 }
@@ -313,7 +316,7 @@
     }
     let took = clock::now().saturating_sub(started);
     record.note(took, &format!("{message}: {location}"));
-    context.journal.finish(&record, CallEnd::Rejected, status.as_u16(), took);
+    context.journal.finish(&record, CallEnd::Rejected, status.as_u16(), took, None);
     reply
 }
 
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -13,6 +13,7 @@
     journal::{CallEnd, CallPhase, CallRecord},
     limits::UsageCharge,
     permits::TargetPermit,
+    progress::CallProgress,
 };
 use crate::clock;
 use bytes::Bytes;
@@ -122,6 +123,7 @@
     pub(crate) deadline: Timestamp,
     pub(crate) record: CallRecord,
     pub(crate) resume_after: Option<u64>,
+    pub(crate) progress: Rc<CallProgress>,
     excluded: Vec<TargetIncarnation>,
     is_finished: Cell<bool>,
 }
@@ -174,6 +176,7 @@
             started,
             deadline: started + limit,
             record,
+            progress: Rc::default(),
             excluded: Vec::new(),
             is_finished: Cell::new(false),
         }
@@ -215,7 +218,8 @@
 
     fn write_line(&self, end: CallEnd, status: u16) {
         self.is_finished.set(true);
-        self.context.journal.finish(&self.record, end, status, self.age());
+        let left = self.progress.caller_left().map(|left| left.saturating_sub(self.started));
+        self.context.journal.finish(&self.record, end, status, self.age(), left);
     }
 
     /// Whether the call may be sent to another target although a previous target may have run it.
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -71,6 +71,7 @@
             tokens,
         );
         self.record.phase = CallPhase::Sent;
+        self.record.last_send = Some(self.age());
         self.record.sends += 1;
         self.record.runs += 1;
         let end = self.await_answer(incarnation, address, request, &mut guard).await;
--- a/crates/daemon/src/router/journal.rs
+++ b/crates/daemon/src/router/journal.rs
@@ -106,6 +106,8 @@
     pub(crate) sends: u32,
     /// Current phase; in the log line, the phase at its end.
     pub(crate) phase: CallPhase,
+    /// Time from the call's arrival to its last send; `None` if it was never sent.
+    pub(crate) last_send: Option<Duration>,
     /// Time spent waiting for targets and adapters.
     pub(crate) load_wait: Duration,
     /// Time from the call's arrival to the first byte of an answer; `None` without one.
@@ -143,8 +145,19 @@
         }
     }
 
-    /// Counts an ended call in the metrics and writes its log line.
-    pub(crate) fn finish(&self, record: &CallRecord, end: CallEnd, status: u16, took: Duration) {
+    /// Counts an ended call in the metrics and writes its log line. `left` is the time from the call's arrival to its
+    /// caller's disconnect, if the call went on after that.
+    pub(crate) fn finish(
+        &self,
+        record: &CallRecord,
+        end: CallEnd,
+        status: u16,
+        took: Duration,
+        left: Option<Duration>,
+    ) {
+        if left.is_some() {
+            counter!("plantain_calls_without_caller_total").increment(1);
+        }
         counter!("plantain_requests_total", "outcome" => end.name()).increment(1);
         histogram!("plantain_request_seconds").record(took.as_secs_f64());
         if let Some(first) = record.first_byte {
@@ -174,6 +187,8 @@
             "target" => record.target.as_ref().map(|incarnation| &*incarnation.id),
             "questions" => record.report_requests, "sends" => record.sends, "runs" => record.runs,
             "report_age_ms" => record.report_age.map(|age| age.as_millis() as u64),
+            "sent_ms" => record.last_send.map(|sent| sent.as_millis() as u64),
+            "caller_left_ms" => left.map(|left| left.as_millis() as u64),
             "load_wait_ms" => record.load_wait.as_millis() as u64,
             "first_byte_ms" => record.first_byte.map(|first| first.as_millis() as u64),
             "took_ms" => took.as_millis() as u64, "trail" => &record.trail);
