Router: a non-idempotent call ends with its caller until it may run

Cause: a non-idempotent call was a task of its own from its arrival on, so that a caller that left while the call waited (adapter, first targets of a starting router, a connection, the body of a refusal) did not end it, and it was sent. Class: what must not be cancelled was taken for all of the call, where it is only the part from the first byte at a target to the proof of what became of it. Change: the call belongs to its connection like any other. When that drops it, the call is cancelled unless it may be running; then it goes on in a task of its own. It may be running from the moment at which the request is handed to a connection until the connection returns it unsent or the answer proves that it did not run. This holds for any place where a call waits, also for places that come later.

--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -7,7 +7,7 @@
     context::RouterContext,
     exchange::{AdmittedCall, CallExchange, DispatchResult, GiveUpReason},
     journal::{CallEnd, CallRecord},
-    progress::DisconnectGuard,
+    progress::DetachableCall,
     relay::{PlainRead, read_plain, relay_stream},
 };
 use crate::clock;
@@ -264,16 +264,12 @@
     }
 }
 
-/// Runs a call. If its caller disconnects, the call is cancelled, except one that is not idempotent: cancelling that
-/// would leave unknown whether it ran.
+/// Runs a call. If its caller disconnects, the call is cancelled, except one that is not idempotent and may be running:
+/// cancelling that would leave unknown whether it ran.
 async fn run_call(exchange: CallExchange) -> Response<ReplyBody> {
     if exchange.route.kind == CallKind::NonIdempotent {
-        let guard = DisconnectGuard::new(&exchange.progress);
-        let reply = spawn_local(answer_call(exchange)).await.unwrap_or_else(|_| {
-            final_reply(StatusCode::INTERNAL_SERVER_ERROR, "router failed", "unknown")
-        });
-        guard.finish();
-        return reply;
+        let progress = Rc::clone(&exchange.progress);
+        return DetachableCall::new(answer_call(exchange), progress).await;
     }
     answer_call(exchange).await
 }
--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -1,6 +1,6 @@
 //! Pool of keep-alive connections to targets.
 
-use super::constants;
+use super::{constants, progress::CallProgress};
 use crate::clock;
 use bytes::Bytes;
 use eyre::{Result, WrapErr};
@@ -48,19 +48,25 @@
 }
 
 impl ConnectionPool {
-    /// Sends a request on an idle connection of the pool, or on a new one.
+    /// Sends a request on an idle connection of the pool, or on a new one. From the moment at which a byte of the
+    /// request may reach the target, `progress` says that the call may be running.
     pub(crate) async fn send(
         &self,
         incarnation: &TargetIncarnation,
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
+        progress: &CallProgress,
     ) -> SendEnd {
         while let Some(mut sender) = self.take(incarnation) {
+            progress.set_running(true);
             match sender.try_send_request(request).await {
                 Ok(answer) => return answered(answer, sender, incarnation),
                 // The connection closed before the request was written, and returns the request.
                 Err(mut error) => match error.take_message() {
-                    Some(unsent) => request = unsent,
+                    Some(unsent) => {
+                        progress.set_running(false);
+                        request = unsent;
+                    }
                     None => return SendEnd::Broken(error.into_error().to_string()),
                 },
             }
@@ -69,10 +75,12 @@
             Ok(sender) => sender,
             Err(error) => return SendEnd::Unsent(format!("{error:#}")),
         };
+        progress.set_running(true);
         match sender.try_send_request(request).await {
             Ok(answer) => answered(answer, sender, incarnation),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
+                progress.set_running(!is_unsent);
                 let text = error.into_error().to_string();
                 if is_unsent { SendEnd::Unsent(text) } else { SendEnd::Broken(text) }
             }
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -28,7 +28,7 @@
 };
 use plantain_net::body::ReplyBody;
 use plantain_platform::calls;
-use std::{sync::Arc, time::Duration};
+use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::{sleep, timeout};
 
 /// Lowest urgency that engines accept; 0 is the highest.
@@ -109,6 +109,7 @@
     /// until its outcome is known.
     fn uncount_run(&mut self, proof: RunProof) {
         if !counts_as_run(proof) {
+            self.progress.set_running(false);
             self.record.runs -= 1;
         }
     }
@@ -145,7 +146,8 @@
         let limit = self.answer_limit();
         let overdue = self.route.objective.mul_f64(OVERDUE_SHARE).min(limit);
         let connections = self.context.connections.clone();
-        let sending = connections.send(incarnation, address, request);
+        let progress = Rc::clone(&self.progress);
+        let sending = connections.send(incarnation, address, request, &progress);
         tokio::pin!(sending);
         tokio::select! {
             end = &mut sending => return Some(end),
