Agent: a cancelled request that the engine refused is dropped

What callers saw (GONE, offered path): a request that is not idempotent could be sent to its engine again after its caller had left: it ran, the caller left, the engine's 404 proved that it had not run, and it was queued again. Cause: cancelling a running request that is not idempotent changed nothing in the state, so that nothing remembered it when the request turned out not to have run. Evidence: the new test failed: sent again: [AskPermit, Load, Start { work: 1 }]. Why it works: the cancellation is kept with the request, and a request that was cancelled is refused in place of queued.

--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -72,6 +72,7 @@
     accepted: Timestamp,
     deadline: Timestamp,
     stall: Option<Duration>,
+    is_cancelled: bool,
 }
 
 /// State of one agent: its accepted requests, its target, and the adapters resident or wanted there.
@@ -243,6 +244,7 @@
             accepted: now,
             deadline: now + offer.time_left,
             stall: ready.then_some(Duration::ZERO),
+            is_cancelled: false,
             offer,
         };
         self.request_load(&record, now);
@@ -277,7 +279,8 @@
     }
 
     fn cancelled(&mut self, work: WorkId) {
-        let Some(record) = self.requests.get(&work) else { return };
+        let Some(record) = self.requests.get_mut(&work) else { return };
+        record.is_cancelled = true;
         match record.phase {
             // A non-idempotent request that runs is not aborted, because that would leave its effect
             // half done and its outcome unknown.
@@ -302,12 +305,15 @@
     }
 
     /// Requeues a request that the engine refused because it does not hold the adapter, and requests
-    /// the load again. The request has not run.
+    /// the load again. The request has not run; if it was cancelled, it is dropped.
     fn adapter_missing(&mut self, work: WorkId, now: Timestamp) {
         let Some(record) = self.requests.get_mut(&work) else { return };
         if record.phase != WorkPhase::Running {
             return;
         }
+        if record.is_cancelled {
+            return self.refuse_accepted(work, RefusalReason::LoadFailed);
+        }
         record.phase = WorkPhase::Queued;
         record.stall = None;
         self.running -= 1;
--- a/crates/core/tests/core/agent.rs
+++ b/crates/core/tests/core/agent.rs
@@ -256,3 +256,27 @@
         "the next incarnation takes work"
     );
 }
+
+/// Guards against a non-idempotent request that is sent to the engine again although its caller disconnected, because
+/// the engine had refused the first send for lack of the adapter.
+#[test]
+fn a_cancelled_request_that_the_engine_refused_is_not_sent_again() {
+    let mut state = AgentState::new(options());
+    let mut handle = |event| state.handle(event, Duration::ZERO);
+    handle(AgentEvent::TargetUp(true));
+    handle(AgentEvent::Inventory(vec![key(1)]));
+    let offer = OfferSummary { idempotent: false, ..offer(1, 1) };
+    handle(AgentEvent::Offered(Box::new(offer)));
+    let started = handle(AgentEvent::Released(1));
+    assert!(started.iter().any(|action| matches!(action, AgentAction::Start { work: 1, .. })));
+    let cancelled = handle(AgentEvent::Cancelled(1));
+    assert!(cancelled.is_empty(), "a running request was cancelled: {cancelled:?}");
+    let mut actions = handle(AgentEvent::AdapterMissing(1));
+    actions.extend(handle(AgentEvent::LoadPermitted(key(1))));
+    let result = LoadResult::Loaded;
+    let took = Duration::from_millis(30);
+    actions.extend(handle(AgentEvent::LoadEnded { key: key(1), result, took }));
+    let is_sent = actions.iter().any(|action| matches!(action, AgentAction::Start { .. }));
+    assert!(!is_sent, "sent again: {actions:?}");
+    assert_eq!((state.queued(), state.pins(&key(1))), (0, 0));
+}
