--- a/crates/core/src/agent.rs
+++ b/crates/core/src/agent.rs
@@ -311,9 +311,6 @@
         if record.phase != WorkPhase::Running {
             return;
         }
-        if record.is_cancelled {
-            return self.refuse_accepted(work, RefusalReason::LoadFailed);
-        }
         record.phase = WorkPhase::Queued;
         record.stall = None;
         self.running -= 1;
@@ -321,6 +318,9 @@
         if let WorkItem::Completion { key, .. } = &record.offer.item {
             self.residents.mark_missing(key);
         }
+        if record.is_cancelled {
+            self.refuse_accepted(work, RefusalReason::LoadFailed);
+        }
         self.request_missing_loads(now);
     }
 
