--- a/crates/core/src/direct/sharing.rs
+++ b/crates/core/src/direct/sharing.rs
@@ -21,6 +21,10 @@
     sync::Arc,
 };
 
+/// Era of the store's history. It rises each time the store returns from an older copy of itself; revisions of the lost
+/// history are then given out again. 0 if the store does not report it.
+pub type StoreEra = u64;
+
 /// Rounds of changes that are kept. Routers query several times a second; one that is further behind was
 /// disconnected and needs a snapshot.
 const LOG_LENGTH: usize = 32;
--- a/crates/daemon/src/router/control/context.rs
+++ b/crates/daemon/src/router/control/context.rs
@@ -1,11 +1,12 @@
 //! State shared by the tasks of the control thread: followed objects, and the progress of following the store.
 
 use crate::{clock, options::site::RouterFile};
+use metrics::counter;
 use plantain_core::{
     direct::{
         directory::PeerView,
         membership::{ListChange, TargetEntry},
-        sharing::{ChangeLog, LoggedChange, SharedChange, source::StoreSource},
+        sharing::{ChangeLog, LoggedChange, SharedChange, StoreEra, source::StoreSource},
         snapshot::{FollowedState, PeerSnapshot},
     },
     ids::{BootId, Timestamp},
@@ -95,6 +96,8 @@
     pub(in crate::router) confirmed_at: Cell<Timestamp>,
     /// Time at which the list of targets became readable again after an outage.
     pub(in crate::router) regained_at: Cell<Option<Timestamp>>,
+    /// Era of the store's last answer to this router; `None` before the first.
+    store_era: Cell<Option<StoreEra>>,
     source: watch::Sender<StoreSource>,
     /// Whether the configuration's follower is still finding out if the store answers this router.
     is_checking_store: Cell<bool>,
@@ -137,6 +140,7 @@
             log_changed: Notify::new(),
             confirmed_at: Cell::default(),
             regained_at: Cell::new(None),
+            store_era: Cell::new(None),
             source: watch::channel(StoreSource::Undecided).0,
             is_checking_store: Cell::new(false),
             store_checked: Notify::new(),
@@ -345,6 +349,16 @@
         Some(if self.is_config_lost() { StoreCheck::Silent } else { StoreCheck::Answers })
     }
 
+    /// Records the era of an answer of the store for a kind, and logs a change of it.
+    pub(in crate::router) fn note_answer_era(&self, kind: FollowedKind, era: StoreEra) {
+        let known = self.store_era.replace(Some(era));
+        if let Some(known) = known.filter(|known| *known != era) {
+            counter!("plantain_store_era_changes_total").increment(1);
+            info!(self.logger, "store era changed"; "step" => "follow", "from" => known, "era" => era,
+                "kind" => kind.name(), "revision" => self.progress(kind).revision.get());
+        }
+    }
+
     /// This router's address for other routers.
     pub(in crate::router) fn own_address(&self) -> SocketAddr {
         self.settings.borrow().peer_listen
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -231,6 +231,7 @@
         counter!("plantain_store_calls_total", "kind" => self.kind.name()).increment(1);
         let store: SocketAddr = self.context.store();
         let answer = self.client.call(Method::GET, &url(store, path), Bytes::new(), limit).await?;
+        self.context.note_answer_era(self.kind, objects::store_era(&answer.headers));
         match answer.status {
             StatusCode::OK => Ok(Some(answer.body)),
             status if status.as_u16() == HISTORY_GONE => Ok(None),
--- a/crates/daemon/src/router/sharing.rs
+++ b/crates/daemon/src/router/sharing.rs
@@ -76,14 +76,14 @@
     }
 
     async fn poll(&mut self, upstream: SocketAddr) {
-        let (reply, reason) = match fetch_changes(&self.client, upstream, &self.context.revisions())
-            .await
-        {
+        let revisions = self.context.revisions();
+        let (reply, reason) = match fetch_changes(&self.client, upstream, &revisions).await {
             Ok(UpstreamAnswer::Changes(delta)) => {
                 self.selector.apply_reply(upstream, UpstreamReply::Changes, clock::now());
                 if self.context.set_source(self.selector.source()) {
                     info!(self.context.logger, "store followed through a router"; "step" => "sharing",
-                        "peer" => %upstream);
+                        "peer" => %upstream, "asked_from" => format!("{revisions:?}"),
+                        "told_up_to" => format!("{:?}", told_revisions(&delta)));
                 }
                 peer_changes::apply_shared_delta(delta, &self.context).await;
                 return;
@@ -105,6 +105,11 @@
     }
 }
 
+/// Revisions up to which a delta is complete, one per kind.
+fn told_revisions(delta: &SharedDelta) -> Vec<u64> {
+    delta.kinds.iter().map(|kind| kind.revision).collect()
+}
+
 /// Answer of an upstream to a query for changes.
 enum UpstreamAnswer {
     /// Changes since the requested revisions, perhaps none.
