Router: positions in the store's changes have an era

Cause: the store had come back from a copy, its revisions had gone back. A router that asked another with a revision of the lost history (144) was told that there is nothing newer than that until the new history had passed the number; an answer to a question asked before the return lifted a position back to the lost one. A router that reads the store continued from a revision of the lost history once the store had given that out again. Class: positions of two histories are compared as numbers. The era goes with each revision between routers in a header of its own, so that older builds read what they read before. An answer of a later era than asked from leads to a new list, also where the store accepts the revision; an answer of an earlier era than known counts as none; pages of one list are of one era; a known later era ends the waits of all watches.

Calls to the store after a return: one list per kind and reader of the store, as after a lost history.

--- a/crates/core/src/direct/sharing.rs
+++ b/crates/core/src/direct/sharing.rs
@@ -18,6 +18,7 @@
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{HashMap, VecDeque, hash_map::Entry},
+    fmt::{self, Display, Formatter},
     sync::Arc,
 };
 
@@ -25,6 +26,28 @@
 /// history are then given out again. 0 if the store does not report it.
 pub type StoreEra = u64;
 
+/// Position in the store's changes. Positions of a later era are later, whatever their revisions.
+#[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
+pub struct StorePosition {
+    /// Era of the revision.
+    pub era: StoreEra,
+    /// Revision within the era.
+    pub revision: u64,
+}
+
+impl StorePosition {
+    /// A position in an era.
+    pub fn new(era: StoreEra, revision: u64) -> Self {
+        Self { era, revision }
+    }
+}
+
+impl Display for StorePosition {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{} of era {}", self.revision, self.era)
+    }
+}
+
 /// Rounds of changes that are kept. Routers query several times a second; one that is further behind was
 /// disconnected and needs a snapshot.
 const LOG_LENGTH: usize = 32;
@@ -71,6 +94,9 @@
 pub struct KindDelta {
     /// Revision up to which the changes are complete.
     pub revision: u64,
+    /// Era of the revision; sent beside the delta, because older builds do not know it.
+    #[serde(skip)]
+    pub era: StoreEra,
     /// Whether the changes are all objects of the kind, since the querying router was too far behind for a delta.
     #[serde(rename = "is_whole")]
     pub is_snapshot: bool,
@@ -78,6 +104,13 @@
     pub changes: Vec<SharedChange>,
 }
 
+impl KindDelta {
+    /// Position up to which the changes are complete.
+    pub fn position(&self) -> StorePosition {
+        StorePosition::new(self.era, self.revision)
+    }
+}
+
 /// A router's answer to another router that queries changes.
 #[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
 pub struct SharedDelta {
@@ -112,10 +145,10 @@
 #[derive(Debug, Default)]
 pub struct ChangeLog {
     is_followed: bool,
-    /// Revision after which all changes are kept.
-    from: u64,
-    revision: u64,
-    rounds: VecDeque<(u64, Vec<LoggedChange>)>,
+    /// Position after which all changes are kept; all positions of a log are of one era.
+    from: StorePosition,
+    position: StorePosition,
+    rounds: VecDeque<(StorePosition, Vec<LoggedChange>)>,
 }
 
 impl ChangeLog {
@@ -124,21 +157,30 @@
         self.is_followed
     }
 
-    /// Restarts the log at a snapshot of `revision`; earlier changes are not known.
-    pub fn restart(&mut self, revision: u64) {
-        *self = Self { is_followed: true, from: revision, revision, rounds: VecDeque::new() };
+    /// Restarts the log at a snapshot of `position`; earlier changes are not known.
+    pub fn restart(&mut self, position: StorePosition) {
+        *self = Self { is_followed: true, from: position, position, rounds: VecDeque::new() };
     }
 
-    /// Appends the changes after `from` up to `revision`; restarts the log if `from` leaves a gap.
-    pub fn append(&mut self, from: u64, revision: u64, changes: Vec<LoggedChange>) {
-        if !self.is_followed || from != self.revision {
+    /// Appends the changes after `from` up to `position`; restarts the log if `from` leaves a gap, or is of another
+    /// era: a router may know changes of the lost history that this one does not, so it needs a snapshot.
+    pub fn append(
+        &mut self,
+        from: StorePosition,
+        position: StorePosition,
+        changes: Vec<LoggedChange>,
+    ) {
+        if from.era != position.era {
+            return self.restart(position);
+        }
+        if !self.is_followed || from != self.position {
             self.restart(from);
         }
-        self.revision = revision;
+        self.position = position;
         if changes.is_empty() {
             return;
         }
-        self.rounds.push_back((revision, changes));
+        self.rounds.push_back((position, changes));
         if self.rounds.len() > LOG_LENGTH
             && let Some((dropped, _)) = self.rounds.pop_front()
         {
@@ -146,9 +188,9 @@
         }
     }
 
-    /// Revision up to which all changes were received.
-    pub fn revision(&self) -> u64 {
-        self.revision
+    /// Position up to which all changes were received.
+    pub fn position(&self) -> StorePosition {
+        self.position
     }
 
     /// Clears the log: the kind is no longer followed, and changes are missed from now on.
@@ -156,24 +198,25 @@
         *self = Self::default();
     }
 
-    /// Whether a router that knows all changes up to `revision` is due an answer: there are newer changes, or the log
+    /// Whether a router that knows all changes up to `known` is due an answer: there are newer changes, or the log
     /// does not reach back that far.
-    pub fn has_changes(&self, revision: u64) -> bool {
-        let is_newer = self.rounds.back().is_some_and(|(at, _)| *at > revision);
-        !self.is_followed || revision < self.from || is_newer
+    pub fn has_changes(&self, known: StorePosition) -> bool {
+        let is_newer = self.rounds.back().is_some_and(|(at, _)| *at > known);
+        !self.is_followed || known < self.from || is_newer
     }
 
-    /// Changes since `revision`; `None` if the log does not reach back that far. The querying router may be
+    /// Changes since `known`; `None` if the log does not reach back that far. The querying router may be
     /// ahead if it has queried the store itself.
-    pub fn since(&self, revision: u64) -> Option<KindDelta> {
-        if !self.is_followed || revision < self.from {
+    pub fn since(&self, known: StorePosition) -> Option<KindDelta> {
+        if !self.is_followed || known < self.from {
             return None;
         }
-        let newer = self.rounds.iter().rev().take_while(|(at, _)| *at > revision);
+        let newer = self.rounds.iter().rev().take_while(|(at, _)| *at > known);
         let newest_first = newer.flat_map(|(_, round)| round.iter().rev());
         let mut changes = without_excess_hints(latest_of_each(newest_first));
         changes.reverse();
-        Some(KindDelta { revision: revision.max(self.revision), is_snapshot: false, changes })
+        let StorePosition { era, revision } = known.max(self.position);
+        Some(KindDelta { revision, era, is_snapshot: false, changes })
     }
 }
 
--- a/crates/core/tests/core/direct/sharing.rs
+++ b/crates/core/tests/core/direct/sharing.rs
@@ -6,7 +6,9 @@
 use super::support::{DESK, ENGINES, target};
 use plantain_core::direct::{
     membership::{InstanceId, ListChange, TargetEntry},
-    sharing::{ChangeImportance, ChangeLog, LoggedChange, SharedChange, order::RelayOrder},
+    sharing::{
+        ChangeImportance, ChangeLog, LoggedChange, SharedChange, StorePosition, order::RelayOrder,
+    },
     snapshot::FollowedState,
 };
 use quickcheck::{Arbitrary, Gen, quickcheck};
@@ -92,6 +94,11 @@
     }
 }
 
+/// A position of the first era.
+pub fn at(revision: u64) -> StorePosition {
+    StorePosition::new(1, revision)
+}
+
 fn required(changes: Vec<SharedChange>) -> Vec<LoggedChange> {
     let importance = ChangeImportance::Required;
     changes.into_iter().map(|change| LoggedChange { change, importance }).collect()
@@ -112,7 +119,8 @@
                 ShareStep::Change { target, is_removed } => store.change(target, is_removed),
                 ShareStep::Read { log } => {
                     let (log, known) = &mut logs[log];
-                    log.append(*known, store.revision(), required(store.after(*known)));
+                    let changes = required(store.after(*known));
+                    log.append(at(*known), at(store.revision()), changes);
                     *known = store.revision();
                 }
                 ShareStep::Lose { log } => {
@@ -120,7 +128,7 @@
                     logs[log].1 = store.revision();
                 }
                 ShareStep::Query { log } => {
-                    let Some(delta) = logs[log].0.since(revision) else { continue };
+                    let Some(delta) = logs[log].0.since(at(revision)) else { continue };
                     apply(&mut list, &delta.changes);
                     if delta.revision < revision || list != store.list_at(delta.revision) {
                         return false;
@@ -161,15 +169,15 @@
     for case in cases {
         let mut store = FakeStore::default();
         let mut log = ChangeLog::default();
-        log.restart(0);
+        log.restart(at(0));
         for round in 0..case.rounds {
             store.change(round as usize % TARGETS.len(), false);
-            log.append(round, round + 1, required(store.after(round)));
+            log.append(at(round), at(round + 1), required(store.after(round)));
         }
-        let count = log.since(case.since).map(|delta| delta.changes.len());
+        let count = log.since(at(case.since)).map(|delta| delta.changes.len());
         assert_eq!(count, case.count, "{}", case.name);
     }
-    assert!(ChangeLog::default().since(0).is_none(), "a log that does not follow the store");
+    assert!(ChangeLog::default().since(at(0)).is_none(), "a log that does not follow the store");
 }
 
 /// Every router of a zone must compute the same watcher, in whatever order it learned of the others: with two
@@ -247,3 +255,67 @@
         assert_eq!(state.classify_change(change).importance, case.importance, "{}", case.name);
     }
 }
+
+struct EraCase {
+    name: &'static str,
+    /// Positions of the log, from the one at which it starts.
+    log: &'static [(u64, u64)],
+    known: (u64, u64),
+    /// Position and number of changes of the answer; `None` if the querying router needs a snapshot.
+    answer: Option<((u64, u64), usize)>,
+}
+
+/// Guards against a router that misses changes because revisions of two eras were compared as numbers.
+#[test]
+fn positions_of_an_earlier_era_need_a_snapshot() {
+    let cases = [
+        EraCase {
+            name: "a higher revision of the era before",
+            log: &[(2, 76), (2, 80)],
+            known: (1, 144),
+            answer: None,
+        },
+        EraCase {
+            name: "the same revision of the era before",
+            log: &[(2, 76), (2, 80)],
+            known: (1, 80),
+            answer: None,
+        },
+        EraCase { name: "an era was skipped", log: &[(3, 9)], known: (1, 50), answer: None },
+        EraCase {
+            name: "the era changed within the log",
+            log: &[(1, 140), (1, 144), (2, 76), (2, 80)],
+            known: (1, 144),
+            answer: None,
+        },
+        EraCase {
+            name: "after a change of the era within the log",
+            log: &[(1, 140), (1, 144), (2, 76), (2, 80)],
+            known: (2, 76),
+            answer: Some(((2, 80), 1)),
+        },
+        EraCase {
+            name: "the log is of the era before",
+            log: &[(1, 140), (1, 144)],
+            known: (2, 76),
+            answer: Some(((2, 76), 0)),
+        },
+    ];
+    for case in cases {
+        let position = |(era, revision)| StorePosition::new(era, revision);
+        let mut store = FakeStore::default();
+        let mut log = ChangeLog::default();
+        log.restart(position(case.log[0]));
+        for step in case.log.windows(2) {
+            store.change(0, false);
+            let changes = required(store.after(store.revision() - 1));
+            log.append(position(step[0]), position(step[1]), changes);
+        }
+        let known = position(case.known);
+        let answer = log.since(known).map(|delta| (delta.position(), delta.changes.len()));
+        let expected = case.answer.map(|(at, count)| (position(at), count));
+        assert_eq!(answer, expected, "{}", case.name);
+        let has_changes = case.answer.is_none_or(|(_, count)| count > 0);
+        assert_eq!(log.has_changes(known), has_changes, "{}", case.name);
+    }
+}
--- a/crates/core/tests/core/direct/sharing/zone.rs
+++ b/crates/core/tests/core/direct/sharing/zone.rs
@@ -1,7 +1,10 @@
 //! The routers of one availability zone and the store, in simulated time. The real state machines select the
 //! upstream, and log and pass on the changes.
 
-use super::super::support::{ENGINES, ms, target};
+use super::{
+    super::support::{ENGINES, ms, target},
+    at,
+};
 use plantain_core::{
     direct::{
         directory::{PeerView, PresenceRegistry, RouterPresence, RouterTable},
@@ -252,7 +255,7 @@
         let revision = self.revision();
         let router = &mut self.routers[index];
         router.revision = Some(revision);
-        router.log.restart(revision);
+        router.log.restart(at(revision));
     }
 
     fn watch(&mut self, index: usize) {
@@ -269,7 +272,7 @@
             return;
         }
         let from = router.revision.unwrap_or(0);
-        router.log.append(from, revision, self.changes[from as usize..].to_vec());
+        router.log.append(at(from), at(revision), self.changes[from as usize..].to_vec());
         router.revision = Some(revision);
         router.synced_at = self.now;
         router.next_watch = self.now + WATCH_ROUND;
@@ -280,7 +283,7 @@
         let known = self.routers[index].revision.unwrap_or(0);
         let upstream = &self.routers[pending.upstream];
         let is_frozen = upstream.fault == RouterFault::Frozen;
-        let has_changes = upstream.log.has_changes(known);
+        let has_changes = upstream.log.has_changes(at(known));
         let reply = if is_frozen {
             if waited < QUERY_TIMEOUT {
                 return;
@@ -318,8 +321,8 @@
     fn send_changes(&mut self, sender: usize, client: usize) {
         let known = self.routers[client].revision.unwrap_or(0);
         let upstream = &self.routers[sender];
-        let (synced_at, revision) = (upstream.synced_at, upstream.log.revision());
-        let delta = upstream.log.since(known);
+        let (synced_at, revision) = (upstream.synced_at, upstream.log.position().revision);
+        let delta = upstream.log.since(at(known));
         let logged = upstream.revision.map_or(0, |_| revision);
         let kinds: Vec<_> = delta.into_iter().collect();
         let changes: Vec<SharedChange> =
@@ -334,7 +337,7 @@
         let router = &mut self.routers[client];
         let importance = ChangeImportance::Hint;
         let hints = changes.into_iter().map(|change| LoggedChange { change, importance }).collect();
-        router.log.append(known, logged.max(known), hints);
+        router.log.append(at(known), at(logged.max(known)), hints);
         router.revision = Some(logged.max(known));
         router.synced_at = router.synced_at.max(synced_at);
     }
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -9,6 +9,7 @@
 mod control;
 mod crash_updates;
 mod crashes;
+mod eras;
 mod exchange;
 mod follow;
 mod journal;
@@ -157,7 +158,8 @@
         ControlEvent::Regained(FollowedKind::Config) => context.may_be_outdated.set(false),
         ControlEvent::Lost(FollowedKind::Crashes) => context.routers_mut().set_lost(true, now),
         ControlEvent::Regained(FollowedKind::Crashes) => context.routers_mut().set_lost(false, now),
-        ControlEvent::Lost(FollowedKind::Releases)
+        ControlEvent::Returned
+        | ControlEvent::Lost(FollowedKind::Releases)
         | ControlEvent::Regained(FollowedKind::Releases) => {}
     }
 }
--- a/crates/daemon/src/router/control/context.rs
+++ b/crates/daemon/src/router/control/context.rs
@@ -6,13 +6,15 @@
     direct::{
         directory::PeerView,
         membership::{ListChange, TargetEntry},
-        sharing::{ChangeLog, LoggedChange, SharedChange, StoreEra, source::StoreSource},
-        snapshot::{FollowedState, PeerSnapshot},
+        sharing::{
+            ChangeLog, LoggedChange, SharedChange, StoreEra, StorePosition, source::StoreSource,
+        },
+        snapshot::FollowedState,
     },
     ids::{BootId, Timestamp},
 };
 use plantain_platform::objects::{FollowedChange, FollowedKind};
-use slog::{Logger, info};
+use slog::{Logger, info, warn};
 use std::{
     cell::{Cell, RefCell},
     future::pending,
@@ -41,6 +43,8 @@
     Listed(FollowedKind, Vec<FollowedChange>),
     /// Changes of objects.
     Changed(Vec<FollowedChange>),
+    /// The store has returned from an older copy; lists of the new history follow.
+    Returned,
     /// The store cannot be reached for a kind.
     Lost(FollowedKind),
     /// The store answers again for a kind.
@@ -70,8 +74,8 @@
 /// Progress of following one kind of objects.
 #[derive(Debug, Default)]
 pub(crate) struct KindProgress {
-    /// Revision up to which changes are known; `None` before the first read.
-    pub(in crate::router) revision: Cell<Option<u64>>,
+    /// Position up to which changes are known; `None` before the first read.
+    pub(in crate::router) position: Cell<Option<StorePosition>>,
     /// Time of the first failure since the last contact; `None` while it is followed.
     pub(in crate::router) failing_since: Cell<Option<Duration>>,
     /// Whether the next watch must return immediately: a call to the store failed, for this kind or another, so the
@@ -96,8 +100,8 @@
     pub(in crate::router) confirmed_at: Cell<Timestamp>,
     /// Time at which the list of targets became readable again after an outage.
     pub(in crate::router) regained_at: Cell<Option<Timestamp>>,
-    /// Era of the store's last answer to this router; `None` before the first.
-    store_era: Cell<Option<StoreEra>>,
+    /// Latest known era of the store's history; 0 before the first answer.
+    era: watch::Sender<StoreEra>,
     source: watch::Sender<StoreSource>,
     /// Whether the configuration's follower is still finding out if the store answers this router.
     is_checking_store: Cell<bool>,
@@ -140,7 +144,7 @@
             log_changed: Notify::new(),
             confirmed_at: Cell::default(),
             regained_at: Cell::new(None),
-            store_era: Cell::new(None),
+            era: watch::channel(0).0,
             source: watch::channel(StoreSource::Undecided).0,
             is_checking_store: Cell::new(false),
             store_checked: Notify::new(),
@@ -195,7 +199,7 @@
 
     /// Whether a kind is known, from the store or from another router.
     pub(in crate::router) fn has_read(&self, kind: FollowedKind) -> bool {
-        self.progress(kind).revision.get().is_some()
+        self.progress(kind).position.get().is_some()
     }
 
     /// The router from which this one fetches its first snapshot, so that routers which start together do not all
@@ -267,25 +271,17 @@
         clock::now().saturating_sub(self.started)
     }
 
-    /// Adopts the revisions of the first snapshot that holds both the configuration and the list. The revision of the
-    /// crash reports is left out.
-    pub(in crate::router) fn take_revisions(&self, snapshot: &PeerSnapshot) {
-        let is_first = !self.is_listed() && snapshot.config.is_some() && snapshot.targets.is_some();
-        let kinds = FollowedKind::ALL.into_iter().zip(&snapshot.revisions);
-        for (kind, revision) in kinds.filter(|(kind, _)| is_first && *kind != FollowedKind::Crashes)
-        {
-            self.progress(kind).revision.set(*revision);
+    /// Adopts the positions of a snapshot, one per kind. The position of the crash reports is left out.
+    pub(in crate::router) fn adopt_positions(&self, positions: &[Option<StorePosition>]) {
+        let kinds = FollowedKind::ALL.into_iter().zip(positions);
+        for (kind, position) in kinds.filter(|(kind, _)| *kind != FollowedKind::Crashes) {
+            self.progress(kind).position.set(*position);
         }
     }
 
-    /// Revisions of all kinds; `None` for one that was not read yet.
-    pub(in crate::router) fn known_revisions(&self) -> Vec<Option<u64>> {
-        self.progress.iter().map(|progress| progress.revision.get()).collect()
-    }
-
-    /// Revisions of all kinds; 0 for one that was not read yet.
-    pub(in crate::router) fn revisions(&self) -> Vec<u64> {
-        self.progress.iter().map(|progress| progress.revision.get().unwrap_or(0)).collect()
+    /// Positions of all kinds; `None` for one that was not read yet.
+    pub(in crate::router) fn positions(&self) -> Vec<Option<StorePosition>> {
+        self.progress.iter().map(|progress| progress.position.get()).collect()
     }
 
     /// Makes the next watch of each kind return immediately.
@@ -349,14 +345,38 @@
         Some(if self.is_config_lost() { StoreCheck::Silent } else { StoreCheck::Answers })
     }
 
-    /// Records the era of an answer of the store for a kind, and logs a change of it.
-    pub(in crate::router) fn note_answer_era(&self, kind: FollowedKind, era: StoreEra) {
-        let known = self.store_era.replace(Some(era));
-        if let Some(known) = known.filter(|known| *known != era) {
-            counter!("plantain_store_era_changes_total").increment(1);
-            info!(self.logger, "store era changed"; "step" => "follow", "from" => known, "era" => era,
-                "kind" => kind.name(), "revision" => self.progress(kind).revision.get());
+    /// Latest known era of the store's history; 0 before the first answer.
+    pub(in crate::router) fn era(&self) -> StoreEra {
+        *self.era.borrow()
+    }
+
+    /// Waits until an era after `era` is known.
+    pub(in crate::router) async fn wait_for_era_after(&self, era: StoreEra) {
+        let _ = self.era.subscribe().wait_for(|known| *known > era).await;
+    }
+
+    /// Records that an answer for a kind, from `source`, is of `era`. If that is a later era than the known one, the
+    /// store has returned from an older copy of itself.
+    pub(in crate::router) async fn note_era(
+        &self,
+        era: StoreEra,
+        kind: FollowedKind,
+        source: &'static str,
+    ) {
+        let known = self.era();
+        if era <= known {
+            return;
+        }
+        self.era.send_replace(era);
+        if known == 0 {
+            return;
         }
+        counter!("plantain_store_era_changes_total").increment(1);
+        let highest = self.positions().into_iter().flatten().max();
+        warn!(self.logger, "store returned from a copy"; "step" => "follow", "from" => known,
+            "era" => era, "kind" => kind.name(), "source" => source,
+            "highest_revision" => highest.map(|position| position.revision));
+        self.send(ControlEvent::Returned).await;
     }
 
     /// This router's address for other routers.
@@ -486,6 +506,7 @@
                     }
                 }
             }
+            ControlEvent::Returned => {}
             ControlEvent::Lost(kind) => {
                 self.lost_kinds.set(self.lost_kinds.get() + 1);
                 self.is_config_lost.set(self.is_config_lost() || *kind == FollowedKind::Config);
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -5,12 +5,12 @@
 use super::control::context::{ControlContext, ControlEvent, KindProgress, StoreCheck};
 use crate::clock;
 use bytes::Bytes;
-use eyre::{Result, eyre};
+use eyre::{Result, ensure, eyre};
 use hyper::{Method, StatusCode};
 use metrics::counter;
 use plantain_core::direct::{
     config::record::ConfigRecord,
-    sharing::{ChangeLog, SharedChange, source::StoreSource},
+    sharing::{ChangeLog, SharedChange, StoreEra, StorePosition, source::StoreSource},
 };
 use plantain_net::{
     backoff::RetryBackoff,
@@ -74,6 +74,13 @@
     }
 }
 
+/// The store's answer to a read.
+struct StoreAnswer {
+    era: StoreEra,
+    /// `None` if the store has no history since the requested revision.
+    body: Option<Bytes>,
+}
+
 struct KindFollower {
     kind: FollowedKind,
     client: HttpClient,
@@ -94,13 +101,13 @@
                 return;
             }
         }
-        let result = match self.progress().revision.get() {
-            Some(revision) if self.context.source() == StoreSource::Store => {
-                self.watch(revision).await
+        let result = match self.progress().position.get() {
+            Some(position) if self.context.source() == StoreSource::Store => {
+                self.watch(position).await
             }
             None if self.kind != FollowedKind::Crashes => {
                 self.context.wait_for_direct_read().await;
-                if self.progress().revision.get().is_some() {
+                if self.progress().position.get().is_some() {
                     return;
                 }
                 self.list().await
@@ -140,44 +147,48 @@
             StoreSource::Undecided => ListAge::Recent,
             StoreSource::Store | StoreSource::Router => ListAge::Current,
         };
-        let revision = loop {
+        let position = loop {
             let path = objects::list_path(self.kind, after.as_deref(), age);
-            let body = self.get(&path, LIST_LIMIT).await?;
+            let answer = self.get(&path, LIST_LIMIT).await?;
             if age == ListAge::Current {
                 self.context.confirmed_at.set(clock::now());
             }
-            let body = body.ok_or_else(|| eyre!("{path}: history gone"))?;
+            let body = answer.body.ok_or_else(|| eyre!("{path}: history gone"))?;
             let page = objects::decode_list(self.kind, &body)?;
             self.log_faults(&page);
             changes.extend(page.changes);
-            let revision = *first.get_or_insert(page.revision);
+            let position = *first.get_or_insert(StorePosition::new(answer.era, page.revision));
+            ensure!(answer.era == position.era, "{path}: the store returned from a copy meanwhile");
             after = page.next;
             if after.is_none() {
-                break revision;
+                break position;
             }
         };
         self.note_contact().await;
         self.context.send(ControlEvent::Listed(self.kind, changes)).await;
-        self.progress().revision.set(Some(revision));
-        self.context.change_log(self.kind, |log| log.restart(revision));
+        self.progress().position.set(Some(position));
+        self.context.change_log(self.kind, |log| log.restart(position));
         Ok(())
     }
 
-    async fn watch(&mut self, revision: u64) -> Result<()> {
+    async fn watch(&mut self, known: StorePosition) -> Result<()> {
         let wait = self.watch_wait();
-        let path = objects::watch_path(self.kind, revision, wait);
+        let path = objects::watch_path(self.kind, known.revision, wait);
         let context = Rc::clone(&self.context);
-        let body = tokio::select! {
-            body = self.get(&path, wait + ANSWER_SLACK) => body?,
+        let answer = tokio::select! {
+            answer = self.get(&path, wait + ANSWER_SLACK) => answer?,
             () = context.wait_for_shared(true) => return Ok(()),
+            () = context.wait_for_era_after(known.era) => {
+                self.forget_position(known);
+                return Ok(());
+            }
         };
-        self.context.confirmed_at.set(clock::now());
-        let Some(body) = body else {
-            info!(self.context.logger, "history gone; list again"; "step" => "follow",
-                "kind" => self.kind.name(), "revision" => revision);
-            self.progress().revision.set(None);
+        // A later era may have given out the same revision again for other changes.
+        let Some(body) = answer.body.filter(|_| answer.era == known.era) else {
+            self.forget_position(known);
             return Ok(());
         };
+        self.context.confirmed_at.set(clock::now());
         let page = objects::decode_watch(self.kind, &body)?;
         self.log_faults(&page);
         self.note_contact().await;
@@ -187,8 +198,9 @@
         if is_change {
             self.context.send(ControlEvent::Changed(page.changes)).await;
         }
-        self.progress().revision.set(Some(page.revision));
-        self.context.change_log(self.kind, |log| log.append(revision, page.revision, logged));
+        let position = StorePosition::new(known.era, page.revision);
+        self.progress().position.set(Some(position));
+        self.context.change_log(self.kind, |log| log.append(known, position, logged));
         if has_new_target {
             sleep(NEW_GATHER).await;
         } else if is_change {
@@ -197,6 +209,13 @@
         Ok(())
     }
 
+    /// Discards a position from which the store cannot continue, so that the kind is listed again.
+    fn forget_position(&self, known: StorePosition) {
+        info!(self.context.logger, "history gone; list again"; "step" => "follow",
+            "kind" => self.kind.name(), "revision" => known.revision, "era" => known.era);
+        self.progress().position.set(None);
+    }
+
     /// Batching pause before the next watch.
     fn gather_time(&self) -> Duration {
         match self.kind {
@@ -226,15 +245,18 @@
         }
     }
 
-    /// Gets a path; `None` if the store has dropped the history since the requested revision.
-    async fn get(&self, path: &str, limit: Duration) -> Result<Option<Bytes>> {
+    /// Gets a path.
+    async fn get(&self, path: &str, limit: Duration) -> Result<StoreAnswer> {
         counter!("plantain_store_calls_total", "kind" => self.kind.name()).increment(1);
         let store: SocketAddr = self.context.store();
         let answer = self.client.call(Method::GET, &url(store, path), Bytes::new(), limit).await?;
-        self.context.note_answer_era(self.kind, objects::store_era(&answer.headers));
+        let era = objects::store_era(&answer.headers);
+        self.context.note_era(era, self.kind, "store").await;
+        let latest = self.context.era();
+        ensure!(era == latest, "GET {path} at store {store}: answer of era {era}, not {latest}");
         match answer.status {
-            StatusCode::OK => Ok(Some(answer.body)),
-            status if status.as_u16() == HISTORY_GONE => Ok(None),
+            StatusCode::OK => Ok(StoreAnswer { era, body: Some(answer.body) }),
+            status if status.as_u16() == HISTORY_GONE => Ok(StoreAnswer { era, body: None }),
             status => Err(eyre!("GET {path} at store {store}: {status}")),
         }
     }
--- a/crates/daemon/src/router/follow/peer_changes.rs
+++ b/crates/daemon/src/router/follow/peer_changes.rs
@@ -40,22 +40,23 @@
 }
 
 async fn apply_kind_delta(kind: FollowedKind, delta: KindDelta, context: &ControlContext) {
-    let known = context.progress(kind).revision.get();
-    if known.is_some_and(|known| known > delta.revision) {
+    let (known, position) = (context.progress(kind).position.get(), delta.position());
+    if known.is_some_and(|known| known > position) {
         // This router's own watch has returned newer changes; older ones would undo them.
         return;
     }
+    context.note_era(position.era, kind, "router").await;
     context.note_contact(kind).await;
     if delta.is_snapshot {
         info!(context.logger, "snapshot read through a router"; "step" => "follow",
-            "kind" => kind.name(), "revision" => delta.revision);
+            "kind" => kind.name(), "revision" => position.revision, "era" => position.era);
         let logged = context.classify_snapshot(kind, &delta.changes);
         context.send(ControlEvent::Listed(kind, from_shared(delta.changes, context))).await;
-        context.progress(kind).revision.set(Some(delta.revision));
+        context.progress(kind).position.set(Some(position));
         // Appending keeps the log usable, so this router's followers need no snapshot.
         context.change_log(kind, |log| match known {
-            Some(known) => log.append(known, delta.revision, logged),
-            None => log.restart(delta.revision),
+            Some(known) => log.append(known, position, logged),
+            None => log.restart(position),
         });
         return;
     }
@@ -63,9 +64,9 @@
     if !delta.changes.is_empty() {
         context.send(ControlEvent::Changed(from_shared(delta.changes, context))).await;
     }
-    context.progress(kind).revision.set(Some(delta.revision));
-    let from = known.unwrap_or(delta.revision);
-    context.change_log(kind, |log| log.append(from, delta.revision, logged));
+    context.progress(kind).position.set(Some(position));
+    let from = known.unwrap_or(position);
+    context.change_log(kind, |log| log.append(from, position, logged));
 }
 
 fn from_shared(changes: Vec<SharedChange>, context: &ControlContext) -> Vec<FollowedChange> {
--- a/crates/daemon/src/router/peers.rs
+++ b/crates/daemon/src/router/peers.rs
@@ -3,6 +3,7 @@
 
 use super::{
     control::context::{ControlContext, ControlEvent, SnapshotReadiness},
+    eras,
     follow::peer_changes,
     sharing::{self, CHANGES_PATH},
 };
@@ -18,13 +19,14 @@
     call::{AdapterId, AdapterRelease},
     config::ConfigNumber,
     membership::ListChange,
+    sharing::StorePosition,
     snapshot::{ListHash, PeerSnapshot},
 };
 use plantain_net::client::{HttpAnswer, HttpClient, url};
 use plantain_platform::objects::{FollowedChange, FollowedKind};
 use rand::seq::IndexedRandom;
 use slog::{debug, info};
-use std::{convert::Infallible, net::SocketAddr, rc::Rc, time::Duration};
+use std::{convert::Infallible, iter, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
@@ -94,7 +96,7 @@
     client: &HttpClient,
     upstream: SocketAddr,
     context: &ControlContext,
-) -> Result<Option<PeerSnapshot>> {
+) -> Result<Option<PositionedSnapshot>> {
     let uri = url(upstream, BOOTSTRAP_PATH);
     let answer = client.call(Method::GET, &uri, Bytes::new(), BOOTSTRAP_LIMIT).await;
     let fetched = answer.and_then(|answer| match answer.status {
@@ -114,18 +116,37 @@
     url(peer, &format!("{SNAPSHOT_PATH}?known={}{list}", state.config_number()))
 }
 
-async fn fetch(client: &HttpClient, uri: &str, limit: Duration) -> Result<PeerSnapshot> {
+async fn fetch(client: &HttpClient, uri: &str, limit: Duration) -> Result<PositionedSnapshot> {
     let answer = client.call(Method::GET, uri, Bytes::new(), limit).await?;
     decode_snapshot(uri, &answer)
 }
 
-fn decode_snapshot(uri: &str, answer: &HttpAnswer) -> Result<PeerSnapshot> {
+/// A peer's snapshot, and the position of each kind in it.
+struct PositionedSnapshot {
+    snapshot: PeerSnapshot,
+    /// `None` for a kind that the peer has not read.
+    positions: Vec<Option<StorePosition>>,
+}
+
+fn decode_snapshot(uri: &str, answer: &HttpAnswer) -> Result<PositionedSnapshot> {
     ensure!(answer.status.is_success(), "GET {uri}: {}", answer.status);
-    postcard::from_bytes(&answer.body).wrap_err_with(|| format!("decode snapshot of {uri}"))
+    let snapshot: PeerSnapshot =
+        postcard::from_bytes(&answer.body).wrap_err_with(|| format!("decode snapshot of {uri}"))?;
+    // A peer of an older build sends no eras. Era 0 makes the store's first answer replace the position.
+    let eras = eras::decode(&answer.headers).unwrap_or_default();
+    let eras = eras.into_iter().chain(iter::repeat(0));
+    let revisions = snapshot.revisions.iter().zip(eras);
+    let positions =
+        revisions.map(|(revision, era)| revision.map(|at| StorePosition::new(era, at))).collect();
+    Ok(PositionedSnapshot { snapshot, positions })
 }
 
-async fn take_snapshot(snapshot: PeerSnapshot, peer: SocketAddr, context: &ControlContext) {
-    context.take_revisions(&snapshot);
+async fn take_snapshot(snapshot: PositionedSnapshot, peer: SocketAddr, context: &ControlContext) {
+    let PositionedSnapshot { snapshot, positions } = snapshot;
+    let is_first = !context.is_listed() && snapshot.config.is_some() && snapshot.targets.is_some();
+    if is_first {
+        context.adopt_positions(&positions);
+    }
     let mut changes = Vec::new();
     if let Some(record) = snapshot.config {
         info!(context.logger, "configuration from a peer"; "step" => "peers", "peer" => %peer,
@@ -140,8 +161,14 @@
         context.send(ControlEvent::Changed(changes)).await;
     }
     let Some(entries) = snapshot.targets else { return };
-    // A peer that does not follow the store now may have an old list, which is used only if this router has none.
-    if snapshot.is_current || !context.state.borrow().is_complete() {
+    // A peer that does not follow the store now, or not since it returned from a copy, may have an old list, which is
+    // used only if this router has none.
+    let era = positions.get(FollowedKind::Targets as usize).copied().flatten().map(|at| at.era);
+    let is_of_known_era = era.is_none_or(|era| era >= context.era());
+    if (snapshot.is_current && is_of_known_era) || !context.state.borrow().is_complete() {
+        if let Some(era) = era {
+            context.note_era(era, FollowedKind::Targets, "router").await;
+        }
         let entries =
             entries.into_iter().map(|entry| FollowedChange::Target(ListChange::Put(entry)));
         context.send(ControlEvent::Listed(FollowedKind::Targets, entries.collect())).await;
@@ -178,10 +205,7 @@
     let query = request.uri().query().unwrap_or_default();
     let value = query.split_once('=').map_or("", |(_, value)| value);
     if request.uri().path() == CHANGES_PATH {
-        let (status, body) = sharing::answer(context, value).await;
-        let mut reply = Response::new(Full::new(body));
-        *reply.status_mut() = status;
-        return reply;
+        return sharing::answer(context, value, request.headers()).await.map(Full::new);
     }
     if request.uri().path() == BOOTSTRAP_PATH {
         let denial = match context.snapshot_readiness(READ_WAIT).await {
@@ -212,9 +236,15 @@
         return reply;
     }
     let state = context.state.borrow();
-    let snapshot = state.snapshot(number, list, context.is_current(), context.known_revisions());
+    let positions = context.positions();
+    let revisions = positions.iter().map(|position| position.map(|at| at.revision)).collect();
+    let snapshot = state.snapshot(number, list, context.is_current(), revisions);
     match postcard::to_allocvec(&snapshot) {
-        Ok(bytes) => *reply.body_mut() = Full::new(bytes.into()),
+        Ok(bytes) => {
+            *reply.body_mut() = Full::new(bytes.into());
+            let eras = positions.iter().map(|position| position.map_or(0, |at| at.era));
+            eras::encode(eras, reply.headers_mut());
+        }
         Err(_) => *reply.status_mut() = StatusCode::INTERNAL_SERVER_ERROR,
     }
     debug!(context.logger, "peer answered"; "step" => "peers", "status" => reply.status().as_u16(),
--- a/crates/daemon/src/router/sharing.rs
+++ b/crates/daemon/src/router/sharing.rs
@@ -1,16 +1,17 @@
 //! Follows the store through another router of the zone, and serves changes to routers that follow this one.
 
-use super::{control::context::ControlContext, follow::peer_changes};
+use super::{control::context::ControlContext, eras, follow::peer_changes};
 use crate::clock;
 use bytes::Bytes;
 use eyre::{Result, WrapErr, ensure};
-use hyper::{Method, StatusCode};
+use http_body_util::Full;
+use hyper::{HeaderMap, Request, Response, StatusCode};
 use metrics::counter;
 use plantain_core::{
     direct::{
         membership::LAPSE_GRACE,
         sharing::{
-            KindDelta, SharedDelta,
+            KindDelta, SharedDelta, StorePosition,
             source::{SourceSelector, SourceView, UpstreamReply},
         },
     },
@@ -76,14 +77,14 @@
     }
 
     async fn poll(&mut self, upstream: SocketAddr) {
-        let revisions = self.context.revisions();
-        let (reply, reason) = match fetch_changes(&self.client, upstream, &revisions).await {
+        let known = known_positions(&self.context);
+        let (reply, reason) = match fetch_changes(&self.client, upstream, &known).await {
             Ok(UpstreamAnswer::Changes(delta)) => {
                 self.selector.apply_reply(upstream, UpstreamReply::Changes, clock::now());
                 if self.context.set_source(self.selector.source()) {
                     info!(self.context.logger, "store followed through a router"; "step" => "sharing",
-                        "peer" => %upstream, "asked_from" => format!("{revisions:?}"),
-                        "told_up_to" => format!("{:?}", told_revisions(&delta)));
+                        "peer" => %upstream, "asked_from" => list_positions(known),
+                        "told_up_to" => list_positions(delta.kinds.iter().map(KindDelta::position)));
                 }
                 peer_changes::apply_shared_delta(delta, &self.context).await;
                 return;
@@ -91,6 +92,9 @@
             Ok(UpstreamAnswer::Denied) => {
                 (UpstreamReply::Denied, "it does not follow the store".to_owned())
             }
+            Ok(UpstreamAnswer::WithoutEras) => {
+                (UpstreamReply::Denied, "it does not send eras of the store".to_owned())
+            }
             Ok(UpstreamAnswer::Stale) => {
                 (UpstreamReply::Stale, "it has not heard of the store for too long".to_owned())
             }
@@ -105,9 +109,14 @@
     }
 }
 
-/// Revisions up to which a delta is complete, one per kind.
-fn told_revisions(delta: &SharedDelta) -> Vec<u64> {
-    delta.kinds.iter().map(|kind| kind.revision).collect()
+/// Positions of all kinds; the start of era 0 for one that was not read yet.
+fn known_positions(context: &ControlContext) -> Vec<StorePosition> {
+    context.positions().into_iter().map(Option::unwrap_or_default).collect()
+}
+
+fn list_positions(positions: impl IntoIterator<Item = StorePosition>) -> String {
+    let texts = positions.into_iter().map(|position| position.to_string());
+    texts.collect::<Vec<_>>().join(", ")
 }
 
 /// Answer of an upstream to a query for changes.
@@ -116,45 +125,64 @@
     Changes(SharedDelta),
     /// The upstream does not follow the store.
     Denied,
+    /// The upstream sends no eras, so that its revisions may be of any history.
+    WithoutEras,
     /// The upstream's state is too old to use.
     Stale,
 }
 
-/// Queries an upstream for changes after the given revisions, one per kind.
+/// Queries an upstream for changes after the given positions, one per kind.
 async fn fetch_changes(
     client: &HttpClient,
     upstream: SocketAddr,
-    revisions: &[u64],
+    known: &[StorePosition],
 ) -> Result<UpstreamAnswer> {
     counter!("plantain_sharing_calls_total").increment(1);
-    let since: Vec<String> = revisions.iter().map(u64::to_string).collect();
+    let since: Vec<String> = known.iter().map(|position| position.revision.to_string()).collect();
     let uri = url(upstream, &format!("{CHANGES_PATH}?since={}", since.join(",")));
-    let limit = WAIT_LIMIT + ANSWER_LIMIT;
-    let answer = client.call(Method::GET, &uri, Bytes::new(), limit).await?;
+    let mut request = Request::get(&uri).body(Full::default()).wrap_err("build query")?;
+    eras::encode(known.iter().map(|position| position.era), request.headers_mut());
+    let answer = client.fetch(request, WAIT_LIMIT + ANSWER_LIMIT).await?;
     match answer.status {
         DENIED => return Ok(UpstreamAnswer::Denied),
         STALE => return Ok(UpstreamAnswer::Stale),
         status => ensure!(status == StatusCode::OK, "GET {uri}: {status}"),
     }
-    let delta: SharedDelta = postcard::from_bytes(&answer.body)
+    let mut delta: SharedDelta = postcard::from_bytes(&answer.body)
         .wrap_err_with(|| format!("decode changes of {upstream}"))?;
     let kinds = delta.kinds.len();
-    ensure!(kinds == revisions.len(), "{upstream} returned {kinds} kinds");
+    ensure!(kinds == known.len(), "{upstream} returned {kinds} kinds");
+    match eras::decode(&answer.headers) {
+        Some(eras) => {
+            ensure!(eras.len() == kinds, "{upstream} returned {} eras", eras.len());
+            for (kind, era) in delta.kinds.iter_mut().zip(eras) {
+                kind.era = era;
+            }
+        }
+        // Without any era, the store gives none and has one history only.
+        None if known.iter().all(|position| position.era == 0) => {}
+        None => return Ok(UpstreamAnswer::WithoutEras),
+    }
     Ok(UpstreamAnswer::Changes(delta))
 }
 
 /// Answers another router's query for changes after `since`, as soon as there are any.
-pub(super) async fn answer(context: &ControlContext, since: &str) -> (StatusCode, Bytes) {
+pub(super) async fn answer(
+    context: &ControlContext,
+    since: &str,
+    headers: &HeaderMap,
+) -> Response<Bytes> {
     let revisions: Vec<u64> = since.split(',').filter_map(|text| text.parse().ok()).collect();
     if revisions.len() != FollowedKind::ALL.len() {
-        return (StatusCode::BAD_REQUEST, Bytes::new());
+        return status_reply(StatusCode::BAD_REQUEST);
     }
+    let known = queried_positions(context, &revisions, headers);
     let changed = async {
         loop {
             // Enabled before the check, so that a change between the two is not missed.
             let mut woken = pin!(context.log_changed.notified());
             woken.as_mut().enable();
-            if has_changes(context, &revisions) {
+            if has_changes(context, &known) {
                 return;
             }
             woken.await;
@@ -162,20 +190,42 @@
     };
     let _ = timeout(WAIT_LIMIT.min(context.fresh_for()), changed).await;
     if !context.is_decided() {
-        return (DENIED, Bytes::new());
+        return status_reply(DENIED);
     }
     if context.fresh_for().is_zero() {
-        return (STALE, Bytes::new());
-    }
-    let Some(delta) = delta_since(context, &revisions) else { return (DENIED, Bytes::new()) };
-    match postcard::to_allocvec(&delta) {
-        Ok(bytes) => (StatusCode::OK, bytes.into()),
-        Err(_) => (StatusCode::INTERNAL_SERVER_ERROR, Bytes::new()),
+        return status_reply(STALE);
     }
+    let Some(delta) = delta_since(context, &known) else { return status_reply(DENIED) };
+    let Ok(bytes) = postcard::to_allocvec(&delta) else {
+        return status_reply(StatusCode::INTERNAL_SERVER_ERROR);
+    };
+    let mut reply = Response::new(bytes.into());
+    eras::encode(delta.kinds.iter().map(|kind| kind.era), reply.headers_mut());
+    reply
+}
+
+fn status_reply(status: StatusCode) -> Response<Bytes> {
+    let mut reply = Response::new(Bytes::new());
+    *reply.status_mut() = status;
+    reply
+}
+
+/// Positions that a query names. A router of an older build sends no eras; its revisions count as of the era of each
+/// log, as they did before.
+fn queried_positions(
+    context: &ControlContext,
+    revisions: &[u64],
+    headers: &HeaderMap,
+) -> Vec<StorePosition> {
+    let logs = context.logs.borrow();
+    let own_eras = || logs.iter().map(|log| log.position().era).collect();
+    let eras = eras::decode(headers).unwrap_or_else(own_eras);
+    let positions = eras.into_iter().zip(revisions);
+    positions.map(|(era, revision)| StorePosition::new(era, *revision)).collect()
 }
 
-/// The changes since the given revisions; `None` unless this router follows all kinds.
-fn delta_since(context: &ControlContext, revisions: &[u64]) -> Option<SharedDelta> {
+/// The changes since the given positions; `None` unless this router follows all kinds.
+fn delta_since(context: &ControlContext, known: &[StorePosition]) -> Option<SharedDelta> {
     let logs = context.logs.borrow();
     if logs.iter().any(|log| !log.is_followed()) {
         return None;
@@ -183,14 +233,15 @@
     let now = clock::now();
     let age_of = |at: Timestamp| now.saturating_sub(at).as_millis().try_into().unwrap_or(u32::MAX);
     let is_recent = |at: &Timestamp| now.saturating_sub(*at) < LAPSE_GRACE;
-    let kinds = FollowedKind::ALL.into_iter().zip(logs.iter()).zip(revisions);
-    let kinds = kinds.map(|((kind, log), revision)| {
+    let kinds = FollowedKind::ALL.into_iter().zip(logs.iter()).zip(known);
+    let kinds = kinds.map(|((kind, log), known)| {
         let snapshot = || KindDelta {
-            revision: log.revision(),
+            revision: log.position().revision,
+            era: log.position().era,
             is_snapshot: true,
             changes: context.kind_snapshot(kind),
         };
-        log.since(*revision).unwrap_or_else(snapshot)
+        log.since(*known).unwrap_or_else(snapshot)
     });
     Some(SharedDelta {
         age_ms: age_of(context.confirmed_at.get()),
@@ -199,8 +250,8 @@
     })
 }
 
-fn has_changes(context: &ControlContext, revisions: &[u64]) -> bool {
+fn has_changes(context: &ControlContext, known: &[StorePosition]) -> bool {
     let logs = context.logs.borrow();
-    let mut kinds = logs.iter().zip(revisions);
-    kinds.any(|(log, revision)| log.has_changes(*revision))
+    let mut kinds = logs.iter().zip(known);
+    kinds.any(|(log, known)| log.has_changes(*known))
 }
