Router: the list of a copy does not undo what targets said

What callers saw (DRAIN): requests reached a target that had said that it leaves, since the store came back from a copy that shows it as before that. Cause: a list read from the store replaces what a router knows. Class: the copy's list is taken for the newest. Evidence: returns::a_target_that_drains_stays_so_if_the_copy_says_otherwise failed (calls within 150 ms), also where the list no longer had the target; so did the core's new cases. Change: on a return, a router holds the draining targets that it knows, and those removed as such in the last 30 s, as draining until the restored list shows them draining or removes them; entries that the copy lacks are kept for the same grace period as after an outage, as their targets write them again; what is kept has no generation, since generations are revisions, and those of the lost history are higher. What the list says after that counts as before. After: the test passes and leaves the list.

--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -4,7 +4,7 @@
 use crate::ids::{AdapterName, AdapterVersion, BaseName, ServiceName, Timestamp, ZoneName};
 use serde::{Deserialize, Serialize};
 use std::{
-    collections::{BTreeMap, HashMap},
+    collections::{BTreeMap, HashMap, HashSet},
     fmt::{self, Display, Formatter},
     hash::{Hash, Hasher},
     net::SocketAddr,
@@ -71,6 +71,12 @@
 /// keeping them longer would send calls to targets that are gone.
 pub const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
 
+/// Time for which a removed entry's draining is remembered: the copy from which a store returns is at most some seconds
+/// old, and may show an entry as before its removal.
+const DRAINED_TTL: Duration = Duration::from_secs(30);
+/// Removed entries whose draining is remembered.
+const DRAINED_LIMIT: usize = 1_024;
+
 /// A base model that a target holds, with its adapters.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct BaseHolding {
@@ -175,9 +181,31 @@
     lapsed: HashMap<InstanceId, Timestamp>,
     grace_until: Timestamp,
     is_store_lost: bool,
+    /// Removed targets that were draining, and when they were removed.
+    drained: HashMap<TargetIncarnation, Timestamp>,
+    /// Targets that were draining before the store returned from a copy, until the list shows them draining again or
+    /// removes them.
+    held_draining: HashSet<TargetIncarnation>,
+    /// Whether the entries are of the history before the last return.
+    is_of_lost_history: bool,
 }
 
 impl TargetList {
+    /// Records that the store has returned from a copy, which may show entries as they were some seconds before: targets
+    /// that are draining stay so, and entries that are missing are kept for the grace period.
+    pub fn note_return(&mut self, now: Timestamp) {
+        let draining = self.entries.values().filter(|entry| entry.is_draining);
+        let draining = draining.map(|entry| entry.incarnation.clone());
+        self.held_draining.extend(draining.chain(self.drained.drain().map(|(target, _)| target)));
+        self.is_of_lost_history = true;
+        self.grace_until = now + LAPSE_GRACE;
+    }
+
+    /// Number of targets that are draining although the list of the store does not show it.
+    pub fn held_draining(&self) -> usize {
+        self.held_draining.len()
+    }
+
     /// Records that the store cannot be reached; known entries stay in use.
     pub fn note_outage(&mut self) {
         self.is_store_lost = true;
@@ -197,10 +225,21 @@
             known.remove(&entry.incarnation.id);
             self.put(entry);
         }
+        let is_of_lost_history = std::mem::take(&mut self.is_of_lost_history);
         for (id, entry) in known {
+            // Generations of two histories cannot be compared.
+            let entry = if is_of_lost_history {
+                Arc::new(TargetEntry { generation: 0, ..TargetEntry::clone(&entry) })
+            } else {
+                entry
+            };
             self.entries.insert(Arc::clone(&id), entry);
             self.remove(&id, now);
         }
+        if is_of_lost_history {
+            let entries = &self.entries;
+            self.held_draining.retain(|target| entries.contains_key(&target.id));
+        }
     }
 
     /// Adds, replaces or removes the entry that the change is about.
@@ -213,6 +252,7 @@
 
     /// Drops lapsed entries whose grace period is over; returns whether there were any.
     pub fn expire(&mut self, now: Timestamp) -> bool {
+        self.drained.retain(|_, removed| now.saturating_sub(*removed) < DRAINED_TTL);
         let before = self.lapsed.len();
         let entries = &mut self.entries;
         self.lapsed.retain(|id, until| {
@@ -242,6 +282,15 @@
 
     fn put(&mut self, entry: Arc<TargetEntry>) {
         self.lapsed.remove(&entry.incarnation.id);
+        let is_held = self.held_draining.contains(&entry.incarnation);
+        let entry = if is_held && !entry.is_draining {
+            Arc::new(TargetEntry { is_draining: true, ..TargetEntry::clone(&entry) })
+        } else {
+            if is_held {
+                self.held_draining.remove(&entry.incarnation);
+            }
+            entry
+        };
         self.entries.insert(Arc::clone(&entry.incarnation.id), entry);
     }
 
@@ -253,7 +302,12 @@
             self.lapsed.entry(Arc::clone(id)).or_insert(until);
         } else {
             self.lapsed.remove(id);
-            self.entries.remove(id);
+            if let Some(entry) = self.entries.remove(id) {
+                self.held_draining.remove(&entry.incarnation);
+                if entry.is_draining && self.drained.len() < DRAINED_LIMIT {
+                    self.drained.insert(entry.incarnation.clone(), now);
+                }
+            }
         }
     }
 }
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -104,6 +104,16 @@
         self.list.note_contact(now);
     }
 
+    /// Records that the store of the list has returned from an older copy of itself.
+    pub fn note_return(&mut self, now: Timestamp) {
+        self.list.note_return(now);
+    }
+
+    /// Number of targets that are draining although the list of the store does not show it.
+    pub fn held_draining(&self) -> usize {
+        self.list.held_draining()
+    }
+
     /// Replaces the list by a snapshot.
     pub fn replace_list(&mut self, entries: Vec<Arc<TargetEntry>>, now: Timestamp) {
         self.list.replace(entries, now);
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -150,6 +150,12 @@
             }
         }
         ControlEvent::Changed(changes) => apply_changes(changes, context, now),
+        ControlEvent::Returned => {
+            let mut pool = context.pool.borrow_mut();
+            pool.note_return(now);
+            info!(context.logger, "draining targets held until the store shows them again";
+                "step" => "targets", "targets" => pool.held_draining());
+        }
         ControlEvent::Lost(FollowedKind::Targets) => context.pool.borrow_mut().note_outage(),
         ControlEvent::Regained(FollowedKind::Targets) => {
             context.pool.borrow_mut().note_contact(now);
@@ -158,8 +164,7 @@
         ControlEvent::Regained(FollowedKind::Config) => context.may_be_outdated.set(false),
         ControlEvent::Lost(FollowedKind::Crashes) => context.routers_mut().set_lost(true, now),
         ControlEvent::Regained(FollowedKind::Crashes) => context.routers_mut().set_lost(false, now),
-        ControlEvent::Returned
-        | ControlEvent::Lost(FollowedKind::Releases)
+        ControlEvent::Lost(FollowedKind::Releases)
         | ControlEvent::Regained(FollowedKind::Releases) => {}
     }
 }
