Router: a crash report that a return of the store has lost is written again

What callers saw: nothing yet; a router that starts after a return would send a request to targets that it had ended before. Cause: a report is written once per change, and counts as written from then on. Class: written once. Evidence: returns::a_report_that_a_return_has_lost_is_written_again failed (not within 20 s). Change: a router keeps which reports the store holds apart from those that it knows, and passes on the former; when the crash reports are of a later era than its own last write and lack it, it writes again, after reading the object anew: its revision may be another state's by now. No router reads anything for it that it does not read anyway, and one whose report is there makes no call. A delete whose answer is of a later era than the read before it is logged and counted, as its revision may have been given out again. The first list of each kind after a return has a line with both positions, and the reports that the list lacks. After: the test passes and leaves the list; site::crashes pass.

--- a/crates/core/src/direct/snapshot.rs
+++ b/crates/core/src/direct/snapshot.rs
@@ -41,6 +41,8 @@
     has_targets: bool,
     releases: HashMap<AdapterId, AdapterVersion>,
     crashes: CrashReports,
+    /// Crash reports that the store holds, by router. A report that it has lost stays in `crashes`.
+    stored_crashes: HashMap<Arc<str>, Arc<CrashReport>>,
 }
 
 impl FollowedState {
@@ -130,14 +132,44 @@
         self.crashes.take(report, now);
     }
 
+    /// Applies a report of crashes that the store holds.
+    pub fn take_stored_crashes(&mut self, report: &Arc<CrashReport>, now: Timestamp) {
+        self.stored_crashes.insert(Arc::clone(&report.router), Arc::clone(report));
+        self.crashes.take(report, now);
+    }
+
+    /// Forgets which crash reports the store holds; a full list of them follows.
+    pub fn clear_stored_crashes(&mut self) {
+        self.stored_crashes.clear();
+    }
+
+    /// Whether the store holds this report, or a later one of the same start of its router.
+    pub fn is_stored(&self, report: &CrashReport) -> bool {
+        let stored = self.stored_crashes.get(&report.router);
+        stored
+            .is_some_and(|stored| stored.boot == report.boot && stored.sequence >= report.sequence)
+    }
+
+    /// Number of known crash reports that the store does not hold.
+    pub fn unstored_crashes(&self) -> usize {
+        self.crashes.iter().filter(|report| !self.is_stored(report)).count()
+    }
+
     /// Drops reports of crashes whose routers are gone, and returns them.
     pub fn expire_crashes(&mut self, now: Timestamp) -> Vec<Arc<CrashReport>> {
-        self.crashes.expire(now)
+        let expired = self.crashes.expire(now);
+        for report in &expired {
+            let stored = self.stored_crashes.get(&report.router);
+            if stored.is_some_and(|stored| stored.boot == report.boot) {
+                self.stored_crashes.remove(&report.router);
+            }
+        }
+        expired
     }
 
-    /// Snapshot of all crash reports, encoded as one change per report.
+    /// Snapshot of the crash reports that the store holds, encoded as one change per report.
     pub fn crash_snapshot(&self) -> Vec<SharedChange> {
-        self.crashes.iter().cloned().map(SharedChange::Crashes).collect()
+        self.stored_crashes.values().cloned().map(SharedChange::Crashes).collect()
     }
 
     /// Snapshot of the configuration, encoded as one change; empty if there is none yet.
--- a/crates/daemon/src/router/control/context.rs
+++ b/crates/daemon/src/router/control/context.rs
@@ -495,13 +495,16 @@
                 state.take_list(&listed_targets(changes));
             }
             ControlEvent::Listed(_, changes) | ControlEvent::Changed(changes) => {
+                if matches!(event, ControlEvent::Listed(FollowedKind::Crashes, _)) {
+                    state.clear_stored_crashes();
+                }
                 for change in changes {
                     match change {
                         FollowedChange::Config(config) => state.take_config(config),
                         FollowedChange::Target(change) => state.take_change(change),
                         FollowedChange::Release(release) => state.take_release(release),
                         FollowedChange::Crashes(report) => {
-                            state.take_crashes(report, clock::now());
+                            state.take_stored_crashes(report, clock::now());
                         }
                     }
                 }
--- a/crates/daemon/src/router/crash_updates.rs
+++ b/crates/daemon/src/router/crash_updates.rs
@@ -9,7 +9,7 @@
 use metrics::counter;
 use plantain_core::{
     crashes::{CRASH_TTL, CrashReport},
-    direct::sharing::source::StoreSource,
+    direct::sharing::{StoreEra, source::StoreSource},
     ids::Timestamp,
 };
 use plantain_net::{
@@ -18,10 +18,10 @@
 };
 use plantain_platform::{
     crashes::{self, StoredReport},
-    objects::FollowedKind,
+    objects::{self, FollowedKind},
 };
 use slog::{info, warn};
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{pin::pin, rc::Rc, sync::Arc, time::Duration};
 use tokio::{sync::watch, time::sleep};
 
 /// Timeout for an answer of the store. If a write gets no answer, the revision condition of the next write shows
@@ -49,6 +49,7 @@
         client: HttpClient::new(),
         started: clock::now(),
         earlier: None,
+        written: None,
         revision: None,
         is_read: false,
         context,
@@ -74,8 +75,14 @@
         }
         backoff.reset();
         sleep(GATHER_PAUSE).await;
-        if own.changed().await.is_err() {
-            return;
+        let context = Rc::clone(&writer.context);
+        tokio::select! {
+            changed = own.changed() => if changed.is_err() { return },
+            () = writer.wait_until_lost() => {
+                counter!("plantain_lost_writes_total", "kind" => "crashes").increment(1);
+                warn!(context.logger, "own report of crashes lost; written again";
+                    "step" => "crashes", "era" => context.era());
+            }
         }
     }
 }
@@ -105,35 +112,51 @@
 
 /// Removes a report unless its router has written a newer one since.
 async fn remove(client: &HttpClient, context: &ControlContext, stale: &CrashReport) -> Result<()> {
-    let (status, body) =
-        store_call(client, context, Method::GET, &crashes::report_path(&stale.router), Vec::new())
-            .await?;
-    if status == StatusCode::NOT_FOUND {
+    let path = crashes::report_path(&stale.router);
+    let read = store_call(client, context, Method::GET, &path, Vec::new()).await?;
+    if read.status == StatusCode::NOT_FOUND {
         return Ok(());
     }
-    ensure!(status.is_success(), "read: {status}");
-    let stored = crashes::decode_stored(&body)?;
+    ensure!(read.status.is_success(), "read: {}", read.status);
+    let stored = crashes::decode_stored(&read.body)?;
     let is_same = |report: &CrashReport| !report.is_newer_than(stale) && report.boot == stale.boot;
     if !stored.report.as_ref().is_ok_and(is_same) {
         return Ok(());
     }
     let path = crashes::remove_path(&stale.router, stored.revision);
-    let (status, _) = store_call(client, context, Method::DELETE, &path, Vec::new()).await?;
+    let removal = store_call(client, context, Method::DELETE, &path, Vec::new()).await?;
+    let status = removal.status;
     ensure!(status.is_success() || status == StatusCode::NOT_FOUND, "remove: {status}");
+    if removal.era != read.era {
+        // The revision may have been given out again, to a report that its router has just written.
+        counter!("plantain_lost_writes_total", "kind" => "crashes").increment(1);
+        warn!(context.logger, "report of crashes removed at a revision of an earlier era";
+            "step" => "crashes", "router" => &*stale.router, "from" => read.era,
+            "era" => removal.era);
+    }
     Ok(())
 }
 
+/// The store's answer to a call.
+struct StoreReply {
+    status: StatusCode,
+    era: StoreEra,
+    body: Bytes,
+}
+
 async fn store_call(
     client: &HttpClient,
     context: &ControlContext,
     method: Method,
     path: &str,
     body: Vec<u8>,
-) -> Result<(StatusCode, Bytes)> {
+) -> Result<StoreReply> {
     counter!("plantain_store_calls_total", "kind" => "crashes").increment(1);
     let uri = url(context.store(), path);
     let answer = client.call(method, &uri, body, CALL_LIMIT).await?;
-    Ok((answer.status, answer.body))
+    let era = objects::store_era(&answer.headers);
+    context.note_era(era, FollowedKind::Crashes, "store").await;
+    Ok(StoreReply { status: answer.status, era, body: answer.body })
 }
 
 struct ReportWriter {
@@ -142,6 +165,8 @@
     started: Timestamp,
     /// Report of this router's previous start; it stays in force for [`CRASH_TTL`] after this start.
     earlier: Option<CrashReport>,
+    /// The last written report, without its records, and the era in which the store took it.
+    written: Option<(CrashReport, StoreEra)>,
     /// Revision of the stored object; `None` if it does not exist or must be read again.
     revision: Option<u64>,
     /// Whether the object was read since this start.
@@ -152,7 +177,10 @@
     /// Writes the report, conditional on the revision that it replaces: an unanswered write that takes effect late
     /// would otherwise undo a later one.
     async fn write(&mut self, report: &CrashReport) -> Result<()> {
-        if self.revision.is_none() {
+        let is_of_lost_history =
+            self.written.as_ref().is_some_and(|(_, era)| *era < self.context.era());
+        if is_of_lost_history || self.revision.is_none() {
+            self.revision = None;
             self.read().await?;
             self.is_read = true;
         }
@@ -167,17 +195,47 @@
         } else {
             (Method::POST, crashes::create_path().to_owned())
         };
-        let (status, answer) = self.call(method, &path, body).await?;
+        let reply = self.call(method, &path, body).await?;
         // After anything but a success, the next write reads the object first.
         self.revision = None;
-        ensure!(status.is_success(), "write report of crashes: {status}");
-        self.revision = crashes::decode_stored(&answer).ok().map(|stored| stored.revision);
+        ensure!(reply.status.is_success(), "write report of crashes: {}", reply.status);
+        self.revision = crashes::decode_stored(&reply.body).ok().map(|stored| stored.revision);
+        let CrashReport { router, boot, sequence, .. } = report;
+        let (router, boot, sequence) = (Arc::clone(router), *boot, *sequence);
+        let written = CrashReport { router, boot, sequence, ..CrashReport::default() };
+        self.written = Some((written, reply.era));
         info!(self.context.logger, "crashes told"; "step" => "crashes",
             "sequence" => report.sequence, "crashes" => merged.crashes.len(),
             "survivals" => merged.survivals.len());
         Ok(())
     }
 
+    /// Waits until the store has returned from a copy without the last written report. Only the list of the new era
+    /// shows that, which this router follows anyway.
+    async fn wait_until_lost(&mut self) {
+        let context = Rc::clone(&self.context);
+        loop {
+            // Enabled before the check, so that a change between the two is not missed.
+            let mut woken = pin!(context.log_changed.notified());
+            woken.as_mut().enable();
+            if self.is_lost() {
+                return;
+            }
+            woken.await;
+        }
+    }
+
+    fn is_lost(&mut self) -> bool {
+        let Some((report, era)) = &mut self.written else { return false };
+        let listed = self.context.progress(FollowedKind::Crashes).position.get();
+        let Some(listed) = listed.filter(|listed| listed.era > *era) else { return false };
+        let is_stored = self.context.state.borrow().is_stored(report);
+        if is_stored {
+            *era = listed.era;
+        }
+        !is_stored
+    }
+
     /// Reads the object, and from it the report of this router's previous start. The first read may return a state
     /// that is seconds old: the revision condition of the write detects that.
     async fn read(&mut self) -> Result<()> {
@@ -187,12 +245,12 @@
         } else {
             crashes::recent_report_path(&name)
         };
-        let (status, body) = self.call(Method::GET, &path, Vec::new()).await?;
-        if status == StatusCode::NOT_FOUND {
+        let reply = self.call(Method::GET, &path, Vec::new()).await?;
+        if reply.status == StatusCode::NOT_FOUND {
             return Ok(());
         }
-        ensure!(status.is_success(), "read own report of crashes: {status}");
-        let StoredReport { revision, report } = crashes::decode_stored(&body)?;
+        ensure!(reply.status.is_success(), "read own report of crashes: {}", reply.status);
+        let StoredReport { revision, report } = crashes::decode_stored(&reply.body)?;
         self.revision = Some(revision);
         match report {
             Ok(report) if self.earlier.is_none() && report.boot != self.context.boot => {
@@ -207,7 +265,7 @@
         Ok(())
     }
 
-    async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<(StatusCode, Bytes)> {
+    async fn call(&self, method: Method, path: &str, body: Vec<u8>) -> Result<StoreReply> {
         store_call(&self.client, &self.context, method, path, body).await
     }
 }
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -67,6 +67,7 @@
         kind,
         client: HttpClient::with_probes(),
         backoff: RetryBackoff::new(FIRST_PAUSE, LONGEST_PAUSE),
+        lost_position: None,
         context,
     };
     loop {
@@ -85,6 +86,8 @@
     kind: FollowedKind,
     client: HttpClient,
     backoff: RetryBackoff,
+    /// Position in the history that a return of the store has lost, until the kind is listed again.
+    lost_position: Option<StorePosition>,
     context: Rc<ControlContext>,
 }
 
@@ -168,6 +171,7 @@
         self.context.send(ControlEvent::Listed(self.kind, changes)).await;
         self.progress().position.set(Some(position));
         self.context.change_log(self.kind, |log| log.restart(position));
+        self.log_return(position);
         Ok(())
     }
 
@@ -210,10 +214,26 @@
     }
 
     /// Discards a position from which the store cannot continue, so that the kind is listed again.
-    fn forget_position(&self, known: StorePosition) {
+    fn forget_position(&mut self, known: StorePosition) {
         info!(self.context.logger, "history gone; list again"; "step" => "follow",
             "kind" => self.kind.name(), "revision" => known.revision, "era" => known.era);
         self.progress().position.set(None);
+        if self.context.era() > known.era {
+            self.lost_position = Some(known);
+        }
+    }
+
+    /// Logs the first list after a return of the store.
+    fn log_return(&mut self, position: StorePosition) {
+        let Some(lost) = self.lost_position.take() else { return };
+        let unstored = (self.kind == FollowedKind::Crashes)
+            .then(|| self.context.state.borrow().unstored_crashes());
+        if let Some(unstored) = unstored {
+            counter!("plantain_lost_reports_total").increment(unstored as u64);
+        }
+        info!(self.context.logger, "list read after a return"; "step" => "follow",
+            "kind" => self.kind.name(), "from" => %lost, "to" => %position,
+            "lost_reports" => unstored);
     }
 
     /// Batching pause before the next watch.
