Offered path: changes and key records survive a platform that returns from a copy

What callers would see: a change that an operator made after the return is not in force, at worst until an entry restarts; a request with an idempotency key runs a second time at another entry, which finds no record of it. Cause: a watch went on from a revision of the lost history, which the platform accepts once it has given it out again, and a lost history (410) was asked for again for ever; a root of the same number as a lost one was taken for the same; a record was written once. Class: as in the routers: read by revision, written once. Change: the platform's client knows the era of each answer; an answer of an earlier one counts as none. A root of the known number and another operation replaces the known one, if it comes from the platform. An entry announces itself again. It writes its records of the last 30 s again, and for 8 s after it learned of a return records no key and refuses such requests as not run, so that all entries have written theirs. Open: the record of an entry that ends in the lost seconds is lost, and its key may run again.

--- a/crates/core/src/config/parts.rs
+++ b/crates/core/src/config/parts.rs
@@ -52,6 +52,15 @@
     pub retired: Vec<String>,
 }
 
+impl ConfigRoot {
+    /// Whether this root, read from the platform, replaces `known`. A root of the same revision and another operation was
+    /// written after the platform had returned from a copy without `known`.
+    pub fn replaces(&self, known: &Self) -> bool {
+        self.revision > known.revision
+            || (self.revision == known.revision && self.operation != known.operation)
+    }
+}
+
 /// Reference to the object that holds a part's content.
 ///
 /// The object's name contains the operation that wrote it, so no two operations share an object:
--- a/crates/daemon/src/entry.rs
+++ b/crates/daemon/src/entry.rs
@@ -26,7 +26,7 @@
 use crashes::QuarantinedCalls;
 use eyre::{Result, WrapErr};
 use plantain_core::config::ConfigSnapshot;
-use plantain_net::server;
+use plantain_net::{platform::EraTracker, server};
 use platform::PlatformSenders;
 use slog::info;
 use status::{EntrySignals, EntryStatus};
@@ -65,13 +65,18 @@
         duty::start("broker", move || broker::run(duty_settings, duty_config, commands, log))?;
         let (records, record_receiver) = mpsc::channel(constants::CHANNEL_CAPACITY);
         let (duty_settings, log) = (settings.clone(), logger.clone());
-        duty::start("idempotency", move || idempotency::run(duty_settings, record_receiver, log))?;
+        let eras = EraTracker::default();
+        let duty_eras = eras.clone();
+        duty::start("idempotency", move || {
+            idempotency::run(duty_settings, record_receiver, duty_eras, log)
+        })?;
+        let duty_eras = eras.clone();
         let signals = Arc::new(EntrySignals::default());
         let (duty_settings, commands, log) = (settings.clone(), decisions.clone(), logger.clone());
         let duty_signals = Arc::clone(&signals);
         let senders = PlatformSenders { config: config_sender, quarantined: quarantine_sender };
         duty::start("platform", move || {
-            platform::run(duty_settings, senders, commands, duty_signals, log)
+            platform::run(duty_settings, senders, commands, duty_signals, duty_eras, log)
         })?;
         let status = EntryStatus::new(
             settings.clone(),
--- a/crates/daemon/src/entry/idempotency.rs
+++ b/crates/daemon/src/entry/idempotency.rs
@@ -1,16 +1,20 @@
 //! The idempotency duty of an entry: writes idempotency records to the platform, in batches.
 
 use crate::{options::EntrySettings, watch::note_failure};
-use plantain_core::idempotency::{
-    IdempotencyRecord, RecordChange, RecordShard, RecordVerdict, record_shard,
+use metrics::counter;
+use plantain_core::{
+    direct::sharing::StoreEra,
+    idempotency::{
+        IdempotencyRecord, RecordChange, RecordKey, RecordShard, RecordVerdict, record_shard,
+    },
 };
 use plantain_net::{
     client::HttpClient,
-    platform::{PlatformClient, PlatformError, PlatformResult, records::RECORD_KIND},
+    platform::{EraTracker, PlatformClient, PlatformError, PlatformResult, records::RECORD_KIND},
 };
-use slog::Logger;
+use slog::{Logger, warn};
 use std::{
-    cell::RefCell,
+    cell::{Cell, RefCell},
     collections::HashMap,
     rc::Rc,
     sync::Arc,
@@ -24,11 +28,19 @@
 
 /// Largest number of attempts to write one batch, since other entries may write the same shard.
 const WRITE_ATTEMPTS: u32 = 16;
+/// Recent records that are kept before old ones are dropped.
+const OWN_LIMIT: usize = 4_096;
 /// Shortest pause between two batches of one shard.
 const BATCH_PAUSE: Duration = Duration::from_millis(5);
 /// Time after a failed write during which the platform counts as down and changes fail at once.
 const OUTAGE_BACKOFF: Duration = Duration::from_secs(1);
 
+/// Time after a return of the platform from a copy in which no key is recorded: by its end all entries have read the
+/// platform, which each does every second or two, and have written the records again that the return has lost.
+const RETURN_GRACE: Duration = Duration::from_secs(8);
+/// Time for which a record is written again if a return has lost it: copies are some seconds old.
+const LOST_SPAN: Duration = Duration::from_secs(30);
+
 /// Sends jobs to the idempotency duty.
 pub type RecordSender = mpsc::Sender<RecordJob>;
 
@@ -48,27 +60,144 @@
     known: Option<(u64, RecordShard)>,
 }
 
+/// A record that this entry has written.
+struct OwnRecord {
+    record: IdempotencyRecord,
+    written: Instant,
+}
+
 struct RecordDuty {
     platform: PlatformClient,
+    /// Recent records of this entry, by key.
+    own: RefCell<HashMap<RecordKey, OwnRecord>>,
+    /// Era of the platform's history in which they are written.
+    era: Cell<StoreEra>,
+    returned_at: Cell<Option<Instant>>,
     shards: RefCell<HashMap<u64, ShardQueue>>,
     failed_at: RefCell<Option<Instant>>,
     logger: Logger,
 }
 
 /// Handles changes until all senders are dropped.
-pub async fn run(settings: Arc<EntrySettings>, mut jobs: mpsc::Receiver<RecordJob>, log: Logger) {
+pub async fn run(
+    settings: Arc<EntrySettings>,
+    mut jobs: mpsc::Receiver<RecordJob>,
+    eras: EraTracker,
+    log: Logger,
+) {
+    let platform = PlatformClient::new(settings.common.platform, HttpClient::new()).with_eras(eras);
     let duty = Rc::new(RecordDuty {
-        platform: PlatformClient::new(settings.common.platform, HttpClient::new()),
+        platform,
+        own: RefCell::default(),
+        era: Cell::default(),
+        returned_at: Cell::default(),
         shards: RefCell::new(HashMap::new()),
         failed_at: RefCell::new(None),
         logger: log,
     });
+    spawn_local(Rc::clone(&duty).watch_returns());
     while let Some(job) = jobs.recv().await {
-        duty.enqueue(job);
+        duty.accept(job);
     }
 }
 
 impl RecordDuty {
+    /// Enqueues a job, or refuses it if the record of its key may have been lost.
+    fn accept(self: &Rc<Self>, job: RecordJob) {
+        self.check_return();
+        if let (RecordChange::Insert(..), Some(grace)) = (&job.change, self.grace_left()) {
+            let _ = job.reply.send(Err(grace));
+            return;
+        }
+        self.enqueue(job);
+    }
+
+    async fn watch_returns(self: Rc<Self>) {
+        loop {
+            self.platform.eras().wait_after(self.era.get()).await;
+            self.check_return();
+        }
+    }
+
+    /// Time until keys are recorded again after a return; `None` if they are now.
+    fn grace_left(&self) -> Option<Duration> {
+        let since = self.returned_at.get()?.elapsed();
+        RETURN_GRACE.checked_sub(since).filter(|left| !left.is_zero())
+    }
+
+    /// Writes recent records again if the platform has returned from a copy, which may lack them: a retry through another
+    /// entry would run.
+    fn check_return(self: &Rc<Self>) {
+        let latest = self.platform.eras().latest();
+        let known = self.era.replace(latest);
+        if known == 0 || known == latest {
+            return;
+        }
+        self.returned_at.set(Some(Instant::now()));
+        for queue in self.shards.borrow_mut().values_mut() {
+            queue.known = None;
+        }
+        self.own.borrow_mut().retain(|_, own| own.written.elapsed() < LOST_SPAN);
+        let own: Vec<(RecordKey, IdempotencyRecord)> = {
+            let own = self.own.borrow();
+            own.iter().map(|(key, own)| (key.clone(), own.record.clone())).collect()
+        };
+        warn!(self.logger, "platform returned from a copy; recent records are written again";
+            "step" => "write records", "from" => known, "era" => latest, "records" => own.len());
+        for (key, record) in own {
+            spawn_local(Rc::clone(self).rewrite(key, record));
+        }
+    }
+
+    /// Writes a record again until the platform has it.
+    async fn rewrite(self: Rc<Self>, key: RecordKey, record: IdempotencyRecord) {
+        counter!("plantain_lost_writes_total", "kind" => "idempotency").increment(1);
+        let mut verdict = Err(Duration::ZERO);
+        while let Err(pause) = verdict {
+            sleep(pause).await;
+            let (reply, answered) = oneshot::channel();
+            let change = RecordChange::Insert(key.clone(), record.clone());
+            self.enqueue(RecordJob { change, reply });
+            verdict = answered.await.unwrap_or(Err(OUTAGE_BACKOFF));
+        }
+        if let Ok(RecordVerdict::Taken(theirs)) = verdict {
+            warn!(self.logger, "key recorded twice: its record was lost, and a retry may have run";
+                "step" => "write records", "key" => key, "entry" => theirs.entry);
+        }
+    }
+
+    /// Keeps track of this entry's records. A record of a request that came before the return was known may stand beside
+    /// a lost one, so it is removed and its request refused.
+    fn settle(
+        self: &Rc<Self>,
+        change: &RecordChange,
+        verdict: RecordVerdict,
+    ) -> Result<RecordVerdict, Duration> {
+        let mut own = self.own.borrow_mut();
+        match change {
+            RecordChange::Insert(key, record) if verdict == RecordVerdict::Done => {
+                let is_rewritten = own.contains_key(key);
+                if let Some(grace) = self.grace_left().filter(|_| !is_rewritten) {
+                    let change = RecordChange::Remove(key.clone(), record.operation.clone());
+                    self.enqueue(RecordJob { change, reply: oneshot::channel().0 });
+                    return Err(grace);
+                }
+                let written = Instant::now();
+                own.insert(key.clone(), OwnRecord { record: record.clone(), written });
+            }
+            RecordChange::Insert(..) => {}
+            RecordChange::Remove(key, operation) => {
+                if own.get(key).is_some_and(|own| own.record.operation == *operation) {
+                    own.remove(key);
+                }
+            }
+        }
+        if own.len() > OWN_LIMIT {
+            own.retain(|_, own| own.written.elapsed() < LOST_SPAN);
+        }
+        Ok(verdict)
+    }
+
     fn enqueue(self: &Rc<Self>, job: RecordJob) {
         let outage = self.failed_at.borrow().map(|failed_at| failed_at.elapsed());
         if let Some(since) = outage.filter(|since| *since < OUTAGE_BACKOFF) {
@@ -100,12 +229,15 @@
             };
             let changes: Vec<RecordChange> = batch.iter().map(|job| job.change.clone()).collect();
             let (verdicts, known) = self.write_batch(shard, &changes, known).await;
+            let era = self.era.get();
+            self.check_return();
+            let known = known.filter(|_| self.era.get() == era);
             if let Some(queue) = self.shards.borrow_mut().get_mut(&shard) {
                 queue.known = known;
             }
             for (index, job) in batch.into_iter().enumerate() {
                 let verdict = match &verdicts {
-                    Ok(verdicts) => Ok(verdicts[index].clone()),
+                    Ok(verdicts) => self.settle(&job.change, verdicts[index].clone()),
                     Err(_) => Err(OUTAGE_BACKOFF),
                 };
                 let _ = job.reply.send(verdict);
--- a/crates/daemon/src/entry/platform.rs
+++ b/crates/daemon/src/entry/platform.rs
@@ -22,7 +22,7 @@
     client::HttpClient,
     config_store::ConfigStore,
     platform::{
-        PlatformClient, PlatformError,
+        EraTracker, PlatformClient, PlatformError,
         records::{
             ENTRY_KIND, EntryRecord, HostRecord, HostState, ObjectRecord, ROOT_KIND, SLOT_KIND,
             SlotRecord,
@@ -62,9 +62,10 @@
     senders: PlatformSenders,
     decisions: DecisionSender,
     signals: Arc<EntrySignals>,
+    eras: EraTracker,
     logger: Logger,
 ) {
-    let platform = PlatformClient::new(settings.common.platform, HttpClient::new());
+    let platform = PlatformClient::new(settings.common.platform, HttpClient::new()).with_eras(eras);
     let fetcher = ConfigFetcher {
         store: ConfigStore::new(platform.clone()),
         config: senders.config,
@@ -94,7 +95,7 @@
         }
     };
     spawn_local(crashes::run(platform.clone(), senders.quarantined, logger.clone()));
-    spawn_local(announce(Arc::clone(&settings), platform.clone(), logger.clone()));
+    spawn_local(keep_announced(Arc::clone(&settings), platform.clone(), logger.clone()));
     spawn_local(join::join_from_peers(settings, fetcher.clone(), targets, signals.clone(), logger));
     loop {
         signals.refresh_requested().await;
@@ -102,6 +103,20 @@
     }
 }
 
+/// Keeps this entry's addresses on the platform: writes them at the start, and again if a return of the platform from a
+/// copy has lost them.
+async fn keep_announced(settings: Arc<EntrySettings>, platform: PlatformClient, logger: Logger) {
+    loop {
+        let era = platform.eras().latest();
+        announce(Arc::clone(&settings), platform.clone(), logger.clone()).await;
+        // An era that the first answer names is no return.
+        let era = if era == 0 { platform.eras().latest() } else { era };
+        platform.eras().wait_after(era).await;
+        info!(logger, "platform returned from a copy"; "step" => "announce", "from" => era,
+            "era" => platform.eras().latest());
+    }
+}
+
 /// Writes this entry's addresses to the platform. The command-line tool looks up the admin address
 /// there, and agents the address for permit requests.
 async fn announce(settings: Arc<EntrySettings>, platform: PlatformClient, logger: Logger) {
@@ -179,15 +194,19 @@
     ) -> Result<(), ActorProcessingErr> {
         let known = Arc::clone(&self.config.borrow());
         let fetched = match message {
-            FetchMessage::Root(root) if root.revision <= known.revision() => return Ok(()),
+            FetchMessage::Root(root) if !root.replaces(known.root()) => return Ok(()),
             FetchMessage::Root(root) => self.store.complete(root, &known).await,
             FetchMessage::Newest => self.store.snapshot(&known).await,
+            // A peer may not have read the platform since it returned from a copy.
+            FetchMessage::FromPeer(snapshot) if snapshot.revision() <= known.revision() => {
+                return Ok(());
+            }
             FetchMessage::FromPeer(snapshot) => Ok(*snapshot),
         };
         match fetched {
             Ok(snapshot) => {
                 backoff.reset();
-                self.publish(snapshot, known.revision()).await;
+                self.publish(snapshot, &known).await;
             }
             Err(failure) => {
                 note_failure(&self.logger, "fetch config", &failure);
@@ -199,8 +218,8 @@
 }
 
 impl ConfigFetcher {
-    async fn publish(&self, snapshot: ConfigSnapshot, known: u64) {
-        if snapshot.revision() > known {
+    async fn publish(&self, snapshot: ConfigSnapshot, known: &ConfigSnapshot) {
+        if snapshot.root().replaces(known.root()) {
             info!(self.logger, "configuration in force"; "step" => "config",
                 "revision" => snapshot.revision(), "preset" => &*snapshot.preset().name,
                 "author" => &snapshot.root().author);
--- a/crates/net/src/config_store.rs
+++ b/crates/net/src/config_store.rs
@@ -98,7 +98,7 @@
     /// Reads the newest revision, reusing the unchanged parts of `known`.
     pub async fn snapshot(&self, known: &ConfigSnapshot) -> PlatformResult<ConfigSnapshot> {
         match self.root().await?.and_then(|object| object.value) {
-            Some(root) if root.revision > known.revision() => self.complete(root, known).await,
+            Some(root) if root.replaces(known.root()) => self.complete(root, known).await,
             _ => Ok(known.clone()),
         }
     }
--- a/crates/net/src/platform/records.rs
+++ b/crates/net/src/platform/records.rs
@@ -1,6 +1,7 @@
 //! Objects stored on the platform and its answers.
 
 use plantain_core::{
+    direct::sharing::StoreEra,
     ids::{RegionName, ZoneName},
     target::TargetRecord,
 };
@@ -36,6 +37,9 @@
     pub items: Vec<ObjectRecord<T>>,
     /// Revision that the list reflects; a watch continues from it.
     pub revision: u64,
+    /// Era of the revision.
+    #[serde(skip)]
+    pub era: StoreEra,
 }
 
 /// Answer to a write.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -65,15 +65,25 @@
     pub limited: u64,
 }
 
+#[derive(Clone)]
 struct StoredObject {
     version: u64,
     value: Option<Value>,
 }
 
+/// A past state, to which the stand-in can return.
+struct PlatformCopy {
+    objects: HashMap<String, BTreeMap<String, StoredObject>>,
+    version: u64,
+}
+
 #[derive(Default)]
 struct PlatformState {
     objects: HashMap<String, BTreeMap<String, StoredObject>>,
     version: u64,
+    /// Rises by one each time the stand-in returns from its copy.
+    era: u64,
+    copy: Option<Box<PlatformCopy>>,
     hosts: VecDeque<(Instant, Vec<HostRecord>)>,
     faults: PlatformFaults,
     calls: CallCounts,
@@ -94,7 +104,7 @@
     let listener = server::bind(options.listen, "platform stand-in").await?;
     let handler = PlatformHandler {
         options: Arc::new(options),
-        state: Arc::default(),
+        state: Arc::new(Mutex::new(PlatformState { era: 1, ..PlatformState::default() })),
         changed: watch::Sender::new(0),
     };
     server::serve(listener, handler, ServerOptions { connections: 4_096 }, stopping).await;
@@ -119,7 +129,17 @@
         if faults.down {
             return text_reply(StatusCode::SERVICE_UNAVAILABLE, "platform is down");
         }
-        self.answer(&parts.method, &path, &query, body.to_bytes()).await
+        let era = self.state().era;
+        let reply = self.answer(&parts.method, &path, &query, body.to_bytes()).await;
+        let now = self.state().era;
+        // A return cuts the calls in flight.
+        let mut reply = if now == era {
+            reply
+        } else {
+            text_reply(StatusCode::SERVICE_UNAVAILABLE, "returned")
+        };
+        reply.headers_mut().insert("store-era", now.into());
+        reply
     }
 }
 
@@ -186,7 +206,7 @@
                 value: object.value.clone(),
             })
             .collect();
-        ObjectList { items, revision: state.version }
+        ObjectList { items, revision: state.version, era: state.era }
     }
 
     fn get(&self, kind: &str, name: &str) -> HttpReply {
@@ -204,6 +224,13 @@
         let after = query_number(query, "after").unwrap_or(0);
         let wait = Duration::from_millis(query_number(query, "wait_ms").unwrap_or(0));
         let mut changed = self.changed.subscribe();
+        let (era, version) = {
+            let state = self.state();
+            (state.era, state.version)
+        };
+        if after > version {
+            return text_reply(StatusCode::GONE, "no such history");
+        }
         let deadline = Instant::now() + wait;
         loop {
             changed.mark_unchanged();
@@ -213,7 +240,7 @@
                 return json_reply(StatusCode::OK, &list);
             }
             let _ = timeout(left, changed.changed()).await;
-            if self.state().faults.down {
+            if self.state().faults.down || self.state().era != era {
                 return text_reply(StatusCode::SERVICE_UNAVAILABLE, "platform is down");
             }
         }
@@ -289,6 +316,21 @@
                 }
                 Err(error) => text_reply(StatusCode::BAD_REQUEST, error.to_string()),
             },
+            "copy" => {
+                let (objects, version) = (state.objects.clone(), state.version);
+                state.copy = Some(Box::new(PlatformCopy { objects, version }));
+                text_reply(StatusCode::OK, "copied")
+            }
+            "return" => {
+                let Some(copy) = state.copy.take() else {
+                    return text_reply(StatusCode::CONFLICT, "no copy");
+                };
+                (state.objects, state.version) = (copy.objects, copy.version);
+                state.era += 1;
+                drop(state);
+                self.changed.send_modify(|_| {});
+                text_reply(StatusCode::OK, "returned")
+            }
             "calls" => json_reply(StatusCode::OK, &state.calls),
             _ => text_reply(StatusCode::NOT_FOUND, "no such control"),
         }
--- a/crates/standin/tests/integration/idempotency.rs
+++ b/crates/standin/tests/integration/idempotency.rs
@@ -23,7 +23,7 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_secs(20);
 
 /// Sends a stamp through an entry, with an idempotency key if one is given.
-async fn stamp(cluster: &Cluster, entry: usize, key: Option<&str>) -> Result<HttpAnswer> {
+pub async fn stamp(cluster: &Cluster, entry: usize, key: Option<&str>) -> Result<HttpAnswer> {
     let mut request = Request::builder()
         .method(Method::POST)
         .uri(url(cluster.entry(entry), "/services/desk/stamps"));
@@ -35,7 +35,7 @@
 }
 
 /// Number of calls that the service has executed.
-async fn executed(cluster: &Cluster) -> Result<usize> {
+pub async fn executed(cluster: &Cluster) -> Result<usize> {
     let calls: Vec<CallRecord> = cluster.page(cluster.service(0), "/standin/calls").await?;
     Ok(calls.len())
 }
--- a/crates/standin/tests/integration/main.rs
+++ b/crates/standin/tests/integration/main.rs
@@ -9,6 +9,7 @@
 mod path;
 mod report;
 mod requests;
+mod returns;
 mod services;
 mod stopping;
 mod support;
--- /dev/null
+++ b/crates/standin/tests/integration/returns.rs
@@ -0,0 +1,68 @@
+//! Returns of the platform from a copy that is some seconds old.
+//!
+//! A stamp is a call of `POST /stamps` at the plain service `desk`. It is not idempotent: it must run
+//! at most once.
+
+use crate::{
+    idempotency::{executed, stamp},
+    support::{finish, send_and_check, start},
+};
+use eyre::{Result, ensure};
+use plantain_standin::{
+    call::ChatCall,
+    cluster::{Cluster, plan::ClusterPlan},
+};
+use serde_json::Value;
+
+/// Takes a copy of the platform's objects.
+async fn take_copy(cluster: &Cluster) -> Result<()> {
+    cluster.set(cluster.platform(), "/standin/copy", &Value::Null).await
+}
+
+/// Returns the platform from the copy; all writes since are lost.
+async fn return_from_copy(cluster: &Cluster) -> Result<()> {
+    cluster.set(cluster.platform(), "/standin/return", &Value::Null).await
+}
+
+/// Guards against a stamp that runs again at another entry, because the platform has lost the record of its key.
+#[tokio::test]
+async fn a_key_whose_record_was_lost_runs_once() -> Result<()> {
+    let cluster = start(ClusterPlan::new(2, 1, &["kandy"])).await?;
+    take_copy(&cluster).await?;
+    let first = stamp(&cluster, 0, Some("stamp-1")).await?;
+    ensure!(first.status == 200, "{} {}", first.status, first.text());
+    return_from_copy(&cluster).await?;
+    cluster
+        .wait_for("the key to be known again", async || {
+            let answer = stamp(&cluster, 1, Some("stamp-1")).await?;
+            let status = answer.status.as_u16();
+            ensure!([409, 503].contains(&status), "{status}: {}", answer.text());
+            Ok(status == 409)
+        })
+        .await?;
+    ensure!(executed(&cluster).await? == 1, "executed {} times", executed(&cluster).await?);
+    cluster
+        .wait_for("a new key to run", async || {
+            Ok(stamp(&cluster, 1, Some("stamp-2")).await?.status == 200)
+        })
+        .await?;
+    finish(cluster).await
+}
+
+/// Guards against an entry that misses a change because it watches from a revision of the lost history.
+#[tokio::test]
+async fn a_change_after_a_return_is_in_force() -> Result<()> {
+    let cluster = start(ClusterPlan::new(1, 1, &["kandy"])).await?;
+    take_copy(&cluster).await?;
+    cluster.control_ok(&["adapter", "roll-out", "house-0001", "2"]).await?;
+    cluster.wait_revision(3).await?;
+    return_from_copy(&cluster).await?;
+    cluster.control_ok(&["adapter", "roll-out", "house-0004", "3"]).await?;
+    cluster
+        .wait_for("the change", async || {
+            let call = ChatCall::new("house-0004", "Open?", 3);
+            Ok(send_and_check(&cluster, 0, &call, "house-0004@3").await.is_ok())
+        })
+        .await?;
+    finish(cluster).await
+}
