Agent: a slot that a return of the platform has lost is taken again

What callers would see: a target that entries lose, or two agents that order loads under one fencing number. Cause: a slot is taken once, and its fencing number is the number before plus one: the copy shows the number before again. Change: fencing numbers hold the era above their count, so that those of a later era are higher than all before. An agent looks at its slot within a second of a return, takes it again if the copy lacks it or shows an earlier holder, and yields to a higher number as before. A crash report that it wrote is compared, and written again if it is not there.

--- a/crates/daemon/src/agent.rs
+++ b/crates/daemon/src/agent.rs
@@ -15,7 +15,7 @@
 };
 use decisions::{AgentCommand, CommandSender};
 use eyre::{Result, WrapErr};
-use plantain_net::server;
+use plantain_net::{platform::EraTracker, server};
 use serde_json::Value;
 use slog::info;
 use std::{sync::Arc, time::Duration};
@@ -53,11 +53,17 @@
         let slot_epoch = epoch.clone();
         // Targets and streams share this thread, because answers pass straight from one to the other.
         // See docs/design/threads.md.
-        spawn_local(targets::run(agent_settings, job_receiver, command_sender, slot_epoch, log));
+        let eras = EraTracker::default();
+        let channels = targets::TargetChannels { jobs: job_receiver, commands: command_sender };
+        spawn_local(targets::run(agent_settings, channels, slot_epoch, eras.clone(), log));
         let (agent_settings, command_sender, log) =
             (settings.clone(), commands.clone(), logger.clone());
         let stop = stopping.clone();
-        let senders = platform::PlatformSenders { epoch: epoch_sender, entries: entry_sender };
+        let senders = platform::PlatformSenders {
+            epoch: epoch_sender,
+            eras: eras.clone(),
+            entries: entry_sender,
+        };
         duty::start("platform", move || {
             platform::run(agent_settings, command_sender, senders, stop, log)
         })?;
--- a/crates/daemon/src/agent/crashes.rs
+++ b/crates/daemon/src/agent/crashes.rs
@@ -14,6 +14,7 @@
 use slog::{Logger, info, warn};
 use std::{
     cell::{Cell, RefCell},
+    future::pending,
     io::ErrorKind,
     net::SocketAddr,
     rc::Rc,
@@ -160,7 +161,19 @@
 ) {
     let mut previous = None;
     let mut backoff = platform_backoff();
-    while reports.changed().await.is_ok() {
+    let mut written_era = None;
+    loop {
+        let lost = async {
+            match written_era {
+                Some(era) => platform.eras().wait_after(era).await,
+                None => pending().await,
+            }
+        };
+        tokio::select! {
+            changed = reports.changed() => if changed.is_err() { return },
+            () = lost => info!(logger, "platform returned from a copy; crash report checked";
+                "step" => "crashes", "era" => platform.eras().latest()),
+        }
         loop {
             let report = Arc::clone(&reports.borrow_and_update());
             match write(&platform, &report, &mut previous).await {
@@ -175,6 +188,7 @@
                 }
             }
         }
+        written_era = Some(platform.eras().latest());
         backoff.reset();
         sleep(COALESCE_PAUSE).await;
     }
@@ -191,6 +205,7 @@
         Err(PlatformError::Missing) => (0, None),
         Err(failure) => return Err(failure),
     };
+    let unchanged = stored.clone();
     if previous.is_none() {
         *previous = stored.filter(|stored| stored.boot != report.boot);
     }
@@ -198,5 +213,8 @@
     if let Some(previous) = previous {
         merged.add_earlier(previous);
     }
+    if unchanged.as_ref() == Some(&merged) {
+        return Ok(());
+    }
     platform.put(CRASH_KIND, &report.router, version, &merged).await.map(drop)
 }
--- a/crates/daemon/src/agent/platform.rs
+++ b/crates/daemon/src/agent/platform.rs
@@ -6,10 +6,11 @@
     telemetry::names,
     watch::{KindWatch, note_failure, platform_backoff},
 };
-use metrics::gauge;
+use metrics::{counter, gauge};
 use plantain_core::{
     agent::events::AgentEvent,
     config::{ConfigRoot, PresetRecord, parts::PRESETS_PART},
+    direct::sharing::StoreEra,
     target::TargetRecord,
 };
 use plantain_net::{
@@ -17,7 +18,7 @@
     client::HttpClient,
     config_store::ConfigStore,
     platform::{
-        PlatformClient, PlatformError, PlatformResult,
+        EraTracker, PlatformClient, PlatformError, PlatformResult,
         records::{ENTRY_KIND, EntryRecord, ObjectRecord, ROOT_KIND, SLOT_KIND, SlotRecord},
     },
 };
@@ -31,6 +32,11 @@
 
 /// Longest pause before an agent reads a changed preset, so that a fleet does not read it at once.
 const FOLLOW_JITTER: Duration = Duration::from_millis(800);
+/// Bits of an epoch below the era of the platform's history.
+const ERA_SHIFT: u32 = 16;
+/// Longest pause before an agent checks its slot after a return of the platform, so that a fleet does not read it at
+/// once.
+const RETURN_JITTER: Duration = Duration::from_secs(1);
 /// Longest wait until the slot is marked as leaving; entries also learn of it from refusals.
 const MARK_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -38,6 +44,8 @@
 pub struct PlatformSenders {
     /// Epoch of the slot; 0 until the slot is taken.
     pub epoch: watch::Sender<u64>,
+    /// Latest known era of the platform's history.
+    pub eras: EraTracker,
     /// Entries that may grant load permits.
     pub entries: watch::Sender<Vec<EntryRecord>>,
 }
@@ -50,15 +58,15 @@
     mut stopping: watch::Receiver<bool>,
     logger: Logger,
 ) {
-    let platform = PlatformClient::new(settings.common.platform, HttpClient::new());
+    let platform =
+        PlatformClient::new(settings.common.platform, HttpClient::new()).with_eras(senders.eras);
     let slot = SlotHolder {
         settings: Arc::clone(&settings),
         platform: platform.clone(),
         holder: format!("{:016x}", rand::random::<u64>()),
         logger: logger.clone(),
     };
-    let slot_epoch = slot.take().await;
-    senders.epoch.send_replace(slot_epoch);
+    senders.epoch.send_replace(slot.take().await);
     let presets = PresetFollower {
         store: ConfigStore::new(platform.clone()),
         platform: platform.clone(),
@@ -66,7 +74,8 @@
         logger: logger.clone(),
     };
     let entries = EntryFollower { platform, entries: senders.entries, logger: logger.clone() };
-    let lease = LeaseChecker { slot: slot.clone(), epoch: slot_epoch, commands };
+    let epoch = Arc::new(senders.epoch);
+    let lease = LeaseChecker { slot: slot.clone(), epoch: Arc::clone(&epoch), commands };
     let spawned = async {
         Actor::spawn(None, presets, ()).await?;
         Actor::spawn(None, entries, ()).await?;
@@ -77,6 +86,7 @@
         return;
     }
     let _ = stopping.wait_for(|stop| *stop).await;
+    let slot_epoch = *epoch.borrow();
     if timeout(MARK_TIMEOUT, slot.mark_leaving(slot_epoch)).await.is_err() {
         warn!(logger, "slot not marked as leaving"; "step" => "leave slot");
     }
@@ -117,13 +127,34 @@
         if let Some(slot) = known.as_ref().filter(|slot| slot.holder == self.holder) {
             return Ok(slot.target.epoch);
         }
-        let epoch = known.as_ref().map_or(0, |slot| slot.target.epoch) + 1;
+        let epoch = self.next_epoch(known.as_ref().map_or(0, |slot| slot.target.epoch));
         let record = self.record(epoch, false);
         self.platform.put(SLOT_KIND, &self.settings.common.name, version, &record).await?;
         self.wait_out_predecessor(known.as_ref()).await;
         Ok(epoch)
     }
 
+    /// Epoch for a slot that was last taken with `known`. It is above all epochs of earlier eras of the platform's history,
+    /// whose slots a return may have lost.
+    fn next_epoch(&self, known: u64) -> u64 {
+        (known + 1).max(self.platform.eras().latest() << ERA_SHIFT)
+    }
+
+    /// Takes the slot again, if a return of the platform from a copy has lost it; returns the new epoch. `epoch` is the
+    /// one with which this process has held it.
+    async fn retake(&self, epoch: u64) -> PlatformResult<Option<u64>> {
+        let (version, known) = self.read().await?;
+        let known_epoch = known.as_ref().map_or(0, |slot| slot.target.epoch);
+        let is_held = known.is_some_and(|slot| slot.holder == self.holder);
+        if is_held || known_epoch > epoch {
+            return Ok(None);
+        }
+        let epoch = self.next_epoch(known_epoch.max(epoch));
+        let record = self.record(epoch, false);
+        self.platform.put(SLOT_KIND, &self.settings.common.name, version, &record).await?;
+        Ok(Some(epoch))
+    }
+
     /// Waits for a lease's time if an agent on another host held the slot. An engine that ignores fencing
     /// numbers still executes that agent's orders, until the agent finds the slot taken, at the latest
     /// after a lease's time. On this host no predecessor can run, because this process has bound the
@@ -182,33 +213,51 @@
 /// Checks periodically whether another process has taken the slot.
 struct LeaseChecker {
     slot: SlotHolder,
-    epoch: u64,
+    epoch: Arc<watch::Sender<u64>>,
     commands: CommandSender,
 }
 
 impl Actor for LeaseChecker {
     type Msg = PollMessage;
-    type State = ();
+    /// Era in which the slot was last found held.
+    type State = StoreEra;
     type Arguments = ();
 
     async fn pre_start(
         &self,
         myself: ActorRef<PollMessage>,
         (): (),
-    ) -> Result<(), ActorProcessingErr> {
+    ) -> Result<StoreEra, ActorProcessingErr> {
         myself.cast(PollMessage)?;
-        Ok(())
+        Ok(self.slot.platform.eras().latest())
     }
 
     async fn handle(
         &self,
         myself: ActorRef<PollMessage>,
         _message: PollMessage,
-        _state: &mut (),
+        era: &mut StoreEra,
     ) -> Result<(), ActorProcessingErr> {
+        let eras = self.slot.platform.eras().clone();
+        let epoch = *self.epoch.borrow();
         // In a platform outage the lease stays: no successor can take the slot then.
-        if let Ok((_, Some(slot))) = self.slot.read().await
-            && slot.target.epoch > self.epoch
+        let read = self.slot.read().await;
+        if eras.latest() > *era && read.is_ok() {
+            match self.slot.retake(epoch).await {
+                Ok(retaken) => {
+                    *era = eras.latest();
+                    if let Some(epoch) = retaken {
+                        counter!("plantain_lost_writes_total", "kind" => "slot").increment(1);
+                        warn!(self.slot.logger, "slot lost in a return of the platform; taken again";
+                            "step" => "check slot", "era" => *era, "epoch" => epoch);
+                        self.epoch.send_replace(epoch);
+                    }
+                }
+                Err(failure) => note_failure(&self.slot.logger, "take slot again", &failure),
+            }
+        }
+        if let Ok((_, Some(slot))) = read
+            && slot.target.epoch > *self.epoch.borrow()
         {
             warn!(self.slot.logger, "slot lost"; "step" => "check slot",
                 "epoch" => slot.target.epoch);
@@ -216,7 +265,15 @@
             let _ = self.commands.send(lost).await;
             return Ok(());
         }
-        myself.send_after(jitter(constants::LEASE / 3), || PollMessage);
+        let known = *era;
+        tokio::spawn(async move {
+            let returned = async {
+                eras.wait_after(known).await;
+                sleep(jitter(RETURN_JITTER)).await;
+            };
+            let _ = timeout(jitter(constants::LEASE / 3), returned).await;
+            let _ = myself.cast(PollMessage);
+        });
         Ok(())
     }
 }
@@ -296,7 +353,7 @@
         state: &mut PresetState,
     ) -> Result<(), ActorProcessingErr> {
         if let Some(root) = state.watch.next().await.into_iter().find_map(|item| item.value)
-            && root.revision > state.root.revision
+            && root.replaces(&state.root)
         {
             self.apply_root(root, state).await;
         }
--- a/crates/daemon/src/agent/targets.rs
+++ b/crates/daemon/src/agent/targets.rs
@@ -25,7 +25,7 @@
 };
 use plantain_net::{
     client::{HttpClient, url},
-    platform::PlatformClient,
+    platform::{EraTracker, PlatformClient},
 };
 use slog::{Logger, warn};
 use std::{
@@ -104,17 +104,26 @@
     pub(super) logger: Logger,
 }
 
+/// Channels of the duty.
+pub struct TargetChannels {
+    /// Jobs at the target.
+    pub jobs: mpsc::Receiver<TargetJob>,
+    /// Commands to the duty that decides.
+    pub commands: CommandSender,
+}
+
 /// Handles jobs until all senders are dropped.
 pub async fn run(
     settings: Arc<AgentSettings>,
-    mut jobs: mpsc::Receiver<TargetJob>,
-    commands: CommandSender,
+    channels: TargetChannels,
     epoch: watch::Receiver<u64>,
+    eras: EraTracker,
     logger: Logger,
 ) {
+    let TargetChannels { mut jobs, commands } = channels;
     let http = HttpClient::new();
     let crashes = CrashRecorder::new(&settings.common.name, settings.target, logger.clone());
-    let platform = PlatformClient::new(settings.common.platform, HttpClient::new());
+    let platform = PlatformClient::new(settings.common.platform, HttpClient::new()).with_eras(eras);
     spawn_local(crashes::publish(platform, crashes.subscribe(), logger.clone()));
     spawn_local(Rc::clone(&crashes).expire_crashes());
     let orders = Arc::default();
--- a/crates/standin/tests/integration/returns.rs
+++ b/crates/standin/tests/integration/returns.rs
@@ -66,3 +66,33 @@
         .await?;
     finish(cluster).await
 }
+
+/// Guards against a target that entries lose, and whose fencing number another agent may get, because the platform has
+/// lost its agent's slot.
+#[tokio::test]
+async fn a_lost_slot_is_taken_again() -> Result<()> {
+    let mut cluster = start(ClusterPlan::new(1, 1, &["kandy"])).await?;
+    cluster.kill("agent-service-0").await?;
+    take_copy(&cluster).await?;
+    cluster.restart_service_agent(0)?;
+    cluster
+        .wait_for("the agent", async || Ok(stamp(&cluster, 0, None).await?.status == 200))
+        .await?;
+    let epochs = async || -> Result<Vec<u64>> {
+        let url = "/v1/objects/slots";
+        let list: Value = cluster.page(cluster.platform(), url).await?;
+        let slots = list["items"].as_array().cloned().unwrap_or_default();
+        Ok(slots.iter().filter_map(|slot| slot["value"]["target"]["epoch"].as_u64()).collect())
+    };
+    let before = epochs().await?;
+    return_from_copy(&cluster).await?;
+    cluster
+        .wait_for("the slot to be taken again", async || {
+            let after = epochs().await?;
+            Ok(after.len() == before.len() && after.iter().max() > before.iter().max())
+        })
+        .await?;
+    let answer = stamp(&cluster, 0, None).await?;
+    ensure!(answer.status == 200, "{} {}", answer.status, answer.text());
+    finish(cluster).await
+}
