--- a/crates/core/tests/core/direct/sharing/growth.rs
+++ b/crates/core/tests/core/direct/sharing/growth.rs
@@ -109,3 +109,26 @@
         assert_eq!(zone.watchers().len(), 1, "{routers} routers after the return");
     }
 }
+
+/// Guards against a return of the store after which every router lists the store again: calls may grow with the zones,
+/// not with the routers of a zone.
+#[test]
+fn calls_to_the_store_after_a_return_do_not_grow_with_the_routers() {
+    /// Routers of a zone in a fleet of five zones with 30, 100 and 300 routers.
+    const ZONES: [usize; 3] = [6, 20, 60];
+    for away in [0, 600, 2_000] {
+        let calls = ZONES.map(|routers| {
+            let mut zone = settled(routers);
+            zone.set_outage(away > 0);
+            zone.simulate(away, 0);
+            zone.set_outage(false);
+            zone.return_from_copy(routers);
+            zone.reset_counts();
+            zone.simulate(2 * DRAIN, 0);
+            assert!(zone.has_returned(), "{routers} routers, {away} ms away");
+            zone.counts.store_calls + zone.counts.lists
+        });
+        println!("{away} ms away: {calls:?} calls for {ZONES:?}");
+        assert!(calls[2] <= 2 * calls[0], "{away} ms away: {calls:?} calls for {ZONES:?}");
+    }
+}
--- a/crates/core/tests/core/direct/sharing/zone.rs
+++ b/crates/core/tests/core/direct/sharing/zone.rs
@@ -1,16 +1,14 @@
 //! The routers of one availability zone and the store, in simulated time. The real state machines select the
 //! upstream, and log and pass on the changes.
 
-use super::{
-    super::support::{ENGINES, ms, target},
-    at,
-};
+use super::super::support::{ENGINES, ms, target};
 use plantain_core::{
     direct::{
         directory::{PeerView, PresenceRegistry, RouterPresence, RouterTable},
         membership::{BaseHolding, ListChange, TargetEntry},
         sharing::{
-            ChangeImportance, ChangeLog, LoggedChange, SharedChange, SharedDelta,
+            ChangeImportance, ChangeLog, LoggedChange, SharedChange, SharedDelta, StoreEra,
+            StorePosition,
             source::{SourceSelector, SourceView, StoreSource, UpstreamReply},
         },
     },
@@ -59,7 +57,7 @@
     peer_table: RouterTable,
     view: PeerView,
     log: ChangeLog,
-    revision: Option<u64>,
+    position: Option<StorePosition>,
     synced_at: u64,
     pending: Option<PendingQuery>,
     next_query: u64,
@@ -74,6 +72,8 @@
     pub store_calls: usize,
     /// List calls that allow a stale answer.
     pub recent_lists: usize,
+    /// List calls after a return of the store.
+    pub lists: usize,
     /// Bytes that each router sent to others.
     pub sent_bytes: Vec<usize>,
     /// For each upstream, the routers whose last answer came from it.
@@ -94,6 +94,7 @@
     registry: PresenceRegistry,
     /// Changes in the store, one per revision.
     changes: Vec<LoggedChange>,
+    era: StoreEra,
     engines: usize,
     is_outage: bool,
     pub counts: ZoneCounts,
@@ -132,6 +133,7 @@
             routers: Vec::new(),
             registry: PresenceRegistry::default(),
             changes: Vec::new(),
+            era: 1,
             engines,
             is_outage: false,
             counts: ZoneCounts::default(),
@@ -154,6 +156,18 @@
         self.is_outage = is_outage;
     }
 
+    /// Returns the store from a copy without the last `lost` changes.
+    pub fn return_from_copy(&mut self, lost: usize) {
+        self.changes.truncate(self.changes.len() - lost);
+        self.era += 1;
+    }
+
+    /// Whether all routers are at the store's era.
+    pub fn has_returned(&self) -> bool {
+        let is_current = |router: &Router| router.position.is_some_and(|at| at.era == self.era);
+        self.routers.iter().all(is_current)
+    }
+
     pub fn set_fault(&mut self, router: usize, fault: RouterFault) {
         self.routers[router].fault = fault;
     }
@@ -205,8 +219,8 @@
         }
     }
 
-    fn revision(&self) -> u64 {
-        self.changes.len() as u64
+    fn position(&self) -> StorePosition {
+        StorePosition::new(self.era, self.changes.len() as u64)
     }
 
     fn step(&mut self, index: usize) {
@@ -219,7 +233,7 @@
             router.peer_table.note(&directory, ms(self.now));
             router.view = router.peer_table.view(&zone_name(), address, ms(self.now));
         }
-        if self.routers[index].revision.is_none() {
+        if self.routers[index].position.is_none() {
             self.list(index);
             return;
         }
@@ -248,14 +262,18 @@
     }
 
     fn list(&mut self, index: usize) {
-        self.counts.recent_lists += 1;
+        if self.era == 1 {
+            self.counts.recent_lists += 1;
+        } else {
+            self.counts.lists += 1;
+        }
         if self.is_outage || self.routers[index].fault == RouterFault::Refused {
             return;
         }
-        let revision = self.revision();
+        let position = self.position();
         let router = &mut self.routers[index];
-        router.revision = Some(revision);
-        router.log.restart(at(revision));
+        router.position = Some(position);
+        router.log.restart(position);
     }
 
     fn watch(&mut self, index: usize) {
@@ -263,7 +281,7 @@
             return;
         }
         self.counts.store_calls += 1;
-        let revision = self.revision();
+        let position = self.position();
         let router = &mut self.routers[index];
         if self.is_outage || router.fault == RouterFault::Refused {
             router.log.stop();
@@ -271,19 +289,23 @@
             router.next_watch = self.now + pause.max(FAILED_PAUSE);
             return;
         }
-        let from = router.revision.unwrap_or(0);
-        router.log.append(at(from), at(revision), self.changes[from as usize..].to_vec());
-        router.revision = Some(revision);
+        let from = router.position.unwrap_or_default();
+        if from.era != position.era {
+            router.position = None;
+            return;
+        }
+        router.log.append(from, position, self.changes[from.revision as usize..].to_vec());
+        router.position = Some(position);
         router.synced_at = self.now;
         router.next_watch = self.now + WATCH_ROUND;
     }
 
     fn advance_query(&mut self, index: usize, pending: PendingQuery) {
         let waited = self.now - pending.sent;
-        let known = self.routers[index].revision.unwrap_or(0);
+        let known = self.routers[index].position.unwrap_or_default();
         let upstream = &self.routers[pending.upstream];
         let is_frozen = upstream.fault == RouterFault::Frozen;
-        let has_changes = upstream.log.has_changes(at(known));
+        let has_changes = upstream.log.has_changes(known);
         let reply = if is_frozen {
             if waited < QUERY_TIMEOUT {
                 return;
@@ -319,11 +341,10 @@
     }
 
     fn send_changes(&mut self, sender: usize, client: usize) {
-        let known = self.routers[client].revision.unwrap_or(0);
+        let known = self.routers[client].position.unwrap_or_default();
         let upstream = &self.routers[sender];
-        let (synced_at, revision) = (upstream.synced_at, upstream.log.position().revision);
-        let delta = upstream.log.since(at(known));
-        let logged = upstream.revision.map_or(0, |_| revision);
+        let (synced_at, logged) = (upstream.synced_at, upstream.log.position());
+        let delta = upstream.log.since(known);
         let kinds: Vec<_> = delta.into_iter().collect();
         let changes: Vec<SharedChange> =
             kinds.iter().flat_map(|delta| delta.changes.iter().cloned()).collect();
@@ -337,8 +358,8 @@
         let router = &mut self.routers[client];
         let importance = ChangeImportance::Hint;
         let hints = changes.into_iter().map(|change| LoggedChange { change, importance }).collect();
-        router.log.append(at(known), at(logged.max(known)), hints);
-        router.revision = Some(logged.max(known));
+        router.log.append(known, logged.max(known), hints);
+        router.position = Some(logged.max(known));
         router.synced_at = router.synced_at.max(synced_at);
     }
 }
@@ -349,7 +370,7 @@
         peer_table: RouterTable::default(),
         view: PeerView::default(),
         log: ChangeLog::default(),
-        revision: None,
+        position: None,
         synced_at: now,
         pending: None,
         next_query: now,
