Router: an upstream that does not know of a return yet is not followed

Cause, found by reading: a router that had learned of a return by a call of its own could apply the lost history's list from a router that had not, and end with it what it holds against the copy. Change: a delta of an earlier era than known counts as a denial; the upstream is asked again after 0.25 s, and left for a while at the second. Without a return no era differs, and nothing changes.

--- a/crates/daemon/src/router/sharing.rs
+++ b/crates/daemon/src/router/sharing.rs
@@ -76,9 +76,19 @@
         }
     }
 
+    /// Whether a delta is of an earlier era than this router knows. It could show targets as before they changed in the
+    /// restored history.
+    fn is_of_earlier_era(&self, delta: &SharedDelta) -> bool {
+        delta.kinds.iter().any(|kind| kind.era < self.context.era())
+    }
+
     async fn poll(&mut self, upstream: SocketAddr) {
         let known = known_positions(&self.context);
         let (reply, reason) = match fetch_changes(&self.client, upstream, &known).await {
+            Ok(UpstreamAnswer::Changes(delta)) if self.is_of_earlier_era(&delta) => (
+                UpstreamReply::Denied,
+                "it does not know yet that the store has returned".to_owned(),
+            ),
             Ok(UpstreamAnswer::Changes(delta)) => {
                 self.selector.apply_reply(upstream, UpstreamReply::Changes, clock::now());
                 if self.context.set_source(self.selector.source()) {
