Router: a list that ends after a later era was seen is not taken; headers renamed

Cause, found by reading: between the last page of a list and its use another kind's answer may show that the store has returned; the list would then have counted as the restored history's.

--- a/crates/daemon/src/router/eras.rs
+++ b/crates/daemon/src/router/eras.rs
@@ -8,7 +8,7 @@
 use plantain_core::direct::sharing::StoreEra;
 
 /// Header with the eras of the revisions in a message, in their order, separated by commas.
-const ERAS: HeaderName = HeaderName::from_static("x-plantain-store-eras");
+const ERAS: HeaderName = HeaderName::from_static("x-plantain-eras");
 
 /// Adds the eras to a message.
 pub(super) fn encode(eras: impl Iterator<Item = StoreEra>, headers: &mut HeaderMap) {
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -168,6 +168,9 @@
             }
         };
         self.note_contact().await;
+        // An answer for another kind may have shown a later era meanwhile.
+        let era = self.context.era();
+        ensure!(position.era == era, "list of era {}, not {era}", position.era);
         self.context.send(ControlEvent::Listed(self.kind, changes)).await;
         self.progress().position.set(Some(position));
         self.context.change_log(self.kind, |log| log.restart(position));
--- a/crates/net/src/platform.rs
+++ b/crates/net/src/platform.rs
@@ -16,8 +16,8 @@
 /// Time after which the platform answers a watch although nothing has changed.
 pub const WATCH_TIME: Duration = Duration::from_secs(20);
 
-/// Header with the era of the platform's history.
-const ERA_HEADER: &str = "store-era";
+/// Header of the platform with the era of its history.
+pub const ERA_HEADER: &str = "store-era";
 
 /// Latest era of the platform's history that a process knows, shared by its clients. The era rises each time the
 /// platform returns from an older copy of itself; versions of the lost history are then given out again.
--- a/crates/standin/src/platform.rs
+++ b/crates/standin/src/platform.rs
@@ -6,7 +6,10 @@
 use http_body_util::BodyExt;
 use hyper::{Method, Request, StatusCode, body::Incoming};
 use plantain_net::{
-    platform::records::{HostRecord, ObjectList, ObjectRecord, PutAnswer},
+    platform::{
+        ERA_HEADER,
+        records::{HostRecord, ObjectList, ObjectRecord, PutAnswer},
+    },
     server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply},
 };
 use serde::{Deserialize, Serialize};
@@ -138,7 +141,7 @@
         } else {
             text_reply(StatusCode::SERVICE_UNAVAILABLE, "returned")
         };
-        reply.headers_mut().insert("store-era", now.into());
+        reply.headers_mut().insert(ERA_HEADER, now.into());
         reply
     }
 }
