--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -48,8 +48,8 @@
 }
 
 impl ConnectionPool {
-    /// Sends a request on an idle connection of the pool, or on a new one. From the moment at which a byte of the
-    /// request may reach the target, `progress` says that the call may be running.
+    /// Sends a request on an idle connection of the pool, or on a new one. `progress` shows that the call may be running
+    /// once a byte of the request may have reached the target.
     pub(crate) async fn send(
         &self,
         incarnation: &TargetIncarnation,
--- a/crates/daemon/src/router/control/context.rs
+++ b/crates/daemon/src/router/control/context.rs
@@ -1,7 +1,8 @@
 //! State shared by the tasks of the control thread: followed objects, and the progress of following the store.
 
+mod positions;
+
 use crate::{clock, options::site::RouterFile};
-use metrics::counter;
 use plantain_core::{
     direct::{
         directory::PeerView,
@@ -14,7 +15,7 @@
     ids::{BootId, Timestamp},
 };
 use plantain_platform::objects::{FollowedChange, FollowedKind};
-use slog::{Logger, info, warn};
+use slog::{Logger, info};
 use std::{
     cell::{Cell, RefCell},
     future::pending,
@@ -271,19 +272,6 @@
         clock::now().saturating_sub(self.started)
     }
 
-    /// Adopts the positions of a snapshot, one per kind. The position of the crash reports is left out.
-    pub(in crate::router) fn adopt_positions(&self, positions: &[Option<StorePosition>]) {
-        let kinds = FollowedKind::ALL.into_iter().zip(positions);
-        for (kind, position) in kinds.filter(|(kind, _)| *kind != FollowedKind::Crashes) {
-            self.progress(kind).position.set(*position);
-        }
-    }
-
-    /// Positions of all kinds; `None` for one that was not read yet.
-    pub(in crate::router) fn positions(&self) -> Vec<Option<StorePosition>> {
-        self.progress.iter().map(|progress| progress.position.get()).collect()
-    }
-
     /// Makes the next watch of each kind return immediately.
     pub(in crate::router) fn request_probes(&self) {
         for progress in &self.progress {
@@ -345,40 +333,6 @@
         Some(if self.is_config_lost() { StoreCheck::Silent } else { StoreCheck::Answers })
     }
 
-    /// Latest known era of the store's history; 0 before the first answer.
-    pub(in crate::router) fn era(&self) -> StoreEra {
-        *self.era.borrow()
-    }
-
-    /// Waits until an era after `era` is known.
-    pub(in crate::router) async fn wait_for_era_after(&self, era: StoreEra) {
-        let _ = self.era.subscribe().wait_for(|known| *known > era).await;
-    }
-
-    /// Records that an answer for a kind, from `source`, is of `era`. If that is a later era than the known one, the
-    /// store has returned from an older copy of itself.
-    pub(in crate::router) async fn note_era(
-        &self,
-        era: StoreEra,
-        kind: FollowedKind,
-        source: &'static str,
-    ) {
-        let known = self.era();
-        if era <= known {
-            return;
-        }
-        self.era.send_replace(era);
-        if known == 0 {
-            return;
-        }
-        counter!("plantain_store_era_changes_total").increment(1);
-        let highest = self.positions().into_iter().flatten().max();
-        warn!(self.logger, "store returned from a copy"; "step" => "follow", "from" => known,
-            "era" => era, "kind" => kind.name(), "source" => source,
-            "highest_revision" => highest.map(|position| position.revision));
-        self.send(ControlEvent::Returned).await;
-    }
-
     /// This router's address for other routers.
     pub(in crate::router) fn own_address(&self) -> SocketAddr {
         self.settings.borrow().peer_listen
