Core: placement and costs of targets in modules of their own

No change of behaviour: preferred targets move from selection.rs to placement.rs, the costs of a target to selection/costs.rs, so that both can be changed side by side.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -17,6 +17,7 @@
 pub mod messages;
 pub mod notices;
 pub mod orders;
+pub mod placement;
 pub mod proof;
 pub mod selection;
 pub mod sharing;
--- /dev/null
+++ b/crates/core/src/direct/selection/costs.rs
@@ -0,0 +1,146 @@
+//! Costs of sending a call to a target, in milliseconds of expected wait.
+
+use super::CallNeed;
+use crate::{
+    direct::{
+        backlog::TOKENS_PER_MS,
+        call::{AdapterId, ModelCall},
+        membership::TargetIncarnation,
+        target::TargetState,
+        targets::TargetPool,
+        waits::slot_wait_ms,
+    },
+    ids::Timestamp,
+};
+
+/// Cost of each call that an engine runs: each adds 0.02 ms to a step, over about 70 steps.
+const ACTIVE_MS: f64 = 1.4;
+/// Fraction of the load time that remains, on average, for an adapter whose load is already under way.
+const LOADING_SHARE: f64 = 0.5;
+/// Extra cost of a load at a target that is not preferred, as a multiple of a load from the weight store. The store
+/// transfers the adapter once more, while the preferred target's host may have it in memory, and later calls to the
+/// preferred target do not profit: the fleet loses as much time as the call. The factor is above 1 because the engine
+/// also evicts an adapter for which this target is preferred.
+const UNPREFERRED_LOAD_FACTOR: f64 = 1.6;
+/// Extra cost of a load at the spare target, the one after the preferred ones, as a multiple of a load from the weight
+/// store. The spare target takes the preferred ones' overflow, and thus later calls for the adapter too.
+const SPARE_LOAD_FACTOR: f64 = 1.0;
+/// Cost of a target that needs a load and whose loader is silent: no process would order the load.
+const NO_LOADER_MS: f64 = 5_000.0;
+/// Cost of a load at a target that was recently saturated: the target may refuse the call although the adapter is
+/// loaded.
+const SATURATED_LOAD_MS: f64 = 5_000.0;
+/// Cost of a failed call: about the latency objective that it misses.
+const FAILURE_MS: f64 = 1_500.0;
+/// Cost of each call whose first byte is overdue.
+const OVERDUE_MS: f64 = 250.0;
+/// Cost of a target in another availability zone: two round trips of about 1.5 ms, and traffic between zones.
+const ZONE_MS: f64 = 6.0;
+/// Cost of each call that this router has in flight at a plain service's target, added to its latency.
+const PLAIN_CALL_MS: f64 = 15.0;
+
+pub(super) fn zone_cost(target: &TargetState, need: &CallNeed<'_>) -> f64 {
+    if target.entry.zone == *need.zone { 0.0 } else { ZONE_MS }
+}
+
+fn failure_cost(target: &TargetState, now: Timestamp) -> f64 {
+    let backoff = if target.health.is_backing_off(now) { 4.0 * FAILURE_MS } else { 0.0 };
+    target.health.failure_share(now) * FAILURE_MS
+        + f64::from(target.overdue) * OVERDUE_MS
+        + backoff
+        + target.entry.cold.as_millis() as f64 / 100.0
+}
+
+pub(super) fn plain_cost(target: &TargetState, need: &CallNeed<'_>, now: Timestamp) -> f64 {
+    f64::from(target.in_flight) * PLAIN_CALL_MS
+        + target.latency.read_ms(now)
+        + failure_cost(target, now)
+        + zone_cost(target, need)
+}
+
+pub(super) fn engine_cost(
+    pool: &TargetPool,
+    target: &TargetState,
+    call: &ModelCall,
+    adapter: Option<&AdapterId>,
+    preferred: &[TargetIncarnation],
+    waits_there: bool,
+    now: Timestamp,
+) -> f64 {
+    let prefill = target.fleet_prefill_tokens(now) / TOKENS_PER_MS;
+    let stall = adapter
+        .map_or(0.0, |adapter| stall_cost(pool, target, adapter, preferred, waits_there, now));
+    prefill + stall + batch_cost(pool, target, call, now) + failure_cost(target, now)
+}
+
+fn batch_cost(pool: &TargetPool, target: &TargetState, call: &ModelCall, now: Timestamp) -> f64 {
+    let report = target.fresh_report(now);
+    let active = report.map_or(0, |report| u32::from(report.active)).max(target.in_flight);
+    let queued = report.map_or(0, |report| u32::from(report.queued));
+    let Some(spec) = pool.engine_of(target) else { return f64::from(active) * ACTIVE_MS };
+    let used = report.map_or(0, |report| u64::from(report.kv_used));
+    let wanted = u64::from(call.tokens_in + call.tokens_out);
+    let exceeds_capacity = active >= spec.batch || used + wanted > spec.kv_tokens;
+    // Queued calls start first, one for each run that ends.
+    let runs_before = queued + u32::from(exceeds_capacity);
+    // An engine preempts calls when its KV cache is full, and processes their prompts again.
+    let reprocessing =
+        if exceeds_capacity { f64::from(call.tokens_in) / TOKENS_PER_MS } else { 0.0 };
+    f64::from(active) * ACTIVE_MS
+        + f64::from(runs_before) * pool.wait_estimates().batch_wait_ms(spec.batch)
+        + reprocessing
+}
+
+fn stall_cost(
+    pool: &TargetPool,
+    target: &TargetState,
+    adapter: &AdapterId,
+    preferred: &[TargetIncarnation],
+    waits_there: bool,
+    now: Timestamp,
+) -> f64 {
+    let newest = pool.newest_version(adapter);
+    if target.held_version(adapter, now).is_some_and(|held| held >= newest) {
+        return 0.0;
+    }
+    let unpreferred =
+        match preferred.iter().position(|incarnation| *incarnation == target.entry.incarnation) {
+            Some(index) if index + 1 < preferred.len() => 0.0,
+            Some(_) => SPARE_LOAD_FACTOR * pool.wait_estimates().load_ms(),
+            None => UNPREFERRED_LOAD_FACTOR * pool.wait_estimates().load_ms(),
+        };
+    if target.is_loader_silent(now) {
+        return unpreferred + NO_LOADER_MS;
+    }
+    let unpreferred =
+        unpreferred + if target.was_recently_saturated(now) { SATURATED_LOAD_MS } else { 0.0 };
+    let Some(report) = target.fresh_report(now) else {
+        return unpreferred + pool.wait_estimates().load_ms() + pool.wait_estimates().queue_ms();
+    };
+    let load = f64::from(report.load_ms);
+    if target.is_loading(adapter, now) {
+        return unpreferred + load * LOADING_SHARE;
+    }
+    // A call that waits at the target already is itself part of the queue.
+    let queue = if waits_there { 0.0 } else { f64::from(report.queue_ms) };
+    unpreferred + load + queue
+}
+
+/// Expected wait for an adapter slot, if the adapter must be loaded. The caller adds it only for targets
+/// where the call does not wait yet: otherwise a call would give up its place in the queue whenever slots
+/// become free elsewhere.
+pub(super) fn slot_wait_cost(
+    pool: &TargetPool,
+    target: &TargetState,
+    adapter: Option<&AdapterId>,
+    now: Timestamp,
+) -> f64 {
+    let is_needed = adapter.is_some_and(|adapter| {
+        target.held_version(adapter, now).is_none() && !target.is_loading(adapter, now)
+    });
+    if is_needed {
+        target.fresh_report(now).map_or(pool.wait_estimates().slot_wait_ms(), slot_wait_ms)
+    } else {
+        0.0
+    }
+}
--- a/crates/core/tests/core/direct/advertised_state.rs
+++ b/crates/core/tests/core/direct/advertised_state.rs
@@ -5,8 +5,9 @@
     direct::{
         advertised_state::{AdvertisedState, MAX_BACKOFF, advertises_draining, requested_backoff},
         membership::{ListChange, TargetEntry, TargetIncarnation},
+        placement::preferred_targets,
         proof::{AnswerHead, RunProof},
-        selection::{TargetChoice, choose_target, preferred_targets},
+        selection::{TargetChoice, choose_target},
         target_limit::AdvertisedLimit,
         targets::TargetPool,
     },
--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -11,7 +11,8 @@
     health::CallOutcome,
     membership::{ListChange, TargetEntry, TargetIncarnation},
     messages::LoaderReport,
-    selection::{CallNeed, TargetChoice, choose_target, preferred_targets, queued_plain_ms},
+    placement::preferred_targets,
+    selection::{CallNeed, TargetChoice, choose_target, queued_plain_ms},
     targets::TargetPool,
 };
 use std::{sync::Arc, time::Duration};
--- a/crates/core/tests/core/direct/selection/limits.rs
+++ b/crates/core/tests/core/direct/selection/limits.rs
@@ -4,7 +4,8 @@
 use crate::direct::support::{DESK, ENGINES, adapter, model_call, ms, pool, report};
 use plantain_core::direct::{
     membership::TargetIncarnation,
-    selection::{TargetChoice, preferred_targets},
+    placement::preferred_targets,
+    selection::TargetChoice,
     target_limit::{AdvertisedLimit, LimitUpdate},
     targets::TargetPool,
 };
