--- a/crates/core/src/direct/limits/account.rs
+++ b/crates/core/src/direct/limits/account.rs
@@ -326,6 +326,7 @@
                 config: self.config,
                 requests,
                 limit_updates: limit_updates.to_vec(),
+                uptime_ms: 0,
             };
             reports.push((target, report));
         }
--- a/crates/core/src/direct/limits/messages.rs
+++ b/crates/core/src/direct/limits/messages.rs
@@ -43,6 +43,8 @@
     /// Limits of targets that the router knows.
     #[serde(rename = "news")]
     pub limit_updates: Vec<LimitUpdate>,
+    /// Time in ms since the router started; 0 if unknown.
+    pub uptime_ms: u32,
 }
 
 /// A router's request for units of one limit.
--- a/crates/core/src/direct/loader/report.rs
+++ b/crates/core/src/direct/loader/report.rs
@@ -43,6 +43,9 @@
             queued: report.queued,
             kv_used: report.kv_used,
             prefill_tokens: self.backlog.read(now),
+            prefill_rate: 0,
+            run_ms: 0,
+            copies: Vec::new(),
         })
     }
 
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -7,7 +7,7 @@
     membership::{BaseHolding, TargetIncarnation},
 };
 use crate::ids::{AdapterName, AdapterVersion, BaseName, BootId};
-use serde::{Deserialize, Serialize};
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
 /// A datagram from a router to a loader.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -102,6 +102,15 @@
     /// Whether the router requests a report in reply.
     #[serde(rename = "asks")]
     pub wants_report: bool,
+    /// Prompt tokens of the calls whose first byte arrived since the last notice.
+    pub answered_tokens: u32,
+    /// Highest ratio of prompt tokens to the time to the first byte among those calls, in 1/16 token a millisecond;
+    /// 0 if there is none.
+    pub best_prefill: u16,
+    /// Runs that ended since the last notice.
+    pub ended_runs: u16,
+    /// Sum in ms of the times of those runs.
+    pub ended_ms: u32,
 }
 
 /// A loader's report of its engine to routers.
@@ -145,4 +154,28 @@
     /// Estimate of prompt tokens of all routers' calls that the engine has not prefilled yet.
     #[serde(rename = "unread_tokens")]
     pub prefill_tokens: u32,
+    /// Prompt tokens that the engine prefills, in 1/16 token a millisecond; 0 if unknown.
+    pub prefill_rate: u16,
+    /// Mean time in ms of a run; 0 if unknown.
+    pub run_ms: u16,
+    /// Number of engines that are to hold each adapter of `holdings`, in the same order; 0 or missing if this loader
+    /// does not decide it.
+    pub copies: Vec<u8>,
+}
+
+/// Zero bytes appended to a datagram that ends too early. A field that was added later takes one byte if it is 0 or
+/// empty, and no message has more than eight of them.
+const MISSING_FIELDS: [u8; 8] = [0; 8];
+
+/// Decodes a datagram between routers and loaders.
+///
+/// The encoding does not describe itself, so fields are only ever added at the end of a message's last struct. A
+/// process of an older build ignores them; the fields that a datagram of an older build lacks are read as 0 or empty.
+pub fn decode_datagram<M: DeserializeOwned>(datagram: &[u8]) -> postcard::Result<M> {
+    match postcard::from_bytes(datagram) {
+        Err(postcard::Error::DeserializeUnexpectedEnd) => {
+            postcard::from_bytes(&[datagram, &MISSING_FIELDS].concat())
+        }
+        decoded => decoded,
+    }
 }
--- a/crates/core/src/direct/notices.rs
+++ b/crates/core/src/direct/notices.rs
@@ -109,6 +109,10 @@
             load_requests: target.list_load_requests(now),
             uses: target.take_uses(),
             wants_report,
+            answered_tokens: 0,
+            best_prefill: 0,
+            ended_runs: 0,
+            ended_ms: 0,
         })
     }
 }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -13,6 +13,7 @@
 mod load_shedding;
 mod loader;
 mod membership;
+mod messages;
 mod notices;
 mod proof;
 mod selection;
--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -55,6 +55,10 @@
         load_requests,
         uses,
         wants_report: false,
+        answered_tokens: 0,
+        best_prefill: 0,
+        ended_runs: 0,
+        ended_ms: 0,
     }
 }
 
--- a/crates/core/tests/core/direct/support.rs
+++ b/crates/core/tests/core/direct/support.rs
@@ -114,6 +114,9 @@
         queued: 0,
         kv_used: 0,
         prefill_tokens: 0,
+        prefill_rate: 0,
+        run_ms: 0,
+        copies: Vec::new(),
     }
 }
 
--- a/crates/core/tests/core/direct/target_limit.rs
+++ b/crates/core/tests/core/direct/target_limit.rs
@@ -237,6 +237,7 @@
         config: 1,
         requests: Vec::new(),
         limit_updates: Vec::new(),
+        uptime_ms: 0,
     };
     let enrolment = meter.take(&report, &table, ms(1_000)).expect("an answer").enrolment;
     report.enrolment = enrolment;
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -16,7 +16,7 @@
         limits::meter::UsageMeter,
         loader::{LoaderMachine, LoaderStep},
         membership::InstanceId,
-        messages::{LoaderMessage, RouterMessage},
+        messages::{LoaderMessage, RouterMessage, decode_datagram},
         orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
         target_limit::LimitTable,
     },
@@ -164,7 +164,7 @@
 
     fn take_datagram(&mut self, datagram: &[u8], router: SocketAddr) {
         let now = clock::now();
-        match postcard::from_bytes::<RouterMessage>(datagram) {
+        match decode_datagram::<RouterMessage>(datagram) {
             Ok(RouterMessage::Notice(notice)) => self.machine.take_notice(router, notice, now),
             Ok(RouterMessage::Presence(presence)) => {
                 self.limits.take(&presence.limit_updates, now);
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -7,7 +7,7 @@
     direct::{
         directory::{RouterPresence, registry_targets},
         membership::{InstanceId, TargetIncarnation},
-        messages::{LoaderMessage, LoaderReport, RouterMessage},
+        messages::{LoaderMessage, LoaderReport, RouterMessage, decode_datagram},
         notices::NoticeSchedule,
     },
     ids::{Timestamp, ZoneName},
@@ -66,7 +66,7 @@
 
 impl LoaderLink {
     fn take_datagram(&mut self, datagram: &[u8], sender: SocketAddr) {
-        match postcard::from_bytes::<LoaderMessage>(datagram) {
+        match decode_datagram::<LoaderMessage>(datagram) {
             Ok(LoaderMessage::Report(report)) => self.take_report(report, sender.ip()),
             Ok(LoaderMessage::Presence(presence)) => {
                 let directory = self.context.registry.borrow_mut().take(&presence, clock::now());
