Router: a busy engine's late first byte is not silence

Cause: under load the first byte waits for other prompts. Change: if the loader's fresh report shows work before the call, the call waits for one further period and the engine gets no backoff.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -10,6 +10,7 @@
 pub mod demand;
 pub mod directory;
 pub mod health;
+pub mod late_answers;
 pub mod limits;
 pub mod load_shedding;
 pub mod loader;
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -9,6 +9,7 @@
 mod directory;
 mod fleet;
 mod health;
+mod late_answers;
 mod load_limiter;
 mod load_shedding;
 mod loader;
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -13,10 +13,12 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{Request, Response, body::Incoming};
+use metrics::counter;
 use plantain_core::{
     direct::{
         call::ForwardTerms,
         health::CallOutcome,
+        late_answers::{LateCause, late_cause},
         membership::TargetIncarnation,
         proof::{
             FailureReply, RunProof, classify_answer, counts_as_run, failure_reply,
@@ -94,8 +96,15 @@
                 self.note(&format!("{incarnation} broke off: {reason}"));
                 (RunProof::Unknown, CallOutcome::Failed)
             }
+            None if self.is_busy(incarnation) => {
+                guard.set_may_still_run();
+                counter!("plantain_late_answers_total", "cause" => "busy").increment(1);
+                self.note(&format!("{incarnation} busy, no first byte"));
+                return Err(SendFailure { proof: RunProof::Unknown, reply: None });
+            }
             None => {
                 guard.set_may_still_run();
+                counter!("plantain_late_answers_total", "cause" => "unknown").increment(1);
                 self.note(&format!("{incarnation} silent"));
                 (RunProof::Unknown, CallOutcome::Silent)
             }
@@ -153,7 +162,20 @@
             end = &mut sending => return Some(end),
             () = sleep(overdue) => guard.set_overdue(true),
         }
-        timeout(limit.saturating_sub(overdue), sending).await.ok()
+        if let Ok(end) = timeout(limit.saturating_sub(overdue), &mut sending).await {
+            return Some(end);
+        }
+        if !self.is_busy(incarnation) {
+            return None;
+        }
+        // The engine is further with this call than another one would be.
+        timeout(limit.min(self.time_left()), sending).await.ok()
+    }
+
+    /// Whether a target's answer is late because the target is busy.
+    fn is_busy(&self, incarnation: &TargetIncarnation) -> bool {
+        let pool = self.context.pool.borrow();
+        late_cause(&pool, incarnation, clock::now()) == LateCause::Busy
     }
 
     /// Timeout for one target's answer: the deadline, or earlier if the call may go to another target.
