Placement: calls overflow along their adapter's order

Change: the price of a load is 1.0, 1.3 and 1.6 loads at the three engines after the preferred ones, and 6.4 elsewhere.

--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -5,7 +5,7 @@
 use super::{
     call::{AdapterId, ModelCall},
     membership::TargetIncarnation,
-    placement::preferred_targets,
+    placement::place_adapter,
     target::TargetState,
     targets::TargetPool,
 };
@@ -67,23 +67,16 @@
     mut draw: impl FnMut() -> f64,
 ) -> TargetChoice {
     let adapter = need.model.and_then(adapter_of);
-    let preferred = adapter.as_ref().map(|adapter| preferred_targets(pool, need, adapter, now));
+    let placement = adapter.as_ref().map(|adapter| place_adapter(pool, need, adapter, now));
+    let placement = placement.unwrap_or_default();
     let usable = pool.service_targets(need.service).filter(|target| is_usable(target, need, now));
     let costed = usable.map(|target| {
         let cost = match need.model {
             None => plain_cost(target, need, now),
             Some(call) => {
-                let preferred_incarnations = preferred.as_deref().unwrap_or_default();
                 let waits_there = need.waiting_at == Some(&target.entry.incarnation);
-                engine_cost(
-                    pool,
-                    target,
-                    call,
-                    adapter.as_ref(),
-                    preferred_incarnations,
-                    waits_there,
-                    now,
-                ) + zone_cost(target, need)
+                engine_cost(pool, target, call, adapter.as_ref(), &placement, waits_there, now)
+                    + zone_cost(target, need)
                     + if waits_there {
                         -MOVE_THRESHOLD_MS
                     } else {
--- a/crates/core/src/direct/selection/costs.rs
+++ b/crates/core/src/direct/selection/costs.rs
@@ -5,7 +5,7 @@
     direct::{
         backlog::TOKENS_PER_MS,
         call::{AdapterId, ModelCall},
-        membership::TargetIncarnation,
+        placement::AdapterPlacement,
         target::TargetState,
         targets::TargetPool,
         waits::slot_wait_ms,
@@ -17,14 +17,6 @@
 const ACTIVE_MS: f64 = 1.4;
 /// Fraction of the load time that remains, on average, for an adapter whose load is already under way.
 const LOADING_SHARE: f64 = 0.5;
-/// Extra cost of a load at a target that is not preferred, as a multiple of a load from the weight store. The store
-/// transfers the adapter once more, while the preferred target's host may have it in memory, and later calls to the
-/// preferred target do not profit: the fleet loses as much time as the call. The factor is above 1 because the engine
-/// also evicts an adapter for which this target is preferred.
-const UNPREFERRED_LOAD_FACTOR: f64 = 1.6;
-/// Extra cost of a load at the spare target, the one after the preferred ones, as a multiple of a load from the weight
-/// store. The spare target takes the preferred ones' overflow, and thus later calls for the adapter too.
-const SPARE_LOAD_FACTOR: f64 = 1.0;
 /// Cost of a target that needs a load and whose loader is silent: no process would order the load.
 const NO_LOADER_MS: f64 = 5_000.0;
 /// Cost of a load at a target that was recently saturated: the target may refuse the call although the adapter is
@@ -63,13 +55,13 @@
     target: &TargetState,
     call: &ModelCall,
     adapter: Option<&AdapterId>,
-    preferred: &[TargetIncarnation],
+    placement: &AdapterPlacement,
     waits_there: bool,
     now: Timestamp,
 ) -> f64 {
     let prefill = target.fleet_prefill_tokens(now) / TOKENS_PER_MS;
     let stall = adapter
-        .map_or(0.0, |adapter| stall_cost(pool, target, adapter, preferred, waits_there, now));
+        .map_or(0.0, |adapter| stall_cost(pool, target, adapter, placement, waits_there, now));
     prefill + stall + batch_cost(pool, target, call, now) + failure_cost(target, now)
 }
 
@@ -95,7 +87,7 @@
     pool: &TargetPool,
     target: &TargetState,
     adapter: &AdapterId,
-    preferred: &[TargetIncarnation],
+    placement: &AdapterPlacement,
     waits_there: bool,
     now: Timestamp,
 ) -> f64 {
@@ -104,11 +96,7 @@
         return 0.0;
     }
     let unpreferred =
-        match preferred.iter().position(|incarnation| *incarnation == target.entry.incarnation) {
-            Some(index) if index + 1 < preferred.len() => 0.0,
-            Some(_) => SPARE_LOAD_FACTOR * pool.wait_estimates().load_ms(),
-            None => UNPREFERRED_LOAD_FACTOR * pool.wait_estimates().load_ms(),
-        };
+        placement.load_price(&target.entry.incarnation) * pool.wait_estimates().load_ms();
     if target.is_loader_silent(now) {
         return unpreferred + NO_LOADER_MS;
     }
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -15,7 +15,7 @@
         directory::{PeerView, PresenceRegistry, RouterDirectory, RouterTable},
         limits::terms::FleetSize,
         membership::TargetIncarnation,
-        placement::preferred_targets,
+        placement::place_adapter,
         selection::{CallNeed, adapter_of},
         targets::TargetPool,
     },
@@ -270,9 +270,7 @@
                 waiting_at: None,
                 may_request_report: false,
             };
-            let mut preferred = preferred_targets(&pool, &need, &adapter, now);
-            preferred.pop();
-            for incarnation in preferred {
+            for incarnation in place_adapter(&pool, &need, &adapter, now).preferred {
                 let newest = pool.newest_version(&adapter);
                 if is_missing(&pool, &incarnation, &adapter, newest, now) {
                     pool.prefetch(&incarnation, &adapter, newest, now);
