Placement: loaders report what their hosts have in memory

Cause: a load from the host's memory takes a tenth of one from the weight store and does not use it, but routers priced both alike, so that calls left hosts that have the adapter, and overflowed to hosts that have not. Change: reports list up to 64 adapters in host memory by a 16-bit hash; such a load costs a tenth, waits for no queue of the store, and its price as an overflow copy is a tenth too.

--- a/crates/core/src/direct/call.rs
+++ b/crates/core/src/direct/call.rs
@@ -4,6 +4,7 @@
 use crate::ids::{AdapterName, AdapterVersion, BaseName, CustomerName};
 use serde::{Deserialize, Serialize};
 use std::{sync::Arc, time::Duration};
+use xxhash_rust::xxh3::xxh3_64;
 
 /// Id of a call, set by its caller.
 pub type CallId = Arc<str>;
@@ -57,6 +58,19 @@
     pub name: AdapterName,
 }
 
+impl AdapterId {
+    /// Hash of this id, the same in all processes.
+    pub fn stable_hash(&self) -> u64 {
+        xxh3_64(self.name.as_bytes()) ^ xxh3_64(self.base.as_bytes()).rotate_left(1)
+    }
+
+    /// Short form of the hash for lists in messages. Of a thousand adapters that are not in a list of 64, one appears to
+    /// be in it.
+    pub fn fingerprint(&self) -> u16 {
+        self.stable_hash() as u16
+    }
+}
+
 /// Newest announced version of an adapter.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct AdapterRelease {
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -54,7 +54,7 @@
 /// Demand below which an adapter is dropped when there are too many.
 const DEMAND_FLOOR: f64 = 0.1;
 /// Time of a load from host memory as a share of one from the weight store, as the engines specify.
-const HOST_MEMORY_LOAD_SHARE: f64 = 0.1;
+pub(super) const HOST_MEMORY_LOAD_SHARE: f64 = 0.1;
 /// Share of the time of a load from the weight store above which a load did not come from host memory.
 const STORE_LOAD_SHARE: f64 = 0.5;
 /// Interval of polling the engine's report during a load: one from host memory takes 25 ms, and calls wait
--- a/crates/core/src/direct/loader/report.rs
+++ b/crates/core/src/direct/loader/report.rs
@@ -46,6 +46,7 @@
             prefill_rate: 0,
             run_ms: 0,
             copies: Vec::new(),
+            host_memory: self.memory.fingerprints(|id| report.held(id).is_some()),
         })
     }
 
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -161,6 +161,11 @@
     /// Number of engines that are to hold each adapter of `holdings`, in the same order; 0 or missing if this loader
     /// does not decide it.
     pub copies: Vec<u8>,
+    /// Adapters that the engine does not hold, but that a load is expected to find in the memory of its host; the newest
+    /// ones, by [`AdapterId::fingerprint`].
+    ///
+    /// [`AdapterId::fingerprint`]: super::call::AdapterId::fingerprint
+    pub host_memory: Vec<u16>,
 }
 
 /// Zero bytes appended to a datagram that ends too early. A field that was added later takes one byte if it is 0 or
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -10,7 +10,6 @@
     targets::TargetPool,
 };
 use crate::{ids::Timestamp, rendezvous::weight};
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Calls per second that one copy of an adapter serves before another copy is added.
 const CALLS_PER_COPY: f64 = 10.0;
@@ -52,7 +51,7 @@
 ) -> AdapterPlacement {
     let rate = pool.demand().rate(adapter, need.routers, now);
     let copies = 1 + (rate / CALLS_PER_COPY) as usize;
-    let key = adapter_key(adapter);
+    let key = adapter.stable_hash();
     let usable = pool.service_targets(need.service).filter(|target| {
         !target.is_draining()
             && !target.has_ended()
@@ -74,7 +73,3 @@
     let overflow = ordered.take(OVERFLOW_PRICES.len()).collect();
     AdapterPlacement { preferred, overflow }
 }
-
-fn adapter_key(adapter: &AdapterId) -> u64 {
-    xxh3_64(adapter.name.as_bytes()) ^ xxh3_64(adapter.base.as_bytes()).rotate_left(1)
-}
--- a/crates/core/src/direct/selection/costs.rs
+++ b/crates/core/src/direct/selection/costs.rs
@@ -5,6 +5,7 @@
     direct::{
         backlog::TOKENS_PER_MS,
         call::{AdapterId, ModelCall},
+        loader::HOST_MEMORY_LOAD_SHARE,
         placement::AdapterPlacement,
         target::TargetState,
         targets::TargetPool,
@@ -95,8 +96,10 @@
     if target.held_version(adapter, now).is_some_and(|held| held >= newest) {
         return 0.0;
     }
+    let is_in_memory = target.is_in_host_memory(adapter, now);
+    let share = if is_in_memory { HOST_MEMORY_LOAD_SHARE } else { 1.0 };
     let unpreferred =
-        placement.load_price(&target.entry.incarnation) * pool.wait_estimates().load_ms();
+        placement.load_price(&target.entry.incarnation) * pool.wait_estimates().load_ms() * share;
     if target.is_loader_silent(now) {
         return unpreferred + NO_LOADER_MS;
     }
@@ -105,12 +108,13 @@
     let Some(report) = target.fresh_report(now) else {
         return unpreferred + pool.wait_estimates().load_ms() + pool.wait_estimates().queue_ms();
     };
-    let load = f64::from(report.load_ms);
+    let load = f64::from(report.load_ms) * share;
     if target.is_loading(adapter, now) {
         return unpreferred + load * LOADING_SHARE;
     }
-    // A call that waits at the target already is itself part of the queue.
-    let queue = if waits_there { 0.0 } else { f64::from(report.queue_ms) };
+    // A load from host memory does not wait for the weight store. A call that waits at the target already is itself part
+    // of the queue.
+    let queue = if waits_there || is_in_memory { 0.0 } else { f64::from(report.queue_ms) };
     unpreferred + load + queue
 }
 
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -220,6 +220,12 @@
         })
     }
 
+    /// Whether its host has an adapter in memory, so that a load of it does not use the weight store.
+    pub fn is_in_host_memory(&self, adapter: &AdapterId, now: Timestamp) -> bool {
+        let report = self.fresh_report(now);
+        report.is_some_and(|report| report.host_memory.contains(&adapter.fingerprint()))
+    }
+
     /// Whether it is draining, by the list, its loader or its own answers.
     pub fn is_draining(&self) -> bool {
         let by_loader = self.loader.as_ref().is_some_and(|view| view.report.is_draining);
--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -442,3 +442,25 @@
     let property = property as fn(Vec<(u8, u8)>, bool) -> bool;
     QuickCheck::new().rng(Gen::new(500)).tests(1_000).quickcheck(property);
 }
+
+/// Guards against routers that treat a load from host memory like one from the weight store, because the loader does not
+/// report what its host has.
+#[test]
+fn a_report_lists_the_adapters_in_host_memory() {
+    let mut machine = machine(1, &[("h1", 1), ("h2", 1)]);
+    let fingerprint = |name: &str| AdapterId { base: BASE.into(), name: name.into() }.fingerprint();
+    assert!(machine.make_report(ms(1)).expect("a report").host_memory.is_empty());
+    let order = EngineOrder {
+        verb: OrderVerb::UnloadAdapter(AdapterId { base: BASE.into(), name: "h1".into() }),
+        order_count: 1,
+        incarnation: "e1".into(),
+    };
+    machine.take_answer(&order, OrderAnswer::Done, ms(2));
+    let unloaded = machine.make_report(ms(3)).expect("a report");
+    assert_eq!(unloaded.host_memory, [fingerprint("h1")]);
+    machine.take_report(report(0, &[]), ms(10));
+    machine.take_instance("e1".into());
+    machine.take_report(report(0, &[]), ms(11));
+    let restarted = machine.make_report(ms(12)).expect("a report");
+    assert!(restarted.host_memory.is_empty(), "a host forgets with a restart of its engine");
+}
--- a/crates/core/tests/core/direct/selection/overflow.rs
+++ b/crates/core/tests/core/direct/selection/overflow.rs
@@ -77,3 +77,42 @@
     let TargetChoice::Load(incarnation, _, _) = choice else { panic!("{choice:?}") };
     assert!(!ids.contains(&&*incarnation.id));
 }
+
+/// Guards against calls that load an adapter from the weight store although the host of an overflow engine has it in
+/// memory, and against leaving the preferred engine for such a load when the wait there is short.
+#[test]
+fn a_call_overflows_to_a_host_that_has_the_adapter_in_memory() {
+    struct MemoryCase {
+        name: &'static str,
+        /// Wait for loads at the preferred engine.
+        queue_ms: u16,
+        /// Position in the order of the engine whose host has the adapter; `None`: no host.
+        in_memory_at: Option<usize>,
+        loaded_at: usize,
+    }
+    let cases = [
+        MemoryCase { name: "no host", queue_ms: 100, in_memory_at: None, loaded_at: 0 },
+        MemoryCase { name: "preferred", queue_ms: 900, in_memory_at: Some(0), loaded_at: 0 },
+        MemoryCase { name: "short wait", queue_ms: 0, in_memory_at: Some(2), loaded_at: 2 },
+        MemoryCase { name: "second", queue_ms: 300, in_memory_at: Some(2), loaded_at: 2 },
+        MemoryCase { name: "no host, long wait", queue_ms: 900, in_memory_at: None, loaded_at: 1 },
+    ];
+    for case in cases {
+        let mut pool = router_view(&[]);
+        let order = placement(&pool, "h7");
+        let ids: Vec<_> = order.preferred.iter().chain(&order.overflow).cloned().collect();
+        let first = LoaderReport { queue_ms: case.queue_ms, ..report(&ids[0].id, 2, &[]) };
+        take_report(&mut pool, first, ms(1));
+        if let Some(index) = case.in_memory_at {
+            let id = &ids[index].id;
+            let host_memory = vec![adapter("h7").fingerprint()];
+            let queue_ms = if index == 0 { case.queue_ms } else { 0 };
+            let holder = LoaderReport { host_memory, queue_ms, ..report(id, 3, &[]) };
+            take_report(&mut pool, holder, ms(2));
+        }
+        let choice = choose(&pool, ENGINES, Some(&model_call(Some("h7"))), 10);
+        let TargetChoice::Load(incarnation, _, _) = choice else { panic!("{choice:?}") };
+        let expected = &ids[case.loaded_at];
+        assert_eq!(incarnation, *expected, "{}", case.name);
+    }
+}
--- a/crates/core/tests/core/direct/support.rs
+++ b/crates/core/tests/core/direct/support.rs
@@ -117,6 +117,7 @@
         prefill_rate: 0,
         run_ms: 0,
         copies: Vec::new(),
+        host_memory: Vec::new(),
     }
 }
 
