Router: refuse model calls that cannot be served before their deadline

Cause: with queues of loads longer than the deadlines, a call waited until its deadline for a load that could not end in time, and its caller learned of it too late to try again elsewhere. Change: core/direct/timeliness.rs compares lower bounds of the wait, by the fresh reports of all engines that could take the call, with the time left. A router refuses such a call as not run, with a spread Retry-After, a step in the trail and plantain_refused_early_total. A call that was sent to a target is not refused by this rule, nor one whose wait is unknown.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -25,4 +25,5 @@
 pub mod target;
 pub mod target_limit;
 pub mod targets;
+pub mod timeliness;
 pub mod waits;
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -20,3 +20,4 @@
 mod sharing;
 mod support;
 mod target_limit;
+mod timeliness;
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -1,5 +1,6 @@
 //! One call: chooses a target, waits for the adapter there, sends, and retries after a failed send.
 
+mod priority;
 mod sending;
 
 use super::{
@@ -363,6 +364,9 @@
                 self.note("given up: no time left to be served");
                 return Err(constants::RETURN_PAUSE);
             }
+            if let Some(pause) = self.refuse_early(waiting.as_ref().map(WaitGuard::target)) {
+                return Err(pause);
+            }
             match self.choose_now(waiting.as_ref()) {
                 TargetChoice::Send(incarnation, version) => {
                     match self.context.acquire_permit(&incarnation).await {
