Router: urgency at engines by priority and customers' use

Cause: engines admitted calls by priority alone, so that one customer's burst within its limit delayed the calls of all others of its priority. Change: core/direct/urgency.rs counts each customer's tokens of the last 2 s at the router and compares them with its fair share; calls of a customer above 1.5 or 3 times of it come one or two steps later. Priorities keep their order. Applies only to engines and only where the configuration has several customers; else urgency is the priority.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -26,4 +26,5 @@
 pub mod target_limit;
 pub mod targets;
 pub mod timeliness;
+pub mod urgency;
 pub mod waits;
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -21,3 +21,4 @@
 mod support;
 mod target_limit;
 mod timeliness;
+mod urgency;
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -18,6 +18,7 @@
         placement::preferred_targets,
         selection::{CallNeed, adapter_of},
         targets::TargetPool,
+        urgency::CustomerUseTable,
     },
     ids::{AdapterVersion, BootId, ServiceName, Timestamp, ZoneName},
 };
@@ -49,6 +50,8 @@
     pub(crate) crashes: CrashTracker,
     /// Use of customers' and targets' rate limits.
     pub(crate) limits: LimitTracker,
+    /// Customers' use of services, from which the urgency of their calls follows.
+    pub(crate) customer_use: RefCell<CustomerUseTable>,
     /// Whether the known configuration may be outdated, because it cannot be followed now.
     pub(crate) may_be_outdated: Cell<bool>,
     /// Idle connections to targets.
@@ -91,6 +94,7 @@
             boot,
             crashes: CrashTracker::new(&settings.name, boot),
             limits: LimitTracker::new(boot, settings.bounds.limits.terms()),
+            customer_use: RefCell::default(),
             may_be_outdated: Cell::new(false),
             settings: RefCell::new(settings),
             pool: RefCell::new(TargetPool::new()),
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -31,8 +31,6 @@
 use std::{rc::Rc, sync::Arc, time::Duration};
 use tokio::time::{sleep, timeout};
 
-/// Lowest urgency that engines accept; 0 is the highest.
-const LOWEST_URGENCY: u8 = 9;
 /// Share of the objective after which the first byte of an answer is overdue.
 const OVERDUE_SHARE: f64 = 0.8;
 /// Multiple of the objective after which a retryable call is sent to another target.
@@ -119,7 +117,7 @@
     }
 
     fn target_request(
-        &self,
+        &mut self,
         incarnation: &TargetIncarnation,
         version: Option<AdapterVersion>,
     ) -> Option<Request<Full<Bytes>>> {
@@ -127,7 +125,7 @@
             instance: Arc::clone(&incarnation.id),
             time_left: self.time_left(),
             version,
-            urgency: self.priority().min(LOWEST_URGENCY),
+            urgency: self.urgency(),
             resume_after: self.resume_after,
             customer: self.customer.as_ref().map(|customer| Arc::clone(&customer.name)),
         };
