Loader: order of loads by class where priorities differ

Cause: loads went by the number of waiting callers before priority, so that the loads of less urgent calls delayed those of urgent ones. Change: core/direct/loader/order.rs. Where calls of different priority wait, requests go by class (the priority, less one for each half second of waiting after the first), then by callers and age; late calls still go first after TIMELY_LOADS others. Otherwise the order is exactly the one from before. Each order's log line states its turn, and plantain_load_turns_total counts them. Without aging two of the new tests fail, with the order by callers three.

--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -7,6 +7,7 @@
 mod host_memory;
 pub mod load_limiter;
 mod lost_orders;
+pub mod order;
 mod plan;
 mod replies;
 mod report;
--- a/crates/core/src/direct/loader/plan.rs
+++ b/crates/core/src/direct/loader/plan.rs
@@ -1,6 +1,10 @@
 //! The next order: priority of load requests, limit on concurrent loads, and eviction.
 
-use super::{EVICTION_PATIENCE, LoaderMachine, MAX_CONCURRENT_LOADS, requested_adapter};
+use super::{
+    EVICTION_PATIENCE, LoaderMachine, MAX_CONCURRENT_LOADS,
+    order::{LoadOrder, LoadRank, LoadTurn},
+    requested_adapter,
+};
 use crate::{
     direct::{
         call::AdapterId,
@@ -9,7 +13,7 @@
     },
     ids::{BaseName, Timestamp},
 };
-use std::{cmp::Reverse, sync::Arc, time::Duration};
+use std::{sync::Arc, time::Duration};
 
 /// Loads for calls that can still meet their objective after which a late call goes first. Without it late calls
 /// starve until their callers give up: of the calls in the ten seconds after a cold start, 4 more in 100 were not
@@ -91,14 +95,43 @@
         report: &EngineReport,
         now: Timestamp,
     ) -> Vec<(&LoadRequest, Timestamp)> {
-        let mut load_requests = self.unfulfilled_requests(report);
+        let mut ranked = self.ranked_requests(report, now);
+        let order = LoadOrder::of(ranked.iter().map(|(_, rank)| rank));
         let is_late_first = self.timely_loads >= TIMELY_LOADS;
-        load_requests.sort_by_cached_key(|(request, since)| {
-            let callers = Reverse(self.waiting_calls(&requested_adapter(request)));
-            let goes_after = self.is_in_time(request, now) == is_late_first;
-            (request.waiting == 0, goes_after, callers, request.priority, *since)
+        ranked.sort_by_key(|(_, rank)| order.key(rank, is_late_first, now));
+        ranked.into_iter().map(|(request, rank)| (request, rank.since)).collect()
+    }
+
+    /// Unfulfilled load requests with what decides their order.
+    fn ranked_requests(
+        &self,
+        report: &EngineReport,
+        now: Timestamp,
+    ) -> Vec<(&LoadRequest, LoadRank)> {
+        let load_requests = self.unfulfilled_requests(report).into_iter();
+        let ranked = load_requests.map(|(request, since)| {
+            let rank = LoadRank {
+                is_awaited: request.waiting > 0,
+                is_timely: self.is_in_time(request, now),
+                priority: request.priority,
+                callers: self.waiting_calls(&requested_adapter(request)),
+                since,
+            };
+            (request, rank)
         });
-        load_requests
+        ranked.collect()
+    }
+
+    /// Why the load of an order begins now; `None` for other orders. Valid until the engine's answer is applied.
+    pub fn load_turn(&self, verb: &OrderVerb, now: Timestamp) -> Option<LoadTurn> {
+        let OrderVerb::LoadAdapter(adapter, _) = verb else { return None };
+        let ranked = self.ranked_requests(self.report.as_ref()?, now);
+        let order = LoadOrder::of(ranked.iter().map(|(_, rank)| rank));
+        let own = ranked.iter().filter(|(request, _)| requested_adapter(request) == *adapter);
+        let is_late_first = self.timely_loads >= TIMELY_LOADS;
+        let (_, rank) = own.min_by_key(|(_, rank)| order.key(rank, is_late_first, now))?;
+        let (class, waited) = (rank.class(now), now.saturating_sub(rank.since));
+        Some(LoadTurn { order, rank: *rank, class, waited, requests: ranked.len() })
     }
 
     /// Load requests that no adapter held or loading fulfils, with the time when each was first seen.
--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -1,6 +1,7 @@
 //! The loader's orders, against an engine whose answers get lost and that carries orders out late.
 
 mod incarnations;
+mod order;
 mod priority;
 
 use super::support::{BASE, adapter, holding, ms};
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -217,12 +217,17 @@
         histogram!("plantain_order_seconds").record(took.as_secs_f64());
         count_order(order, answer);
         let (verb, adapter) = describe(order);
+        let turn = self.machine.load_turn(&order.verb, began);
+        if let Some(turn) = &turn {
+            counter!("plantain_load_turns_total", "order" => turn.order.name()).increment(1);
+        }
         let (weight_store_loads, load_limiter) = self.machine.load_limiter();
         info!(self.logger, "order given"; "step" => "order", "verb" => verb, "adapter" => adapter,
             "order_count" => order.order_count, "instance" => &*order.incarnation.id, "started" => order.incarnation.started,
             "report_age_ms" => self.machine.report_age(began).as_millis() as u64,
             "far_loads" => weight_store_loads, "window" => load_limiter.window(),
-            "load_ms" => load_limiter.expected().as_millis() as u64, "answer" => ?answer, "detail" => detail, "took_ms" => took.as_millis() as u64);
+            "load_ms" => load_limiter.expected().as_millis() as u64, "answer" => ?answer, "detail" => detail, "took_ms" => took.as_millis() as u64,
+            "turn" => turn.map(|turn| turn.to_string()));
         self.machine.take_answer(order, answer, clock::now());
         if answer == OrderAnswer::Refused {
             // The engine may be busy with work that its report does not show.
