--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -21,3 +21,5 @@
 mod sharing;
 mod support;
 mod target_limit;
+mod timeliness;
+mod urgency;
