--- a/crates/core/src/direct/timeliness.rs
+++ b/crates/core/src/direct/timeliness.rs
@@ -123,6 +123,7 @@
     let holds_version = |held: Option<AdapterVersion>| held.is_some_and(|it| it >= terms.version);
     if holds_version(target.held_version(&terms.adapter, now))
         || target.is_loading(&terms.adapter, now)
+        || target.is_in_host_memory(&terms.adapter, now)
         // Held until recently: the host may have it in memory, and load it without a queue in a tenth of the time.
         || holds_version(listed_version(target, &terms.adapter))
     {
