Router: early refusal subtracts a report's age from the load as well as from the queue

Cause: the load may have begun right after the report, so its whole time was no lower bound of the wait. Checked: the six tests of timeliness, with a new case.

--- a/crates/core/src/direct/timeliness.rs
+++ b/crates/core/src/direct/timeliness.rs
@@ -134,9 +134,11 @@
         // The call's place in the queue is not known.
         Duration::ZERO
     } else {
-        shortest_queue(report.queue_ms).saturating_sub(age)
+        shortest_queue(report.queue_ms)
     };
-    EngineWait::Load(queue + Duration::from_millis(report.load_ms.into()), age)
+    let load = Duration::from_millis(report.load_ms.into());
+    // The load may have begun right after the report, for this call or for one of another router.
+    EngineWait::Load((queue + load).saturating_sub(age), age)
 }
 
 /// Shortest time in which a reported queue of loads can end. A report divides the queue by the number of loads that
