Router: early refusal only by load times of engines that load now

Cause: an engine that loads nothing reports its last load time. With all calls refused because of it, no load would ever correct it. Checked: the six tests of timeliness, with two new cases.

--- a/crates/core/src/direct/timeliness.rs
+++ b/crates/core/src/direct/timeliness.rs
@@ -113,7 +113,10 @@
         return EngineWait::Unknown;
     };
     let report = &view.report;
-    if !report.is_answering {
+    // Without loads in progress, the load time may be of long ago. Only a new load shows whether it still holds, and a
+    // fleet that refused the calls would order none.
+    let has_loads = report.queue_ms > 0 || !report.loading.is_empty();
+    if !report.is_answering || !has_loads {
         return EngineWait::Unknown;
     }
     if !target.holds_base(terms.base, now) {
--- a/crates/core/tests/core/direct/timeliness.rs
+++ b/crates/core/tests/core/direct/timeliness.rs
@@ -146,7 +146,8 @@
 }
 
 /// Load pattern: the same overload, while engines start, drain, fail or have just evicted the adapter. An engine whose
-/// wait is not known may serve the call, so that refusals then would lose calls for no gain.
+/// wait is not known may serve the call, so that refusals then would lose calls for no gain. An engine that loads nothing
+/// keeps its last load time; if calls were refused by it, none would ever be loaded there again.
 #[test]
 fn an_engine_whose_wait_is_not_known_may_serve_a_call() {
     let cases = [
@@ -188,6 +189,24 @@
             },
             ..RefusalCase::default()
         },
+        RefusalCase {
+            name: "one engine loads nothing, so that its load time may be of long ago",
+            change: |pool| {
+                let idle = LoaderReport { queue_ms: 0, load_ms: 8_000, ..newer("e3") };
+                put_report(pool, idle, ms(10));
+            },
+            is_refused: false,
+            ..RefusalCase::default()
+        },
+        RefusalCase {
+            name: "one engine loads other adapters and has no queue; a load takes too long",
+            change: |pool| {
+                let loading = vec![(BASE.into(), "other".into())];
+                let busy = LoaderReport { queue_ms: 0, load_ms: 2_000, loading, ..newer("e3") };
+                put_report(pool, busy, ms(10));
+            },
+            ..RefusalCase::default()
+        },
         RefusalCase {
             name: "one engine does not answer its loader just now",
             change: |pool| {
