Slots of plain services: a coordinator divides them among the routers

Each router shed calls of an overloaded plain service by the latency that it sees itself, so that the queues of the targets were full before routers refused calls. A loader now divides 1.5 times the slots of each target among the routers by max-min fairness; calls without a slot wait at their router or are refused at once as not run. Applies where routers outnumber a quarter of a service's slots; without an answering coordinator, calls are shed by latency as before.

--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -2,6 +2,7 @@
 //! reordered one only costs time.
 
 use super::{
+    concurrency::messages::{SlotGrant, SlotReport},
     directory::{RouterDirectory, RouterPresence},
     limits::messages::{UsageGrant, UsageReport},
     membership::{BaseHolding, TargetIncarnation},
@@ -18,6 +19,8 @@
     Presence(RouterPresence),
     /// The router's report to a meter, with its requests for units of rate limits.
     Usage(UsageReport),
+    /// The router's report to the coordinator of a service's slots.
+    Slots(SlotReport),
 }
 
 /// A datagram to a router, from a loader or from a router that knows no loader.
@@ -31,6 +34,8 @@
     Grant(UsageGrant),
     /// Heartbeat of another router, sent to the routers in its settings.
     Presence(RouterPresence),
+    /// A coordinator's grant of slots of a service to the router.
+    Slots(SlotGrant),
 }
 
 /// A router's standing request that the loader's engine hold an adapter.
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -3,6 +3,7 @@
 mod advertised_state;
 mod backlog;
 mod budget;
+mod concurrency;
 mod config;
 mod customers;
 mod demand;
--- a/crates/core/tests/core/direct/fleet/simulation.rs
+++ b/crates/core/tests/core/direct/fleet/simulation.rs
@@ -382,7 +382,7 @@
                 let directory = loader.registry.take(&presence, now);
                 self.send_to_router(index, router, LoaderMessage::Directory(directory));
             }
-            RouterMessage::Usage(_) => {}
+            RouterMessage::Usage(_) | RouterMessage::Slots(_) => {}
         }
     }
 
@@ -394,7 +394,7 @@
                 router.pool.take_report(host(index).ip(), report, now);
             }
             LoaderMessage::Directory(directory) => router.peer_table.note(&directory, now),
-            LoaderMessage::Grant(_) | LoaderMessage::Presence(_) => {}
+            LoaderMessage::Grant(_) | LoaderMessage::Presence(_) | LoaderMessage::Slots(_) => {}
         }
     }
 
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -12,6 +12,7 @@
 use metrics::{counter, gauge, histogram};
 use plantain_core::{
     direct::{
+        concurrency::coordinator::SlotCoordinator,
         directory::PresenceRegistry,
         limits::meter::UsageMeter,
         loader::{LoaderMachine, LoaderStep},
@@ -65,6 +66,7 @@
     machine: LoaderMachine,
     registry: PresenceRegistry,
     meter: UsageMeter,
+    coordinator: SlotCoordinator,
     limits: LimitTable,
     engine: Rc<EngineClient>,
     settings: watch::Receiver<Arc<LoaderFile>>,
@@ -88,6 +90,7 @@
             machine: LoaderMachine::new(rand::random()),
             registry: PresenceRegistry::default(),
             meter: UsageMeter::new(rand::random()),
+            coordinator: SlotCoordinator::default(),
             limits: LimitTable::default(),
             engine: Rc::new(EngineClient::new()),
             settings,
@@ -178,6 +181,11 @@
                     self.send(&LoaderMessage::Grant(grant), &[router]);
                 }
             }
+            Ok(RouterMessage::Slots(report)) => {
+                for (router, grant) in self.coordinator.take(router, &report, now) {
+                    self.send(&LoaderMessage::Slots(grant), &[router]);
+                }
+            }
             Err(_) => counter!("plantain_link_faults_total").increment(1),
         }
     }
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -21,6 +21,7 @@
 mod readiness;
 mod relay;
 mod sharing;
+mod slots;
 
 use crate::{
     clock, duty, logging,
@@ -316,6 +317,7 @@
         context.connections.expire(now);
         context.prefetch(now);
         links::follow_meters(&context, now);
+        slots::follow_slots(&context);
         readiness::update(&context);
     }
 }
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -4,7 +4,7 @@
 
 use super::{
     connections::ConnectionPool, constants, crashes::tracker::CrashTracker,
-    journal::RequestJournal, limits::LimitTracker,
+    journal::RequestJournal, limits::LimitTracker, slots::SlotTracker,
 };
 use crate::{clock, options::site::RouterFile};
 use metrics::counter;
@@ -49,6 +49,8 @@
     pub(crate) crashes: CrashTracker,
     /// Use of customers' and targets' rate limits.
     pub(crate) limits: LimitTracker,
+    /// Slots of plain services that all routers share.
+    pub(crate) slots: Rc<SlotTracker>,
     /// Whether the known configuration may be outdated, because it cannot be followed now.
     pub(crate) may_be_outdated: Cell<bool>,
     /// Idle connections to targets.
@@ -91,6 +93,7 @@
             boot,
             crashes: CrashTracker::new(&settings.name, boot),
             limits: LimitTracker::new(boot, settings.bounds.limits.terms()),
+            slots: SlotTracker::new(boot),
             may_be_outdated: Cell::new(false),
             settings: RefCell::new(settings),
             pool: RefCell::new(TargetPool::new()),
--- a/crates/daemon/src/router/context/guards.rs
+++ b/crates/daemon/src/router/context/guards.rs
@@ -1,6 +1,9 @@
 //! Guards that count a call, or its wait, at a target and release it when dropped.
 
-use super::{super::constants, RouterContext};
+use super::{
+    super::{constants, slots::SlotGuard},
+    RouterContext,
+};
 use crate::clock;
 use plantain_core::{
     crashes::UnresolvedRun,
@@ -27,6 +30,8 @@
     is_overdue: bool,
     may_still_run: bool,
     end: RunEnd,
+    /// Slot of a plain service's target that the call holds.
+    slot: Option<SlotGuard>,
 }
 
 /// How a run ended.
@@ -66,9 +71,16 @@
             is_overdue: false,
             may_still_run: false,
             end: RunEnd::Unresolved,
+            slot: None,
         }
     }
 
+    /// Holds a slot until the call ends.
+    pub(crate) fn with_slot(mut self, slot: Option<SlotGuard>) -> Self {
+        self.slot = slot;
+        self
+    }
+
     /// Target of the call.
     pub(crate) fn target(&self) -> &TargetIncarnation {
         &self.incarnation
@@ -127,6 +139,9 @@
                 pool.run_ended(&self.incarnation, clock::now().saturating_sub(self.sent));
             }
         }
+        if let Some(slot) = self.slot.as_mut().filter(|_| self.is_answered) {
+            slot.set_run(clock::now().saturating_sub(self.sent));
+        }
         let Some(adapter) = self.adapter.take() else { return };
         let (context, incarnation) = (Rc::clone(&self.context), self.incarnation.clone());
         if !self.may_still_run {
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -1,6 +1,7 @@
 //! One call: chooses a target, waits for the adapter there, sends, and retries after a failed send.
 
 mod sending;
+mod slots;
 
 use super::{
     admission::spread,
@@ -14,6 +15,7 @@
     limits::UsageCharge,
     permits::TargetPermit,
     progress::CallProgress,
+    slots::SlotGuard,
 };
 use crate::clock;
 use bytes::Bytes;
@@ -42,6 +44,11 @@
     clock::now().saturating_sub(began) < constants::BASE_WAIT
 }
 
+/// Retry delay for the caller of a call that an overloaded plain service cannot serve.
+fn shed_pause() -> Duration {
+    constants::SHED_PAUSE.mul_f64(0.25 + 0.75 * rand::random::<f64>())
+}
+
 /// Why no target's answer can be relayed for a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum GiveUpReason {
@@ -91,6 +98,8 @@
     version: Option<AdapterVersion>,
     /// Unit taken from the target's rate limit, if it has one.
     permit: Option<UsageCharge>,
+    /// Slot that the call holds there, if the target's slots are counted.
+    slot: Option<SlotGuard>,
 }
 
 /// A call that passed admission: its route is known, its caller is identified or the route is open, and it is within
@@ -239,7 +248,9 @@
         if self.is_quarantined() {
             return self.give_up(None, GiveUpReason::Quarantined(CRASH_TTL));
         }
-        if let Some(pause) = self.shed() {
+        if !self.needs_slot()
+            && let Some(pause) = self.shed()
+        {
             return DispatchResult::NoAnswer(GiveUpReason::NotRun(pause));
         }
         let mut last: Option<SendFailure> = None;
@@ -301,7 +312,7 @@
             return None;
         }
         self.note(&format!("turned away: an answer is expected to take {expected:.0} ms"));
-        Some(constants::SHED_PAUSE.mul_f64(0.25 + 0.75 * rand::random::<f64>()))
+        Some(shed_pause())
     }
 
     /// Expected time to an answer of a plain service with queued calls, in milliseconds; `None` for engines.
@@ -365,6 +376,9 @@
             }
             match self.choose_now(waiting.as_ref()) {
                 TargetChoice::Send(incarnation, version) => {
+                    let Some((incarnation, slot)) = self.take_slot(incarnation).await? else {
+                        continue;
+                    };
                     match self.context.acquire_permit(&incarnation).await {
                         // The target may have asked for a backoff or started to drain during the wait.
                         TargetPermit::Granted(permit) if !self.context.is_open(&incarnation) => {
@@ -372,7 +386,7 @@
                         }
                         TargetPermit::Granted(permit) => {
                             self.record.load_wait += clock::now().saturating_sub(began);
-                            return Ok(ChosenTarget { incarnation, version, permit });
+                            return Ok(ChosenTarget { incarnation, version, permit, slot });
                         }
                         TargetPermit::Saturated(reason) => self.note(&reason),
                     }
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -44,7 +44,7 @@
         &mut self,
         choice: ChosenTarget,
     ) -> Result<PendingAnswer, SendFailure> {
-        let ChosenTarget { incarnation, version, permit } = choice;
+        let ChosenTarget { incarnation, version, permit, slot } = choice;
         let incarnation = &incarnation;
         let adapter = self.head.model.as_ref().and_then(adapter_of);
         let tokens = self.head.model.as_ref().map_or(0, |model| model.tokens_in);
@@ -69,7 +69,8 @@
             self.record.fingerprint,
             adapter.clone(),
             tokens,
-        );
+        )
+        .with_slot(slot);
         self.record.phase = CallPhase::Sent;
         self.record.last_send = Some(self.age());
         self.record.sends += 1;
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -17,11 +17,19 @@
 use slog::{info, warn};
 use std::{
     collections::BTreeSet,
+    future::pending,
     net::{IpAddr, SocketAddr},
     rc::Rc,
     sync::Arc,
+    time::Duration,
 };
-use tokio::{net::UdpSocket, time::interval};
+use tokio::{
+    net::UdpSocket,
+    time::{interval, sleep},
+};
+
+/// Shortest wait for the next report on slots: the resolution of the timer.
+const MIN_SLOT_PAUSE: Duration = Duration::from_millis(1);
 
 /// Exchanges datagrams with the loaders until the process ends.
 pub(crate) async fn run(socket: UdpSocket, context: Rc<RouterContext>) {
@@ -41,6 +49,8 @@
             }
             () = context.notice_wake.notified() => link.send_pending_notices(),
             () = context.limits.wake.notified() => link.send_usage(),
+            () = context.slots.wake.notified() => link.send_slots(),
+            () = next_slot_step(&context) => link.send_slots(),
             _ = ticks.tick() => {
                 link.send_due();
                 link.send_usage();
@@ -48,6 +58,7 @@
             }
             _ = metric_ticks.tick() => {
                 let config = Arc::clone(context.pool.borrow().config());
+                context.slots.update_metrics();
                 context.limits.update_metrics(config.customers.rules(), clock::now());
             }
         }
@@ -83,10 +94,36 @@
                 self.context.limits.take_grant(&grant, now);
                 self.send_usage();
             }
+            Ok(LoaderMessage::Slots(grant)) => {
+                let from = {
+                    let pool = self.context.pool.borrow();
+                    let mut engines = pool.engines().filter(|engine| !engine.has_ended());
+                    let engine = engines.find(|engine| engine.entry.address.ip() == sender.ip());
+                    engine.map(|engine| engine.entry.incarnation.id.clone())
+                };
+                if let Some(from) = from {
+                    self.context.slots.take_grant(&from, &grant, clock::now());
+                    self.send_slots();
+                }
+            }
             Err(_) => counter!("plantain_link_faults_total").increment(1),
         }
     }
 
+    /// Sends due reports on slots to the coordinators.
+    fn send_slots(&self) {
+        for (target, report) in self.context.slots.take_reports(clock::now()) {
+            let host = {
+                let pool = self.context.pool.borrow();
+                let engine = pool.engines().find(|engine| engine.entry.incarnation.id == target);
+                engine.map(|engine| engine.entry.address.ip())
+            };
+            if let Some(host) = host {
+                self.send(host, &RouterMessage::Slots(report));
+            }
+        }
+    }
+
     /// Sends due usage reports to the meters.
     fn send_usage(&self) {
         let now = clock::now();
@@ -276,12 +313,23 @@
     let is_limited = config.customers.rules().iter().any(|customer| customer.limit.is_some())
         || context.pool.borrow().has_limit_updates(now);
     context.limits.set_limits(&config);
-    let mut meters = Vec::new();
-    if is_limited {
-        let zones = all_zones(context);
-        meters.extend(zones.iter().flat_map(|zone| zone_registry(context, zone)));
-        meters.sort_unstable();
-        meters.dedup();
-    }
+    let meters = if is_limited { registry_loaders(context) } else { Vec::new() };
     context.limits.set_fleet(context.fleet_size(now), meters, now);
 }
+
+/// The targets whose loaders form the registries of all zones.
+pub(crate) fn registry_loaders(context: &RouterContext) -> Vec<InstanceId> {
+    let zones = all_zones(context);
+    let mut loaders: Vec<_> = zones.iter().flat_map(|zone| zone_registry(context, zone)).collect();
+    loaders.sort_unstable();
+    loaders.dedup();
+    loaders
+}
+
+/// Waits until a report on slots may be due.
+async fn next_slot_step(context: &RouterContext) {
+    match context.slots.next_step() {
+        Some(next) => sleep(next.saturating_sub(clock::now()).max(MIN_SLOT_PAUSE)).await,
+        None => pending().await,
+    }
+}
