--- a/crates/core/tests/core/direct/concurrency.rs
+++ b/crates/core/tests/core/direct/concurrency.rs
@@ -1,5 +1,6 @@
 //! Slots of plain services that routers share.
 
+mod account;
 mod model;
 
 use model::{FleetPlan, ModelFleet, RUN_MS, SLOTS};
