Entry: keys of running requests stay in the table of replays

Cause: when the table was full, or a key older than its window, the oldest key was evicted, although its request could still run. A retry that waited for it was told that it had not run, and the next retry ran the request again.

Change: only keys whose requests have ended are evicted, in the order of their ends. When all keys are in flight, a new key is refused at once as not run (503 keys_full) with the time after which to retry.

Checked: daemon tests replays::*; keys_of_running_requests_stay fails when running keys can be evicted.

--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -7,7 +7,7 @@
     exchange::{Exchange, ExchangeEnd},
     idempotency::{self, RecordSender},
     offers::OfferSender,
-    replays::{FirstRequest, ReplayTable},
+    replays::{FirstRequest, ReplayRefusal, ReplayTable},
     reply::RequestError,
     request::{self, AdmittedRequest, ID_HEADER, RequestPath},
     status::EntryStatus,
@@ -52,7 +52,8 @@
 };
 
 /// `Retry-After` of requests that are refused because the entry has no free slot, agents keep
-/// reporting newer configurations, or the shard of the idempotency record is full.
+/// reporting newer configurations, the shard of the idempotency record is full, or all keys in the
+/// table of replays are in flight.
 const BUSY_RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Time for which a stopping entry still accepts connections, so that the load balancer sees that
 /// it is not ready before a caller's connection is refused.
@@ -217,9 +218,12 @@
     /// Runs a request with an idempotency key. The key is recorded on the platform before the
     /// request is offered; a retry with the same key gets the first answer from memory.
     async fn run_once(&self, exchange: Exchange<'_>, key: RecordKey) -> ExchangeEnd {
-        let guard = match self.replays.begin(&key) {
+        let guard = match self.replays.begin(&key, Instant::now()) {
             Ok(guard) => guard,
-            Err(first) => return replay(first, exchange.time_left()).await,
+            Err(ReplayRefusal::Known(first)) => return replay(first, exchange.time_left()).await,
+            Err(ReplayRefusal::Full) => {
+                return ExchangeEnd::Error(RequestError::keys_full(BUSY_RETRY_AFTER));
+            }
         };
         let record = idempotency::new_record(&self.settings.common.name);
         let operation = record.operation.clone();
--- a/crates/daemon/src/entry/replays.rs
+++ b/crates/daemon/src/entry/replays.rs
@@ -11,8 +11,8 @@
 };
 use tokio::sync::watch;
 
-/// Largest number of keys in the table; the oldest are evicted when it is full.
-const REPLAY_LIMIT: usize = 2_048;
+/// Largest number of keys in the table. When it is full, the key whose request ended first is evicted.
+pub const REPLAY_LIMIT: usize = 2_048;
 /// Largest body in bytes that is cached. A retry of a request with a larger answer gets an error
 /// that says that it ran.
 const REPLAY_BODY_LIMIT: usize = 8 << 10;
@@ -58,13 +58,30 @@
     Failed,
 }
 
+/// Why a request does not count as the first one with its key.
+#[derive(Debug)]
+pub enum ReplayRefusal {
+    /// There is an earlier request with the key; holds its state.
+    Known(watch::Receiver<FirstRequest>),
+    /// The table is full of keys whose requests are in flight. The request must not run.
+    Full,
+}
+
+struct ReplayEntry {
+    began: Instant,
+    sender: watch::Sender<FirstRequest>,
+}
+
 #[derive(Default)]
 struct ReplayState {
-    requests: HashMap<RecordKey, watch::Sender<FirstRequest>>,
-    order: VecDeque<(Instant, RecordKey)>,
+    requests: HashMap<RecordKey, ReplayEntry>,
+    /// Keys whose requests have ended, in the order of their ends. Only these are evicted: without the key of a
+    /// request in flight, a retry would be told that the request did not run.
+    ended: VecDeque<RecordKey>,
 }
 
-/// The first request with each key at this entry, for [`RECORD_WINDOW`] after it began.
+/// The first request with each key at this entry, from its begin until it has ended and [`RECORD_WINDOW`] since its
+/// begin has passed.
 #[derive(Clone, Default)]
 pub struct ReplayTable(Arc<Mutex<ReplayState>>);
 
@@ -75,16 +92,16 @@
 }
 
 impl ReplayTable {
-    /// Adds a first request, or returns the state of an earlier request with the same key.
-    pub fn begin(&self, key: &RecordKey) -> Result<ReplayGuard, watch::Receiver<FirstRequest>> {
+    /// Adds a first request, which begins at `now`, or returns why it is not the first one.
+    pub fn begin(&self, key: &RecordKey, now: Instant) -> Result<ReplayGuard, ReplayRefusal> {
         let mut state = self.lock();
-        state.prune();
+        state.expire(key, now);
         if let Some(known) = state.requests.get(key) {
-            return Err(known.subscribe());
+            return Err(ReplayRefusal::Known(known.sender.subscribe()));
         }
+        state.make_room(now)?;
         let sender = watch::Sender::new(FirstRequest::Running);
-        state.requests.insert(key.clone(), sender);
-        state.order.push_back((Instant::now(), key.clone()));
+        state.requests.insert(key.clone(), ReplayEntry { began: now, sender });
         Ok(ReplayGuard { table: self.clone(), key: key.clone(), end: Some(FirstRequest::Failed) })
     }
 
@@ -94,15 +111,34 @@
 }
 
 impl ReplayState {
-    fn prune(&mut self) {
-        while let Some((began, _)) = self.order.front() {
-            if self.order.len() < REPLAY_LIMIT && began.elapsed() < RECORD_WINDOW {
-                return;
+    /// Whether the request of this key has ended and the window of its record has passed.
+    fn is_expired(&self, key: &RecordKey, now: Instant) -> bool {
+        self.requests.get(key).is_some_and(|request| {
+            now.saturating_duration_since(request.began) >= RECORD_WINDOW
+                && !matches!(*request.sender.borrow(), FirstRequest::Running)
+        })
+    }
+
+    /// Removes this key if it is expired: requests end in another order than they began, so it may stand behind keys
+    /// that are not.
+    fn expire(&mut self, key: &RecordKey, now: Instant) {
+        if self.is_expired(key, now) {
+            self.requests.remove(key);
+            self.ended.retain(|ended| ended != key);
+        }
+    }
+
+    /// Evicts ended requests until there is room for one more.
+    fn make_room(&mut self, now: Instant) -> Result<(), ReplayRefusal> {
+        while let Some(key) = self.ended.front() {
+            if self.requests.len() < REPLAY_LIMIT && !self.is_expired(key, now) {
+                break;
             }
-            if let Some((_, key)) = self.order.pop_front() {
+            if let Some(key) = self.ended.pop_front() {
                 self.requests.remove(&key);
             }
         }
+        if self.requests.len() < REPLAY_LIMIT { Ok(()) } else { Err(ReplayRefusal::Full) }
     }
 }
 
@@ -130,12 +166,12 @@
     fn drop(&mut self) {
         let mut state = self.table.lock();
         if let Some(end) = self.end.take() {
-            if let Some(sender) = state.requests.get(&self.key) {
-                sender.send_replace(end);
+            if let Some(request) = state.requests.get(&self.key) {
+                request.sender.send_replace(end);
+                state.ended.push_back(self.key.clone());
             }
         } else {
             state.requests.remove(&self.key);
-            state.order.retain(|(_, key)| *key != self.key);
         }
     }
 }
--- a/crates/daemon/src/entry/reply.rs
+++ b/crates/daemon/src/entry/reply.rs
@@ -198,6 +198,16 @@
         }
     }
 
+    /// The requests of all keys that the entry can hold are in flight, so the request is not run.
+    pub fn keys_full(retry_after: Duration) -> Self {
+        let message = "not run: the entry has too many requests with idempotency keys in flight; \
+                       retry after the given time";
+        Self {
+            retry_after: Some(retry_after),
+            ..Self::refused(StatusCode::SERVICE_UNAVAILABLE, "keys_full", message)
+        }
+    }
+
     /// The deadline passed while the target had the request.
     pub fn deadline_passed() -> Self {
         let message = "the deadline passed; the request may have run";
--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -1,4 +1,5 @@
 //! Tests of the daemon without other processes.
 
 mod frames;
+mod replays;
 mod settings;
