Entry: a lost key record is tried again while the grace lasts

Cause: after a return of the platform an entry writes its lost key records again. It took the record of a retry, which another entry refused and removed at the same moment, as final. The key then had no record and could run again after the grace.

Change: while the grace lasts the entry tries again every 250 ms, on a shard that it reads anew.

Checked: integration test returns::a_lost_record_is_written_after_that_of_a_refused_retry fails before the change (no record after 60 s) and passes after it.

--- a/crates/daemon/src/entry/idempotency.rs
+++ b/crates/daemon/src/entry/idempotency.rs
@@ -38,6 +38,9 @@
 /// Time after a return of the platform from a copy in which no key is recorded: by its end all entries have read the
 /// platform, which each does every second or two, and have written the records again that the return has lost.
 const RETURN_GRACE: Duration = Duration::from_secs(8);
+/// Pause before a lost record is written again where another record has its key. The other entry removes its record
+/// with its next batch; an attempt that finds the key taken costs one read, so a grace costs 32 at most.
+const RETAKE_PAUSE: Duration = Duration::from_millis(250);
 /// Time for which a record is written again if a return has lost it: copies are some seconds old.
 const LOST_SPAN: Duration = Duration::from_secs(30);
 
@@ -149,20 +152,33 @@
         }
     }
 
-    /// Writes a record again until the platform has it.
+    /// Writes a record again until the platform has it. The key may be taken by the record of a retry that another entry
+    /// wrote before it knew of the return. That entry refuses the retry and removes the record, so the key is only given
+    /// up when the grace is over.
     async fn rewrite(self: Rc<Self>, key: RecordKey, record: IdempotencyRecord) {
         counter!("plantain_lost_writes_total", "kind" => "idempotency").increment(1);
-        let mut verdict = Err(Duration::ZERO);
-        while let Err(pause) = verdict {
-            sleep(pause).await;
+        loop {
             let (reply, answered) = oneshot::channel();
             let change = RecordChange::Insert(key.clone(), record.clone());
             self.enqueue(RecordJob { change, reply });
-            verdict = answered.await.unwrap_or(Err(OUTAGE_BACKOFF));
-        }
-        if let Ok(RecordVerdict::Taken(theirs)) = verdict {
-            warn!(self.logger, "key recorded twice: its record was lost, and a retry may have run";
-                "step" => "write records", "key" => key, "entry" => theirs.entry);
+            let theirs = match answered.await.unwrap_or(Err(OUTAGE_BACKOFF)) {
+                Ok(RecordVerdict::Taken(theirs)) => theirs,
+                Ok(_) => return,
+                Err(pause) => {
+                    sleep(pause).await;
+                    continue;
+                }
+            };
+            if self.grace_left().is_none() {
+                warn!(self.logger, "key recorded twice: its record was lost, and a retry may have run";
+                    "step" => "write records", "key" => key, "entry" => theirs.entry);
+                return;
+            }
+            sleep(RETAKE_PAUSE).await;
+            // The verdict came from this entry's copy of the shard, which does not show the removal.
+            if let Some(queue) = self.shards.borrow_mut().get_mut(&record_shard(&key)) {
+                queue.known = None;
+            }
         }
     }
 
--- a/crates/standin/tests/integration/returns.rs
+++ b/crates/standin/tests/integration/returns.rs
@@ -7,12 +7,21 @@
     idempotency::{executed, stamp},
     support::{finish, send_and_check, start},
 };
-use eyre::{Result, ensure};
+use eyre::{OptionExt, Result, ensure};
+use plantain_net::{
+    client::HttpClient,
+    platform::{
+        PlatformClient,
+        records::{ObjectList, ObjectRecord, RECORD_KIND},
+    },
+};
 use plantain_standin::{
     call::ChatCall,
     cluster::{Cluster, plan::ClusterPlan},
 };
-use serde_json::Value;
+use serde_json::{Value, json};
+use std::time::Duration;
+use tokio::time::sleep;
 
 /// Takes a copy of the platform's objects.
 async fn take_copy(cluster: &Cluster) -> Result<()> {
@@ -49,6 +58,52 @@
     finish(cluster).await
 }
 
+/// The shard that holds a key record, as an object of the platform.
+async fn shard_with_record(cluster: &Cluster) -> Result<Option<ObjectRecord<Value>>> {
+    let list: ObjectList<Value> =
+        cluster.page(cluster.platform(), "/v1/objects/idempotency").await?;
+    let has_record = |object: &ObjectRecord<Value>| {
+        let records = object.value.as_ref().and_then(|shard| shard["records"].as_object());
+        records.is_some_and(|records| !records.is_empty())
+    };
+    Ok(list.items.into_iter().find(has_record))
+}
+
+/// Removes all key records of a shard, as another entry removes that of a request that it refuses.
+async fn remove_records(cluster: &Cluster, shard: &ObjectRecord<Value>) -> Result<()> {
+    let client = PlatformClient::new(cluster.platform(), HttpClient::new());
+    client.put(RECORD_KIND, &shard.name, shard.version, &json!({"records": {}})).await?;
+    Ok(())
+}
+
+/// Guards against a key without a record after a return. While the entry that ran the stamp writes the lost record
+/// again, the platform holds the record of a retry, which the other entry then refuses and removes. The entry must not
+/// take the retry's record for final, since the key could run again after the grace.
+#[tokio::test]
+async fn a_lost_record_is_written_after_that_of_a_refused_retry() -> Result<()> {
+    let cluster = start(ClusterPlan::new(2, 1, &["kandy"])).await?;
+    let retry = stamp(&cluster, 1, Some("stamp-1")).await?;
+    ensure!(retry.status == 200, "{} {}", retry.status, retry.text());
+    take_copy(&cluster).await?;
+    let shard = shard_with_record(&cluster).await?.ok_or_eyre("no record of the retry")?;
+    remove_records(&cluster, &shard).await?;
+    let first = stamp(&cluster, 0, Some("stamp-1")).await?;
+    ensure!(first.status == 200, "{} {}", first.status, first.text());
+    return_from_copy(&cluster).await?;
+    // The copy holds the retry's record; the first entry finds it there within this time.
+    sleep(Duration::from_secs(1)).await;
+    let shard = shard_with_record(&cluster).await?.ok_or_eyre("no record in the copy")?;
+    ensure!(shard.value.iter().any(|shard| shard.to_string().contains("entry-1")), "{shard:?}");
+    remove_records(&cluster, &shard).await?;
+    cluster
+        .wait_for("the lost record", async || {
+            let shard = shard_with_record(&cluster).await?.and_then(|shard| shard.value);
+            Ok(shard.is_some_and(|shard| shard.to_string().contains("entry-0")))
+        })
+        .await?;
+    finish(cluster).await
+}
+
 /// Guards against an entry that misses a change because it watches from a revision of the lost history.
 #[tokio::test]
 async fn a_change_after_a_return_is_in_force() -> Result<()> {
