Core: loaders estimate the capacity of their engines, and routers' costs use it

Cause: one prefill rate and one run time stood for all engines of a service. Where engines differ in speed (0.55 to 1.2), slow ones got calls and long prompts that they answered late.

Change: routers record first bytes and ends of runs in their notices. The loader keeps an estimate (the largest sample of 2 s) for its engine's incarnation and reports it. Routers keep the last value for a minute, and use it in the costs of unread tokens, the call's own prompt, running calls and batch slots, where the rates of a service's engines differ by more than a fifth. Gauges plantain_prefill_rate and plantain_run_ms, and a log line of the loader when its estimate changes by more than a quarter.

The tests of the daemon with real processes were not run.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -5,6 +5,7 @@
 pub mod backlog;
 pub mod budget;
 pub mod call;
+pub mod capacity;
 pub mod config;
 pub mod customers;
 pub mod demand;
--- a/crates/core/src/direct/backlog.rs
+++ b/crates/core/src/direct/backlog.rs
@@ -7,15 +7,22 @@
 use crate::ids::Timestamp;
 use std::time::Duration;
 
-/// Prompt tokens that an engine prefills in a millisecond; the value of the first engines in use. For slower engines
-/// the backlog is underestimated, as if other routers' prompts were unknown.
-pub(super) const TOKENS_PER_MS: f64 = 38.0;
+/// Prompt tokens that an engine prefills in a millisecond, where its capacity is not known; the value of the first
+/// engines in use. For slower engines the backlog is underestimated, as if other routers' prompts were unknown.
+pub const TOKENS_PER_MS: f64 = 38.0;
 
-/// Pending prefill tokens at one engine, reduced over time by `TOKENS_PER_MS`.
-#[derive(Clone, Copy, Debug, Default)]
+/// Pending prefill tokens at one engine, reduced over time by the engine's prefill rate.
+#[derive(Clone, Copy, Debug)]
 pub struct PrefillBacklog {
     tokens: f64,
     at: Timestamp,
+    tokens_per_ms: f64,
+}
+
+impl Default for PrefillBacklog {
+    fn default() -> Self {
+        Self { tokens: 0.0, at: Timestamp::ZERO, tokens_per_ms: TOKENS_PER_MS }
+    }
 }
 
 impl PrefillBacklog {
@@ -25,13 +32,19 @@
         self.at = now;
     }
 
+    /// Sets the prefill rate from `now` on.
+    pub fn set_rate(&mut self, tokens_per_ms: f64, now: Timestamp) {
+        self.add(0, now);
+        self.tokens_per_ms = tokens_per_ms;
+    }
+
     /// Tokens still pending at `now`.
     pub fn read(&self, now: Timestamp) -> u32 {
-        prefill_left_after(self.tokens, now.saturating_sub(self.at)) as u32
+        prefill_left_after(self.tokens, now.saturating_sub(self.at), self.tokens_per_ms) as u32
     }
 }
 
-/// Tokens left of a backlog after some time.
-pub(super) fn prefill_left_after(tokens: f64, time: Duration) -> f64 {
-    (tokens - time.as_secs_f64() * 1_000.0 * TOKENS_PER_MS).max(0.0)
+/// Tokens left of a backlog after some time at a prefill rate.
+pub(super) fn prefill_left_after(tokens: f64, time: Duration, tokens_per_ms: f64) -> f64 {
+    (tokens - time.as_secs_f64() * 1_000.0 * tokens_per_ms).max(0.0)
 }
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -4,6 +4,7 @@
 //! answer may still be carried out seconds later. Each order therefore names the order count that the engine
 //! must still have: of all orders on one count at most one takes effect, and the next report shows which.
 
+mod capacity;
 mod host_memory;
 pub mod load_limiter;
 mod lost_orders;
@@ -14,6 +15,7 @@
 use super::{
     backlog::PrefillBacklog,
     call::AdapterId,
+    capacity::CapacityEstimate,
     demand::RECENT_HALF_LIFE,
     membership::{InstanceId, TargetIncarnation},
     messages::{BaseOffer, LoadRequest, RouterNotice},
@@ -138,6 +140,7 @@
     loading: HashMap<AdapterId, LoadStart>,
     load_limiter: LoadLimiter,
     backlog: PrefillBacklog,
+    capacity: CapacityEstimate,
     memory: HostMemory,
     /// Whether the engine has reported since this process started.
     has_reported: bool,
@@ -175,6 +178,7 @@
             loading: HashMap::new(),
             load_limiter: LoadLimiter::new(MAX_CONCURRENT_LOADS),
             backlog: PrefillBacklog::default(),
+            capacity: CapacityEstimate::default(),
             memory: HostMemory::default(),
             has_reported: false,
             timely_loads: 0,
@@ -212,6 +216,7 @@
         if is_old {
             return;
         }
+        self.measure_capacity(router, &notice, now);
         let started = notice.uses.iter().filter(|used| used.started > 0);
         let started = started.map(|used| {
             let adapter =
@@ -251,6 +256,7 @@
     pub fn take_instance(&mut self, instance: InstanceId) {
         if self.instance.as_ref() != Some(&instance) {
             self.report = None;
+            self.capacity.begin_incarnation();
             self.next_poll = Duration::ZERO;
         }
         self.instance = Some(instance);
@@ -290,6 +296,7 @@
         self.lost.begin_incarnation();
         self.loading.clear();
         self.backlog = PrefillBacklog::default();
+        self.capacity.begin_incarnation();
         self.memory = HostMemory::default();
         for state in self.notices.values_mut() {
             state.fulfilled.clear();
@@ -370,6 +377,7 @@
 
     /// Drops expired state and returns the next action.
     pub fn next_step(&mut self, now: Timestamp) -> LoaderStep {
+        self.capacity.note_step(now);
         self.notices.retain(|_, state| now.saturating_sub(state.received) < NOTICE_TTL);
         self.lost.expire(now);
         if now >= self.next_poll {
--- a/crates/core/src/direct/loader/report.rs
+++ b/crates/core/src/direct/loader/report.rs
@@ -43,8 +43,8 @@
             queued: report.queued,
             kv_used: report.kv_used,
             prefill_tokens: self.backlog.read(now),
-            prefill_rate: 0,
-            run_ms: 0,
+            prefill_rate: self.capacity.prefill_rate(),
+            run_ms: self.capacity.run_ms(),
             copies: Vec::new(),
         })
     }
--- a/crates/core/src/direct/notices.rs
+++ b/crates/core/src/direct/notices.rs
@@ -99,6 +99,7 @@
         }
         self.sent.insert(incarnation.clone(), SentNotice { at: now, requested, had_activity });
         self.sequence += 1;
+        let samples = std::mem::take(&mut target.samples);
         Some(RouterNotice {
             boot: self.boot,
             sequence: self.sequence,
@@ -109,10 +110,10 @@
             load_requests: target.list_load_requests(now),
             uses: target.take_uses(),
             wants_report,
-            answered_tokens: 0,
-            best_prefill: 0,
-            ended_runs: 0,
-            ended_ms: 0,
+            answered_tokens: samples.answered_tokens,
+            best_prefill: samples.best_prefill,
+            ended_runs: samples.ended_runs,
+            ended_ms: samples.ended_ms,
         })
     }
 }
--- a/crates/core/src/direct/selection/costs.rs
+++ b/crates/core/src/direct/selection/costs.rs
@@ -3,17 +3,17 @@
 use super::CallNeed;
 use crate::{
     direct::{
-        backlog::TOKENS_PER_MS,
         call::{AdapterId, ModelCall},
+        capacity::EngineCapacity,
         membership::TargetIncarnation,
         target::TargetState,
         targets::TargetPool,
-        waits::slot_wait_ms,
+        waits::{batch_wait_ms, slot_wait_ms},
     },
     ids::Timestamp,
 };
 
-/// Cost of each call that an engine runs: each adds 0.02 ms to a step, over about 70 steps.
+/// Cost of each call that an engine of the median rate runs: each adds 0.02 ms to a step, over about 70 steps.
 const ACTIVE_MS: f64 = 1.4;
 /// Fraction of the load time that remains, on average, for an adapter whose load is already under way.
 const LOADING_SHARE: f64 = 0.5;
@@ -67,17 +67,32 @@
     waits_there: bool,
     now: Timestamp,
 ) -> f64 {
-    let prefill = target.fleet_prefill_tokens(now) / TOKENS_PER_MS;
+    let capacity = pool.capacity(target, now);
+    let unread = target.prefill_tokens_at_rate(capacity.tokens_per_ms, now);
+    let prefill = capacity.prefill_ms(unread);
+    // The call's own prefill is in the cost as far as engines differ, so that long prompts go to fast ones.
+    let own_prefill = capacity.extra_prefill_ms(f64::from(call.tokens_in));
     let stall = adapter
         .map_or(0.0, |adapter| stall_cost(pool, target, adapter, preferred, waits_there, now));
-    prefill + stall + batch_cost(pool, target, call, now) + failure_cost(target, now)
+    prefill
+        + stall
+        + batch_cost(pool, target, call, capacity, now)
+        + failure_cost(target, now)
+        + own_prefill
 }
 
-fn batch_cost(pool: &TargetPool, target: &TargetState, call: &ModelCall, now: Timestamp) -> f64 {
+fn batch_cost(
+    pool: &TargetPool,
+    target: &TargetState,
+    call: &ModelCall,
+    capacity: EngineCapacity,
+    now: Timestamp,
+) -> f64 {
+    let active_ms = ACTIVE_MS * capacity.step_ratio();
     let report = target.fresh_report(now);
     let active = report.map_or(0, |report| u32::from(report.active)).max(target.in_flight);
     let queued = report.map_or(0, |report| u32::from(report.queued));
-    let Some(spec) = pool.engine_of(target) else { return f64::from(active) * ACTIVE_MS };
+    let Some(spec) = pool.engine_of(target) else { return f64::from(active) * active_ms };
     let used = report.map_or(0, |report| u64::from(report.kv_used));
     let wanted = u64::from(call.tokens_in + call.tokens_out);
     let exceeds_capacity = active >= spec.batch || used + wanted > spec.kv_tokens;
@@ -85,9 +100,12 @@
     let runs_before = queued + u32::from(exceeds_capacity);
     // An engine preempts calls when its KV cache is full, and processes their prompts again.
     let reprocessing =
-        if exceeds_capacity { f64::from(call.tokens_in) / TOKENS_PER_MS } else { 0.0 };
-    f64::from(active) * ACTIVE_MS
-        + f64::from(runs_before) * pool.wait_estimates().batch_wait_ms(spec.batch)
+        if exceeds_capacity { capacity.prefill_ms(f64::from(call.tokens_in)) } else { 0.0 };
+    // Reported run times include the wait in the engine's queue: by Little's law, runs end at the rate of all calls there
+    // over that time.
+    let concurrent_runs = if capacity.is_reported { spec.batch + queued } else { spec.batch };
+    f64::from(active) * active_ms
+        + f64::from(runs_before) * batch_wait_ms(capacity.run_ms, concurrent_runs)
         + reprocessing
 }
 
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -2,8 +2,9 @@
 
 use super::{
     advertised_state::AdvertisedState,
-    backlog::prefill_left_after,
+    backlog::{TOKENS_PER_MS, prefill_left_after},
     call::AdapterId,
+    capacity::{CallSamples, KnownCapacity},
     health::TargetHealth,
     load_shedding::LatencyGauge,
     membership::{BaseHolding, TargetEntry},
@@ -89,6 +90,10 @@
     pub(super) saturated_until: Timestamp,
     /// Last report of its loader; `None` before the first one.
     pub loader: Option<LoaderView>,
+    /// Capacity that its loader last reported, kept longer than the rest of the report.
+    pub(super) capacity: KnownCapacity,
+    /// Measurements of this router's calls since the last notice to its loader.
+    pub(super) samples: CallSamples,
     /// When the pending report of its loader was requested.
     pub(super) report_requested: Option<Timestamp>,
     /// Time of the last report request that was noted as unanswered.
@@ -114,6 +119,8 @@
             advertised: AdvertisedState::default(),
             saturated_until: Duration::ZERO,
             loader: None,
+            capacity: KnownCapacity::default(),
+            samples: CallSamples::default(),
             report_requested: None,
             noted_silence: None,
             is_displaced: false,
@@ -132,6 +139,7 @@
     /// Stores its loader's report, and ends the pending request.
     pub(super) fn take_report(&mut self, report: LoaderReport, now: Timestamp) {
         self.report_requested = None;
+        self.capacity = KnownCapacity::new(&report, now);
         self.loader = Some(LoaderView { report, received: now });
     }
 
@@ -148,9 +156,14 @@
     /// Estimate of the prompt tokens of all routers' calls that it has not prefilled yet: those that its loader
     /// reported, less those processed since, but at least this router's own.
     pub fn fleet_prefill_tokens(&self, now: Timestamp) -> f64 {
+        self.prefill_tokens_at_rate(TOKENS_PER_MS, now)
+    }
+
+    /// [`Self::fleet_prefill_tokens`] if the target prefills `tokens_per_ms`.
+    pub(super) fn prefill_tokens_at_rate(&self, tokens_per_ms: f64, now: Timestamp) -> f64 {
         let reported = self.loader.as_ref().map_or(0.0, |view| {
             let age = now.saturating_sub(view.received);
-            prefill_left_after(f64::from(view.report.prefill_tokens), age)
+            prefill_left_after(f64::from(view.report.prefill_tokens), age, tokens_per_ms)
         });
         reported.max(f64::from(self.prefill_tokens))
     }
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -1,12 +1,14 @@
 //! The targets as one router sees them: the list, the loaders' reports, and its own calls.
 
 mod advertised;
+mod capacity;
 mod departed;
 mod limits;
 
 use self::departed::DepartedTarget;
 use super::{
     call::{AdapterId, AdapterRelease},
+    capacity::ServiceCapacity,
     config::{EngineSpec, RouteConfig},
     demand::FleetDemand,
     health::CallOutcome,
@@ -36,6 +38,7 @@
     demand: FleetDemand,
     concurrency: HashMap<ServiceName, ConcurrencyGauge>,
     wait_estimates: WaitEstimates,
+    capacities: HashMap<ServiceName, ServiceCapacity>,
     /// Targets that were removed from the list, and may return in the same incarnation.
     departed: HashMap<LimitTag, DepartedTarget>,
 }
@@ -58,6 +61,7 @@
             demand: FleetDemand::default(),
             concurrency: HashMap::new(),
             wait_estimates: WaitEstimates::default(),
+            capacities: HashMap::new(),
             departed: HashMap::new(),
         }
     }
@@ -134,6 +138,7 @@
             self.rebuild();
         }
         self.demand.expire(now);
+        self.update_capacities(now);
     }
 
     /// Entries of the list in use.
@@ -223,6 +228,8 @@
         target
             .load_requests
             .retain(|adapter, request| request.is_awaited() || !satisfied.contains(adapter));
+        let service = Arc::clone(&target.entry.service);
+        self.update_capacity(&service, now);
         true
     }
 
@@ -287,12 +294,6 @@
         counts.running == 1
     }
 
-    /// Records that the first byte of a call's answer arrived, so that its prompt is prefilled.
-    pub fn call_answered(&mut self, incarnation: &TargetIncarnation, tokens: u32) {
-        let Some(target) = self.target_mut(incarnation) else { return };
-        target.prefill_tokens = target.prefill_tokens.saturating_sub(tokens);
-    }
-
     /// Records that a call ended; `tokens` is the length of its prompt if no first byte arrived, else 0.
     pub fn call_ended(&mut self, incarnation: &TargetIncarnation, tokens: u32) {
         let Some(target) = self.target_mut(incarnation) else { return };
@@ -300,13 +301,6 @@
         target.prefill_tokens = target.prefill_tokens.saturating_sub(tokens);
     }
 
-    /// Records that a call's answer ended `time` after the call was sent.
-    pub fn run_ended(&mut self, incarnation: &TargetIncarnation, time: Duration) {
-        if self.target(incarnation).is_some_and(|target| self.engine_of(target).is_some()) {
-            self.wait_estimates.record_run(time);
-        }
-    }
-
     /// Records that a call no longer uses its adapter at a target. Returns whether no other call of this router uses
     /// the adapter at this target.
     pub fn use_ended(&mut self, incarnation: &TargetIncarnation, adapter: &AdapterId) -> bool {
--- a/crates/core/src/direct/waits.rs
+++ b/crates/core/src/direct/waits.rs
@@ -52,9 +52,9 @@
         self.run += RUN_WEIGHT * (time.as_secs_f64() * 1_000.0 - self.run);
     }
 
-    /// Wait for the next free slot of a full batch of `slots`, in milliseconds.
-    pub fn batch_wait_ms(&self, slots: u32) -> f64 {
-        self.run / f64::from(slots.max(1))
+    /// Time of a run, in milliseconds.
+    pub fn run_ms(&self) -> f64 {
+        self.run
     }
 
     /// Duration of a load from the weight store, in milliseconds.
@@ -73,6 +73,11 @@
     }
 }
 
+/// Wait for the next free slot of a full batch of `slots` whose runs take `run_ms`, in milliseconds.
+pub(super) fn batch_wait_ms(run_ms: f64, slots: u32) -> f64 {
+    run_ms / f64::from(slots.max(1))
+}
+
 /// Wait for a free adapter slot at the engine of a report, in milliseconds.
 pub(super) fn slot_wait_ms(report: &LoaderReport) -> f64 {
     f64::from((1 - report.free_slots).max(0)) * SLOT_MS
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -3,6 +3,7 @@
 mod advertised_state;
 mod backlog;
 mod budget;
+mod capacity;
 mod config;
 mod customers;
 mod demand;
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -188,6 +188,7 @@
             StepResult::Reported(Ok(report)) => {
                 gauge!("plantain_running").set(f64::from(report.active));
                 gauge!("plantain_queued").set(f64::from(report.queued));
+                self.note_capacity();
                 self.machine.take_report(report, now);
                 self.note_answering();
             }
@@ -230,6 +231,18 @@
         }
     }
 
+    /// Publishes the estimate of the engine's capacity, and logs it after a change.
+    fn note_capacity(&mut self) {
+        let capacity = self.machine.capacity();
+        gauge!("plantain_prefill_rate").set(capacity.tokens_per_ms().unwrap_or_default());
+        gauge!("plantain_run_ms").set(f64::from(capacity.run_ms()));
+        if let Some(change) = self.machine.take_capacity_change() {
+            info!(self.logger, "prefill rate changed"; "step" => "capacity", "old" => change.old,
+                "new" => change.new, "sample" => ?change.kind,
+                "sample_age_ms" => change.age.as_millis() as u64);
+        }
+    }
+
     fn note_answering(&mut self) {
         if std::mem::take(&mut self.is_unresponsive) {
             info!(self.logger, "engine regained"; "step" => "engine");
--- a/crates/daemon/src/router/context/guards.rs
+++ b/crates/daemon/src/router/context/guards.rs
@@ -97,9 +97,12 @@
 
     /// Records the first byte of the answer.
     pub(crate) fn set_answered(&mut self) {
-        self.is_answered = true;
-        let prefill_tokens = std::mem::take(&mut self.prefill_tokens);
-        self.context.pool.borrow_mut().call_answered(&self.incarnation, prefill_tokens);
+        if !std::mem::replace(&mut self.is_answered, true) {
+            let tokens = std::mem::take(&mut self.prefill_tokens);
+            let time = clock::now().saturating_sub(self.sent);
+            let mut pool = self.context.pool.borrow_mut();
+            pool.call_answered(&self.incarnation, self.adapter.as_ref(), tokens, time);
+        }
         self.set_overdue(false);
     }
 
