--- a/crates/daemon/src/router/exchange/slots.rs
+++ b/crates/daemon/src/router/exchange/slots.rs
@@ -65,10 +65,13 @@
                 self.note(&format!("no slot in time, wait {} ms: {state}", expected.as_millis()));
                 Err(shed_pause())
             }
-            SlotDecision::Unmanaged => match self.shed().filter(|_| was_managed) {
-                Some(pause) => Err(pause),
-                None => Ok(candidates.into_iter().next().map(|first| (first, slot))),
-            },
+            SlotDecision::Unmanaged => {
+                // A call that found no coordinator at first was shed, or not, before its target was chosen.
+                if was_managed && let Some(pause) = self.shed() {
+                    return Err(pause);
+                }
+                Ok(candidates.into_iter().next().map(|first| (first, slot)))
+            }
         }
     }
 
