--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -13,7 +13,6 @@
     ids::Timestamp,
     rendezvous::{weight, weighted_score},
 };
-use xxhash_rust::xxh3::xxh3_64;
 
 /// Calls per second that one copy of an adapter serves before another copy is added, by a router's own estimate.
 const CALLS_PER_COPY: f64 = 10.0;
@@ -140,7 +139,7 @@
     adapter: &AdapterId,
     now: Timestamp,
 ) -> Vec<&'a TargetState> {
-    let key = adapter_key(adapter);
+    let key = adapter.stable_hash();
     let usable = pool.service_targets(need.service).filter(|target| {
         !target.is_draining()
             && !target.has_ended()
@@ -198,7 +197,3 @@
     let overflow = ordered.take(OVERFLOW_PRICES.len()).collect();
     AdapterPlacement { preferred, overflow, decided_by: source }
 }
-
-fn adapter_key(adapter: &AdapterId) -> u64 {
-    xxh3_64(adapter.name.as_bytes()) ^ xxh3_64(adapter.base.as_bytes()).rotate_left(1)
-}
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -22,3 +22,5 @@
 mod sharing;
 mod support;
 mod target_limit;
+mod timeliness;
+mod urgency;
