--- a/crates/core/tests/core/direct/placement/fleet.rs
+++ b/crates/core/tests/core/direct/placement/fleet.rs
@@ -53,6 +53,8 @@
     Partitioned,
     /// The loader is suspended; the engine serves.
     Frozen,
+    /// The loader restarts, and has counted no calls.
+    Restarted,
 }
 
 enum Event {
@@ -369,6 +371,7 @@
                 engine.held.clear();
                 self.push(LAPSE_MS, Event::Lapse(index));
             }
+            Fault::Restarted => engine.decisions = CopyDecisions::default(),
             Fault::Partitioned | Fault::Frozen => engine.fault = Some(fault),
         }
     }
@@ -396,6 +399,7 @@
         case(Fault::Died, 3),
         case(Fault::Partitioned, 3),
         case(Fault::Frozen, 2),
+        case(Fault::Restarted, 2),
     ];
     let mut failures = Vec::new();
     for routers in [30, 300, 1_000] {
