--- a/crates/core/src/direct/timeliness.rs
+++ b/crates/core/src/direct/timeliness.rs
@@ -113,7 +113,10 @@
         return EngineWait::Unknown;
     };
     let report = &view.report;
-    if !report.is_answering {
+    // Without loads in progress, the load time may be of long ago. Only a new load shows whether it still holds, and a
+    // fleet that refused the calls would order none.
+    let has_loads = report.queue_ms > 0 || !report.loading.is_empty();
+    if !report.is_answering || !has_loads {
         return EngineWait::Unknown;
     }
     if !target.holds_base(terms.base, now) {
@@ -123,6 +126,7 @@
     let holds_version = |held: Option<AdapterVersion>| held.is_some_and(|it| it >= terms.version);
     if holds_version(target.held_version(&terms.adapter, now))
         || target.is_loading(&terms.adapter, now)
+        || target.is_in_host_memory(&terms.adapter, now)
         // Held until recently: the host may have it in memory, and load it without a queue in a tenth of the time.
         || holds_version(listed_version(target, &terms.adapter))
     {
@@ -134,9 +138,11 @@
         // The call's place in the queue is not known.
         Duration::ZERO
     } else {
-        shortest_queue(report.queue_ms).saturating_sub(age)
+        shortest_queue(report.queue_ms)
     };
-    EngineWait::Load(queue + Duration::from_millis(report.load_ms.into()), age)
+    let load = Duration::from_millis(report.load_ms.into());
+    // The load may have begun right after the report, for this call or for one of another router.
+    EngineWait::Load((queue + load).saturating_sub(age), age)
 }
 
 /// Shortest time in which a reported queue of loads can end. A report divides the queue by the number of loads that
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -4,7 +4,7 @@
 
 use super::{
     connections::ConnectionPool, constants, crashes::tracker::CrashTracker,
-    journal::RequestJournal, limits::LimitTracker,
+    journal::RequestJournal, limits::LimitTracker, slots::SlotTracker,
 };
 use crate::{clock, options::site::RouterFile};
 use metrics::{counter, gauge};
@@ -52,6 +52,8 @@
     pub(crate) limits: LimitTracker,
     /// Customers' use of services, from which the urgency of their calls follows.
     pub(crate) customer_use: RefCell<CustomerUseTable>,
+    /// Slots of plain services that all routers share.
+    pub(crate) slots: Rc<SlotTracker>,
     /// Whether the known configuration may be outdated, because it cannot be followed now.
     pub(crate) may_be_outdated: Cell<bool>,
     /// Idle connections to targets.
@@ -95,6 +97,7 @@
             crashes: CrashTracker::new(&settings.name, boot),
             limits: LimitTracker::new(boot, settings.bounds.limits.terms()),
             customer_use: RefCell::default(),
+            slots: SlotTracker::new(boot),
             may_be_outdated: Cell::new(false),
             settings: RefCell::new(settings),
             pool: RefCell::new(TargetPool::new()),
