--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -18,6 +18,7 @@
 mod membership;
 mod messages;
 mod notices;
+mod placement;
 mod proof;
 mod selection;
 mod sharing;
