Routers query both loaders of a registry in two rounds

Cause: eight rounds at both loaders doubled the load of a registry's loader while a fleet starts: fleet::traffic_of_a_host_does_not_grow_with_the_fleet failed on the busiest loader.

Change: all loaders of a registry are queried in the first two rounds; the others query one, as before.

--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -42,8 +42,11 @@
 /// the first answers count only those that registered first, and shares of a budget would be too large until
 /// each zone is queried again. With half of all answers lost, four rounds left one router of forty with a
 /// count of 27 for twenty seconds. Eight rounds at one loader of each zone left one router of forty below 28 in 3 of
-/// 80 runs, so these rounds also query all loaders of a registry.
+/// 80 runs; see [`FULL_ROUNDS`].
 const EARLY_ROUNDS: usize = 8;
+/// Rounds after its start in which a router sends its presence to all loaders of each zone's registry. More rounds would
+/// double the load of these loaders while a large fleet starts.
+const FULL_ROUNDS: usize = 2;
 /// Minimum of routers of its own zone that a router is sent, if there are as many: those of the highest rank
 /// among the relays of store changes.
 const SAME_ZONE_FLOOR: usize = 8;
@@ -108,10 +111,10 @@
 }
 
 /// The loaders of a zone's registry to which a router sends its presence in round `round`: all in the first
-/// [`EARLY_ROUNDS`], so that the loss of one answer leaves the other; later the one that `turn` selects. The cost does
+/// [`FULL_ROUNDS`], so that the loss of one answer leaves the other; later the one that `turn` selects. The cost does
 /// not depend on the number of routers.
 pub fn loaders_to_query<T>(registry: &[T], round: usize, turn: usize) -> &[T] {
-    if round < EARLY_ROUNDS || registry.is_empty() {
+    if round < FULL_ROUNDS || registry.is_empty() {
         return registry;
     }
     let index = turn % registry.len();
