--- a/crates/core/src/direct/demand.rs
+++ b/crates/core/src/direct/demand.rs
@@ -10,8 +10,6 @@
     call::AdapterId,
     membership::{BaseHolding, InstanceId},
     messages::LoaderReport,
-    target::TargetState,
-    targets::TargetPool,
 };
 use crate::{demand::DecayedCount, ids::Timestamp};
 use std::{collections::HashMap, time::Duration};
@@ -36,23 +34,6 @@
     (calls_a_second / RATE_STEP).round().clamp(0.0, f64::from(u16::MAX)) as u16
 }
 
-/// Number of engines that hold each adapter that a target's calls use, for a notice: in the order in which
-/// [`TargetState::take_uses`] lists the uses. Empty if no adapter is held by a second engine.
-pub fn list_spreads(pool: &TargetPool, target: &TargetState, now: Timestamp) -> Vec<u8> {
-    let spreads = target.uses.keys().map(|adapter| {
-        let engines = pool.service_targets(&target.entry.service);
-        let holders = engines.filter(|engine| {
-            !engine.is_draining()
-                && !engine.has_ended()
-                && !engine.health.is_backing_off(now)
-                && engine.held_version(adapter, now).is_some()
-        });
-        u8::try_from(holders.count()).unwrap_or(u8::MAX)
-    });
-    let spreads: Vec<u8> = spreads.collect();
-    if spreads.iter().all(|spread| *spread <= 1) { Vec::new() } else { spreads }
-}
-
 /// Time for which reported rates are used: a router gets an engine's reports only while it has calls there.
 const RATE_TTL: Duration = Duration::from_secs(5);
 
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -5,7 +5,6 @@
 //! must still have: of all orders on one count at most one takes effect, and the next report shows which.
 
 mod capacity;
-pub mod copies;
 mod host_memory;
 pub mod load_limiter;
 mod lost_orders;
@@ -27,7 +26,6 @@
     demand::DecayedCount,
     ids::{BootId, Timestamp},
 };
-use copies::CopyDecisions;
 use host_memory::HostMemory;
 use load_limiter::{LoadLimiter, LoadStart};
 use lost_orders::LostOrders;
@@ -138,7 +136,6 @@
     ordered: Timestamp,
     notices: HashMap<SocketAddr, NoticeState>,
     demand: HashMap<AdapterId, AdapterDemand>,
-    copies: CopyDecisions,
     lost: LostOrders,
     /// Loads in progress.
     loading: HashMap<AdapterId, LoadStart>,
@@ -178,7 +175,6 @@
             ordered: Duration::ZERO,
             notices: HashMap::new(),
             demand: HashMap::new(),
-            copies: CopyDecisions::default(),
             lost: LostOrders::default(),
             loading: HashMap::new(),
             load_limiter: LoadLimiter::new(MAX_CONCURRENT_LOADS),
@@ -222,12 +218,14 @@
             return;
         }
         self.measure_capacity(router, &notice, now);
-        let spreads = notice.spreads.iter().copied().chain(std::iter::repeat(1));
-        for (used, spread) in notice.uses.iter().zip(spreads).filter(|(used, _)| used.started > 0) {
+        let started = notice.uses.iter().filter(|used| used.started > 0);
+        let started = started.map(|used| {
             let adapter =
                 AdapterId { base: Arc::clone(&used.base), name: Arc::clone(&used.adapter) };
-            self.copies.record(&adapter, used.started, spread, now);
-            self.record_demand(adapter, used.started, now);
+            (adapter, used.started)
+        });
+        for (adapter, count) in started.collect::<Vec<_>>() {
+            self.record_demand(adapter, count, now);
         }
         self.backlog.add(notice.uses.iter().map(|used| used.started_tokens).sum(), now);
         if !notice.bases.is_empty() {
@@ -301,7 +299,6 @@
         self.backlog = PrefillBacklog::default();
         self.capacity.begin_incarnation();
         self.memory = HostMemory::default();
-        self.copies = CopyDecisions::default();
         for state in self.notices.values_mut() {
             state.fulfilled.clear();
         }
--- a/crates/core/src/direct/loader/report.rs
+++ b/crates/core/src/direct/loader/report.rs
@@ -1,6 +1,6 @@
 //! The loader's report to routers.
 
-use super::{LoaderMachine, as_millis, copies::CopyShare, requested_adapter};
+use super::{LoaderMachine, as_millis, requested_adapter};
 use crate::{
     direct::{
         call::AdapterId,
@@ -27,7 +27,7 @@
         let awaited: Vec<&LoadRequest> = awaited.collect();
         let loading = report.loading.iter();
         let loading = loading.map(|(id, _)| (Arc::clone(&id.base), Arc::clone(&id.name)));
-        let mut made = LoaderReport {
+        Some(LoaderReport {
             boot: self.boot,
             sequence: self.sequence,
             incarnation,
@@ -47,21 +47,7 @@
             run_ms: self.capacity.run_ms(),
             copies: Vec::new(),
             host_memory: self.memory.fingerprints(|id| report.held(id).is_some()),
-        };
-        made.copies = self.decide_copies(&made, now);
-        Some(made)
-    }
-
-    /// Number of engines that are to hold each adapter of a report; empty if the batch or the run time is unknown.
-    fn decide_copies(&mut self, report: &LoaderReport, now: Timestamp) -> Vec<u8> {
-        let batch = self.notices.values().map(|state| state.notice.batch).max().unwrap_or(0);
-        let Some(share) = CopyShare::new(batch, report.run_ms) else { return Vec::new() };
-        let adapters = report.holdings.iter().flat_map(BaseHolding::adapter_ids);
-        let decided = adapters.map(|adapter| {
-            let waiting = self.waiting_calls(&adapter);
-            self.copies.decide(&adapter, waiting, share, now)
-        });
-        decided.collect()
+        })
     }
 
     /// Calls per second for an adapter, plus those that wait for it.
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -116,11 +116,6 @@
     pub ended_runs: u16,
     /// Sum in ms of the times of those runs.
     pub ended_ms: u32,
-    /// Calls that an engine of the service runs at once (its batch); 0 if unknown.
-    pub batch: u16,
-    /// Number of engines that hold each adapter of `uses`, in the same order, as far as the router knows: its calls for
-    /// the adapter are spread over these. 0 or missing counts as 1.
-    pub spreads: Vec<u8>,
 }
 
 /// A loader's report of its engine to routers.
--- a/crates/core/src/direct/notices.rs
+++ b/crates/core/src/direct/notices.rs
@@ -7,8 +7,7 @@
 //! trip of about a millisecond, and a host's traffic grows with its own calls only.
 
 use super::{
-    demand::list_spreads, membership::TargetIncarnation, messages::RouterNotice,
-    target::TargetState, targets::TargetPool,
+    membership::TargetIncarnation, messages::RouterNotice, target::TargetState, targets::TargetPool,
 };
 use crate::ids::{BootId, Timestamp};
 use std::{collections::HashMap, time::Duration};
@@ -81,8 +80,6 @@
         let target = pool.target(incarnation)?;
         let spec = pool.engine_of(target)?;
         let (adapter_slots, memory_mb) = (spec.adapter_slots as u16, spec.memory_mb as f32);
-        let batch = u16::try_from(spec.batch).unwrap_or(u16::MAX);
-        let spreads = list_spreads(pool, target, now);
         let is_empty = target.is_empty_engine(now);
         let last = self.sent.get(incarnation).copied();
         let is_offer = is_empty || last.is_none();
@@ -117,8 +114,6 @@
             best_prefill: samples.best_prefill,
             ended_runs: samples.ended_runs,
             ended_ms: samples.ended_ms,
-            batch,
-            spreads,
         })
     }
 }
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -9,7 +9,6 @@
     load_shedding::LatencyGauge,
     membership::{BaseHolding, TargetEntry},
     messages::{AdapterUse, LoadRequest, LoaderReport},
-    placement::WeightStep,
     target_limit::KnownLimit,
 };
 use crate::ids::{AdapterVersion, Timestamp};
@@ -105,8 +104,6 @@
     pub(super) is_superseded: bool,
     pub(super) uses: HashMap<AdapterId, UseCounts>,
     pub(super) load_requests: HashMap<AdapterId, LoadRequestState>,
-    /// Its weight in the placement of adapters.
-    pub(super) weight: WeightStep,
 }
 
 impl TargetState {
@@ -130,7 +127,6 @@
             is_superseded: false,
             uses: HashMap::new(),
             load_requests: HashMap::new(),
-            weight: WeightStep::default(),
         }
     }
 
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -16,7 +16,6 @@
     load_shedding::ConcurrencyGauge,
     membership::{InstanceId, ListChange, TargetEntry, TargetIncarnation, TargetList},
     messages::{BaseOffer, LoaderReport},
-    placement::relative_speed,
     target::{LoadRequestState, TargetState},
     waits::WaitEstimates,
 };
@@ -216,13 +215,8 @@
         }
         self.wait_estimates.record(&report);
         self.demand.take_report(&report, now);
-        // A loader that has restarted knows no rate for some seconds; the weight stays, and with it the placement.
-        let speed = (report.prefill_rate > 0).then(|| relative_speed(self, &report));
         let Some(target) = self.target_mut(&report.incarnation) else { return false };
         target.take_report(report, now);
-        if let Some(speed) = speed {
-            target.weight.update(speed);
-        }
         let satisfied: HashSet<AdapterId> = target
             .load_requests
             .iter()
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -18,7 +18,6 @@
 mod membership;
 mod messages;
 mod notices;
-mod placement;
 mod proof;
 mod selection;
 mod sharing;
--- a/crates/core/tests/core/direct/capacity/estimate.rs
+++ b/crates/core/tests/core/direct/capacity/estimate.rs
@@ -35,8 +35,6 @@
         best_prefill: (best_prefill * 16.0) as u16,
         ended_runs: 0,
         ended_ms: 0,
-        batch: 8,
-        spreads: Vec::new(),
     }
 }
 
--- a/crates/core/tests/core/direct/demand.rs
+++ b/crates/core/tests/core/direct/demand.rs
@@ -1,12 +1,11 @@
 //! Estimates of the demand for adapters over the fleet.
 
-use super::support::{adapter, ms, pool, report};
+use super::support::{adapter, ms, report};
 use plantain_core::direct::{
     demand::{FleetDemand, encode_rate},
     messages::LoaderReport,
-    notices::NoticeSchedule,
 };
-use std::{collections::BTreeMap, ops::Range};
+use std::ops::Range;
 
 struct DemandCase {
     name: &'static str,
@@ -128,41 +127,3 @@
     demand.record(&adapter("h7"), ms(10));
     assert_eq!(demand.wanted(5.0, 30, ms(10)), vec![adapter("h7")]);
 }
-
-/// Guards against a number of holders that is stated for another adapter of the notice, or that counts engines which get
-/// no calls: the loader would multiply its calls by it.
-#[test]
-fn notices_state_over_how_many_engines_calls_are_spread() {
-    let names = ["h1", "h2", "h3", "h4", "h5"];
-    let holders: [&[&str]; 3] = [&names, &["h2", "h4"], &["h4", "h5"]];
-    let mut pool = pool();
-    let mut schedule = NoticeSchedule::new(1);
-    let incarnation = "e1".into();
-    for name in names {
-        pool.call_started(&incarnation, Some(&adapter(name)), 100);
-    }
-    let notice = schedule.make(&mut pool, &incarnation, ms(0)).expect("a known engine");
-    assert_eq!(notice.batch, 8);
-    assert!(notice.spreads.is_empty(), "no report yet: {:?}", notice.spreads);
-    for is_draining in [false, true] {
-        for ((id, held), sequence) in ["e1", "e2", "e3"].into_iter().zip(holders).zip(1..) {
-            let held: Vec<_> = held.iter().map(|name| (*name, 1)).collect();
-            let sequence = if is_draining { sequence + 10 } else { sequence };
-            let made = LoaderReport {
-                is_draining: is_draining && id == "e3",
-                ..report(id, sequence, &held)
-            };
-            let host = pool.target(&id.into()).expect("an engine").entry.address.ip();
-            assert!(pool.take_report(host, made, ms(1)));
-        }
-        let notice = schedule.make(&mut pool, &incarnation, ms(2)).expect("a known engine");
-        let stated = notice.uses.iter().map(|used| &*used.adapter).zip(notice.spreads);
-        let stated: BTreeMap<&str, u8> = stated.collect();
-        let expected = if is_draining {
-            [("h1", 1), ("h2", 2), ("h3", 1), ("h4", 2), ("h5", 1)]
-        } else {
-            [("h1", 1), ("h2", 2), ("h3", 1), ("h4", 3), ("h5", 2)]
-        };
-        assert_eq!(stated, BTreeMap::from(expected), "draining: {is_draining}");
-    }
-}
--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -1,6 +1,5 @@
 //! The loader's orders, against an engine whose answers get lost and that carries orders out late.
 
-mod copies;
 mod incarnations;
 mod order;
 mod priority;
@@ -61,8 +60,6 @@
         best_prefill: 0,
         ended_runs: 0,
         ended_ms: 0,
-        batch: 0,
-        spreads: Vec::new(),
     }
 }
 
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -290,13 +290,6 @@
         if let Some(report) = self.machine.make_report(now) {
             self.send(&LoaderMessage::Report(report), &due);
         }
-        for change in self.machine.take_copy_changes() {
-            let adapter = format!("{}/{}", change.adapter.base, change.adapter.name);
-            let (before, copies) = change.copies;
-            counter!("plantain_copy_changes_total").increment(1);
-            info!(self.logger, "number of copies changed"; "step" => "copies", "adapter" => adapter,
-                "before" => before, "copies" => copies, "demand" => change.demand, "own" => change.own);
-        }
     }
 
     fn send(&self, message: &LoaderMessage, routers: &[SocketAddr]) {
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -7,7 +7,7 @@
     journal::RequestJournal, limits::LimitTracker, slots::SlotTracker,
 };
 use crate::{clock, options::site::RouterFile};
-use metrics::{counter, gauge};
+use metrics::counter;
 use plantain_core::{
     direct::{
         budget::FleetRetryBudget,
@@ -15,7 +15,7 @@
         directory::{PeerView, PresenceRegistry, RouterDirectory, RouterTable},
         limits::terms::FleetSize,
         membership::TargetIncarnation,
-        placement::{CopySource, place_adapter},
+        placement::place_adapter,
         selection::{CallNeed, adapter_of},
         targets::TargetPool,
         urgency::CustomerUseTable,
@@ -25,7 +25,7 @@
 use slog::{Logger, warn};
 use std::{
     cell::{Cell, RefCell, RefMut},
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{HashMap, HashSet},
     rc::Rc,
     sync::{
         Arc,
@@ -266,7 +266,6 @@
         pool.drop_old_prefetches(constants::PREFETCH_TTL, now);
         let zone = Arc::clone(&self.settings.borrow().zone);
         let routers = self.router_count();
-        let mut largest_copies = BTreeMap::from(CopySource::ALL.map(|by| (by.name(), 0)));
         for adapter in pool.demand().wanted(constants::PREFETCH_RATE, routers, now) {
             let Some(service) = service_of(&pool, &adapter) else { continue };
             let need = CallNeed {
@@ -278,21 +277,13 @@
                 waiting_at: None,
                 may_request_report: false,
             };
-            let placement = place_adapter(&pool, &need, &adapter, now);
-            let by = placement.decided_by;
-            counter!("plantain_copies_decided_total", "by" => by.name()).increment(1);
-            let largest = largest_copies.entry(by.name()).or_insert(0);
-            *largest = placement.preferred.len().max(*largest);
-            for incarnation in placement.preferred {
+            for incarnation in place_adapter(&pool, &need, &adapter, now).preferred {
                 let newest = pool.newest_version(&adapter);
                 if is_missing(&pool, &incarnation, &adapter, newest, now) {
                     pool.prefetch(&incarnation, &adapter, newest, now);
                 }
             }
         }
-        for (by, copies) in largest_copies {
-            gauge!("plantain_adapter_copies", "by" => by).set(copies as f64);
-        }
     }
 }
 
