--- a/crates/core/src/direct/loader/report.rs
+++ b/crates/core/src/direct/loader/report.rs
@@ -45,7 +45,6 @@
             prefill_tokens: self.backlog.read(now),
             prefill_rate: self.capacity.prefill_rate(),
             run_ms: self.capacity.run_ms(),
-            copies: Vec::new(),
             host_memory: self.memory.fingerprints(|id| report.held(id).is_some()),
         })
     }
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -163,9 +163,6 @@
     pub prefill_rate: u16,
     /// Mean time in ms of a run; 0 if unknown.
     pub run_ms: u16,
-    /// Number of engines that are to hold each adapter of `holdings`, in the same order; 0 or missing if this loader
-    /// does not decide it.
-    pub copies: Vec<u8>,
     /// Adapters that the engine does not hold, but that a load is expected to find in the memory of its host; the newest
     /// ones, by [`AdapterId::fingerprint`].
     ///
--- a/crates/core/tests/core/direct/messages.rs
+++ b/crates/core/tests/core/direct/messages.rs
@@ -4,7 +4,7 @@
 use plantain_core::direct::messages::{LoaderMessage, decode_datagram};
 
 /// Bytes of the fields that were added to a report after the first build, as encoded by [`report`].
-const ADDED_BYTES: usize = 4;
+const ADDED_BYTES: usize = 3;
 
 /// Guards against routers that drop the reports of older loaders, and so send calls to engines that do not hold the
 /// adapter.
--- a/crates/core/tests/core/direct/support.rs
+++ b/crates/core/tests/core/direct/support.rs
@@ -116,7 +116,6 @@
         prefill_tokens: 0,
         prefill_rate: 0,
         run_ms: 0,
-        copies: Vec::new(),
         host_memory: Vec::new(),
     }
 }
