--- a/crates/core/src/direct/late_answers.rs
+++ b/crates/core/src/direct/late_answers.rs
@@ -9,8 +9,8 @@
 
 /// Share of the batch slots in use above which an engine counts as busy: beyond it, bursts of calls fill the batch.
 const BUSY_BATCH_SHARE: f64 = 0.75;
-/// Prompt tokens of other calls not yet processed, above which an engine counts as busy: these take about as long as
-/// the part of an objective that is left for waits.
+/// Prompt tokens of other calls not yet processed, above which an engine counts as busy: about a tenth of a second of
+/// work, which most late calls have before them under load.
 const BUSY_PREFILL_TOKENS: f64 = 4_000.0;
 
 /// Why an answer is late.
