--- a/crates/core/src/direct/concurrency/coordinator.rs
+++ b/crates/core/src/direct/concurrency/coordinator.rs
@@ -234,7 +234,7 @@
         self.count_free(now);
         self.take_excess();
         self.give_free(now);
-        self.take_for_poorer(now);
+        self.rebalance(now);
     }
 
     fn count_free(&mut self, now: Timestamp) {
@@ -341,29 +341,29 @@
 
     /// Takes slots back for waiting routers that have none, or at least two fewer than another router. A slot that has
     /// a call returns when the call ends; as many are taken back as such routers wait.
-    fn take_for_poorer(&mut self, now: Timestamp) {
+    fn rebalance(&mut self, now: Timestamp) {
         let returning = |router: &RouterSlots| {
             let held = router.targets.iter();
             held.map(|held| u32::from(held.committed() - held.allowed)).sum::<u32>()
         };
         let returning: u32 = self.routers.values().map(returning).sum();
-        let mut poor: Vec<u32> = self
+        let mut lacking: Vec<u32> = self
             .routers
             .values()
             .filter(|router| router.missing() > 0)
             .map(RouterSlots::held)
             .collect();
-        poor.sort_unstable();
-        for held in poor.into_iter().skip(returning as usize) {
+        lacking.sort_unstable();
+        for held in lacking.into_iter().skip(returning as usize) {
             // A slot that was given just now is used for at least one call.
-            let rich = self.routers.values_mut().filter(|router| router.given < now);
-            let rich = rich.map(|router| (router.allowed(), router));
-            let rich = rich.max_by_key(|(allowed, router)| {
+            let holders = self.routers.values_mut().filter(|router| router.given < now);
+            let holders = holders.map(|router| (router.allowed(), router));
+            let holders = holders.max_by_key(|(allowed, router)| {
                 (*allowed, std::cmp::Reverse(router.given), router.number)
             });
-            let Some((allowed, router)) = rich else { return };
-            let is_richer = allowed >= held + 2 || (held == 0 && allowed > 0);
-            if !is_richer || !router.take_back() {
+            let Some((allowed, router)) = holders else { return };
+            let has_more = allowed >= held + 2 || (held == 0 && allowed > 0);
+            if !has_more || !router.take_back() {
                 return;
             }
         }
