--- a/crates/core/src/direct/concurrency/account.rs
+++ b/crates/core/src/direct/concurrency/account.rs
@@ -198,7 +198,7 @@
             && (self.grant.is_some() || self.switched.is_some_and(is_recent))
     }
 
-    /// Sets the run time from the targets' known latency, unless answers have been measured.
+    /// Sets the initial run time in ms. Has no effect once a run has been measured.
     pub fn set_first_run(&mut self, run_ms: f64) {
         if self.run_ms <= 0.0 {
             self.run_ms = run_ms;
--- a/crates/core/src/direct/urgency.rs
+++ b/crates/core/src/direct/urgency.rs
@@ -17,7 +17,8 @@
 pub const LOWEST_URGENCY: u8 = 9;
 /// Urgencies for each priority: one for calls within the fair share, and one for each step.
 const URGENCIES_PER_PRIORITY: u8 = 3;
-/// Lowest priority that is told apart where customers contend; with its steps it fits into [`LOWEST_URGENCY`].
+/// Priority from which all lower ones count alike where customers contend: its last step is just within
+/// [`LOWEST_URGENCY`].
 const LOWEST_PRIORITY: u8 = 2;
 /// Multiple of the fair share above which calls come one step later. Up to it, a customer may use what others leave.
 const FIRST_STEP: f64 = 1.5;
--- a/crates/core/tests/core/direct/timeliness.rs
+++ b/crates/core/tests/core/direct/timeliness.rs
@@ -94,7 +94,7 @@
 
 /// Load pattern: far more distinct adapters are requested than the weight store transfers, so that the queues of all
 /// loaders are longer than the deadlines. A call that waits until its deadline for a load that cannot end before then
-/// is told too late to be sent elsewhere, and delays the loads of others.
+/// is refused when its caller has no time left for a retry, and meanwhile delays the loads of other calls.
 #[test]
 fn calls_are_refused_only_if_no_engine_can_serve_them_in_time() {
     let cases = [
--- a/crates/daemon/src/router/exchange/slots.rs
+++ b/crates/daemon/src/router/exchange/slots.rs
@@ -66,7 +66,7 @@
                 Err(shed_pause())
             }
             SlotDecision::Unmanaged => {
-                // A call that found no coordinator at first was shed, or not, before its target was chosen.
+                // Shedding was already decided, before the choice of a target, if no coordinator answered then.
                 if was_managed && let Some(pause) = self.shed() {
                     return Err(pause);
                 }
