Routers log the software version of targets and what a caller resumes

The lines of the incident's routers could not tell a stream that the router itself resumed from one that its caller took up, and no line named a version. The version is decoded from the list and sent between routers behind their answers, so that builds without it are understood and understand. No decision uses it yet.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -25,6 +25,7 @@
 pub mod selection;
 pub mod sharing;
 pub mod snapshot;
+pub mod software;
 pub mod target;
 pub mod target_limit;
 pub mod targets;
--- a/crates/core/src/direct/call.rs
+++ b/crates/core/src/direct/call.rs
@@ -97,8 +97,28 @@
     pub tokens: Option<TokenCounts>,
     /// Model that it needs; `None` for a call to a plain service.
     pub model: Option<ModelCall>,
-    /// Last event that the caller received from an earlier run of a stream.
-    pub last_event: Option<u64>,
+    /// Where the caller asks to resume a stream; `None` for a call from the beginning.
+    pub resume: Option<ResumePoint>,
+}
+
+/// Where a caller asks to resume a stream that broke off.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ResumePoint {
+    /// Number of the last event that the caller received; `None` if it is not a number or was sent twice.
+    pub event: Option<u64>,
+    /// The call with which the stream began.
+    pub first_call: FirstCall,
+}
+
+/// The call with which a resumed stream began, as its caller names it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum FirstCall {
+    /// Id of the call that brought the stream's first event.
+    Named(CallId),
+    /// The caller names none.
+    Missing,
+    /// The caller names more than one, or none that can be read.
+    Unreadable,
 }
 
 /// What a router adds to a call that it forwards.
--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -1,7 +1,9 @@
 //! The list of targets, which lags and loses entries during an outage of the store.
 
 use super::call::AdapterId;
-use crate::ids::{AdapterName, AdapterVersion, BaseName, ServiceName, Timestamp, ZoneName};
+use crate::ids::{
+    AdapterName, AdapterVersion, BaseName, ServiceName, SoftwareVersion, Timestamp, ZoneName,
+};
 use serde::{Deserialize, Serialize};
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
@@ -120,6 +122,11 @@
     pub cold: Duration,
     /// What it holds, if it is an engine.
     pub holdings: Vec<BaseHolding>,
+    /// Version of its software; `None` if unknown. Routers send it beside their lists, see [`encode_answer`].
+    ///
+    /// [`encode_answer`]: super::software::encode_answer
+    #[serde(skip)]
+    pub software: Option<SoftwareVersion>,
 }
 
 impl TargetEntry {
@@ -147,10 +154,12 @@
             is_draining,
             cold,
             holdings,
+            software,
         } = self;
         let bases: Vec<_> =
             holdings.iter().map(|holding| (&holding.base, holding.version)).collect();
-        (incarnation, service, address, zone, slots, generation, is_draining, cold, bases)
+        let place = (service, address, zone, slots, generation);
+        (incarnation, place, is_draining, cold, bases, software)
     }
 }
 
--- a/crates/core/src/ids.rs
+++ b/crates/core/src/ids.rs
@@ -28,6 +28,8 @@
 pub type RequestId = u64;
 /// Name of a plain service.
 pub type ServiceName = Arc<str>;
+/// Version of a target's software, as the target reports it.
+pub type SoftwareVersion = Arc<str>;
 /// Name of a target: one model engine replica or one plain service replica.
 pub type TargetName = Arc<str>;
 /// Time since the process started, read from the monotonic clock.
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -21,6 +21,7 @@
 mod proof;
 mod selection;
 mod sharing;
+mod software;
 mod support;
 mod target_limit;
 mod timeliness;
--- a/crates/core/tests/core/direct/support.rs
+++ b/crates/core/tests/core/direct/support.rs
@@ -45,6 +45,7 @@
         is_draining: false,
         cold: Duration::ZERO,
         holdings: if is_engine { vec![holding(&[])] } else { Vec::new() },
+        software: Some("v1".into()),
     }
 }
 
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -170,11 +170,12 @@
             objective: route.objective,
             config: context.pool.borrow().config().number,
             adapter: head.model.as_ref().and_then(adapter_of).map(|adapter| (adapter, None)),
+            resume: head.resume.clone(),
             ..CallRecord::default()
         };
         Self {
             context: Rc::clone(context),
-            resume_after: head.last_event,
+            resume_after: head.resume.as_ref().and_then(|resume| resume.event),
             head,
             method,
             headers,
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -56,6 +56,7 @@
             let target = pool.target(incarnation);
             let view = target.and_then(|target| target.loader.as_ref());
             self.record.report_age = view.map(|view| sent.saturating_sub(view.received));
+            self.record.software = target.and_then(|target| target.entry.software.clone());
             target.map(|target| target.entry.address)
         };
         let request = self.target_request(incarnation, version);
--- a/crates/daemon/src/router/journal.rs
+++ b/crates/daemon/src/router/journal.rs
@@ -5,13 +5,13 @@
 use metrics::{counter, histogram};
 use plantain_core::{
     direct::{
-        call::{AdapterId, CallId},
+        call::{AdapterId, CallId, FirstCall, ResumePoint},
         config::ConfigNumber,
         limits::terms::UsageCost,
         membership::TargetIncarnation,
     },
     fingerprint::CallFingerprint,
-    ids::{AdapterVersion, CustomerName, Timestamp},
+    ids::{AdapterVersion, CustomerName, SoftwareVersion, Timestamp},
 };
 use slog::{Logger, info, warn};
 use std::{
@@ -96,6 +96,10 @@
     pub(crate) adapter: Option<(AdapterId, Option<AdapterVersion>)>,
     /// Last target that the call was sent to.
     pub(crate) target: Option<TargetIncarnation>,
+    /// Version of that target's software when the call was sent; `None` if unknown.
+    pub(crate) software: Option<SoftwareVersion>,
+    /// Where the caller asked to resume a stream; `None` for a call from the beginning.
+    pub(crate) resume: Option<ResumePoint>,
     /// Age of the loader's report when the call was sent; `None` without a report.
     pub(crate) report_age: Option<Duration>,
     /// Reports requested from loaders for this call.
@@ -185,6 +189,9 @@
             "customer" => record.customer.as_deref(), "cost" => record.cost, "route" => &record.route, "objective_ms" => record.objective.as_millis() as u64,
             "config" => record.config, "adapter" => adapter,
             "target" => record.target.as_ref().map(|incarnation| &*incarnation.id),
+            "software" => record.software.as_deref(),
+            "resume_after" => record.resume.as_ref().map(|resume| resume.event),
+            "first_call" => record.resume.as_ref().map(first_call_text),
             "questions" => record.report_requests, "sends" => record.sends, "runs" => record.runs,
             "report_age_ms" => record.report_age.map(|age| age.as_millis() as u64),
             "sent_ms" => record.last_send.map(|sent| sent.as_millis() as u64),
@@ -218,3 +225,12 @@
         }
     }
 }
+
+/// The first call of a resumed stream, for log lines.
+fn first_call_text(resume: &ResumePoint) -> &str {
+    match &resume.first_call {
+        FirstCall::Named(id) => id,
+        FirstCall::Missing => "missing",
+        FirstCall::Unreadable => "unreadable",
+    }
+}
--- a/crates/daemon/src/router/peers.rs
+++ b/crates/daemon/src/router/peers.rs
@@ -21,6 +21,7 @@
     membership::ListChange,
     sharing::StorePosition,
     snapshot::{ListHash, PeerSnapshot},
+    software::{decode_answer, encode_answer},
 };
 use plantain_net::client::{HttpAnswer, HttpClient, url};
 use plantain_platform::objects::{FollowedChange, FollowedKind};
@@ -131,7 +132,7 @@
 fn decode_snapshot(uri: &str, answer: &HttpAnswer) -> Result<PositionedSnapshot> {
     ensure!(answer.status.is_success(), "GET {uri}: {}", answer.status);
     let snapshot: PeerSnapshot =
-        postcard::from_bytes(&answer.body).wrap_err_with(|| format!("decode snapshot of {uri}"))?;
+        decode_answer(&answer.body).wrap_err_with(|| format!("decode snapshot of {uri}"))?;
     // A peer of an older build sends no eras. Era 0 makes the store's first answer replace the position.
     let eras = eras::decode(&answer.headers).unwrap_or_default();
     let eras = eras.into_iter().chain(iter::repeat(0));
@@ -239,7 +240,7 @@
     let positions = context.positions();
     let revisions = positions.iter().map(|position| position.map(|at| at.revision)).collect();
     let snapshot = state.snapshot(number, list, context.is_current(), revisions);
-    match postcard::to_allocvec(&snapshot) {
+    match encode_answer(&snapshot) {
         Ok(bytes) => {
             *reply.body_mut() = Full::new(bytes.into());
             let eras = positions.iter().map(|position| position.map_or(0, |at| at.era));
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -123,7 +123,11 @@
                 }
                 StreamEnd::TimedOut => return self.abort("time limit").await,
                 StreamEnd::Broken(reason) => {
-                    self.exchange.note(&format!("{incarnation} broke off its stream: {reason}"));
+                    let software = self.exchange.record.software.as_deref().unwrap_or("unknown");
+                    let text = format!(
+                        "{incarnation} of software {software} broke off its stream: {reason}"
+                    );
+                    self.exchange.note(&text);
                     answer.guard.set_end(RunEnd::Broken);
                     drop(answer);
                     match self.resume().await {
--- a/crates/daemon/src/router/sharing.rs
+++ b/crates/daemon/src/router/sharing.rs
@@ -14,6 +14,7 @@
             KindDelta, SharedDelta, StorePosition,
             source::{SourceSelector, SourceView, UpstreamReply},
         },
+        software::{decode_answer, encode_answer},
     },
     ids::Timestamp,
 };
@@ -158,8 +159,8 @@
         STALE => return Ok(UpstreamAnswer::Stale),
         status => ensure!(status == StatusCode::OK, "GET {uri}: {status}"),
     }
-    let mut delta: SharedDelta = postcard::from_bytes(&answer.body)
-        .wrap_err_with(|| format!("decode changes of {upstream}"))?;
+    let mut delta: SharedDelta =
+        decode_answer(&answer.body).wrap_err_with(|| format!("decode changes of {upstream}"))?;
     let kinds = delta.kinds.len();
     ensure!(kinds == known.len(), "{upstream} returned {kinds} kinds");
     match eras::decode(&answer.headers) {
@@ -206,7 +207,7 @@
         return status_reply(STALE);
     }
     let Some(delta) = delta_since(context, &known) else { return status_reply(DENIED) };
-    let Ok(bytes) = postcard::to_allocvec(&delta) else {
+    let Ok(bytes) = encode_answer(&delta) else {
         return status_reply(StatusCode::INTERNAL_SERVER_ERROR);
     };
     let mut reply = Response::new(bytes.into());
