A stream goes on at the software version that began it

Callers saw streams that held events of two software versions of a service, in one answer or over their attempts.

Cause: nothing decided by the version. The choice of a target for a resumed stream took any target of the service, and no router knew where a stream had begun that its caller took up. Class: a run that depends on state of an earlier run is placed as if it were a new one.

Change: from the first event on, a call needs the version that sent it (SoftwareNeed::Only, for first sends, repeats, loads and slots alike). The version is recorded with the first event, at the router and at two loaders by rendezvous over the call's id; a router that is asked to resume a stream queries them. What is unknown, ambiguous or gone is refused at once as not run; within an answer the stream ends as broken. Where targets report their start, a target names its incarnation on the connection that a resumed call takes. A service that has had one version for as long as a stream lives needs no record, so that callers who name no first call go on there; a new version gets no resumable streams for 4 s while another one serves.

--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -26,6 +26,7 @@
 pub mod sharing;
 pub mod snapshot;
 pub mod software;
+pub mod streams;
 pub mod target;
 pub mod target_limit;
 pub mod targets;
--- a/crates/core/src/direct/membership.rs
+++ b/crates/core/src/direct/membership.rs
@@ -220,6 +220,11 @@
         self.is_store_lost = true;
     }
 
+    /// Whether the store of the list cannot be reached.
+    pub fn is_store_lost(&self) -> bool {
+        self.is_store_lost
+    }
+
     /// Records that the store answered at `now`; after an outage this starts the grace period.
     pub fn note_contact(&mut self, now: Timestamp) {
         if std::mem::take(&mut self.is_store_lost) {
--- a/crates/core/src/direct/messages.rs
+++ b/crates/core/src/direct/messages.rs
@@ -6,6 +6,7 @@
     directory::{RouterDirectory, RouterPresence},
     limits::messages::{UsageGrant, UsageReport},
     membership::{BaseHolding, TargetIncarnation},
+    streams::messages::{StreamAnswer, StreamNotice, StreamQuery, StreamReceipt},
 };
 use crate::ids::{AdapterName, AdapterVersion, BaseName, BootId};
 use serde::{Deserialize, Serialize, de::DeserializeOwned};
@@ -21,6 +22,10 @@
     Usage(UsageReport),
     /// The router's report to the coordinator of a service's slots.
     Slots(SlotReport),
+    /// The versions at which the router's streams began.
+    Streams(StreamNotice),
+    /// A query for the version at which a stream began.
+    StreamQuery(StreamQuery),
 }
 
 /// A datagram to a router, from a loader or from a router that knows no loader.
@@ -36,6 +41,10 @@
     Presence(RouterPresence),
     /// A coordinator's grant of slots of a service to the router.
     Slots(SlotGrant),
+    /// Acknowledgement of a router's notice of streams.
+    StreamReceipt(StreamReceipt),
+    /// Answer to a router's query for a stream.
+    StreamAnswer(StreamAnswer),
 }
 
 /// A router's standing request that the loader's engine hold an adapter.
--- a/crates/core/src/direct/placement.rs
+++ b/crates/core/src/direct/placement.rs
@@ -58,6 +58,7 @@
             && !target.is_backing_off(now)
             && !target.health.is_backing_off(now)
             && !target.is_unresponsive(now)
+            && need.admits_software(target)
     });
     // A saturated target gets no copies, unless all targets are saturated.
     let mut weighted: Vec<(bool, u64, &TargetState)> = usable
--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -9,7 +9,7 @@
     target::TargetState,
     targets::TargetPool,
 };
-use crate::ids::{AdapterVersion, ServiceName, Timestamp, ZoneName};
+use crate::ids::{AdapterVersion, ServiceName, SoftwareVersion, Timestamp, ZoneName};
 use costs::{engine_cost, plain_cost, slot_wait_cost, zone_cost};
 use std::{cmp::Ordering, sync::Arc};
 
@@ -36,6 +36,30 @@
     pub waiting_at: Option<&'a TargetIncarnation>,
     /// Whether the router may request a loader's report before it decides.
     pub may_request_report: bool,
+    /// Software version that the call needs.
+    pub software: SoftwareNeed<'a>,
+}
+
+/// Software version that a call needs of its target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum SoftwareNeed<'a> {
+    /// Any version.
+    Any,
+    /// Any version; one that all routers know if there is a choice, since the call begins a stream that another router may
+    /// have to resume.
+    Settled,
+    /// This version alone, at which the call's stream began.
+    Only(&'a SoftwareVersion),
+}
+
+impl CallNeed<'_> {
+    /// Whether a target's software version may run the call.
+    pub fn admits_software(&self, target: &TargetState) -> bool {
+        match self.software {
+            SoftwareNeed::Any | SoftwareNeed::Settled => true,
+            SoftwareNeed::Only(software) => target.entry.software.as_ref() == Some(software),
+        }
+    }
 }
 
 /// The next step for a call.
@@ -69,8 +93,7 @@
     let adapter = need.model.and_then(adapter_of);
     let placement = adapter.as_ref().map(|adapter| place_adapter(pool, need, adapter, now));
     let placement = placement.unwrap_or_default();
-    let usable = pool.service_targets(need.service).filter(|target| is_usable(target, need, now));
-    let costed = usable.map(|target| {
+    let costed = usable_targets(pool, need, now).into_iter().map(|target| {
         let cost = match need.model {
             None => plain_cost(target, need, now),
             Some(call) => {
@@ -117,6 +140,23 @@
     expected.unwrap_or(0.0)
 }
 
+/// Targets that can take a call. Those of a new version are left out for a call that begins a stream, if there are
+/// others.
+fn usable_targets<'p>(
+    pool: &'p TargetPool,
+    need: &CallNeed<'_>,
+    now: Timestamp,
+) -> Vec<&'p TargetState> {
+    let usable = pool.service_targets(need.service).filter(|target| is_usable(target, need, now));
+    let mut usable: Vec<&TargetState> = usable.collect();
+    if need.software == SoftwareNeed::Settled
+        && usable.iter().any(|target| pool.has_settled_software(target, now))
+    {
+        usable.retain(|target| pool.has_settled_software(target, now));
+    }
+    usable
+}
+
 fn is_usable(target: &TargetState, need: &CallNeed<'_>, now: Timestamp) -> bool {
     is_alive(target, need, now)
         && !target.is_saturated(now)
@@ -129,6 +169,7 @@
         && !target.is_backing_off(now)
         && !target.is_unresponsive(now)
         && !need.excluded.contains(&target.entry.incarnation)
+        && need.admits_software(target)
 }
 
 /// Whether an engine is up without the base model and its loader is not silent. After a crash of all engines
--- /dev/null
+++ b/crates/core/src/direct/streams/history.rs
@@ -0,0 +1,148 @@
+//! Which software versions each service has had, as one router saw its list of targets.
+//!
+//! Where a service had one version only for as long as any stream lives, each of its streams began there, whoever
+//! remembers it. A router can be certain of that only if it followed the list all the time, and if no router begins
+//! streams at a version that others may not know yet.
+
+use crate::{
+    direct::membership::TargetEntry,
+    ids::{ServiceName, SoftwareVersion, Timestamp},
+};
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+/// Time for which a new version gets no streams that may be resumed, while targets of another version serve. A router
+/// notices within this time that it no longer follows the list: a watch of the list waits 1.8 s, and its answer is awaited
+/// 1.5 s longer.
+pub const SETTLE_TIME: Duration = Duration::from_secs(4);
+/// Longest interval between two observations of the list; after a longer one, as after a suspension of the process, changes
+/// may have been missed.
+pub const GAP_LIMIT: Duration = Duration::from_secs(1);
+
+/// When entries of one version were first and last in the list.
+#[derive(Clone, Copy, Debug)]
+struct VersionSpan {
+    first: Timestamp,
+    last: Timestamp,
+    /// Whether it was in the first list, and no other version was older there.
+    is_founder: bool,
+}
+
+/// The versions of one service.
+#[derive(Debug, Default)]
+struct ServiceHistory {
+    spans: HashMap<SoftwareVersion, VersionSpan>,
+    /// When an entry without a version was last in the list.
+    unknown: Option<Timestamp>,
+}
+
+/// The versions of all services since this router follows the list without a gap.
+#[derive(Debug, Default)]
+pub struct SoftwareHistory {
+    services: HashMap<ServiceName, ServiceHistory>,
+    /// Since when the list is followed without a gap; `None` while it is not followed.
+    since: Option<Timestamp>,
+    observed: Timestamp,
+}
+
+impl SoftwareHistory {
+    /// Records that the list is not followed, or may have been another one: what was missed is not known.
+    pub fn note_gap(&mut self) {
+        self.since = None;
+    }
+
+    /// When the list was last observed.
+    pub fn observed(&self) -> Timestamp {
+        self.observed
+    }
+
+    /// Records the entries of the list at `now`; `is_followed` is whether the list is up to date.
+    pub fn observe<'a>(
+        &mut self,
+        entries: impl Iterator<Item = &'a Arc<TargetEntry>>,
+        is_followed: bool,
+        now: Timestamp,
+    ) {
+        if now.saturating_sub(self.observed) > GAP_LIMIT || !is_followed {
+            self.since = None;
+        }
+        self.observed = now;
+        if is_followed {
+            self.since.get_or_insert(now);
+        }
+        let entries: Vec<&Arc<TargetEntry>> = entries.collect();
+        // The oldest entry of each service, by the order in which targets were listed first.
+        let mut oldest: HashMap<&ServiceName, &Arc<TargetEntry>> = HashMap::new();
+        for entry in &entries {
+            let first = oldest.entry(&entry.service).or_insert(entry);
+            if entry.generation < first.generation {
+                *first = entry;
+            }
+        }
+        let founders =
+            oldest.into_values().filter(|entry| !self.services.contains_key(&entry.service));
+        let founders: Vec<&Arc<TargetEntry>> = founders.collect();
+        for entry in entries {
+            self.note_entry(entry, now);
+        }
+        for entry in founders {
+            let service = self.services.get_mut(&entry.service);
+            let software = entry.software.as_ref();
+            let span = service.and_then(|service| service.spans.get_mut(software?));
+            if let Some(span) = span {
+                span.is_founder = true;
+            }
+        }
+    }
+
+    /// Records one entry of the list.
+    pub fn note_entry(&mut self, entry: &TargetEntry, now: Timestamp) {
+        let service = match self.services.get_mut(&entry.service) {
+            Some(service) => service,
+            None => self.services.entry(Arc::clone(&entry.service)).or_default(),
+        };
+        let Some(software) = &entry.software else {
+            service.unknown = Some(now);
+            return;
+        };
+        if let Some(span) = service.spans.get_mut(software) {
+            span.last = now;
+        } else {
+            let span = VersionSpan { first: now, last: now, is_founder: false };
+            service.spans.insert(Arc::clone(software), span);
+        }
+    }
+
+    /// The only version that the service has had in the last `window`, if that is certain.
+    pub fn only_version(
+        &self,
+        service: &str,
+        window: Duration,
+        now: Timestamp,
+    ) -> Option<&SoftwareVersion> {
+        let is_followed = self.since.is_some_and(|since| now.saturating_sub(since) >= window);
+        if !is_followed || now.saturating_sub(self.observed) > GAP_LIMIT {
+            return None;
+        }
+        let history = self.services.get(service)?;
+        let is_recent = |last: Timestamp| now.saturating_sub(last) <= window + GAP_LIMIT;
+        if history.unknown.is_some_and(is_recent) {
+            return None;
+        }
+        let mut recent = history.spans.iter().filter(|(_, span)| is_recent(span.last));
+        let (software, _) = recent.next()?;
+        recent.next().is_none().then_some(software)
+    }
+
+    /// Whether all routers that follow the list know that the service has this version.
+    pub fn is_settled(&self, service: &str, software: &str, now: Timestamp) -> bool {
+        let span = self.services.get(service).and_then(|history| history.spans.get(software));
+        span.is_some_and(|span| span.is_founder || now.saturating_sub(span.first) >= SETTLE_TIME)
+    }
+
+    /// Forgets versions that were last in the list longer than `age` ago.
+    pub fn expire(&mut self, age: Duration, now: Timestamp) {
+        for history in self.services.values_mut() {
+            history.spans.retain(|_, span| now.saturating_sub(span.last) <= age);
+        }
+    }
+}
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -11,7 +11,7 @@
     messages::{AdapterUse, LoadRequest, LoaderReport},
     target_limit::KnownLimit,
 };
-use crate::ids::{AdapterVersion, Timestamp};
+use crate::ids::{AdapterVersion, SoftwareVersion, Timestamp};
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 /// Age after which a loader's report no longer describes its engine: within this time, an engine under demand for
@@ -136,6 +136,20 @@
         (now.saturating_sub(view.received) < REPORT_TTL).then_some(&view.report)
     }
 
+    /// Version of its software, if the entry that names it is of the incarnation that runs: a target may start again
+    /// under its id before its entry shows it. An engine starts empty, so that its loader knows of the start before the
+    /// engine can run a call for an adapter.
+    pub fn confirmed_software(&self, now: Timestamp) -> Option<&SoftwareVersion> {
+        let software = self.entry.software.as_ref()?;
+        if self.entry.incarnation.started.is_none() {
+            return Some(software);
+        }
+        let view = self.loader.as_ref()?;
+        let is_fresh = now.saturating_sub(view.received) < SUFFICIENT_TTL;
+        let is_same = view.report.incarnation == self.entry.incarnation;
+        (is_fresh && is_same && view.report.is_answering).then_some(software)
+    }
+
     /// Stores its loader's report, and ends the pending request.
     pub(super) fn take_report(&mut self, report: LoaderReport, now: Timestamp) {
         self.report_requested = None;
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod departed;
 mod limits;
+pub mod software;
 
 use self::departed::DepartedTarget;
 use super::{
@@ -16,6 +17,7 @@
     load_shedding::ConcurrencyGauge,
     membership::{InstanceId, ListChange, TargetEntry, TargetIncarnation, TargetList},
     messages::{BaseOffer, LoaderReport},
+    streams::history::SoftwareHistory,
     target::{LoadRequestState, TargetState},
     waits::WaitEstimates,
 };
@@ -41,6 +43,12 @@
     capacities: HashMap<ServiceName, ServiceCapacity>,
     /// Targets that were removed from the list, and may return in the same incarnation.
     departed: HashMap<LimitTag, DepartedTarget>,
+    /// Software versions that each service has had.
+    software: SoftwareHistory,
+    /// Whether a list of targets has been read.
+    is_listed: bool,
+    /// Routes of streams by host and prefix, and when their services last changed.
+    rerouted: HashMap<(Arc<str>, Arc<str>), Timestamp>,
 }
 
 impl Default for TargetPool {
@@ -63,6 +71,9 @@
             wait_estimates: WaitEstimates::default(),
             capacities: HashMap::new(),
             departed: HashMap::new(),
+            software: SoftwareHistory::default(),
+            is_listed: false,
+            rerouted: HashMap::new(),
         }
     }
 
@@ -77,6 +88,7 @@
         if config.number <= self.config.number {
             return false;
         }
+        self.note_rerouted(&config);
         self.config = config;
         self.mark_superseded();
         true
@@ -101,6 +113,7 @@
     /// Records that the store of the list cannot be reached; the last list stays in use.
     pub fn note_outage(&mut self) {
         self.list.note_outage();
+        self.software.note_gap();
     }
 
     /// Records that the store of the list answers again.
@@ -111,6 +124,7 @@
     /// Records that the store of the list has returned from an older copy of itself.
     pub fn note_return(&mut self, now: Timestamp) {
         self.list.note_return(now);
+        self.software.note_gap();
     }
 
     /// Number of targets that are draining although the list of the store does not show it.
@@ -121,13 +135,20 @@
     /// Replaces the list by a snapshot.
     pub fn replace_list(&mut self, entries: Vec<Arc<TargetEntry>>, now: Timestamp) {
         self.list.replace(entries, now);
+        self.is_listed = true;
+        // What came and went since the last list is not known.
+        self.software.note_gap();
         self.rebuild();
+        self.observe_software(now);
     }
 
     /// Applies changes of the list.
     pub fn apply_changes(&mut self, changes: &[ListChange], now: Timestamp) {
         for change in changes {
             self.list.apply(change, now);
+            if let ListChange::Put(entry) = change {
+                self.software.note_entry(entry, now);
+            }
         }
         self.rebuild();
     }
@@ -137,6 +158,7 @@
         if self.list.expire(now) {
             self.rebuild();
         }
+        self.observe_software(now);
         self.demand.expire(now);
         self.update_capacities(now);
     }
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -22,6 +22,7 @@
 mod selection;
 mod sharing;
 mod software;
+mod streams;
 mod support;
 mod target_limit;
 mod timeliness;
--- a/crates/core/tests/core/direct/backlog.rs
+++ b/crates/core/tests/core/direct/backlog.rs
@@ -4,7 +4,7 @@
 use plantain_core::direct::{
     backlog::PrefillBacklog,
     messages::LoaderReport,
-    selection::{CallNeed, TargetChoice, choose_target},
+    selection::{CallNeed, SoftwareNeed, TargetChoice, choose_target},
     targets::TargetPool,
 };
 use std::sync::Arc;
@@ -49,6 +49,7 @@
             routers: 2,
             waiting_at: None,
             may_request_report: false,
+            software: SoftwareNeed::Any,
         };
         let choice = choose_target(&pool, &need, ms(at + 5), || 0.5);
         assert_eq!(choice, TargetChoice::Send(free.into(), Some(1)));
--- a/crates/core/tests/core/direct/fleet/simulation.rs
+++ b/crates/core/tests/core/direct/fleet/simulation.rs
@@ -14,7 +14,7 @@
         messages::{LoaderMessage, RouterMessage},
         notices::NoticeSchedule,
         orders::{EngineReport, OrderAnswer, OrderVerb},
-        selection::{CallNeed, TargetChoice, choose_target},
+        selection::{CallNeed, SoftwareNeed, TargetChoice, choose_target},
         targets::TargetPool,
     },
     ids::{ServiceName, ZoneName},
@@ -266,6 +266,7 @@
             routers: self.plan.routers,
             waiting_at: None,
             may_request_report: self.now < arrived + 200,
+            software: SoftwareNeed::Any,
         };
         let rng = &mut self.rng;
         match choose_target(&router.pool, &need, now, || rng.random()) {
@@ -385,7 +386,10 @@
                 let directory = loader.registry.take(&presence, now);
                 self.send_to_router(index, router, LoaderMessage::Directory(directory));
             }
-            RouterMessage::Usage(_) | RouterMessage::Slots(_) => {}
+            RouterMessage::Usage(_)
+            | RouterMessage::Slots(_)
+            | RouterMessage::Streams(_)
+            | RouterMessage::StreamQuery(_) => {}
         }
     }
 
@@ -397,7 +401,11 @@
                 router.pool.take_report(host(index).ip(), report, now);
             }
             LoaderMessage::Directory(directory) => router.peer_table.note(&directory, now),
-            LoaderMessage::Grant(_) | LoaderMessage::Presence(_) | LoaderMessage::Slots(_) => {}
+            LoaderMessage::Grant(_)
+            | LoaderMessage::Presence(_)
+            | LoaderMessage::Slots(_)
+            | LoaderMessage::StreamReceipt(_)
+            | LoaderMessage::StreamAnswer(_) => {}
         }
     }
 
--- a/crates/core/tests/core/direct/support.rs
+++ b/crates/core/tests/core/direct/support.rs
@@ -9,7 +9,7 @@
         },
         membership::{BaseHolding, TargetEntry},
         messages::LoaderReport,
-        selection::CallNeed,
+        selection::{CallNeed, SoftwareNeed},
         targets::TargetPool,
     },
     ids::{AdapterVersion, ServiceName, ZoneName},
@@ -144,5 +144,6 @@
         routers: 2,
         waiting_at: None,
         may_request_report: false,
+        software: SoftwareNeed::Any,
     }
 }
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -19,6 +19,11 @@
         membership::InstanceId,
         messages::{LoaderMessage, RouterMessage, decode_datagram},
         orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
+        streams::{
+            StreamOrigin,
+            messages::{StreamAnswer, StreamReceipt},
+            records::StreamRecords,
+        },
         target_limit::LimitTable,
     },
     ids::Timestamp,
@@ -68,6 +73,7 @@
     meter: UsageMeter,
     coordinator: SlotCoordinator,
     limits: LimitTable,
+    streams: StreamRecords,
     engine: Rc<EngineClient>,
     settings: watch::Receiver<Arc<LoaderFile>>,
     socket: UdpSocket,
@@ -92,6 +98,7 @@
             meter: UsageMeter::new(rand::random()),
             coordinator: SlotCoordinator::default(),
             limits: LimitTable::default(),
+            streams: StreamRecords::default(),
             engine: Rc::new(EngineClient::new()),
             settings,
             socket,
@@ -193,6 +200,18 @@
                     self.send(&LoaderMessage::Slots(grant), &[router]);
                 }
             }
+            Ok(RouterMessage::Streams(notice)) => {
+                self.streams.take_notice(&notice, now);
+                gauge!("plantain_stream_records").set(self.streams.len() as f64);
+                let receipt = StreamReceipt { sequence: notice.sequence };
+                self.send(&LoaderMessage::StreamReceipt(receipt), &[router]);
+            }
+            Ok(RouterMessage::StreamQuery(query)) => {
+                let origin = self.streams.find(query.stream(), now);
+                count_stream_query(origin);
+                let answer = StreamAnswer::new(query.stream(), origin);
+                self.send(&LoaderMessage::StreamAnswer(answer), &[router]);
+            }
             Err(_) => counter!("plantain_link_faults_total").increment(1),
         }
     }
@@ -319,6 +338,15 @@
     }
 }
 
+fn count_stream_query(origin: StreamOrigin) {
+    let result = match origin {
+        StreamOrigin::Known(_) => "known",
+        StreamOrigin::Unknown => "unknown",
+        StreamOrigin::Ambiguous => "ambiguous",
+    };
+    counter!("plantain_stream_queries_total", "result" => result).increment(1);
+}
+
 fn count_order(order: &EngineOrder, answer: OrderAnswer) {
     let result = match answer {
         OrderAnswer::Accepted | OrderAnswer::Done => "taken",
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -22,6 +22,7 @@
 mod relay;
 mod sharing;
 mod slots;
+mod streams;
 
 use crate::{
     clock, duty, logging,
@@ -315,6 +316,7 @@
         context.routers_mut().expire(now);
         count_log.log(&context, now);
         context.connections.expire(now);
+        context.streams.refresh(&context, now);
         context.prefetch(now);
         links::follow_meters(&context, now);
         slots::follow_slots(&context);
--- a/crates/daemon/src/router/admission.rs
+++ b/crates/daemon/src/router/admission.rs
@@ -24,6 +24,8 @@
     NoConfig,
     NoRoute,
     NoId,
+    /// It resumes a stream, but its last event is not one number.
+    BadEvent,
     /// It has no key, or an unusable one.
     NoKey,
     UnknownKey,
@@ -45,6 +47,7 @@
             Self::NoConfig => (StatusCode::SERVICE_UNAVAILABLE, "no configuration yet"),
             Self::NoRoute => (StatusCode::NOT_FOUND, "no route takes this host and path"),
             Self::NoId => (StatusCode::BAD_REQUEST, "the request has no id"),
+            Self::BadEvent => (StatusCode::BAD_REQUEST, "the last event's id is not one number"),
             Self::NoKey => (StatusCode::UNAUTHORIZED, "the request has no key"),
             Self::UnknownKey => (StatusCode::UNAUTHORIZED, "the key is no customer's"),
             Self::MayBeNewKey => (StatusCode::SERVICE_UNAVAILABLE, "the key is not known here now"),
--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -248,6 +248,10 @@
     if head.id.is_none() {
         return Err(CallRejection::NoId);
     }
+    let event = head.resume.as_ref().map(|resume| resume.event);
+    if route.kind.is_stream() && event == Some(None) {
+        return Err(CallRejection::BadEvent);
+    }
     let body = read_body(body, config.limits.body_bytes).await?;
     // Only a call whose body arrived completely is charged.
     let charge = admission::charge(context, &caller, head).await?;
@@ -275,6 +279,9 @@
 }
 
 async fn answer_call(mut exchange: CallExchange) -> Response<ReplyBody> {
+    if let Err(reason) = exchange.find_software().await {
+        return refuse(&exchange, reason);
+    }
     loop {
         match exchange.dispatch().await {
             DispatchResult::Success(answer) if exchange.route.kind.is_stream() => {
@@ -327,6 +334,12 @@
             "not_run",
             CallEnd::NotRun,
         ),
+        GiveUpReason::Unresumable(_) => (
+            StatusCode::SERVICE_UNAVAILABLE,
+            "the stream cannot go on here",
+            "not_run",
+            CallEnd::NotRun,
+        ),
         GiveUpReason::Unknown => {
             (StatusCode::BAD_GATEWAY, "the target broke off", "unknown", CallEnd::Unknown)
         }
@@ -336,8 +349,15 @@
     };
     counter!("plantain_refusals_total", "reason" => message).increment(1);
     let mut reply = final_reply(status, message, outcome);
-    if let GiveUpReason::NotRun(pause) | GiveUpReason::Quarantined(pause) = reason {
+    let retry_after = match reason {
+        GiveUpReason::NotRun(pause) | GiveUpReason::Quarantined(pause) => Some(pause),
+        GiveUpReason::Unresumable(pause) => pause,
+        GiveUpReason::Unknown | GiveUpReason::TimedOut => None,
+    };
+    if let Some(pause) = retry_after {
         calls::set_retry_after(&mut reply, pause);
+    }
+    if status == StatusCode::SERVICE_UNAVAILABLE {
         exchange.refund();
     }
     calls::set_call_id(&mut reply, exchange.head.id.as_deref().unwrap_or_default());
--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -3,8 +3,8 @@
 use super::{constants, progress::CallProgress};
 use crate::clock;
 use bytes::Bytes;
-use eyre::{Result, WrapErr};
-use http_body_util::Full;
+use eyre::{Result, WrapErr, ensure, eyre};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::{
     Request, Response,
     body::Incoming,
@@ -13,6 +13,7 @@
 use hyper_util::rt::TokioIo;
 use metrics::counter;
 use plantain_core::{direct::membership::TargetIncarnation, ids::Timestamp};
+use plantain_platform::engine;
 use socket2::SockRef;
 use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
 use tokio::{net::TcpStream, task::spawn_local, time::timeout};
@@ -25,6 +26,26 @@
     incarnation: TargetIncarnation,
 }
 
+/// Whether a target must name its incarnation before a call is sent to it: one that started again under its id may run
+/// other software than its entry says. A connection leads to the same incarnation until it ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum IdentityCheck {
+    /// The call is sent to any incarnation.
+    None,
+    /// The call is sent unless another incarnation answers.
+    Wanted,
+    /// The call is sent only to the expected incarnation.
+    Required,
+}
+
+/// Which incarnation of a target answers on a connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum TargetIdentity {
+    Expected,
+    Other,
+    Unknown,
+}
+
 struct IdleConnection {
     sender: CallSender,
     until: Timestamp,
@@ -33,9 +54,16 @@
 /// Result of sending a request.
 pub(crate) enum SendEnd {
     /// The head of an answer arrived.
-    Answered(Response<Incoming>, TargetConnection),
+    Answered {
+        answer: Response<Incoming>,
+        connection: TargetConnection,
+        /// Whether the target named its incarnation on this connection before the request was sent.
+        is_identified: bool,
+    },
     /// No byte of the request can have reached the target.
     Unsent(String),
+    /// Another incarnation of the target answers at the address; the request was not sent.
+    OtherIncarnation,
     /// The request may have reached the target, and the connection failed before an answer.
     Broken(String),
 }
@@ -56,11 +84,20 @@
         address: SocketAddr,
         mut request: Request<Full<Bytes>>,
         progress: &CallProgress,
+        check: IdentityCheck,
     ) -> SendEnd {
         while let Some(mut sender) = self.take(incarnation) {
+            let is_identified = match identify(&mut sender, incarnation, check).await {
+                TargetIdentity::Other => return SendEnd::OtherIncarnation,
+                identity => identity == TargetIdentity::Expected,
+            };
+            if check != IdentityCheck::None && !is_identified {
+                // The connection may have been closed by the target.
+                continue;
+            }
             progress.set_running(true);
             match sender.try_send_request(request).await {
-                Ok(answer) => return answered(answer, sender, incarnation),
+                Ok(answer) => return answered(answer, sender, incarnation, is_identified),
                 // The connection closed before the request was written, and returns the request.
                 Err(mut error) => match error.take_message() {
                     Some(unsent) => {
@@ -71,13 +108,40 @@
                 },
             }
         }
+        self.send_on_new(incarnation, address, request, progress, check).await
+    }
+
+    /// Sends a request on a new connection.
+    async fn send_on_new(
+        &self,
+        incarnation: &TargetIncarnation,
+        address: SocketAddr,
+        request: Request<Full<Bytes>>,
+        progress: &CallProgress,
+        check: IdentityCheck,
+    ) -> SendEnd {
         let mut sender = match connect(address).await {
             Ok(sender) => sender,
             Err(error) => return SendEnd::Unsent(format!("{error:#}")),
         };
+        let identity = identify(&mut sender, incarnation, check).await;
+        match (identity, check) {
+            (TargetIdentity::Other, _) => return SendEnd::OtherIncarnation,
+            (TargetIdentity::Unknown, IdentityCheck::Required) => {
+                return SendEnd::Unsent("it does not name its incarnation".into());
+            }
+            (TargetIdentity::Unknown, IdentityCheck::Wanted) => {
+                sender = match connect(address).await {
+                    Ok(sender) => sender,
+                    Err(error) => return SendEnd::Unsent(format!("{error:#}")),
+                };
+            }
+            _ => {}
+        }
+        let is_identified = identity == TargetIdentity::Expected;
         progress.set_running(true);
         match sender.try_send_request(request).await {
-            Ok(answer) => answered(answer, sender, incarnation),
+            Ok(answer) => answered(answer, sender, incarnation, is_identified),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
                 progress.set_running(!is_unsent);
@@ -142,8 +206,43 @@
     answer: Response<Incoming>,
     sender: CallSender,
     incarnation: &TargetIncarnation,
+    is_identified: bool,
 ) -> SendEnd {
-    SendEnd::Answered(answer, TargetConnection { sender, incarnation: incarnation.clone() })
+    let incarnation = incarnation.clone();
+    let connection = TargetConnection { sender, incarnation };
+    SendEnd::Answered { answer, connection, is_identified }
+}
+
+/// Asks the target behind a connection which incarnation it is, if the check needs it.
+async fn identify(
+    sender: &mut CallSender,
+    incarnation: &TargetIncarnation,
+    check: IdentityCheck,
+) -> TargetIdentity {
+    if check == IdentityCheck::None {
+        return TargetIdentity::Unknown;
+    }
+    counter!("plantain_identity_checks_total").increment(1);
+    let named = timeout(constants::IDENTITY_LIMIT, named_start(sender)).await;
+    match named {
+        Ok(Ok(started)) if started.is_some() && started == incarnation.started => {
+            TargetIdentity::Expected
+        }
+        Ok(Ok(Some(_))) => TargetIdentity::Other,
+        _ => TargetIdentity::Unknown,
+    }
+}
+
+/// The start that the target behind a connection reports; the connection is ready for another request then.
+async fn named_start(sender: &mut CallSender) -> Result<Option<u64>> {
+    let request = engine::report_request().map(|body| Full::new(body.into()));
+    let answer = sender.send_request(request).await.wrap_err("request report")?;
+    ensure!(answer.status().is_success(), "report: {}", answer.status());
+    let body = Limited::new(answer.into_body(), constants::IDENTITY_BYTES).collect().await;
+    let body = body.map_err(|error| eyre!("read report: {error}"))?.to_bytes();
+    let report = engine::decode_report(&body)?;
+    sender.ready().await.wrap_err("wait for connection")?;
+    Ok(report.started)
 }
 
 async fn connect(address: SocketAddr) -> Result<CallSender> {
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -5,6 +5,10 @@
 /// Timeout for a connection to a target: round trips take at most a few ms and the handshake 1 ms. A connection that
 /// takes longer lost its opening packet, which is retransmitted only after a second or more.
 pub(crate) const CONNECT_LIMIT: Duration = Duration::from_millis(350);
+/// Longest wait for a target to say which incarnation it is; the answer takes no slot.
+pub(crate) const IDENTITY_LIMIT: Duration = Duration::from_millis(250);
+/// Largest report of a target that is read for its incarnation, in bytes.
+pub(crate) const IDENTITY_BYTES: usize = 256 << 10;
 /// Time without acknowledgement after which the kernel closes a connection. A target that is unreachable would
 /// otherwise hold its calls until their deadlines.
 pub(crate) const UNACKED_LIMIT: Duration = Duration::from_millis(1_500);
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -4,7 +4,7 @@
 
 use super::{
     connections::ConnectionPool, constants, crashes::tracker::CrashTracker,
-    journal::RequestJournal, limits::LimitTracker, slots::SlotTracker,
+    journal::RequestJournal, limits::LimitTracker, slots::SlotTracker, streams::StreamTracker,
 };
 use crate::{clock, options::site::RouterFile};
 use metrics::counter;
@@ -16,7 +16,7 @@
         limits::terms::FleetSize,
         membership::TargetIncarnation,
         placement::place_adapter,
-        selection::{CallNeed, adapter_of},
+        selection::{CallNeed, SoftwareNeed, adapter_of},
         targets::TargetPool,
         urgency::CustomerUseTable,
     },
@@ -54,6 +54,8 @@
     pub(crate) customer_use: RefCell<CustomerUseTable>,
     /// Slots of plain services that all routers share.
     pub(crate) slots: Rc<SlotTracker>,
+    /// Versions at which streams began.
+    pub(crate) streams: StreamTracker,
     /// Whether the known configuration may be outdated, because it cannot be followed now.
     pub(crate) may_be_outdated: Cell<bool>,
     /// Idle connections to targets.
@@ -98,6 +100,7 @@
             limits: LimitTracker::new(boot, settings.bounds.limits.terms()),
             customer_use: RefCell::default(),
             slots: SlotTracker::new(boot),
+            streams: StreamTracker::default(),
             may_be_outdated: Cell::new(false),
             settings: RefCell::new(settings),
             pool: RefCell::new(TargetPool::new()),
@@ -276,6 +279,7 @@
                 routers,
                 waiting_at: None,
                 may_request_report: false,
+                software: SoftwareNeed::Any,
             };
             for incarnation in place_adapter(&pool, &need, &adapter, now).preferred {
                 let newest = pool.newest_version(&adapter);
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -1,9 +1,12 @@
 //! One call: chooses a target, waits for the adapter there, sends, and retries after a failed send.
 
 mod priority;
+mod resumption;
 mod sending;
 mod slots;
 
+pub(super) use resumption::StreamSoftware;
+
 use super::{
     admission::spread,
     connections::TargetConnection,
@@ -34,7 +37,7 @@
         selection::{CallNeed, TargetChoice, adapter_of, choose_target, queued_plain_ms},
     },
     fingerprint::call_fingerprint,
-    ids::{AdapterVersion, ServiceName, Timestamp, ZoneName},
+    ids::{AdapterVersion, ServiceName, SoftwareVersion, Timestamp, ZoneName},
 };
 use plantain_net::body::ReplyBody;
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
@@ -58,6 +61,9 @@
     /// The call did not run and will not, because several targets ended while they ran this request; with the time
     /// after which the caller may retry.
     Quarantined(Duration),
+    /// The call did not run and will not: the stream that it resumes cannot go on; with the time after which the caller may
+    /// retry, if it may.
+    Unresumable(Option<Duration>),
     /// The call may have run; the target closed the connection or sent an invalid answer.
     Unknown,
     /// The call may have run; its deadline has passed.
@@ -133,6 +139,12 @@
     pub(crate) deadline: Timestamp,
     pub(crate) record: CallRecord,
     pub(crate) resume_after: Option<u64>,
+    /// Software version at which the call goes on.
+    software: StreamSoftware,
+    /// Version of the target that sent the current answer, if it is certain.
+    answering: Option<SoftwareVersion>,
+    /// Whether an event of the stream has reached the caller.
+    has_begun: bool,
     pub(crate) progress: Rc<CallProgress>,
     excluded: Vec<TargetIncarnation>,
     is_finished: Cell<bool>,
@@ -173,9 +185,13 @@
             resume: head.resume.clone(),
             ..CallRecord::default()
         };
+        let resume = head.resume.as_ref().filter(|_| route.kind.is_stream());
         Self {
             context: Rc::clone(context),
-            resume_after: head.resume.as_ref().and_then(|resume| resume.event),
+            resume_after: resume.and_then(|resume| resume.event),
+            software: StreamSoftware::Free,
+            answering: None,
+            has_begun: false,
             head,
             method,
             headers,
@@ -259,6 +275,10 @@
         loop {
             let choice = match self.choose().await {
                 Ok(choice) => choice,
+                Err(_) if self.is_software_gone() => {
+                    self.note("no target of the stream's version is left");
+                    return self.give_up(last, GiveUpReason::Unresumable(None));
+                }
                 Err(pause) => return self.give_up(last, GiveUpReason::NotRun(pause)),
             };
             // Since the call arrived, targets may have crashed while they ran this request, sent by this router or
@@ -349,6 +369,7 @@
             waiting_at,
             may_request_report: u128::from(self.record.report_requests)
                 < u128::from(constants::INITIAL_REPORT_REQUESTS) + waited,
+            software: self.software_need(),
         }
     }
 
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -2,7 +2,7 @@
 
 use super::{
     super::{
-        connections::{SendEnd, TargetConnection},
+        connections::{IdentityCheck, SendEnd, TargetConnection},
         constants,
         context::guards::{CallGuard, RunEnd},
         journal::CallPhase,
@@ -24,9 +24,9 @@
             FailureReply, RunProof, classify_answer, counts_as_run, failure_reply,
             limit_from_answer,
         },
-        selection::adapter_of,
+        selection::{SoftwareNeed, adapter_of},
     },
-    ids::AdapterVersion,
+    ids::{AdapterVersion, SoftwareVersion, Timestamp},
 };
 use plantain_net::body::ReplyBody;
 use plantain_platform::calls;
@@ -60,7 +60,8 @@
             target.map(|target| target.entry.address)
         };
         let request = self.target_request(incarnation, version);
-        let (Some(address), Some(request)) = (address, request) else {
+        let check = self.identity_check(incarnation, sent);
+        let (Some(address), Some(request), Some(check)) = (address, request, check) else {
             self.refund_permit(permit);
             return Err(SendFailure { proof: RunProof::NotRun, reply: None });
         };
@@ -76,12 +77,22 @@
         self.record.last_send = Some(self.age());
         self.record.sends += 1;
         self.record.runs += 1;
-        let end = self.await_answer(incarnation, address, request, &mut guard).await;
+        let end = self.await_answer(incarnation, address, request, check, &mut guard).await;
         let (proof, outcome) = match end {
-            Some(SendEnd::Answered(answer, connection)) => {
+            Some(SendEnd::Answered { answer, connection, is_identified }) => {
+                self.answering = self.answering_software(incarnation, is_identified, sent);
                 let latency = clock::now().saturating_sub(sent);
                 return self.handle_answer(answer, connection, guard, latency).await;
             }
+            Some(SendEnd::OtherIncarnation) => {
+                self.refund_permit(permit);
+                guard.set_end(RunEnd::Settled);
+                self.note(&format!("{incarnation} has started again"));
+                self.context.pool.borrow_mut().note_displaced(incarnation);
+                self.context.notify_loader(incarnation);
+                self.uncount_run(RunProof::Misdirected);
+                return Err(SendFailure { proof: RunProof::Misdirected, reply: None });
+            }
             Some(SendEnd::Unsent(reason)) => {
                 self.refund_permit(permit);
                 guard.set_end(RunEnd::Settled);
@@ -127,6 +138,42 @@
         self.context.pool.borrow_mut().record_outcome(incarnation, outcome, clock::now());
     }
 
+    /// Whether the target must name its incarnation before the call is sent there; `None` if its version is not the one that
+    /// the call's stream needs.
+    fn identity_check(
+        &self,
+        incarnation: &TargetIncarnation,
+        now: Timestamp,
+    ) -> Option<IdentityCheck> {
+        let pool = self.context.pool.borrow();
+        let target = pool.target(incarnation)?;
+        let may_restart = target.entry.incarnation.started.is_some();
+        match self.software_need() {
+            SoftwareNeed::Only(software) if target.entry.software.as_ref() != Some(software) => {
+                None
+            }
+            SoftwareNeed::Only(_) if may_restart => Some(IdentityCheck::Required),
+            SoftwareNeed::Settled if may_restart && target.confirmed_software(now).is_none() => {
+                Some(IdentityCheck::Wanted)
+            }
+            _ => Some(IdentityCheck::None),
+        }
+    }
+
+    /// Version of the target's software, if it is certain that the incarnation which answers has it.
+    fn answering_software(
+        &self,
+        incarnation: &TargetIncarnation,
+        is_identified: bool,
+        sent: Timestamp,
+    ) -> Option<SoftwareVersion> {
+        let pool = self.context.pool.borrow();
+        let target = pool.target(incarnation)?;
+        let confirmed = target.confirmed_software(sent);
+        let named = target.entry.software.as_ref().filter(|_| is_identified);
+        confirmed.or(named).cloned()
+    }
+
     fn target_request(
         &mut self,
         incarnation: &TargetIncarnation,
@@ -150,13 +197,14 @@
         incarnation: &TargetIncarnation,
         address: std::net::SocketAddr,
         request: Request<Full<Bytes>>,
+        check: IdentityCheck,
         guard: &mut CallGuard,
     ) -> Option<SendEnd> {
         let limit = self.answer_limit();
         let overdue = self.route.objective.mul_f64(OVERDUE_SHARE).min(limit);
         let connections = self.context.connections.clone();
         let progress = Rc::clone(&self.progress);
-        let sending = connections.send(incarnation, address, request, &progress);
+        let sending = connections.send(incarnation, address, request, &progress, check);
         tokio::pin!(sending);
         tokio::select! {
             end = &mut sending => return Some(end),
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -50,6 +50,8 @@
             () = context.limits.wake.notified() => link.send_usage(),
             () = context.slots.wake.notified() => link.send_slots(),
             () = next_slot_step(&context) => link.send_slots(),
+            () = context.streams.wake.notified() => link.send_streams(),
+            () = context.streams.next_notice() => link.send_streams(),
             _ = ticks.tick() => {
                 link.send_due();
                 link.send_usage();
@@ -105,10 +107,27 @@
                     self.send_slots();
                 }
             }
+            Ok(LoaderMessage::StreamReceipt(receipt)) => {
+                self.context.streams.acknowledge(sender.ip(), receipt.sequence);
+            }
+            Ok(LoaderMessage::StreamAnswer(answer)) => {
+                self.context.streams.take_answer(sender.ip(), &answer);
+            }
             Err(_) => counter!("plantain_link_faults_total").increment(1),
         }
     }
 
+    /// Sends due notices and queries on streams to the loaders that record them.
+    fn send_streams(&self) {
+        let now = clock::now();
+        for (host, query) in self.context.streams.take_queries(now) {
+            self.send(host, &RouterMessage::StreamQuery(query));
+        }
+        for (host, notice) in self.context.streams.take_notices(now) {
+            self.send(host, &RouterMessage::Streams(notice));
+        }
+    }
+
     /// Sends due reports on slots to the coordinators.
     fn send_slots(&self) {
         for (target, report) in self.context.slots.take_reports(clock::now()) {
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -158,6 +158,7 @@
             answer.guard.set_answered();
             self.exchange.record.first_byte.get_or_insert(self.exchange.age());
             let Some(events) = self.splitter.push(data) else { continue };
+            self.exchange.hold_software();
             tokio::select! {
                 sent = self.sender.send(Ok(events)) => {
                     if sent.is_err() {
@@ -177,6 +178,10 @@
         if !may_send_again(RunProof::Unknown, kind, runs, exchange.route.max_targets) {
             return None;
         }
+        if exchange.is_software_unknown() {
+            exchange.note("not resumed: its version is not known");
+            return None;
+        }
         self.splitter.drop_partial();
         exchange.resume_after = self.splitter.last_id.or(exchange.resume_after);
         exchange.exclude_last();
