Loader: an engine that starts again loads nothing while routers go by its earlier start

A router takes the version of a stream's target from the list if a report of the loader, 0.3 s old at the most, names the same start. An engine that had started again under its id as another version, and was loaded within that time, ran streams that were recorded at the earlier version. Found by reading. The loader now waits until 0.4 s after its last report of the earlier start before it orders anything; an engine is empty until then, and loading its base model takes seconds.

--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -21,6 +21,7 @@
     membership::{InstanceId, TargetIncarnation},
     messages::{BaseOffer, LoadRequest, RouterNotice},
     orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
+    target::SUFFICIENT_TTL,
 };
 use crate::{
     demand::DecayedCount,
@@ -37,6 +38,8 @@
     time::Duration,
 };
 
+/// Longest time that a report takes to a router.
+const TRANSIT_TIME: Duration = Duration::from_millis(100);
 /// Maximum of concurrent adapter loads of an engine, as the engines allow.
 pub const MAX_CONCURRENT_LOADS: usize = 4;
 /// Age after which a router's notice is dropped; routers send one at least every second.
@@ -133,6 +136,8 @@
     polled: Timestamp,
     next_poll: Timestamp,
     not_before: Timestamp,
+    /// When a report last told routers that this incarnation of the engine answers.
+    last_confirmed: Option<Timestamp>,
     ordered: Timestamp,
     notices: HashMap<SocketAddr, NoticeState>,
     demand: HashMap<AdapterId, AdapterDemand>,
@@ -172,6 +177,7 @@
             polled: Duration::ZERO,
             next_poll: Duration::ZERO,
             not_before: Duration::ZERO,
+            last_confirmed: None,
             ordered: Duration::ZERO,
             notices: HashMap::new(),
             demand: HashMap::new(),
@@ -269,6 +275,11 @@
             self.report.as_ref().is_some_and(|known| is_later_incarnation(known, &report));
         if is_restarted {
             self.begin_incarnation();
+            if let Some(confirmed) = self.last_confirmed.take().filter(|_| report.started.is_some())
+            {
+                // Routers that go by a report of the earlier incarnation would take a run of this one for its run.
+                self.not_before = self.not_before.max(confirmed + SUFFICIENT_TTL + TRANSIT_TIME);
+            }
         } else if !self.is_answering && report.started.is_none() {
             // Without a start time, a new incarnation with the same order count looks like the last one.
             self.instance = None;
--- a/crates/core/src/direct/loader/report.rs
+++ b/crates/core/src/direct/loader/report.rs
@@ -19,6 +19,9 @@
         let incarnation = self.incarnation()?;
         let report = self.report.as_ref()?;
         self.sequence += 1;
+        if self.is_answering {
+            self.last_confirmed = Some(now);
+        }
         let load_requests = self.unfulfilled_requests(report);
         let awaited = load_requests
             .into_iter()
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -19,7 +19,7 @@
 pub const REPORT_TTL: Duration = Duration::from_millis(2_500);
 /// Age up to which a report's holdings are used without a new report. If the adapter was evicted meanwhile, the target
 /// refuses the call, and the fleet spends one of its retries.
-const SUFFICIENT_TTL: Duration = Duration::from_millis(300);
+pub(super) const SUFFICIENT_TTL: Duration = Duration::from_millis(300);
 /// Time without an answer after which a loader counts as silent. It answers within a millisecond, but a host that has
 /// used up its CPU quota may be throttled for the rest of a 100 ms period.
 const REPORT_TIMEOUT: Duration = Duration::from_millis(150);
--- a/crates/core/tests/core/direct/loader/incarnations.rs
+++ b/crates/core/tests/core/direct/loader/incarnations.rs
@@ -46,6 +46,31 @@
     }
 }
 
+/// Guards against a run of a new incarnation that a router takes for one of the earlier incarnation, whose report it still
+/// has: the new one must hold nothing until that report has expired.
+#[test]
+fn a_new_incarnation_loads_nothing_while_reports_of_the_earlier_one_count() {
+    let of_start = |started| EngineReport { started: Some(started), ..EngineReport::default() };
+    let mut machine = machine(0, &[]);
+    machine.take_report(of_start(1_000), ms(1));
+    machine.take_notice(router(1), notice(1, vec![request("z", 1)], vec![]), ms(2));
+    machine.make_report(ms(100)).expect("a report");
+    machine.take_report(of_start(2_000), ms(110));
+    machine.take_instance("e1".into());
+    let mut first_order = None;
+    for now in 110..2_000 {
+        match machine.next_step(ms(now)) {
+            LoaderStep::Poll => machine.take_report(of_start(2_000), ms(now)),
+            LoaderStep::Order(_) => {
+                first_order = Some(now);
+                break;
+            }
+            LoaderStep::Identify | LoaderStep::Wait(_) => {}
+        }
+    }
+    assert!(first_order.is_some_and(|at| (400..700).contains(&at)), "{first_order:?}");
+}
+
 /// A load is delayed, and the engine restarts under the same id. When the new incarnation reaches the order
 /// count of that load, the engine carries it out. If all slots were taken by then, it would hold one adapter
 /// too many and crash; so one slot stays free until the count has passed.
