Routers take over from each other that a route has had one version only

Routers now claim with their presence what they are certain of, loaders keep the claims, and a router takes over one that reaches up to the time since which it follows the list.

--- a/crates/core/src/direct/directory.rs
+++ b/crates/core/src/direct/directory.rs
@@ -10,6 +10,7 @@
 use super::{
     membership::InstanceId,
     sharing::order::{RelayOrder, relay_rank},
+    streams::messages::RouteClaim,
     target_limit::LimitUpdate,
 };
 use crate::{
@@ -79,6 +80,8 @@
     /// Updates of targets' limits.
     #[serde(rename = "news")]
     pub limit_updates: Vec<LimitUpdate>,
+    /// Routes whose streams all began at one version, and those of which that is not so.
+    pub claims: Vec<RouteClaim>,
 }
 
 /// The reply to a presence: which other routers are alive.
@@ -95,6 +98,8 @@
     /// Updates that the router did not send itself, or sent with another rate.
     #[serde(rename = "news")]
     pub limit_updates: Vec<LimitUpdate>,
+    /// Routes of which other routers claimed that their streams all began at one version.
+    pub claims: Vec<RouteClaim>,
 }
 
 /// The targets at whose loaders the routers of a zone register, by rendezvous hashing: all routers compute the
@@ -178,6 +183,7 @@
             other_zones: first(other_zones, OTHER_ZONES_LIMIT),
             counts: self.counts(now).into_iter().collect(),
             limit_updates: Vec::new(),
+            claims: Vec::new(),
         }
     }
 
--- a/crates/core/src/direct/streams.rs
+++ b/crates/core/src/direct/streams.rs
@@ -5,6 +5,7 @@
 //! loaders that all routers compute alike from the call's id. A router that is asked to resume a stream queries these
 //! loaders. A stream of which no version is recorded is not resumed.
 
+pub mod claims;
 pub mod history;
 pub mod messages;
 pub mod outbox;
@@ -20,6 +21,9 @@
 /// Identifies one software version of one service, the same in all processes.
 pub type SoftwareTag = u64;
 
+/// Identifies a route by its host and prefix, the same in all processes.
+pub type RouteTag = u64;
+
 /// Loaders that record a stream's version.
 pub const REPLICAS: usize = 2;
 /// Further loaders that are queried: since the version was recorded, the list of loaders may have changed.
@@ -32,10 +36,19 @@
 
 /// Tag of a version of a service's software. Versions of two services differ, whatever they are called.
 pub fn software_tag(service: &str, software: &str) -> SoftwareTag {
+    hash_pair(service, software)
+}
+
+/// Tag of the route with this host and prefix.
+pub fn route_tag(host: &str, prefix: &str) -> RouteTag {
+    hash_pair(host, prefix)
+}
+
+fn hash_pair(first: &str, second: &str) -> u64 {
     let mut hasher = Xxh3::new();
-    hasher.update(&(service.len() as u64).to_le_bytes());
-    hasher.update(service.as_bytes());
-    hasher.update(software.as_bytes());
+    hasher.update(&(first.len() as u64).to_le_bytes());
+    hasher.update(first.as_bytes());
+    hasher.update(second.as_bytes());
     hasher.digest()
 }
 
--- a/crates/core/src/direct/streams/history.rs
+++ b/crates/core/src/direct/streams/history.rs
@@ -11,9 +11,11 @@
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
 /// Time for which a new version gets no streams that may be resumed, while targets of another version serve. A router
-/// notices within this time that it no longer follows the list: a watch of the list waits 1.8 s, and its answer is awaited
-/// 1.5 s longer.
-pub const SETTLE_TIME: Duration = Duration::from_secs(4);
+/// notices within 3.3 s that it no longer follows the list, as a watch of the list waits 1.8 s and its answer is awaited
+/// 1.5 s longer, and a claim of it is used for [`INHERIT_LIMIT`] after that.
+///
+/// [`INHERIT_LIMIT`]: super::claims::INHERIT_LIMIT
+pub const SETTLE_TIME: Duration = Duration::from_secs(6);
 /// Longest interval between two observations of the list; after a longer one, as after a suspension of the process, changes
 /// may have been missed.
 pub const GAP_LIMIT: Duration = Duration::from_secs(1);
@@ -35,6 +37,15 @@
     unknown: Option<Timestamp>,
 }
 
+/// The only version of a service.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct SingleVersion<'a> {
+    /// The version.
+    pub software: &'a SoftwareVersion,
+    /// Since when the service has had no other, as far as this router followed the list.
+    pub since: Timestamp,
+}
+
 /// The versions of all services since this router follows the list without a gap.
 #[derive(Debug, Default)]
 pub struct SoftwareHistory {
@@ -112,25 +123,30 @@
         }
     }
 
-    /// The only version that the service has had in the last `window`, if that is certain.
-    pub fn only_version(
-        &self,
-        service: &str,
-        window: Duration,
-        now: Timestamp,
-    ) -> Option<&SoftwareVersion> {
-        let is_followed = self.since.is_some_and(|since| now.saturating_sub(since) >= window);
-        if !is_followed || now.saturating_sub(self.observed) > GAP_LIMIT {
+    /// Since when the list is followed without a gap; `None` while it is not followed.
+    pub fn since(&self) -> Option<Timestamp> {
+        self.since
+    }
+
+    /// The only version that the service has, if that is known.
+    pub fn single_version(&self, service: &str, now: Timestamp) -> Option<SingleVersion<'_>> {
+        if now.saturating_sub(self.observed) > GAP_LIMIT {
             return None;
         }
+        let mut since = self.since?;
         let history = self.services.get(service)?;
-        let is_recent = |last: Timestamp| now.saturating_sub(last) <= window + GAP_LIMIT;
-        if history.unknown.is_some_and(is_recent) {
-            return None;
+        let is_present = |last: Timestamp| last >= self.observed;
+        let (present, gone): (Vec<_>, Vec<_>) =
+            history.spans.iter().partition(|(_, span)| is_present(span.last));
+        let [(software, _)] = *present else { return None };
+        let others = gone.iter().map(|(_, span)| span.last).chain(history.unknown);
+        if let Some(last) = others.max() {
+            if is_present(last) {
+                return None;
+            }
+            since = since.max(last + GAP_LIMIT);
         }
-        let mut recent = history.spans.iter().filter(|(_, span)| is_recent(span.last));
-        let (software, _) = recent.next()?;
-        recent.next().is_none().then_some(software)
+        Some(SingleVersion { software, since })
     }
 
     /// Whether all routers that follow the list know that the service has this version.
--- a/crates/core/src/direct/streams/messages.rs
+++ b/crates/core/src/direct/streams/messages.rs
@@ -1,7 +1,8 @@
 //! Messages between routers and loaders on the versions at which streams began.
 
-use super::{SoftwareTag, StreamKey, StreamOrigin};
+use super::{RouteTag, SoftwareTag, StreamKey, StreamOrigin};
 use serde::{Deserialize, Serialize};
+use std::time::Duration;
 
 /// Key or tag as it is sent: a variable-length number would take longer, as all bits are random.
 type FixedBytes = [u8; 8];
@@ -88,3 +89,39 @@
         StreamKey::from_le_bytes(self.stream)
     }
 }
+
+/// A router's claim that all streams of a route began at one version, or a loader's copy of such claims.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct RouteClaim {
+    route: FixedBytes,
+    software: Option<FixedBytes>,
+    /// Time in ms for which the route's service has had no other version.
+    pub single_ms: u32,
+    /// Age in ms of the latest claim; 0 in a router's own.
+    pub age_ms: u32,
+}
+
+impl RouteClaim {
+    /// A claim that a route has one version, or with `None` that it has several.
+    pub fn new(route: RouteTag, software: Option<SoftwareTag>) -> Self {
+        let software = software.map(SoftwareTag::to_le_bytes);
+        Self { route: route.to_le_bytes(), software, single_ms: 0, age_ms: 0 }
+    }
+
+    /// Sets the time for which the route has had no other version, and the age of the claim.
+    #[must_use]
+    pub fn with_times(self, single: Duration, age: Duration) -> Self {
+        let millis = |time: Duration| u32::try_from(time.as_millis()).unwrap_or(u32::MAX);
+        Self { single_ms: millis(single), age_ms: millis(age), ..self }
+    }
+
+    /// The route.
+    pub fn route(&self) -> RouteTag {
+        RouteTag::from_le_bytes(self.route)
+    }
+
+    /// The only version; `None` if there are several.
+    pub fn software(&self) -> Option<SoftwareTag> {
+        self.software.map(SoftwareTag::from_le_bytes)
+    }
+}
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -17,7 +17,7 @@
     load_shedding::ConcurrencyGauge,
     membership::{InstanceId, ListChange, TargetEntry, TargetIncarnation, TargetList},
     messages::{BaseOffer, LoaderReport},
-    streams::history::SoftwareHistory,
+    streams::{RouteTag, claims::InheritedClaims, history::SoftwareHistory},
     target::{LoadRequestState, TargetState},
     waits::WaitEstimates,
 };
@@ -48,7 +48,9 @@
     /// Whether a list of targets has been read.
     is_listed: bool,
     /// Routes of streams by host and prefix, and when their services last changed.
-    rerouted: HashMap<(Arc<str>, Arc<str>), Timestamp>,
+    rerouted: HashMap<RouteTag, Timestamp>,
+    /// What other routers claimed of routes before this one followed the list.
+    inherited: InheritedClaims,
 }
 
 impl Default for TargetPool {
@@ -74,6 +76,7 @@
             software: SoftwareHistory::default(),
             is_listed: false,
             rerouted: HashMap::new(),
+            inherited: InheritedClaims::default(),
         }
     }
 
--- a/crates/core/src/direct/targets/software.rs
+++ b/crates/core/src/direct/targets/software.rs
@@ -3,7 +3,10 @@
 use super::{
     super::{
         config::{CallKind, RouteConfig, RouteRule},
-        streams::{SoftwareTag, history::GAP_LIMIT, software_tag},
+        streams::{
+            SoftwareTag, claims::CLAIM_LIMIT, history::GAP_LIMIT, messages::RouteClaim, route_tag,
+            software_tag,
+        },
         target::TargetState,
     },
     TargetPool,
@@ -17,6 +20,11 @@
 /// that of the call that resumes it.
 const LIMITS_PER_STREAM: u32 = 2;
 
+/// Whether the route's streams may be resumed.
+fn is_resumable(route: &RouteRule) -> bool {
+    matches!(route.kind, CallKind::Stream { resumable: true })
+}
+
 /// Which targets of a software version there are.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum VersionPresence {
@@ -45,14 +53,53 @@
     ) -> Option<(ServiceName, SoftwareVersion)> {
         let [share] = &*route.shares else { return None };
         let window = route.time_limit.unwrap_or(DEFAULT_LIMIT) * LIMITS_PER_STREAM;
-        let key = (Arc::clone(&route.host), Arc::clone(&route.prefix));
-        let is_rerouted =
-            self.rerouted.get(&key).is_some_and(|at| now.saturating_sub(*at) <= window);
-        if is_rerouted {
-            return None;
+        let (software, time) = self.single_software(route, now)?;
+        (time >= window).then(|| (Arc::clone(&share.service), Arc::clone(software)))
+    }
+
+    /// The only version of a route's only service, and for how long it has had no other.
+    fn single_software(
+        &self,
+        route: &RouteRule,
+        now: Timestamp,
+    ) -> Option<(&SoftwareVersion, Duration)> {
+        let [share] = &*route.shares else { return None };
+        let single = self.software.single_version(&share.service, now)?;
+        let tag = route_tag(&route.host, &route.prefix);
+        let followed = self.software.since();
+        let time = match self.rerouted.get(&tag) {
+            Some(rerouted) => now.saturating_sub(single.since.max(*rerouted)),
+            None => self.inherited.single_time(tag, &share.service, &single, followed, now),
+        };
+        Some((single.software, time))
+    }
+
+    /// What this router knows of the versions of routes with resumable streams, for others that start.
+    pub fn route_claims(&self, now: Timestamp) -> Vec<RouteClaim> {
+        if self.software.since().is_none() {
+            return Vec::new();
         }
-        let software = self.software.only_version(&share.service, window, now)?;
-        Some((Arc::clone(&share.service), Arc::clone(software)))
+        let streams = self.config.routes().filter(|route| is_resumable(route));
+        let mut claims: Vec<RouteClaim> = streams
+            .map(|route| {
+                let tag = route_tag(&route.host, &route.prefix);
+                match (self.single_software(route, now), &*route.shares) {
+                    (Some((software, time)), [share]) => {
+                        let software = software_tag(&share.service, software);
+                        RouteClaim::new(tag, Some(software)).with_times(time, Duration::ZERO)
+                    }
+                    _ => RouteClaim::new(tag, None),
+                }
+            })
+            .collect();
+        claims.sort_unstable_by_key(RouteClaim::route);
+        claims.truncate(CLAIM_LIMIT);
+        claims
+    }
+
+    /// Takes over what other routers claimed of routes before this one followed the list.
+    pub fn inherit_claims(&mut self, claims: &[RouteClaim], now: Timestamp) {
+        self.inherited.take(claims, self.software.since(), now);
     }
 
     /// The service and version with this tag, among the services of a route.
@@ -110,7 +157,7 @@
             let is_same = known
                 .is_some_and(|known| known.prefix == route.prefix && known.shares == route.shares);
             if !is_same && self.config.number > 0 {
-                self.rerouted.insert((Arc::clone(&route.host), Arc::clone(&route.prefix)), latest);
+                self.rerouted.insert(route_tag(&route.host, &route.prefix), latest);
             }
         }
     }
--- a/crates/core/tests/core/direct/directory.rs
+++ b/crates/core/tests/core/direct/directory.rs
@@ -24,6 +24,7 @@
         address: router(index),
         registers_here,
         limit_updates: Vec::new(),
+        claims: Vec::new(),
     }
 }
 
--- a/crates/core/tests/core/direct/fleet/simulation.rs
+++ b/crates/core/tests/core/direct/fleet/simulation.rs
@@ -351,8 +351,13 @@
         for (loader, registers_here) in own.chain(queried.into_iter().map(|loader| (loader, false)))
         {
             let (zone, address) = (zone.clone(), router_address(index));
-            let presence =
-                RouterPresence { zone, address, registers_here, limit_updates: Vec::new() };
+            let presence = RouterPresence {
+                zone,
+                address,
+                registers_here,
+                limit_updates: Vec::new(),
+                claims: Vec::new(),
+            };
             self.send_to_loader(index, loader, RouterMessage::Presence(presence));
         }
     }
--- a/crates/core/tests/core/direct/sharing/zone.rs
+++ b/crates/core/tests/core/direct/sharing/zone.rs
@@ -227,7 +227,13 @@
         if self.now % PRESENCE_PAUSE == index as u64 * STEP % PRESENCE_PAUSE {
             let (zone, address) = (zone_name(), address(index));
             let limit_updates = Vec::new();
-            let presence = RouterPresence { zone, address, registers_here: true, limit_updates };
+            let presence = RouterPresence {
+                zone,
+                address,
+                registers_here: true,
+                limit_updates,
+                claims: Vec::new(),
+            };
             let directory = self.registry.take(&presence, ms(self.now));
             let router = &mut self.routers[index];
             router.peer_table.note(&directory, ms(self.now));
--- a/crates/core/tests/core/direct/streams/history.rs
+++ b/crates/core/tests/core/direct/streams/history.rs
@@ -4,7 +4,11 @@
 use plantain_core::direct::{
     config::{CallKind, RouteConfig},
     membership::{ListChange, TargetEntry},
-    streams::history::SETTLE_TIME,
+    streams::{
+        claims::{ClaimTable, INHERIT_LIMIT},
+        history::SETTLE_TIME,
+        messages::RouteClaim,
+    },
     targets::TargetPool,
 };
 use std::{sync::Arc, time::Duration};
@@ -148,3 +152,146 @@
     put(&mut pool, &engine("e4", 4, None), now);
     assert!(!is_settled(&pool, "e3", now) && !is_settled(&pool, "e4", now));
 }
+
+/// Lets time pass for a router and a loader that gets its claims each second; returns the loader's copy.
+fn claim_while(
+    pool: &mut TargetPool,
+    table: &mut ClaimTable,
+    now: &mut Duration,
+    time: Duration,
+) -> Vec<RouteClaim> {
+    let end = *now + time;
+    while *now < end {
+        pass(pool, now, ms(1_000));
+        table.take(&pool.route_claims(*now), *now);
+    }
+    table.list(*now)
+}
+
+/// A router that has just started with the list of these versions.
+fn started_pool(software: &[&str], now: Duration) -> TargetPool {
+    let mut pool = TargetPool::new();
+    pool.take_config(streams(1, &[(ENGINES, 1)]));
+    let entries = software
+        .iter()
+        .enumerate()
+        .map(|(index, software)| engine(&format!("e{index}"), 1 + index as u16, Some(software)));
+    pool.replace_list(entries.collect(), now);
+    pool
+}
+
+struct ClaimCase {
+    name: &'static str,
+    /// What happens at the other router before this one starts.
+    before: fn(&mut TargetPool, &mut Duration),
+    /// Time from the other router's last claim to the start of this one.
+    pause: Duration,
+    /// Versions in the list of the router that starts.
+    listed: &'static [&'static str],
+    is_certain: bool,
+}
+
+/// Guards against resumptions that a restarted router refuses although others have followed the list all the time, and
+/// against a claim that does not reach up to its start.
+#[test]
+fn a_started_router_takes_over_what_others_are_certain_of() {
+    let nothing: fn(&mut TargetPool, &mut Duration) = |_, _| {};
+    let cases = [
+        ClaimCase {
+            name: "one version",
+            before: nothing,
+            pause: ms(500),
+            listed: &["v1", "v1"],
+            is_certain: true,
+        },
+        ClaimCase {
+            name: "a long pause",
+            before: nothing,
+            pause: INHERIT_LIMIT + ms(200),
+            listed: &["v1", "v1"],
+            is_certain: false,
+        },
+        ClaimCase {
+            name: "another version at the start",
+            before: nothing,
+            pause: ms(500),
+            listed: &["v2"],
+            is_certain: false,
+        },
+        ClaimCase {
+            name: "two versions at the start",
+            before: nothing,
+            pause: ms(500),
+            listed: &["v1", "v2"],
+            is_certain: false,
+        },
+        ClaimCase {
+            name: "another version was there",
+            before: |pool, now| {
+                put(pool, &engine("e3", 3, Some("v2")), *now);
+                pass(pool, now, ms(400));
+                pool.apply_changes(&[ListChange::Removed("e3".into())], *now);
+            },
+            pause: ms(500),
+            listed: &["v1", "v1"],
+            is_certain: false,
+        },
+        ClaimCase {
+            name: "the route had another service",
+            before: |pool, _| {
+                pool.take_config(streams(2, &[("other", 1)]));
+                pool.take_config(streams(3, &[(ENGINES, 1)]));
+            },
+            pause: ms(500),
+            listed: &["v1", "v1"],
+            is_certain: false,
+        },
+    ];
+    for case in cases {
+        let mut now = ms(0);
+        let mut other = settled_pool(&mut now);
+        let mut table = ClaimTable::default();
+        claim_while(&mut other, &mut table, &mut now, ms(2_000));
+        (case.before)(&mut other, &mut now);
+        claim_while(&mut other, &mut table, &mut now, ms(1_000));
+        // The clock of a process begins with it.
+        let (start, later) = (ms(100), ms(400));
+        let mut pool = started_pool(case.listed, start);
+        assert_eq!(only(&pool, start), None, "{}", case.name);
+        pool.inherit_claims(&table.list(now + case.pause + later.saturating_sub(start)), later);
+        let certain = only(&pool, later);
+        assert_eq!(certain.is_some(), case.is_certain, "{}", case.name);
+    }
+}
+
+/// Guards against a router that takes its own claim from before a gap for one about the time of the gap.
+#[test]
+fn an_outage_ends_what_was_claimed_before_it() {
+    let mut now = ms(0);
+    let mut pool = settled_pool(&mut now);
+    let mut table = ClaimTable::default();
+    claim_while(&mut pool, &mut table, &mut now, ms(2_000));
+    pool.note_outage();
+    let claims = claim_while(&mut pool, &mut table, &mut now, INHERIT_LIMIT + ms(1_000));
+    pool.note_contact(now);
+    pool.expire(now);
+    pool.inherit_claims(&claims, now);
+    assert_eq!(only(&pool, now), None);
+}
+
+/// Guards against a claim of a router that does not know the version which another router has already.
+#[test]
+fn routers_that_differ_leave_a_route_uncertain() {
+    let mut now = ms(0);
+    let (mut stale, mut current) = (settled_pool(&mut now), settled_pool(&mut ms(0)));
+    put(&mut current, &engine("e3", 3, Some("v2")), now);
+    let mut table = ClaimTable::default();
+    for claims in [current.route_claims(now), stale.route_claims(now)] {
+        table.take(&claims, now);
+    }
+    pass(&mut stale, &mut now, ms(1_000));
+    table.take(&stale.route_claims(now), now);
+    let mut pool = started_pool(&["v1"], ms(100));
+    pool.inherit_claims(&table.list(now), ms(100));
+    assert_eq!(only(&pool, ms(100)), None);
+}
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -21,6 +21,7 @@
         orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
         streams::{
             StreamOrigin,
+            claims::ClaimTable,
             messages::{StreamAnswer, StreamReceipt},
             records::StreamRecords,
         },
@@ -74,6 +75,7 @@
     coordinator: SlotCoordinator,
     limits: LimitTable,
     streams: StreamRecords,
+    claims: ClaimTable,
     engine: Rc<EngineClient>,
     settings: watch::Receiver<Arc<LoaderFile>>,
     socket: UdpSocket,
@@ -99,6 +101,7 @@
             coordinator: SlotCoordinator::default(),
             limits: LimitTable::default(),
             streams: StreamRecords::default(),
+            claims: ClaimTable::default(),
             engine: Rc::new(EngineClient::new()),
             settings,
             socket,
@@ -180,6 +183,8 @@
                 self.limits.take(&presence.limit_updates, now);
                 let mut directory = self.registry.take(&presence, now);
                 directory.limit_updates = self.limits.answer(&presence.limit_updates, now);
+                self.claims.take(&presence.claims, now);
+                directory.claims = self.claims.list(now);
                 self.send(&LoaderMessage::Directory(directory), &[router]);
             }
             Ok(RouterMessage::Usage(report)) => {
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -88,6 +88,7 @@
                 let now = clock::now();
                 self.context.note_routers(&directory, now);
                 self.context.apply_limit_updates(&directory.limit_updates, now);
+                self.context.pool.borrow_mut().inherit_claims(&directory.claims, now);
             }
             Ok(LoaderMessage::Grant(grant)) => {
                 let now = clock::now();
@@ -232,10 +233,12 @@
                 address,
                 registers_here: true,
                 limit_updates: Vec::new(),
+                claims: Vec::new(),
             });
             return;
         }
         let limit_updates = self.context.pool.borrow().limit_updates(clock::now());
+        let claims = self.context.pool.borrow().route_claims(clock::now());
         let round = self.presences;
         self.presences += 1;
         for host in loaders_to_query(&own, round, round) {
@@ -245,6 +248,7 @@
                 address,
                 registers_here: true,
                 limit_updates: limit_updates.clone(),
+                claims: claims.clone(),
             };
             self.send(*host, &RouterMessage::Presence(presence));
         }
@@ -258,6 +262,7 @@
                     address,
                     registers_here: false,
                     limit_updates: limit_updates.clone(),
+                    claims: claims.clone(),
                 };
                 self.send(*host, &RouterMessage::Presence(presence));
             }
