Started routers keep what others claimed, and wait for it; a target that answers as another is no send

A claim now says whether another version is known to have been there; without that it does not end an earlier one. What is not known is not denied.

--- a/crates/core/src/direct/streams/claims.rs
+++ b/crates/core/src/direct/streams/claims.rs
@@ -56,13 +56,16 @@
             // One of the two routers does not know the other's version.
             *known = new;
             self.denied.insert(claim.route(), now);
-        } else if since <= known.claimed {
+        } else if since <= known.claimed + INHERIT_LIMIT {
             known.since = known.since.min(since);
             known.claimed = now;
         } else {
-            // There may have been another version between the two claims.
             *known = new;
         }
+        if claim.had_others {
+            let denied = self.denied.entry(claim.route()).or_default();
+            *denied = since.max(*denied);
+        }
     }
 
     /// All claims, and drops those that are too old.
--- a/crates/core/src/direct/streams/history.rs
+++ b/crates/core/src/direct/streams/history.rs
@@ -37,6 +37,17 @@
     unknown: Option<Timestamp>,
 }
 
+/// The versions of a service, as far as a router knows them.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ServiceVersions<'a> {
+    /// One.
+    Single(SingleVersion<'a>),
+    /// Several, or one that is not known.
+    Several,
+    /// Not known: no target is listed, or the list is not followed.
+    Unclear,
+}
+
 /// The only version of a service.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct SingleVersion<'a> {
@@ -128,25 +139,30 @@
         self.since
     }
 
-    /// The only version that the service has, if that is known.
-    pub fn single_version(&self, service: &str, now: Timestamp) -> Option<SingleVersion<'_>> {
-        if now.saturating_sub(self.observed) > GAP_LIMIT {
-            return None;
-        }
-        let mut since = self.since?;
-        let history = self.services.get(service)?;
+    /// The versions that the service has now.
+    pub fn versions(&self, service: &str, now: Timestamp) -> ServiceVersions<'_> {
+        let is_observed = now.saturating_sub(self.observed) <= GAP_LIMIT;
+        let (Some(followed), Some(history), true) =
+            (self.since, self.services.get(service), is_observed)
+        else {
+            return ServiceVersions::Unclear;
+        };
         let is_present = |last: Timestamp| last >= self.observed;
         let (present, gone): (Vec<_>, Vec<_>) =
             history.spans.iter().partition(|(_, span)| is_present(span.last));
-        let [(software, _)] = *present else { return None };
-        let others = gone.iter().map(|(_, span)| span.last).chain(history.unknown);
-        if let Some(last) = others.max() {
-            if is_present(last) {
-                return None;
+        if history.unknown.is_some_and(is_present) {
+            return ServiceVersions::Several;
+        }
+        match *present {
+            [] => ServiceVersions::Unclear,
+            [(software, _)] => {
+                let others = gone.iter().map(|(_, span)| span.last).chain(history.unknown);
+                let since = others.map(|last| last + GAP_LIMIT).max().unwrap_or_default();
+                let since = since.max(followed);
+                ServiceVersions::Single(SingleVersion { software, since })
             }
-            since = since.max(last + GAP_LIMIT);
+            _ => ServiceVersions::Several,
         }
-        Some(SingleVersion { software, since })
     }
 
     /// Whether all routers that follow the list know that the service has this version.
--- a/crates/core/src/direct/streams/messages.rs
+++ b/crates/core/src/direct/streams/messages.rs
@@ -99,13 +99,16 @@
     pub single_ms: u32,
     /// Age in ms of the latest claim; 0 in a router's own.
     pub age_ms: u32,
+    /// Whether the router knows that the route had another version or service before that time; otherwise it does not know
+    /// what was before.
+    pub had_others: bool,
 }
 
 impl RouteClaim {
     /// A claim that a route has one version, or with `None` that it has several.
     pub fn new(route: RouteTag, software: Option<SoftwareTag>) -> Self {
         let software = software.map(SoftwareTag::to_le_bytes);
-        Self { route: route.to_le_bytes(), software, single_ms: 0, age_ms: 0 }
+        Self { route: route.to_le_bytes(), software, single_ms: 0, age_ms: 0, had_others: false }
     }
 
     /// Sets the time for which the route has had no other version, and the age of the claim.
@@ -115,6 +118,12 @@
         Self { single_ms: millis(single), age_ms: millis(age), ..self }
     }
 
+    /// Sets whether the route is known to have had another version or service before.
+    #[must_use]
+    pub fn with_others(self, had_others: bool) -> Self {
+        Self { had_others, ..self }
+    }
+
     /// The route.
     pub fn route(&self) -> RouteTag {
         RouteTag::from_le_bytes(self.route)
--- a/crates/core/src/direct/targets/software.rs
+++ b/crates/core/src/direct/targets/software.rs
@@ -4,8 +4,11 @@
     super::{
         config::{CallKind, RouteConfig, RouteRule},
         streams::{
-            SoftwareTag, claims::CLAIM_LIMIT, history::GAP_LIMIT, messages::RouteClaim, route_tag,
-            software_tag,
+            SoftwareTag,
+            claims::CLAIM_LIMIT,
+            history::{GAP_LIMIT, ServiceVersions},
+            messages::RouteClaim,
+            route_tag, software_tag,
         },
         target::TargetState,
     },
@@ -57,6 +60,12 @@
         (time >= window).then(|| (Arc::clone(&share.service), Arc::clone(software)))
     }
 
+    /// Whether the services of a route are known to have several versions now.
+    pub fn has_several_versions(&self, route: &RouteRule, now: Timestamp) -> bool {
+        let [share] = &*route.shares else { return true };
+        self.software.versions(&share.service, now) == ServiceVersions::Several
+    }
+
     /// The only version of a route's only service, and for how long it has had no other.
     fn single_software(
         &self,
@@ -64,7 +73,9 @@
         now: Timestamp,
     ) -> Option<(&SoftwareVersion, Duration)> {
         let [share] = &*route.shares else { return None };
-        let single = self.software.single_version(&share.service, now)?;
+        let ServiceVersions::Single(single) = self.software.versions(&share.service, now) else {
+            return None;
+        };
         let tag = route_tag(&route.host, &route.prefix);
         let followed = self.software.since();
         let time = match self.rerouted.get(&tag) {
@@ -76,27 +87,31 @@
 
     /// What this router knows of the versions of routes with resumable streams, for others that start.
     pub fn route_claims(&self, now: Timestamp) -> Vec<RouteClaim> {
-        if self.software.since().is_none() {
-            return Vec::new();
-        }
         let streams = self.config.routes().filter(|route| is_resumable(route));
-        let mut claims: Vec<RouteClaim> = streams
-            .map(|route| {
-                let tag = route_tag(&route.host, &route.prefix);
-                match (self.single_software(route, now), &*route.shares) {
-                    (Some((software, time)), [share]) => {
-                        let software = software_tag(&share.service, software);
-                        RouteClaim::new(tag, Some(software)).with_times(time, Duration::ZERO)
-                    }
-                    _ => RouteClaim::new(tag, None),
-                }
-            })
-            .collect();
+        let claims = streams.filter_map(|route| self.route_claim(route, now));
+        let mut claims: Vec<RouteClaim> = claims.collect();
         claims.sort_unstable_by_key(RouteClaim::route);
         claims.truncate(CLAIM_LIMIT);
         claims
     }
 
+    fn route_claim(&self, route: &RouteRule, now: Timestamp) -> Option<RouteClaim> {
+        let tag = route_tag(&route.host, &route.prefix);
+        let [share] = &*route.shares else { return Some(RouteClaim::new(tag, None)) };
+        match self.software.versions(&share.service, now) {
+            ServiceVersions::Several => Some(RouteClaim::new(tag, None)),
+            ServiceVersions::Unclear => None,
+            ServiceVersions::Single(single) => {
+                let (software, time) = self.single_software(route, now)?;
+                let software = software_tag(&share.service, software);
+                let had_others =
+                    self.rerouted.contains_key(&tag) || Some(single.since) != self.software.since();
+                let claim = RouteClaim::new(tag, Some(software)).with_others(had_others);
+                Some(claim.with_times(time, Duration::ZERO))
+            }
+        }
+    }
+
     /// Takes over what other routers claimed of routes before this one followed the list.
     pub fn inherit_claims(&mut self, claims: &[RouteClaim], now: Timestamp) {
         self.inherited.take(claims, self.software.since(), now);
--- a/crates/core/tests/core/direct/streams/history.rs
+++ b/crates/core/tests/core/direct/streams/history.rs
@@ -180,6 +180,27 @@
     pool
 }
 
+/// Guards against short claims of routers that start together, which hide what was claimed before.
+#[test]
+fn claims_of_started_routers_do_not_end_earlier_ones() {
+    let mut now = ms(0);
+    let mut other = settled_pool(&mut now);
+    let mut table = ClaimTable::default();
+    claim_while(&mut other, &mut table, &mut now, ms(2_000));
+    let (start, later) = (ms(100), ms(400));
+    let mut pools = [(); 2].map(|()| started_pool(&["v1"], start));
+    now += ms(800);
+    for pool in &mut pools {
+        pool.expire(later);
+        table.take(&pool.route_claims(later), now);
+        pool.inherit_claims(&table.list(now), later);
+        assert_eq!(only(pool, later).as_deref(), Some("v1"));
+    }
+    // Once they have taken it over, they claim it in turn.
+    let claims = pools[0].route_claims(later);
+    assert!(claims.iter().all(|claim| claim.single_ms >= 10_000), "{claims:?}");
+}
+
 struct ClaimCase {
     name: &'static str,
     /// What happens at the other router before this one starts.
--- a/crates/daemon/src/router/exchange/resumption.rs
+++ b/crates/daemon/src/router/exchange/resumption.rs
@@ -101,7 +101,7 @@
         &mut self,
         first_call: &FirstCall,
     ) -> Result<(ServiceName, SoftwareVersion), Unresumable> {
-        let only = self.context.pool.borrow().only_software(&self.route, clock::now());
+        let only = self.only_software().await;
         if let Some((service, software)) = only {
             self.note(&format!("resumes at {service} {software}: its only version"));
             return Ok((service, software));
@@ -129,6 +129,20 @@
         }
     }
 
+    /// The only version at which the stream can have begun. A router that has just started waits for the claims of others,
+    /// unless it knows several versions.
+    async fn only_software(&self) -> Option<(ServiceName, SoftwareVersion)> {
+        let only = || self.context.pool.borrow().only_software(&self.route, clock::now());
+        let has_several =
+            || self.context.pool.borrow().has_several_versions(&self.route, clock::now());
+        if self.context.is_starting() {
+            let deadline = self.deadline.min(clock::now() + constants::START_WAIT);
+            let is_decided = || only().is_some() || has_several() || !self.context.is_starting();
+            poll_until(deadline, is_decided).await;
+        }
+        only()
+    }
+
     /// The service and version with this tag, once the list of targets shows a target of it.
     async fn listed_software(
         &self,
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -88,6 +88,8 @@
                 self.refund_permit(permit);
                 guard.set_end(RunEnd::Settled);
                 self.note(&format!("{incarnation} has started again"));
+                // Nothing was sent, so that the next send is no repeat.
+                self.record.sends -= 1;
                 self.context.pool.borrow_mut().note_displaced(incarnation);
                 self.context.notify_loader(incarnation);
                 self.uncount_run(RunProof::Misdirected);
