A target that does not name its incarnation in time is not taken for a silent one

The request for its report may take longer than 0.25 s at a busy target. That counted as a failed connection, after which the router kept all its calls from the target for a while. Nothing was sent, so nothing is recorded now. Found by reading; no test brings it about.

--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -64,6 +64,8 @@
     Unsent(String),
     /// Another incarnation of the target answers at the address; the request was not sent.
     OtherIncarnation,
+    /// The target did not name its incarnation, which was required; the request was not sent.
+    Unidentified,
     /// The request may have reached the target, and the connection failed before an answer.
     Broken(String),
 }
@@ -128,7 +130,7 @@
         match (identity, check) {
             (TargetIdentity::Other, _) => return SendEnd::OtherIncarnation,
             (TargetIdentity::Unknown, IdentityCheck::Required) => {
-                return SendEnd::Unsent("it does not name its incarnation".into());
+                return SendEnd::Unidentified;
             }
             (TargetIdentity::Unknown, IdentityCheck::Wanted) => {
                 sender = match connect(address).await {
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -6,6 +6,7 @@
         constants,
         context::guards::{CallGuard, RunEnd},
         journal::CallPhase,
+        limits::UsageCharge,
     },
     CallExchange, ChosenTarget, PendingAnswer, SendFailure,
 };
@@ -85,15 +86,14 @@
                 return self.handle_answer(answer, connection, guard, latency).await;
             }
             Some(SendEnd::OtherIncarnation) => {
-                self.refund_permit(permit);
-                guard.set_end(RunEnd::Settled);
                 self.note(&format!("{incarnation} has started again"));
-                // Nothing was sent, so that the next send is no repeat.
-                self.record.sends -= 1;
                 self.context.pool.borrow_mut().note_displaced(incarnation);
                 self.context.notify_loader(incarnation);
-                self.uncount_run(RunProof::Misdirected);
-                return Err(SendFailure { proof: RunProof::Misdirected, reply: None });
+                return Err(self.not_sent(permit, &mut guard));
+            }
+            Some(SendEnd::Unidentified) => {
+                self.note(&format!("{incarnation} does not name its incarnation"));
+                return Err(self.not_sent(permit, &mut guard));
             }
             Some(SendEnd::Unsent(reason)) => {
                 self.refund_permit(permit);
@@ -127,6 +127,15 @@
         Err(SendFailure { proof, reply: None })
     }
 
+    /// Takes back what was counted for a call that was not sent, so that the next send is no repeat.
+    fn not_sent(&mut self, permit: Option<UsageCharge>, guard: &mut CallGuard) -> SendFailure {
+        self.refund_permit(permit);
+        guard.set_end(RunEnd::Settled);
+        self.record.sends -= 1;
+        self.uncount_run(RunProof::NotRun);
+        SendFailure { proof: RunProof::NotRun, reply: None }
+    }
+
     /// Subtracts a send from the call's number of runs if the call provably did not run; each send counts as a run
     /// until its outcome is known.
     fn uncount_run(&mut self, proof: RunProof) {
