A record that names no certain version refuses a resumption also where one version alone is listed

A stream that began at a target whose start was not confirmed is recorded with no version, but a resumption at a service with one listed version passed that record by: the target may have started again as another version before its entry showed it. Records are now asked first, and what is certain without one only counts where there is none. Found by reading the change; the order is not covered by a test of its own.

--- a/crates/core/src/direct/streams/query.rs
+++ b/crates/core/src/direct/streams/query.rs
@@ -18,8 +18,10 @@
 pub enum QueryResult {
     /// The stream began at this version.
     Began(SoftwareTag),
-    /// No record names one version, and none ever will.
+    /// No loader that may have a record has one.
     Unknown,
+    /// Records name several versions.
+    Ambiguous,
     /// No record was found, but a loader that may have one did not answer.
     Unanswered,
 }
@@ -76,7 +78,7 @@
         let have_best = self.loaders.iter().take(REPLICAS).all(|loader| loader.origin.is_some());
         let have_all = self.loaders.iter().all(|loader| loader.origin.is_some());
         match origin {
-            StreamOrigin::Ambiguous => Some(QueryResult::Unknown),
+            StreamOrigin::Ambiguous => Some(QueryResult::Ambiguous),
             StreamOrigin::Known(software) => {
                 (have_best || age >= AGREEMENT_WAIT).then_some(QueryResult::Began(software))
             }
--- a/crates/core/tests/core/direct/streams.rs
+++ b/crates/core/tests/core/direct/streams.rs
@@ -185,21 +185,21 @@
             name: "they differ",
             own: Unknown,
             answers: &[(0, 2, Known(8)), (3, 3, Known(7))],
-            result: QueryResult::Unknown,
+            result: QueryResult::Ambiguous,
             at: 3,
         },
         QueryCase {
             name: "the router itself knows better",
             own: Known(8),
             answers: &[(0, 2, Known(7))],
-            result: QueryResult::Unknown,
+            result: QueryResult::Ambiguous,
             at: 2,
         },
         QueryCase {
             name: "two streams of one id",
             own: Known(7),
             answers: &[(0, 2, Ambiguous)],
-            result: QueryResult::Unknown,
+            result: QueryResult::Ambiguous,
             at: 2,
         },
         QueryCase {
@@ -371,7 +371,7 @@
         }
         match query.result(self.now + ms(300)) {
             Some(QueryResult::Began(version)) => self.began.get(&stream) == Some(&version),
-            Some(QueryResult::Unknown | QueryResult::Unanswered) => true,
+            Some(_) => true,
             None => false,
         }
     }
--- a/crates/daemon/src/router/exchange/resumption.rs
+++ b/crates/daemon/src/router/exchange/resumption.rs
@@ -40,6 +40,8 @@
     Unnamed,
     /// Nobody knows a version at which the stream began.
     Unknown,
+    /// Several versions are recorded, or the target that began it had no certain one.
+    Ambiguous,
     /// A loader that may know the version did not answer.
     Unanswered,
     /// No target of the version is left.
@@ -54,6 +56,7 @@
             Self::Route => "not_resumable",
             Self::Unnamed => "unnamed",
             Self::Unknown => "unknown",
+            Self::Ambiguous => "ambiguous",
             Self::Unanswered => "unanswered",
             Self::Gone => "gone",
             Self::Unlisted => "unlisted",
@@ -97,19 +100,30 @@
         }
     }
 
+    /// The service and version at which the stream began: as recorded, or else the only one that it can have been.
     async fn find_origin(
         &mut self,
         first_call: &FirstCall,
     ) -> Result<(ServiceName, SoftwareVersion), Unresumable> {
-        let only = self.only_software().await;
-        if let Some((service, software)) = only {
-            self.note(&format!("resumes at {service} {software}: its only version"));
-            return Ok((service, software));
-        }
-        let FirstCall::Named(id) = first_call else { return Err(Unresumable::Unnamed) };
+        let missing = match first_call {
+            FirstCall::Named(id) => match self.recorded_origin(id).await {
+                Err(missing @ (Unresumable::Unknown | Unresumable::Unanswered)) => missing,
+                decided => return decided,
+            },
+            FirstCall::Missing | FirstCall::Unreadable => Unresumable::Unnamed,
+        };
+        let (service, software) = self.only_software().await.ok_or(missing)?;
+        self.note(&format!("resumes at {service} {software}: its only version"));
+        Ok((service, software))
+    }
+
+    async fn recorded_origin(
+        &mut self,
+        id: &str,
+    ) -> Result<(ServiceName, SoftwareVersion), Unresumable> {
         let began = clock::now();
-        let result =
-            self.context.streams.find_origin(&self.context, stream_key(id), self.deadline).await;
+        let streams = &self.context.streams;
+        let result = streams.find_origin(&self.context, stream_key(id), self.deadline).await;
         let took = clock::now().saturating_sub(began).as_millis();
         match result {
             QueryResult::Unknown => {
@@ -120,6 +134,14 @@
                 self.note(&format!("no loader knows {id}, and not all answered in {took} ms"));
                 Err(Unresumable::Unanswered)
             }
+            QueryResult::Ambiguous => {
+                self.note(&format!("several versions recorded for {id}, after {took} ms"));
+                Err(Unresumable::Ambiguous)
+            }
+            QueryResult::Began(UNKNOWN_SOFTWARE) => {
+                self.note(&format!("{id} began at a target of no certain version"));
+                Err(Unresumable::Ambiguous)
+            }
             QueryResult::Began(tag) => {
                 let found = self.listed_software(tag).await?;
                 let (service, software) = &found;
