Choice of a target: unsettled versions are looked for once a choice

The check looked up the version of each target twice, some 0.15 ms at 850 targets (worked out), also where a service has one version only. The choice is the same.

--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -150,6 +150,7 @@
     let usable = pool.service_targets(need.service).filter(|target| is_usable(target, need, now));
     let mut usable: Vec<&TargetState> = usable.collect();
     if need.software == SoftwareNeed::Settled
+        && pool.has_unsettled_software(need.service, now)
         && usable.iter().any(|target| pool.has_settled_software(target, now))
     {
         usable.retain(|target| pool.has_settled_software(target, now));
--- a/crates/core/src/direct/streams/history.rs
+++ b/crates/core/src/direct/streams/history.rs
@@ -29,6 +29,12 @@
     is_founder: bool,
 }
 
+impl VersionSpan {
+    fn is_settled(&self, now: Timestamp) -> bool {
+        self.is_founder || now.saturating_sub(self.first) >= SETTLE_TIME
+    }
+}
+
 /// The versions of one service.
 #[derive(Debug, Default)]
 struct ServiceHistory {
@@ -168,7 +174,15 @@
     /// Whether all routers that follow the list know that the service has this version.
     pub fn is_settled(&self, service: &str, software: &str, now: Timestamp) -> bool {
         let span = self.services.get(service).and_then(|history| history.spans.get(software));
-        span.is_some_and(|span| span.is_founder || now.saturating_sub(span.first) >= SETTLE_TIME)
+        span.is_some_and(|span| span.is_settled(now))
+    }
+
+    /// Whether all versions that the service has now are settled.
+    pub fn are_all_settled(&self, service: &str, now: Timestamp) -> bool {
+        let Some(history) = self.services.get(service) else { return true };
+        let is_present = |last: Timestamp| last >= self.observed;
+        let mut present = history.spans.values().filter(|span| is_present(span.last));
+        !history.unknown.is_some_and(is_present) && present.all(|span| span.is_settled(now))
     }
 
     /// Forgets versions that were last in the list longer than `age` ago.
--- a/crates/core/src/direct/targets/software.rs
+++ b/crates/core/src/direct/targets/software.rs
@@ -47,6 +47,11 @@
             .is_some_and(|software| self.software.is_settled(&target.entry.service, software, now))
     }
 
+    /// Whether a service has a version that not all routers may know yet.
+    pub fn has_unsettled_software(&self, service: &str, now: Timestamp) -> bool {
+        !self.software.are_all_settled(service, now)
+    }
+
     /// The version at which any stream of the route that still lives must have begun, if that is certain: its service has
     /// had no other version, and the route no other service, for as long as a stream may live.
     pub fn only_software(
