--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -94,8 +94,8 @@
                 identity => identity == TargetIdentity::Expected,
             };
             if check != IdentityCheck::None && !is_identified {
-                // The connection may have been closed by the target.
-                continue;
+                // The target may have closed the connection; each further one could take as long to find out.
+                break;
             }
             progress.set_running(true);
             match sender.try_send_request(request).await {
