Loaders keep that a route had several versions also while no claim stands

A denial that came before any claim was dropped with the next directory, so that a stale router's claim counted in full. The test, with a directory between the two, failed before. Found by reading.

--- a/crates/core/src/direct/streams/claims.rs
+++ b/crates/core/src/direct/streams/claims.rs
@@ -18,6 +18,8 @@
 pub const CLAIM_LIMIT: usize = 16;
 /// Age after which a claim is dropped.
 const CLAIM_TTL: Duration = SETTLE_TIME;
+/// Time for which it is kept that a route had several versions: no stream lives as long.
+const DENIAL_TTL: Duration = Duration::from_mins(5);
 
 /// What routers have claimed of one route: that it had one version from `since` to `claimed`.
 #[derive(Clone, Copy, Debug)]
@@ -71,10 +73,10 @@
     /// All claims, and drops those that are too old.
     pub fn list(&mut self, now: Timestamp) -> Vec<RouteClaim> {
         self.claims.retain(|_, claim| now.saturating_sub(claim.claimed) < CLAIM_TTL);
-        self.denied.retain(|route, _| self.claims.contains_key(route));
+        self.denied.retain(|_, denied| now.saturating_sub(*denied) < DENIAL_TTL);
         let claims = self.claims.iter().map(|(route, claim)| {
-            let denied = self.denied.get(route).copied().unwrap_or_default();
-            let single = now.saturating_sub(claim.since.max(denied));
+            let denied = self.denied.get(route).copied();
+            let single = now.saturating_sub(claim.since.max(denied.unwrap_or_default()));
             let age = now.saturating_sub(claim.claimed);
             RouteClaim::new(*route, Some(claim.software)).with_times(single, age)
         });
--- a/crates/core/tests/core/direct/streams/history.rs
+++ b/crates/core/tests/core/direct/streams/history.rs
@@ -309,6 +309,7 @@
     let mut table = ClaimTable::default();
     for claims in [current.route_claims(now), stale.route_claims(now)] {
         table.take(&claims, now);
+        table.list(now);
     }
     pass(&mut stale, &mut now, ms(1_000));
     table.take(&stale.route_claims(now), now);
