A query of loaders does not spin while one of them is silent

The next step of a query was counted from its last datagram and not from now: between 60 ms and the next repeat it lay in the past, so that a resumption whose loader is silent woke its task without a pause for up to 20 ms at a time. It is now the next time after the present. Found by reading the change.

--- a/crates/core/src/direct/streams/query.rs
+++ b/crates/core/src/direct/streams/query.rs
@@ -87,13 +87,11 @@
         }
     }
 
-    /// When [`Self::take_due`] or [`Self::result`] may change without an answer.
-    pub fn next_step(&self) -> Timestamp {
-        let unanswered = self.loaders.iter().filter(|loader| loader.origin.is_none());
-        let repeats = unanswered.filter_map(|loader| Some(loader.queried? + REPEAT_PAUSE));
+    /// The next time after `now` at which [`Self::take_due`] or [`Self::result`] may change without an answer.
+    pub fn next_step(&self, now: Timestamp) -> Timestamp {
+        let repeats = self.loaders.iter().filter_map(|loader| Some(loader.queried? + REPEAT_PAUSE));
         let limits = [self.began + AGREEMENT_WAIT, self.began + QUERY_LIMIT];
-        let last = self.loaders.iter().filter_map(|loader| loader.queried).max();
-        let now = last.unwrap_or(self.began);
-        repeats.chain(limits).filter(|step| *step > now).min().unwrap_or(now + REPEAT_PAUSE)
+        let steps = repeats.chain(limits).filter(|step| *step > now);
+        steps.fold(now + REPEAT_PAUSE, Timestamp::min)
     }
 }
--- a/crates/core/tests/core/direct/streams.rs
+++ b/crates/core/tests/core/direct/streams.rs
@@ -246,10 +246,25 @@
     assert_eq!(query.take_due(ms(0)), [host(0), host(1)]);
     query.take_answer(host(0), StreamOrigin::Unknown);
     assert!(query.take_due(ms(39)).is_empty());
-    assert_eq!(query.next_step(), ms(40));
+    assert_eq!(query.next_step(ms(39)), ms(40));
     assert_eq!(query.take_due(ms(40)), [host(1)]);
 }
 
+/// Guards against a router that spins on a query: the next step must lie ahead, whatever has been sent and answered.
+#[test]
+fn the_next_step_of_a_query_lies_ahead() {
+    let mut query = OriginQuery::new(&[host(0), host(1)], StreamOrigin::Unknown, ms(0));
+    query.take_due(ms(0));
+    query.take_answer(host(0), StreamOrigin::Unknown);
+    for now in 0..300 {
+        if now % 41 == 0 {
+            query.take_due(ms(now));
+        }
+        let next = query.next_step(ms(now));
+        assert!(next > ms(now), "at {now} ms: {next:?}");
+    }
+}
+
 /// One event between routers and loaders.
 #[derive(Clone, Copy, Debug)]
 enum FleetStep {
--- a/crates/daemon/src/router/streams.rs
+++ b/crates/daemon/src/router/streams.rs
@@ -84,10 +84,11 @@
         let pending = PendingQuery { stream, query, answered: Rc::clone(&answered) };
         let guard = QueryGuard::new(self, pending);
         loop {
+            let now = clock::now();
             let (result, next) = {
                 let queries = self.queries.borrow();
-                let pending = &queries[&guard.number];
-                (pending.query.result(clock::now()), pending.query.next_step())
+                let query = &queries[&guard.number].query;
+                (query.result(now), query.next_step(now))
             };
             match result {
                 // Loaders that the list does not show may have a record.
@@ -98,7 +99,7 @@
                 None => {}
             }
             self.wake.notify_one();
-            let _ = timeout(next.saturating_sub(clock::now()), answered.notified()).await;
+            let _ = timeout(next.saturating_sub(now), answered.notified()).await;
         }
     }
 
