Versions of routes: looked up once, and with one word for a resumable stream

Whether streams may be resumed was written out three times (CallKind has it now), and a pair of values had no names.

--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -39,6 +39,11 @@
         matches!(self, Self::Idempotent | Self::Stream { resumable: true })
     }
 
+    /// Whether the answer is a stream that a new run may resume.
+    pub fn is_resumable(self) -> bool {
+        matches!(self, Self::Stream { resumable: true })
+    }
+
     /// Whether the answer is a stream of events.
     pub fn is_stream(self) -> bool {
         matches!(self, Self::Stream { .. })
--- a/crates/core/src/direct/streams/claims.rs
+++ b/crates/core/src/direct/streams/claims.rs
@@ -84,12 +84,19 @@
     }
 }
 
+/// What a router has taken over about one route.
+#[derive(Clone, Copy, Debug)]
+struct InheritedClaim {
+    software: SoftwareTag,
+    /// For how long this was the only version before the router followed the list. Clocks begin at the start of a process,
+    /// so that this cannot be a time.
+    before: Duration,
+}
+
 /// Claims of other routers that a router has taken over.
 #[derive(Debug, Default)]
 pub struct InheritedClaims {
-    /// For each route its version, and for how long it was the only one before this router followed the list. Clocks begin
-    /// at the start of a process, so that this cannot be a time.
-    claims: HashMap<RouteTag, (SoftwareTag, Duration)>,
+    claims: HashMap<RouteTag, InheritedClaim>,
     /// Since when the router followed the list when it took them over.
     followed_since: Option<Timestamp>,
 }
@@ -115,11 +122,12 @@
                 continue;
             }
             let before = (age + single).saturating_sub(followed);
-            let known = self.claims.entry(claim.route()).or_insert((software, before));
-            if known.0 == software {
-                known.1 = known.1.max(before);
+            let new = InheritedClaim { software, before };
+            let known = self.claims.entry(claim.route()).or_insert(new);
+            if known.software == software {
+                known.before = known.before.max(before);
             } else {
-                *known = (software, Duration::ZERO);
+                *known = InheritedClaim { software, before: Duration::ZERO };
             }
         }
     }
@@ -135,12 +143,12 @@
         now: Timestamp,
     ) -> Duration {
         let is_undisturbed = Some(single.since) == followed_since;
-        let inherited = self.claims.get(&route).filter(|(software, _)| {
+        let inherited = self.claims.get(&route).filter(|claim| {
             is_undisturbed
                 && self.followed_since == followed_since
-                && *software == software_tag(service, single.software)
+                && claim.software == software_tag(service, single.software)
         });
-        let before = inherited.map_or(Duration::ZERO, |(_, before)| *before);
+        let before = inherited.map_or(Duration::ZERO, |claim| claim.before);
         now.saturating_sub(single.since) + before
     }
 }
--- a/crates/core/src/direct/streams/history.rs
+++ b/crates/core/src/direct/streams/history.rs
@@ -98,25 +98,21 @@
             self.since.get_or_insert(now);
         }
         let entries: Vec<&Arc<TargetEntry>> = entries.collect();
-        // The oldest entry of each service, by the order in which targets were listed first.
-        let mut oldest: HashMap<&ServiceName, &Arc<TargetEntry>> = HashMap::new();
-        for entry in &entries {
-            let first = oldest.entry(&entry.service).or_insert(entry);
-            if entry.generation < first.generation {
-                *first = entry;
+        // The entry of each new service that was listed first.
+        let mut founders: HashMap<&ServiceName, &Arc<TargetEntry>> = HashMap::new();
+        for entry in entries.iter().filter(|entry| !self.services.contains_key(&entry.service)) {
+            let founder = founders.entry(&entry.service).or_insert(entry);
+            if entry.generation < founder.generation {
+                *founder = entry;
             }
         }
-        let founders =
-            oldest.into_values().filter(|entry| !self.services.contains_key(&entry.service));
-        let founders: Vec<&Arc<TargetEntry>> = founders.collect();
-        for entry in entries {
+        for entry in &entries {
             self.note_entry(entry, now);
         }
-        for entry in founders {
-            let service = self.services.get_mut(&entry.service);
-            let software = entry.software.as_ref();
-            let span = service.and_then(|service| service.spans.get_mut(software?));
-            if let Some(span) = span {
+        for founder in founders.into_values() {
+            let service = self.services.get_mut(&founder.service);
+            let software = founder.software.as_ref();
+            if let Some(span) = service.and_then(|service| service.spans.get_mut(software?)) {
                 span.is_founder = true;
             }
         }
@@ -177,12 +173,12 @@
         span.is_some_and(|span| span.is_settled(now))
     }
 
-    /// Whether all versions that the service has now are settled.
-    pub fn are_all_settled(&self, service: &str, now: Timestamp) -> bool {
-        let Some(history) = self.services.get(service) else { return true };
+    /// Whether the service has a version now that is not settled.
+    pub fn has_unsettled(&self, service: &str, now: Timestamp) -> bool {
+        let Some(history) = self.services.get(service) else { return false };
         let is_present = |last: Timestamp| last >= self.observed;
         let mut present = history.spans.values().filter(|span| is_present(span.last));
-        !history.unknown.is_some_and(is_present) && present.all(|span| span.is_settled(now))
+        history.unknown.is_some_and(is_present) || present.any(|span| !span.is_settled(now))
     }
 
     /// Forgets versions that were last in the list longer than `age` ago.
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -49,6 +49,8 @@
     is_listed: bool,
     /// Routes of streams by host and prefix, and when their services last changed.
     rerouted: HashMap<RouteTag, Timestamp>,
+    /// Time for which a stream of any route may live.
+    longest_life: Duration,
     /// What other routers claimed of routes before this one followed the list.
     inherited: InheritedClaims,
 }
@@ -76,6 +78,7 @@
             software: SoftwareHistory::default(),
             is_listed: false,
             rerouted: HashMap::new(),
+            longest_life: software::DEFAULT_LIFE,
             inherited: InheritedClaims::default(),
         }
     }
@@ -91,7 +94,7 @@
         if config.number <= self.config.number {
             return false;
         }
-        self.note_rerouted(&config);
+        self.note_routes(&config);
         self.config = config;
         self.mark_superseded();
         true
--- a/crates/core/src/direct/targets/software.rs
+++ b/crates/core/src/direct/targets/software.rs
@@ -2,11 +2,11 @@
 
 use super::{
     super::{
-        config::{CallKind, RouteConfig, RouteRule},
+        config::{RouteConfig, RouteRule, ServiceShare},
         streams::{
             SoftwareTag,
             claims::CLAIM_LIMIT,
-            history::{GAP_LIMIT, ServiceVersions},
+            history::{GAP_LIMIT, ServiceVersions, SingleVersion},
             messages::RouteClaim,
             route_tag, software_tag,
         },
@@ -23,9 +23,22 @@
 /// that of the call that resumes it.
 const LIMITS_PER_STREAM: u32 = 2;
 
-/// Whether the route's streams may be resumed.
-fn is_resumable(route: &RouteRule) -> bool {
-    matches!(route.kind, CallKind::Stream { resumable: true })
+/// Time for which a stream of a route without a limit may live.
+pub(super) const DEFAULT_LIFE: Duration = DEFAULT_LIMIT.saturating_mul(LIMITS_PER_STREAM);
+
+/// Time for which a stream of the route may live.
+fn stream_life(route: &RouteRule) -> Duration {
+    route.time_limit.map_or(DEFAULT_LIFE, |limit| limit * LIMITS_PER_STREAM)
+}
+
+/// The versions of the services of a route, as far as they are known.
+enum RouteVersions<'a> {
+    /// One, of the only service.
+    Single { service: &'a ServiceName, single: SingleVersion<'a> },
+    /// Several, or several services.
+    Several,
+    /// Not known.
+    Unclear,
 }
 
 /// Which targets of a software version there are.
@@ -49,7 +62,7 @@
 
     /// Whether a service has a version that not all routers may know yet.
     pub fn has_unsettled_software(&self, service: &str, now: Timestamp) -> bool {
-        !self.software.are_all_settled(service, now)
+        self.software.has_unsettled(service, now)
     }
 
     /// The version at which any stream of the route that still lives must have begun, if that is certain: its service has
@@ -59,40 +72,45 @@
         route: &RouteRule,
         now: Timestamp,
     ) -> Option<(ServiceName, SoftwareVersion)> {
-        let [share] = &*route.shares else { return None };
-        let window = route.time_limit.unwrap_or(DEFAULT_LIMIT) * LIMITS_PER_STREAM;
-        let (software, time) = self.single_software(route, now)?;
-        (time >= window).then(|| (Arc::clone(&share.service), Arc::clone(software)))
+        let RouteVersions::Single { service, single } = self.route_versions(route, now) else {
+            return None;
+        };
+        let is_certain = self.single_time(route, service, &single, now) >= stream_life(route);
+        is_certain.then(|| (Arc::clone(service), Arc::clone(single.software)))
     }
 
     /// Whether the services of a route are known to have several versions now.
     pub fn has_several_versions(&self, route: &RouteRule, now: Timestamp) -> bool {
-        let [share] = &*route.shares else { return true };
-        self.software.versions(&share.service, now) == ServiceVersions::Several
+        matches!(self.route_versions(route, now), RouteVersions::Several)
     }
 
-    /// The only version of a route's only service, and for how long it has had no other.
-    fn single_software(
+    fn route_versions<'a>(&'a self, route: &'a RouteRule, now: Timestamp) -> RouteVersions<'a> {
+        let [ServiceShare { service, .. }] = &*route.shares else { return RouteVersions::Several };
+        match self.software.versions(service, now) {
+            ServiceVersions::Single(single) => RouteVersions::Single { service, single },
+            ServiceVersions::Several => RouteVersions::Several,
+            ServiceVersions::Unclear => RouteVersions::Unclear,
+        }
+    }
+
+    /// For how long the route has had this service and version alone.
+    fn single_time(
         &self,
         route: &RouteRule,
+        service: &str,
+        single: &SingleVersion<'_>,
         now: Timestamp,
-    ) -> Option<(&SoftwareVersion, Duration)> {
-        let [share] = &*route.shares else { return None };
-        let ServiceVersions::Single(single) = self.software.versions(&share.service, now) else {
-            return None;
-        };
+    ) -> Duration {
         let tag = route_tag(&route.host, &route.prefix);
-        let followed = self.software.since();
-        let time = match self.rerouted.get(&tag) {
+        match self.rerouted.get(&tag) {
             Some(rerouted) => now.saturating_sub(single.since.max(*rerouted)),
-            None => self.inherited.single_time(tag, &share.service, &single, followed, now),
-        };
-        Some((single.software, time))
+            None => self.inherited.single_time(tag, service, single, self.software.since(), now),
+        }
     }
 
     /// What this router knows of the versions of routes with resumable streams, for others that start.
     pub fn route_claims(&self, now: Timestamp) -> Vec<RouteClaim> {
-        let streams = self.config.routes().filter(|route| is_resumable(route));
+        let streams = self.config.routes().filter(|route| route.kind.is_resumable());
         let claims = streams.filter_map(|route| self.route_claim(route, now));
         let mut claims: Vec<RouteClaim> = claims.collect();
         claims.sort_unstable_by_key(RouteClaim::route);
@@ -102,17 +120,15 @@
 
     fn route_claim(&self, route: &RouteRule, now: Timestamp) -> Option<RouteClaim> {
         let tag = route_tag(&route.host, &route.prefix);
-        let [share] = &*route.shares else { return Some(RouteClaim::new(tag, None)) };
-        match self.software.versions(&share.service, now) {
-            ServiceVersions::Several => Some(RouteClaim::new(tag, None)),
-            ServiceVersions::Unclear => None,
-            ServiceVersions::Single(single) => {
-                let (software, time) = self.single_software(route, now)?;
-                let software = software_tag(&share.service, software);
+        match self.route_versions(route, now) {
+            RouteVersions::Several => Some(RouteClaim::new(tag, None)),
+            RouteVersions::Unclear => None,
+            RouteVersions::Single { service, single } => {
+                let time = self.single_time(route, service, &single, now);
                 let had_others =
                     self.rerouted.contains_key(&tag) || Some(single.since) != self.software.since();
-                let claim = RouteClaim::new(tag, Some(software)).with_others(had_others);
-                Some(claim.with_times(time, Duration::ZERO))
+                let claim = RouteClaim::new(tag, Some(software_tag(service, single.software)));
+                Some(claim.with_others(had_others).with_times(time, Duration::ZERO))
             }
         }
     }
@@ -161,18 +177,18 @@
     pub(super) fn observe_software(&mut self, now: Timestamp) {
         let is_followed = self.is_list_current();
         self.software.observe(self.list.entries(), is_followed, now);
-        let longest = self.config.routes().filter_map(|route| route.time_limit).max();
-        let window = longest.unwrap_or_default().max(DEFAULT_LIMIT) * LIMITS_PER_STREAM;
-        self.software.expire(window * 2, now);
-        self.rerouted.retain(|_, at| now.saturating_sub(*at) <= window);
+        self.software.expire(self.longest_life * 2, now);
+        self.rerouted.retain(|_, at| now.saturating_sub(*at) <= self.longest_life);
     }
 
-    /// Records the routes of streams whose services a new configuration changes.
-    pub(super) fn note_rerouted(&mut self, config: &RouteConfig) {
+    /// Records the routes whose resumable streams a new configuration sends to other services, and how long any stream may
+    /// live.
+    pub(super) fn note_routes(&mut self, config: &RouteConfig) {
+        let lives = config.routes().map(|route| stream_life(route));
+        self.longest_life = lives.max().unwrap_or_default().max(DEFAULT_LIFE);
         // Not earlier than now: the list is observed at shorter intervals.
         let latest = self.software.observed() + GAP_LIMIT;
-        let streams = config.routes().filter(|route| matches!(route.kind, CallKind::Stream { .. }));
-        for route in streams {
+        for route in config.routes().filter(|route| route.kind.is_resumable()) {
             let known = self.config.find(&route.host, &route.prefix);
             let is_same = known
                 .is_some_and(|known| known.prefix == route.prefix && known.shares == route.shares);
