Router: one wait for what a starting router does not know yet

Three waits of resumptions, and that for the first configuration, each worked out until when a router counts as starting. They share poll_while_starting now. Beside it: an identity check that is skipped is no longer called None, which also meant a target of another version; a number in a cell; one word for a resumable stream. Behaviour as before; the six site tests of stream versions pass.

--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -31,7 +31,7 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum IdentityCheck {
     /// The call is sent to any incarnation.
-    None,
+    Skipped,
     /// The call is sent unless another incarnation answers.
     Wanted,
     /// The call is sent only to the expected incarnation.
@@ -93,7 +93,7 @@
                 TargetIdentity::Other => return SendEnd::OtherIncarnation,
                 identity => identity == TargetIdentity::Expected,
             };
-            if check != IdentityCheck::None && !is_identified {
+            if check != IdentityCheck::Skipped && !is_identified {
                 // The target may have closed the connection; each further one could take as long to find out.
                 break;
             }
@@ -221,7 +221,7 @@
     incarnation: &TargetIncarnation,
     check: IdentityCheck,
 ) -> TargetIdentity {
-    if check == IdentityCheck::None {
+    if check == IdentityCheck::Skipped {
         return TargetIdentity::Unknown;
     }
     counter!("plantain_identity_checks_total").increment(1);
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -128,8 +128,16 @@
 
     /// Waits for the first configuration, at most until `deadline` and [`constants::START_WAIT`] after the start.
     pub(crate) async fn wait_for_first_config(&self, deadline: Timestamp) {
-        let deadline = deadline.min(self.started + constants::START_WAIT);
-        poll_until(deadline, || self.pool.borrow().config().number > 0).await;
+        self.poll_while_starting(deadline, || self.pool.borrow().config().number > 0).await;
+    }
+
+    /// Polls a condition, at most until `deadline` and [`constants::START_WAIT`] after the start.
+    pub(crate) async fn poll_while_starting(
+        &self,
+        deadline: Timestamp,
+        is_true: impl Fn() -> bool,
+    ) {
+        poll_until(deadline.min(self.started + constants::START_WAIT), is_true).await;
     }
 
     /// Whether the stop signal came.
--- a/crates/daemon/src/router/exchange/resumption.rs
+++ b/crates/daemon/src/router/exchange/resumption.rs
@@ -3,7 +3,6 @@
 use super::{
     super::{
         constants,
-        context::poll_until,
         streams::{UNKNOWN_SOFTWARE, count_resumption},
     },
     CallExchange, GiveUpReason,
@@ -77,7 +76,7 @@
             return Ok(());
         }
         let Some(point) = self.record.resume.clone() else { return Ok(()) };
-        let found = if self.route.kind.is_retryable() {
+        let found = if self.route.kind.is_resumable() {
             self.find_origin(&point.first_call).await
         } else {
             Err(Unresumable::Route)
@@ -157,11 +156,8 @@
         let only = || self.context.pool.borrow().only_software(&self.route, clock::now());
         let has_several =
             || self.context.pool.borrow().has_several_versions(&self.route, clock::now());
-        if self.context.is_starting() {
-            let deadline = self.deadline.min(clock::now() + constants::START_WAIT);
-            let is_decided = || only().is_some() || has_several() || !self.context.is_starting();
-            poll_until(deadline, is_decided).await;
-        }
+        let is_decided = || only().is_some() || has_several();
+        self.context.poll_while_starting(self.deadline, is_decided).await;
         only()
     }
 
@@ -171,10 +167,7 @@
         tag: SoftwareTag,
     ) -> Result<(ServiceName, SoftwareVersion), Unresumable> {
         let find = || self.context.pool.borrow().software_of(&self.route, tag);
-        if self.context.is_starting() && find().is_none() {
-            let deadline = self.deadline.min(clock::now() + constants::START_WAIT);
-            poll_until(deadline, || find().is_some() || !self.context.is_starting()).await;
-        }
+        self.context.poll_while_starting(self.deadline, || find().is_some()).await;
         let is_current = self.context.pool.borrow().is_list_current();
         let missing = if is_current { Unresumable::Gone } else { Unresumable::Unlisted };
         let (service, software) = find().ok_or(missing)?;
@@ -189,20 +182,15 @@
     pub(super) fn software_need(&self) -> SoftwareNeed<'_> {
         match &self.software {
             StreamSoftware::Held(software) => SoftwareNeed::Only(software),
-            _ if self.is_resumable() => SoftwareNeed::Settled,
+            _ if self.route.kind.is_resumable() => SoftwareNeed::Settled,
             _ => SoftwareNeed::Any,
         }
     }
 
-    /// Whether the call's stream may be resumed at another target.
-    pub(super) fn is_resumable(&self) -> bool {
-        self.route.kind.is_stream() && self.route.kind.is_retryable()
-    }
-
     /// Records the version that sends the stream's first event, just before the event is relayed; later calls have no
     /// effect. The stream goes on at this version alone.
     pub(crate) fn hold_software(&mut self) {
-        if !self.is_resumable() || std::mem::replace(&mut self.has_begun, true) {
+        if !self.route.kind.is_resumable() || std::mem::replace(&mut self.has_begun, true) {
             return;
         }
         if self.software == StreamSoftware::Free {
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -167,7 +167,7 @@
             SoftwareNeed::Settled if may_restart && target.confirmed_software(now).is_none() => {
                 Some(IdentityCheck::Wanted)
             }
-            _ => Some(IdentityCheck::None),
+            _ => Some(IdentityCheck::Skipped),
         }
     }
 
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -72,7 +72,7 @@
     let (sender, body) = ReplyBody::channel();
     let status = answer.head.status();
     let reply = answer.head.clone().map(|()| body);
-    let splitter = EventSplitter::new(exchange.route.kind.is_retryable());
+    let splitter = EventSplitter::new(exchange.route.kind.is_resumable());
     let relay = StreamRelay { exchange, sender, splitter, status };
     spawn_local(relay.run(answer));
     reply
--- a/crates/daemon/src/router/streams.rs
+++ b/crates/daemon/src/router/streams.rs
@@ -1,10 +1,7 @@
 //! The software versions at which streams began: records of this router's own streams, notices to loaders and queries of
 //! loaders.
 
-use super::{
-    constants,
-    context::{RouterContext, poll_until},
-};
+use super::context::RouterContext;
 use crate::clock;
 use metrics::{counter, gauge};
 use plantain_core::{
@@ -18,7 +15,12 @@
     },
     ids::Timestamp,
 };
-use std::{cell::RefCell, collections::HashMap, net::IpAddr, rc::Rc};
+use std::{
+    cell::{Cell, RefCell},
+    collections::HashMap,
+    net::IpAddr,
+    rc::Rc,
+};
 use tokio::{
     sync::Notify,
     time::{sleep, timeout},
@@ -41,7 +43,7 @@
     records: RefCell<StreamRecords>,
     outbox: RefCell<StreamOutbox>,
     queries: RefCell<HashMap<u64, PendingQuery>>,
-    last_query: RefCell<u64>,
+    last_query: Cell<u64>,
     /// Hosts of loaders at which streams are recorded.
     recording: RefCell<Vec<IpAddr>>,
     /// Notified when datagrams are due.
@@ -69,11 +71,8 @@
         stream: StreamKey,
         deadline: Timestamp,
     ) -> QueryResult {
-        if context.is_starting() {
-            let deadline = deadline.min(clock::now() + constants::START_WAIT);
-            let is_known = || !context.is_starting() || !loader_hosts(context, true).is_empty();
-            poll_until(deadline, is_known).await;
-        }
+        let is_known = || !loader_hosts(context, true).is_empty();
+        context.poll_while_starting(deadline, is_known).await;
         let now = clock::now();
         let loaders = loader_hosts(context, true);
         let own = self.records.borrow_mut().find(stream, now);
@@ -176,10 +175,10 @@
 
 impl<'a> QueryGuard<'a> {
     fn new(tracker: &'a StreamTracker, pending: PendingQuery) -> Self {
-        let mut last = tracker.last_query.borrow_mut();
-        *last += 1;
-        tracker.queries.borrow_mut().insert(*last, pending);
-        Self { tracker, number: *last }
+        let number = tracker.last_query.get() + 1;
+        tracker.last_query.set(number);
+        tracker.queries.borrow_mut().insert(number, pending);
+        Self { tracker, number }
     }
 }
 
