Notices of streams: one sequence for all loaders

Each loader had a sequence of its own, for which its queue was kept 30 s after its last stream: at 850 loaders nearly all queues, looked through for each datagram that arrives. A loader's notices increase by the common sequence too; a queue now goes 20 ms after it is empty. What is sent when is as before.

--- a/crates/core/src/direct/streams/messages.rs
+++ b/crates/core/src/direct/streams/messages.rs
@@ -39,7 +39,7 @@
 /// A router's notice to a loader of the streams that began; it repeats those that the loader has not acknowledged.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct StreamNotice {
-    /// Increases with each notice that the router sends to this loader.
+    /// Increases with each notice that the router sends.
     pub sequence: u32,
     /// The streams by version.
     pub groups: Vec<StreamGroup>,
--- a/crates/core/src/direct/streams/outbox.rs
+++ b/crates/core/src/direct/streams/outbox.rs
@@ -37,7 +37,6 @@
 /// Streams that one loader has not acknowledged.
 #[derive(Debug, Default)]
 struct LoaderQueue {
-    sequence: u32,
     pending: VecDeque<PendingStream>,
     sent: Option<Timestamp>,
     resend_pause: Duration,
@@ -52,27 +51,28 @@
         Some(sent + if has_new { GATHER_PAUSE } else { self.resend_pause })
     }
 
-    fn make_notice(&mut self, now: Timestamp) -> StreamNotice {
-        self.sequence += 1;
+    fn make_notice(&mut self, sequence: u32, now: Timestamp) -> StreamNotice {
         self.sent = Some(now);
         let mut groups: BTreeMap<SoftwareTag, StreamGroup> = BTreeMap::new();
         let mut has_new = false;
         for pending in self.pending.iter_mut().take(NOTICE_LIMIT) {
             has_new |= pending.first_notice.is_none();
-            pending.first_notice.get_or_insert(self.sequence);
+            pending.first_notice.get_or_insert(sequence);
             let software = pending.software;
             let group = groups.entry(software).or_insert_with(|| StreamGroup::new(software));
             group.push(pending.stream);
         }
         let doubled = (self.resend_pause * 2).min(LONGEST_PAUSE);
         self.resend_pause = if has_new { RESEND_PAUSE } else { doubled };
-        StreamNotice { sequence: self.sequence, groups: groups.into_values().collect() }
+        StreamNotice { sequence, groups: groups.into_values().collect() }
     }
 }
 
 /// Streams that loaders have not acknowledged, by the loaders' hosts.
 #[derive(Debug, Default)]
 pub struct StreamOutbox {
+    /// Sequence of the last notice to any loader.
+    sequence: u32,
     queues: HashMap<IpAddr, LoaderQueue>,
 }
 
@@ -99,7 +99,11 @@
         self.expire(now);
         let due = self.queues.iter_mut();
         let due = due.filter(|(_, queue)| queue.due().is_some_and(|due| due <= now));
-        due.map(|(host, queue)| (*host, queue.make_notice(now))).collect()
+        let notices = due.map(|(host, queue)| {
+            self.sequence = self.sequence.wrapping_add(1);
+            (*host, queue.make_notice(self.sequence, now))
+        });
+        notices.collect()
     }
 
     /// Applies a loader's acknowledgement: each notice repeats all earlier ones that were not acknowledged.
@@ -123,10 +127,10 @@
         for queue in self.queues.values_mut() {
             queue.pending.retain(|stream| now.saturating_sub(stream.began) < SEND_TTL);
         }
-        // An idle queue keeps its sequence for as long as a late acknowledgement of an earlier notice may arrive.
+        // An empty queue keeps the time of its last notice, to gather the next streams.
         self.queues.retain(|_, queue| {
             !queue.pending.is_empty()
-                || queue.sent.is_some_and(|sent| now.saturating_sub(sent) < SEND_TTL * 10)
+                || queue.sent.is_some_and(|sent| now.saturating_sub(sent) < GATHER_PAUSE)
         });
     }
 }
