--- a/crates/core/src/direct/concurrency/account.rs
+++ b/crates/core/src/direct/concurrency/account.rs
@@ -198,7 +198,7 @@
             && (self.grant.is_some() || self.switched.is_some_and(is_recent))
     }
 
-    /// Sets the initial run time in ms. Has no effect once a run has been measured.
+    /// Sets the estimated time of a run in ms, which is used until a run has been measured.
     pub fn set_first_run(&mut self, run_ms: f64) {
         if self.run_ms <= 0.0 {
             self.run_ms = run_ms;
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -6,6 +6,7 @@
 
 mod capacity;
 mod host_memory;
+mod incarnation;
 pub mod load_limiter;
 mod lost_orders;
 pub mod order;
@@ -21,13 +22,13 @@
     membership::{InstanceId, TargetIncarnation},
     messages::{BaseOffer, LoadRequest, RouterNotice},
     orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
-    target::SUFFICIENT_TTL,
 };
 use crate::{
     demand::DecayedCount,
     ids::{BootId, Timestamp},
 };
 use host_memory::HostMemory;
+use incarnation::is_later_incarnation;
 use load_limiter::{LoadLimiter, LoadStart};
 use lost_orders::LostOrders;
 use replies::{AwaitedReport, EngineState};
@@ -38,8 +39,6 @@
     time::Duration,
 };
 
-/// Longest time that a report takes to a router.
-const TRANSIT_TIME: Duration = Duration::from_millis(100);
 /// Maximum of concurrent adapter loads of an engine, as the engines allow.
 pub const MAX_CONCURRENT_LOADS: usize = 4;
 /// Age after which a router's notice is dropped; routers send one at least every second.
@@ -194,12 +193,6 @@
         }
     }
 
-    /// The engine's incarnation; `None` until the engine was identified and has reported.
-    pub fn incarnation(&self) -> Option<TargetIncarnation> {
-        let id = self.instance.clone()?;
-        Some(TargetIncarnation { id, started: self.report.as_ref()?.started })
-    }
-
     /// Last report of the engine; `None` before the first one of its incarnation.
     pub fn report(&self) -> Option<&EngineReport> {
         self.report.as_ref()
@@ -259,27 +252,12 @@
         self.notices.insert(router, state);
     }
 
-    /// Applies the id with which the engine answered. If it is a new one, the last report no longer applies.
-    pub fn take_instance(&mut self, instance: InstanceId) {
-        if self.instance.as_ref() != Some(&instance) {
-            self.report = None;
-            self.capacity.begin_incarnation();
-            self.next_poll = Duration::ZERO;
-        }
-        self.instance = Some(instance);
-    }
-
     /// Applies a report of the engine.
     pub fn take_report(&mut self, report: EngineReport, now: Timestamp) {
         let is_restarted =
             self.report.as_ref().is_some_and(|known| is_later_incarnation(known, &report));
         if is_restarted {
-            self.begin_incarnation();
-            if let Some(confirmed) = self.last_confirmed.take().filter(|_| report.started.is_some())
-            {
-                // Routers that go by a report of the earlier incarnation would take a run of this one for its run.
-                self.not_before = self.not_before.max(confirmed + SUFFICIENT_TTL + TRANSIT_TIME);
-            }
+            self.begin_incarnation(report.started.is_some());
         } else if !self.is_answering && report.started.is_none() {
             // Without a start time, a new incarnation with the same order count looks like the last one.
             self.instance = None;
@@ -301,20 +279,6 @@
         self.report = Some(report);
     }
 
-    /// Drops the state of the earlier incarnation. Load requests that it fulfilled count as open again, as the new
-    /// incarnation holds no adapters.
-    fn begin_incarnation(&mut self) {
-        self.instance = None;
-        self.lost.begin_incarnation();
-        self.loading.clear();
-        self.backlog = PrefillBacklog::default();
-        self.capacity.begin_incarnation();
-        self.memory = HostMemory::default();
-        for state in self.notices.values_mut() {
-            state.fulfilled.clear();
-        }
-    }
-
     /// Records the times of loads that have ended.
     fn note_loaded(&mut self, report: &EngineReport, now: Timestamp) {
         let ended: Vec<AdapterId> =
@@ -479,16 +443,6 @@
     }
 }
 
-/// Whether the engine has restarted between two reports: its start time differs, or its order count has
-/// fallen, which never happens within an incarnation.
-fn is_later_incarnation(known: &EngineReport, report: &EngineReport) -> bool {
-    let is_other_start = match (known.started, report.started) {
-        (Some(known), Some(started)) => known != started,
-        _ => false,
-    };
-    is_other_start || report.order_count < known.order_count
-}
-
 fn has_same_requests(state: &NoticeState, notice: &RouterNotice) -> bool {
     let known =
         state.notice.load_requests.iter().map(|request| (&request.adapter, request.version));
--- a/crates/core/tests/core/direct/streams/selection.rs
+++ b/crates/core/tests/core/direct/streams/selection.rs
@@ -20,7 +20,7 @@
     software: SoftwareNeed<'static>,
     draining: &'static [&'static str],
     excluded: &'static [&'static str],
-    /// Targets of which one must be chosen; empty if none may be.
+    /// The call must go to one of these targets; if there are none, nowhere.
     chosen: &'static [&'static str],
 }
 
