Tests: one usage report, one check of the worst window

Both stood two times, in tests of customers' and of targets' limits. The fleet simulation no longer lists the messages that it does not play. Assertions and bounds are as they were.

--- a/crates/core/tests/core/direct/customers/limits.rs
+++ b/crates/core/tests/core/direct/customers/limits.rs
@@ -1,20 +1,26 @@
 //! A customer's limit, enforced by all routers together under faults.
 
-use super::fleet::{
-    LimitFleet, TERMS, check_seeds, customer_rule, limit, max_units, refused_share, send_calls,
-    unfrozen_router, worst_window,
+use super::{
+    super::support::usage_report,
+    fleet::{
+        LimitFleet, TERMS, check_seeds, customer_rule, limit, max_units, refused_share, send_calls,
+        unfrozen_router, worst_window,
+    },
 };
 use plantain_core::direct::{
     call::TokenCounts,
-    limits::{
-        messages::UsageReport,
-        terms::{FleetSize, LimitRule, LimitShares, LimitTerms, UsageLimit, UsageUnit},
-    },
+    limits::terms::{FleetSize, LimitRule, LimitShares, LimitTerms, UsageLimit, UsageUnit},
     messages::{RouterMessage, decode_datagram},
 };
 use rand::{RngExt, SeedableRng, rngs::StdRng};
 use std::time::Duration;
 
+/// Fails if the worst window of a run holds more than the limit and its tolerance.
+fn check_worst_window(fleet: &LimitFleet, limit: &UsageLimit) -> Result<(), String> {
+    let (worst, max_units) = (worst_window(&fleet.records, TERMS.window), max_units(limit, &TERMS));
+    if worst <= max_units { Ok(()) } else { Err(format!("{worst:.0} ran of {max_units:.0}")) }
+}
+
 struct CostCase {
     unit: UsageUnit,
     tokens: Option<(u32, u32)>,
@@ -230,14 +236,9 @@
             unfrozen_router(&frozen, router, routers, now)
         });
     }
-    let (worst, max_units) =
-        (worst_window(&fleet.records, TERMS.window), max_units(&limit, &TERMS));
-    if worst <= max_units {
-        return Ok(());
-    }
-    Err(format!(
-        "seed {seed}: {worst:.0} ran of {max_units:.0}, {routers} routers, {meters} meters: {faults:?}"
-    ))
+    check_worst_window(&fleet, &limit).map_err(|found| {
+        format!("seed {seed}: {found}, {routers} routers, {meters} meters: {faults:?}")
+    })
 }
 
 /// Guards against a window with more than the limit and its tolerance under any order of faults: routers and meters
@@ -363,14 +364,9 @@
             faults.extend(fleet.inject_fault(&mut rng));
         }
     }
-    let (worst, max_units) =
-        (worst_window(&fleet.records, TERMS.window), max_units(&limit, &TERMS));
-    if worst <= max_units {
-        return Ok(());
-    }
-    Err(format!(
-        "seed {seed}: {worst:.0} ran of {max_units:.0}, {routers} routers, {meters} meters: {faults:?}"
-    ))
+    check_worst_window(&fleet, &limit).map_err(|found| {
+        format!("seed {seed}: {found}, {routers} routers, {meters} meters: {faults:?}")
+    })
 }
 
 /// Guards against a second burst after a power cut: meters restart, freeze and are replaced while all routers have just
@@ -386,20 +382,7 @@
 /// Guards against a meter that drops reports of older routers, which lack the fields about the router's start.
 #[test]
 fn a_report_without_the_routers_start_is_read() {
-    let report = UsageReport {
-        boot: 5,
-        sequence: 1,
-        meter: 3,
-        enrolment: 0,
-        reachable: vec![3],
-        routers: 1,
-        config: 1,
-        requests: Vec::new(),
-        limit_updates: Vec::new(),
-        uptime_ms: 0,
-        used_elsewhere: Vec::new(),
-    };
-    let message = RouterMessage::Usage(report);
+    let message = RouterMessage::Usage(usage_report());
     let datagram = postcard::to_allocvec(&message).expect("encoded");
     for added in 0..=2 {
         let older = &datagram[..datagram.len() - added];
--- a/crates/core/tests/core/direct/fleet/simulation.rs
+++ b/crates/core/tests/core/direct/fleet/simulation.rs
@@ -391,10 +391,7 @@
                 let directory = loader.registry.take(&presence, now);
                 self.send_to_router(index, router, LoaderMessage::Directory(directory));
             }
-            RouterMessage::Usage(_)
-            | RouterMessage::Slots(_)
-            | RouterMessage::Streams(_)
-            | RouterMessage::StreamQuery(_) => {}
+            _ => {}
         }
     }
 
@@ -406,11 +403,7 @@
                 router.pool.take_report(host(index).ip(), report, now);
             }
             LoaderMessage::Directory(directory) => router.peer_table.note(&directory, now),
-            LoaderMessage::Grant(_)
-            | LoaderMessage::Presence(_)
-            | LoaderMessage::Slots(_)
-            | LoaderMessage::StreamReceipt(_)
-            | LoaderMessage::StreamAnswer(_) => {}
+            _ => {}
         }
     }
 
--- a/crates/core/tests/core/direct/support.rs
+++ b/crates/core/tests/core/direct/support.rs
@@ -7,6 +7,7 @@
             BaseSpec, CallKind, CallerLimits, EngineSpec, RouteConfig, RouteRule, ServiceShare,
             ServiceSpec,
         },
+        limits::messages::UsageReport,
         membership::{BaseHolding, TargetEntry},
         messages::LoaderReport,
         selection::{CallNeed, SoftwareNeed},
@@ -147,3 +148,20 @@
         software: SoftwareNeed::Any,
     }
 }
+
+/// The first report of a router to the meter 3.
+pub fn usage_report() -> UsageReport {
+    UsageReport {
+        boot: 5,
+        sequence: 1,
+        meter: 3,
+        enrolment: 0,
+        reachable: vec![3],
+        routers: 1,
+        config: 1,
+        requests: Vec::new(),
+        limit_updates: Vec::new(),
+        uptime_ms: 0,
+        used_elsewhere: Vec::new(),
+    }
+}
--- a/crates/core/tests/core/direct/target_limit.rs
+++ b/crates/core/tests/core/direct/target_limit.rs
@@ -4,11 +4,11 @@
     customers::fleet::{
         LimitFleet, check_seeds, refused_share, send_calls, unfrozen_router, worst_window,
     },
-    support::ms,
+    support::{ms, usage_report},
 };
 use plantain_core::direct::{
     limits::{
-        messages::{UsageReport, UsageRequest},
+        messages::UsageRequest,
         meter::UsageMeter,
         terms::{FleetSize, LimitShares},
     },
@@ -227,19 +227,7 @@
 #[test]
 fn a_meter_applies_the_newest_rate() {
     let (mut meter, mut table) = (UsageMeter::new(1), LimitTable::default());
-    let mut report = UsageReport {
-        boot: 5,
-        sequence: 1,
-        meter: 3,
-        enrolment: 0,
-        reachable: vec![3],
-        routers: 1,
-        config: 1,
-        requests: Vec::new(),
-        limit_updates: Vec::new(),
-        uptime_ms: 0,
-        used_elsewhere: Vec::new(),
-    };
+    let mut report = usage_report();
     let enrolment = meter.take(&report, &table, ms(1_000)).expect("an answer").enrolment;
     report.enrolment = enrolment;
     let mut granted = |rate: f64, wanted, at| {
