--- a/crates/core/src/direct/streams.rs
+++ b/crates/core/src/direct/streams.rs
@@ -3,7 +3,8 @@
 //! What two versions of a target's software write does not fit together, and targets do not check where a stream that
 //! they resume began. So a router records the version with the stream's first event: in its own table, and at two
 //! loaders that all routers compute alike from the call's id. A router that is asked to resume a stream queries these
-//! loaders. A stream of which no version is recorded is not resumed.
+//! loaders. A stream of which no version is recorded is resumed only where its service has had one version alone for as
+//! long as a stream may live.
 
 pub mod claims;
 pub mod history;
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -142,7 +142,7 @@
     /// Software version at which the call goes on.
     software: StreamSoftware,
     /// Version of the target that sent the current answer, if it is certain.
-    answering: Option<SoftwareVersion>,
+    answering_software: Option<SoftwareVersion>,
     /// Whether an event of the stream has reached the caller.
     has_begun: bool,
     pub(crate) progress: Rc<CallProgress>,
@@ -190,7 +190,7 @@
             context: Rc::clone(context),
             resume_after: resume.and_then(|resume| resume.event),
             software: StreamSoftware::Free,
-            answering: None,
+            answering_software: None,
             has_begun: false,
             head,
             method,
--- a/crates/daemon/src/router/exchange/resumption.rs
+++ b/crates/daemon/src/router/exchange/resumption.rs
@@ -194,7 +194,7 @@
             return;
         }
         if self.software == StreamSoftware::Free {
-            let held = self.answering.clone().map(StreamSoftware::Held);
+            let held = self.answering_software.clone().map(StreamSoftware::Held);
             self.software = held.unwrap_or(StreamSoftware::Unknown);
         }
         let tag = match &self.software {
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -81,7 +81,7 @@
         let end = self.await_answer(incarnation, address, request, check, &mut guard).await;
         let (proof, outcome) = match end {
             Some(SendEnd::Answered { answer, connection, is_identified }) => {
-                self.answering = self.answering_software(incarnation, is_identified, sent);
+                self.answering_software = self.certain_software(incarnation, is_identified, sent);
                 let latency = clock::now().saturating_sub(sent);
                 return self.handle_answer(answer, connection, guard, latency).await;
             }
@@ -172,7 +172,7 @@
     }
 
     /// Version of the target's software, if it is certain that the incarnation which answers has it.
-    fn answering_software(
+    fn certain_software(
         &self,
         incarnation: &TargetIncarnation,
         is_identified: bool,
