--- a/review/standin/slow_reader.rs
+++ b/review/standin/slow_reader.rs
@@ -1,4 +1,4 @@
-//! Consumers that read slowly: each stops reading for two seconds in the middle of an answer.
+//! Consumers that read slowly: each waits two seconds before it reads an answer.
 
 use super::{
     Channel, Config, Folder, Manner, Record, Replica, Router, SCEM, SERVICE, Store, answer_body,
@@ -9,6 +9,8 @@
 const CONSUMERS: usize = 10;
 /// Largest answer of the plain services in the site files.
 const ANSWER_BYTES: usize = 4_800;
+/// A header of the answer that does not fit in a consumer's window.
+const HEADER_BYTES: usize = 3_000;
 const PAUSE: Duration = Duration::from_secs(2);
 /// Time budget of the consumers, and the route's timeout.
 const BUDGET_MS: u64 = 3_000;
@@ -30,6 +32,7 @@
     for id in ["i-1", "i-2"] {
         let mut plan = plan(id, "a", Manner::Serve)?;
         plan.answer_bytes = ANSWER_BYTES;
+        plan.header_bytes = HEADER_BYTES;
         let replica = Replica::start(plan, &folder)?;
         wait_listening(replica.plan.address)?;
         replica.register(&store);
@@ -98,12 +101,12 @@
     Ok((second, is_complete))
 }
 
-/// Reads the head of an answer, pauses, and reads the body.
+/// Reads an answer after a pause.
 fn read_answer(channel: &mut Channel, pause: Duration) -> io::Result<Vec<u8>> {
+    thread::sleep(pause);
     let head = channel.read_head()?.ok_or_else(|| io::Error::other("closed before an answer"))?;
     if head.word(1) != "200" {
         return Err(io::Error::other(head.start));
     }
-    thread::sleep(pause);
     channel.read_body(head.length().unwrap_or(0))
 }
