Settings files with a time that no duration can hold are rejected

What an operator would have seen: a settings file with a time such as 1e300 s passes the check and the process panics as it turns the time into a duration, at its start or, worse, at a reload.

Cause: the check had lower bounds alone.

--- a/crates/daemon/src/options/site.rs
+++ b/crates/daemon/src/options/site.rs
@@ -17,6 +17,10 @@
     time::Duration,
 };
 
+/// Longest time of a settings file, in seconds: no bound of a site needs more than a day, and sums and multiples of
+/// times up to this one cannot overflow.
+const LONGEST_TIME_S: f64 = 86_400.0;
+
 /// Limits set by the site's operators: drain and stop times, retries, and how closely customers' limits
 /// are enforced.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -64,11 +68,7 @@
     }
 
     fn check(&self) -> Result<()> {
-        ensure!(
-            self.window_s > 0.0 && self.window_s.is_finite(),
-            "bounds.limits.window_s must be above 0, not {}",
-            self.window_s
-        );
+        check_seconds("bounds.limits.window_s", self.window_s)?;
         ensure!(self.overage >= 0.0, "bounds.limits.overage must not be negative");
         ensure!(self.slack >= 0.0, "bounds.limits.slack must not be negative");
         Ok(())
@@ -91,14 +91,29 @@
     }
 
     fn check(&self) -> Result<()> {
-        ensure!(self.stop_s > 0.0, "bounds.stop_s must be above 0, not {}", self.stop_s);
-        ensure!(self.repeat_window_s > 0.0, "bounds.repeat_window_s must be above 0");
+        check_seconds("bounds.stop_s", self.stop_s)?;
+        check_seconds("bounds.repeat_window_s", self.repeat_window_s)?;
+        let drain_s = Duration::from_millis(self.drain_ms).as_secs_f64();
+        ensure!(
+            drain_s <= LONGEST_TIME_S,
+            "bounds.drain_ms must be at most a day, not {}",
+            self.drain_ms
+        );
         ensure!(self.repeat_ratio >= 0.0, "bounds.repeat_ratio must not be negative");
         ensure!(self.repeat_slack >= 0.0, "bounds.repeat_slack must not be negative");
         self.limits.check()
     }
 }
 
+/// Checks that a setting in seconds is above 0 and at most a day.
+fn check_seconds(name: &str, seconds: f64) -> Result<()> {
+    ensure!(
+        seconds > 0.0 && seconds <= LONGEST_TIME_S,
+        "{name} must be above 0 and at most a day, not {seconds}"
+    );
+    Ok(())
+}
+
 /// Settings of a router. Unknown fields are ignored, so that a file may be written for a later version.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct RouterFile {
--- a/crates/daemon/tests/daemon/settings.rs
+++ b/crates/daemon/tests/daemon/settings.rs
@@ -1,6 +1,9 @@
 //! Tests of the command line: settings are checked before the daemon starts.
 
-use std::process::{Command, Output};
+use std::{
+    env, fs,
+    process::{Command, Output, id},
+};
 
 const KEY: &str = "0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f0f";
 
@@ -89,6 +92,47 @@
     }
 }
 
+const SITE_FILE: &str = r#"{"name":"router-0","region":"r","zone":"a","listen":"127.0.0.1:3",
+ "ready":"127.0.0.1:4","peer_listen":"127.0.0.1:5","peers":[],"link_port":6,"store":"127.0.0.1:7",
+ "bounds":{"drain_ms":2000,"stop_s":8,"repeat_ratio":0.2,"repeat_window_s":10,"repeat_slack":20,
+ "limits":{"window_s":10,"overage":0.1,"slack":0}}}"#;
+
+struct BadBound {
+    from: &'static str,
+    to: &'static str,
+    expected: &'static str,
+}
+
+/// Guards against a router that panics on a time in its settings file that no duration can hold, or whose sums
+/// overflow.
+#[test]
+fn a_settings_file_with_an_excessive_time_is_rejected() {
+    let cases = [
+        BadBound { from: "\"stop_s\":8", to: "\"stop_s\":1e300", expected: "bounds.stop_s" },
+        BadBound { from: "\"stop_s\":8", to: "\"stop_s\":1e19", expected: "bounds.stop_s" },
+        BadBound { from: "dow_s\":10,\"re", to: "dow_s\":1e25,\"re", expected: "repeat_window_s" },
+        BadBound { from: "dow_s\":10,\"ov", to: "dow_s\":1e25,\"ov", expected: "limits.window_s" },
+        BadBound { from: "2000", to: "18446744073709551615", expected: "bounds.drain_ms" },
+    ];
+    let path = env::temp_dir().join(format!("plantain-settings-{}.json", id()));
+    let check = |text: &str| {
+        fs::write(&path, text).expect("write settings");
+        let path = path.to_str().expect("a path");
+        run(&["router", "--settings", path, "--metrics", "127.0.0.1:8", "--check"])
+    };
+    let good = check(SITE_FILE);
+    assert!(good.status.success(), "{}", String::from_utf8_lossy(&good.stderr));
+    for case in cases {
+        let text = SITE_FILE.replace(case.from, case.to);
+        assert_ne!(text, SITE_FILE, "{}", case.expected);
+        let output = check(&text);
+        let error = String::from_utf8_lossy(&output.stderr);
+        assert_eq!(output.status.code(), Some(2), "{}: {error}", case.to);
+        assert!(error.contains(case.expected), "{}: {error}", case.to);
+    }
+    fs::remove_file(&path).expect("remove settings");
+}
+
 #[test]
 fn check_prints_the_settings_without_secrets() {
     for (base, added) in [(&ENTRY[..], &[][..]), (&AGENT[..], &["--service", "desk"][..])] {
