A duty that ends is logged, counted and started again

Cause: tasks were spawned and their handles dropped, so that the end of one showed in no log line, metric or readiness check.

Change: a supervisor in crates/daemon/src/duty. Tasks that can go on are started again with a growing pause; a follower lists its kind anew, since a part of the last answer may not have been applied. Until a task has run for a second, the router is not ready. The queue of events between the threads and whole threads cannot go on; their end stops the process with status 1, after its calls in flight. Panics, also those of single calls, get a JSON line and a counter.

--- a/crates/daemon/src/duty.rs
+++ b/crates/daemon/src/duty.rs
@@ -1,10 +1,13 @@
-//! Duties: the long-running tasks of a process. Each has a thread and a runtime of its own.
+//! Duties: the long-running tasks of a process.
+
+pub mod supervisor;
 
 use eyre::{Result, WrapErr};
 use std::{
-    future::Future,
+    future::{Future, pending},
     thread::{self, JoinHandle},
 };
+use supervisor::DutySupervisor;
 use tokio::{
     runtime::Builder,
     signal::unix::{SignalKind, signal},
@@ -28,6 +31,19 @@
 
 /// Returns a channel whose value becomes true on SIGTERM or SIGINT. Must be called on a runtime.
 pub fn stop_signal() -> Result<watch::Receiver<bool>> {
+    stop_signal_or(pending())
+}
+
+/// As [`stop_signal`]; the value also becomes true once a duty has ended that cannot be started again.
+pub fn supervised_stop_signal(supervisor: &DutySupervisor) -> Result<watch::Receiver<bool>> {
+    let supervisor = supervisor.clone();
+    stop_signal_or(async move { supervisor.wait_for_stop().await })
+}
+
+fn stop_signal_or<T>(failure: T) -> Result<watch::Receiver<bool>>
+where
+    T: Future<Output = ()> + Send + 'static,
+{
     let mut terminate = signal(SignalKind::terminate()).wrap_err("listen for SIGTERM")?;
     let mut interrupt = signal(SignalKind::interrupt()).wrap_err("listen for SIGINT")?;
     let (sender, receiver) = watch::channel(false);
@@ -35,10 +51,11 @@
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            () = failure => {}
         }
         sender.send_replace(true);
         // Keeps the sender, so that receivers never see a closed channel.
-        std::future::pending::<()>().await;
+        pending::<()>().await;
     });
     Ok(receiver)
 }
--- a/crates/daemon/src/loader.rs
+++ b/crates/daemon/src/loader.rs
@@ -3,7 +3,9 @@
 mod engine;
 
 use crate::{
-    clock, duty, logging,
+    clock,
+    duty::{self, supervisor::DutySupervisor},
+    logging,
     options::site::{LoaderFile, SiteSettings},
     reload, telemetry,
 };
@@ -55,16 +57,18 @@
     LocalSet::new().block_on(&runtime, async {
         let address = SocketAddr::new(settings.host, settings.link_port);
         let socket = UdpSocket::bind(address).await.wrap_err("bind link to routers")?;
-        let stopping = duty::stop_signal()?;
+        let supervisor = DutySupervisor::new(logger.clone());
+        supervisor.log_panics();
+        let stopping = duty::supervised_stop_signal(&supervisor)?;
         let is_ready = Arc::new(AtomicBool::new(true));
-        telemetry::start_site(site.metrics, metrics, is_ready, &logger).await?;
-        let settings = reload::follow(site, logger.clone())?;
+        telemetry::start_site(site.metrics, metrics, is_ready, &supervisor).await?;
+        let settings = reload::follow(site, &logger, &supervisor)?;
         info!(logger, "loader listens"; "step" => "start", "listen" => %address,
             "engine" => %settings.borrow().engine);
         let runner = LoaderRunner::new(settings, socket, logger.clone());
         runner.run(stopping).await;
         info!(logger, "loader ends"; "step" => "stop");
-        Ok(())
+        supervisor.check()
     })
 }
 
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -26,11 +26,13 @@
 mod streams;
 
 use crate::{
-    clock, duty, logging,
+    clock,
+    duty::{self, supervisor::DutySupervisor},
+    logging,
     options::site::{RouterFile, SiteSettings},
     reload, telemetry,
 };
-use context::RouterContext;
+use context::{RouterContext, RouterProcess};
 use control::{
     ControlInputs,
     context::{ControlEvent, listed_targets},
@@ -55,10 +57,10 @@
     time::Duration,
 };
 use tokio::{
-    net::UdpSocket,
+    net::{TcpListener, UdpSocket},
     runtime::Builder,
     sync::{mpsc, watch},
-    task::{LocalSet, spawn_local},
+    task::LocalSet,
     time::{interval, timeout},
 };
 
@@ -73,31 +75,56 @@
         let ready = server::bind(settings.ready, "readiness address").await?;
         let link_address = SocketAddr::new(settings.listen.ip(), settings.link_port);
         let link = UdpSocket::bind(link_address).await.wrap_err("bind link to loaders")?;
-        let stopping = duty::stop_signal()?;
+        let supervisor = DutySupervisor::new(logger.clone());
+        supervisor.log_panics();
+        let stopping = duty::supervised_stop_signal(&supervisor)?;
         let is_ready = Arc::new(AtomicBool::new(false));
-        telemetry::start_site(site.metrics, metrics, Arc::clone(&is_ready), &logger).await?;
-        let boot = rand::random();
-        let context =
-            RouterContext::new(Arc::clone(&settings), boot, logger.clone(), is_ready, stopping);
-        let settings = reload::follow(site, logger.clone())?;
+        telemetry::start_site(site.metrics, metrics, Arc::clone(&is_ready), &supervisor).await?;
+        let process = RouterProcess { boot: rand::random(), is_ready, stopping, supervisor };
+        let context = RouterContext::new(Arc::clone(&settings), process, logger.clone());
+        let settings = reload::follow(site, &logger, &context.supervisor)?;
         let peers = watch::channel(PeerView::default());
         let events = start_control(&settings, peers.1, &context).await?;
-
-        spawn_local(follow_settings(settings, Rc::clone(&context)));
-        spawn_local(take_events(events, Rc::clone(&context)));
-        spawn_local(run_maintenance(Rc::clone(&context)));
-        spawn_local(overload::watch_lag(Rc::clone(&context)));
-        spawn_local(publish_peers(peers.0, Rc::clone(&context)));
-        spawn_local(readiness::serve(ready, Rc::clone(&context)));
-        spawn_local(links::run(link, Rc::clone(&context)));
+        let inputs = ServingInputs { settings, peers: peers.0, events, ready, link };
+        start_duties(inputs, &context);
         info!(logger, "router listens"; "step" => "start",
             "listen" => %context.settings.borrow().listen);
         callers::run(callers, Rc::clone(&context)).await;
         info!(logger, "router ends"; "step" => "stop", "in_flight" => context.calls.get());
-        Ok(())
+        context.supervisor.check()
     })
 }
 
+/// Inputs of the serving thread's duties.
+struct ServingInputs {
+    settings: watch::Receiver<Arc<RouterFile>>,
+    peers: watch::Sender<PeerView>,
+    events: mpsc::Receiver<ControlEvent>,
+    ready: TcpListener,
+    link: UdpSocket,
+}
+
+/// Starts the serving thread's duties beside the callers' connections.
+fn start_duties(inputs: ServingInputs, context: &Rc<RouterContext>) {
+    let ServingInputs { settings, peers, events, ready, link } = inputs;
+    let (peers, ready, link) = (Rc::new(peers), Rc::new(ready), Rc::new(link));
+    let supervisor = &context.supervisor;
+    let own = Rc::clone(context);
+    supervisor.spawn("settings", move || follow_settings(settings.clone(), Rc::clone(&own)));
+    // An event that was being applied is lost, and is not sent again.
+    supervisor.spawn_vital("events", take_events(events, Rc::clone(context)));
+    let own = Rc::clone(context);
+    supervisor.spawn("maintenance", move || run_maintenance(Rc::clone(&own)));
+    let own = Rc::clone(context);
+    supervisor.spawn("lag", move || overload::watch_lag(Rc::clone(&own)));
+    let own = Rc::clone(context);
+    supervisor.spawn("routers", move || publish_peers(Rc::clone(&peers), Rc::clone(&own)));
+    let own = Rc::clone(context);
+    supervisor.spawn("readiness", move || readiness::serve(Rc::clone(&ready), Rc::clone(&own)));
+    let own = Rc::clone(context);
+    supervisor.spawn("link", move || links::run(Rc::clone(&link), Rc::clone(&own)));
+}
+
 async fn start_control(
     settings: &watch::Receiver<Arc<RouterFile>>,
     peers: watch::Receiver<PeerView>,
@@ -115,8 +142,9 @@
         events: sender,
         listener,
         logger: context.logger.clone(),
+        supervisor: context.supervisor.clone(),
     };
-    duty::start("control", move || control::run(inputs))?;
+    context.supervisor.start_thread("control", move || control::run(inputs))?;
     Ok(events)
 }
 
@@ -327,7 +355,7 @@
 }
 
 /// Sends the view of the other routers to the control thread whenever it changes.
-async fn publish_peers(peers: watch::Sender<PeerView>, context: Rc<RouterContext>) {
+async fn publish_peers(peers: Rc<watch::Sender<PeerView>>, context: Rc<RouterContext>) {
     loop {
         let known = context.peer_view();
         peers.send_if_modified(|peers| {
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -6,7 +6,7 @@
     connections::ConnectionPool, constants, crashes::tracker::CrashTracker,
     journal::RequestJournal, limits::LimitTracker, slots::SlotTracker, streams::StreamTracker,
 };
-use crate::{clock, options::site::RouterFile};
+use crate::{clock, duty::supervisor::DutySupervisor, options::site::RouterFile};
 use metrics::counter;
 use plantain_core::{
     direct::{
@@ -73,6 +73,8 @@
     pub(crate) logger: Logger,
     /// Readiness as served to the load balancer.
     pub(crate) is_ready: Arc<AtomicBool>,
+    /// Watches over the process's duties.
+    pub(crate) supervisor: DutySupervisor,
     /// Decides which new connections are taken.
     pub(super) gate: RefCell<ConnectionGate>,
     /// Calls in flight.
@@ -88,15 +90,26 @@
     pub(crate) registry: RefCell<PresenceRegistry>,
 }
 
+/// What a router shares with the rest of its process.
+pub(crate) struct RouterProcess {
+    /// Id of this start of the process.
+    pub(crate) boot: BootId,
+    /// Readiness as served to the load balancer.
+    pub(crate) is_ready: Arc<AtomicBool>,
+    /// Becomes true on the stop signal.
+    pub(crate) stopping: watch::Receiver<bool>,
+    /// Watches over the process's duties.
+    pub(crate) supervisor: DutySupervisor,
+}
+
 impl RouterContext {
     /// Starts without targets and configuration.
     pub(crate) fn new(
         settings: Arc<RouterFile>,
-        boot: BootId,
+        process: RouterProcess,
         logger: Logger,
-        is_ready: Arc<AtomicBool>,
-        stopping: watch::Receiver<bool>,
     ) -> Rc<Self> {
+        let RouterProcess { boot, is_ready, stopping, supervisor } = process;
         Rc::new(Self {
             boot,
             crashes: CrashTracker::new(&settings.name, boot),
@@ -114,6 +127,7 @@
             journal: RequestJournal::new(logger.clone()),
             logger,
             is_ready,
+            supervisor,
             gate: RefCell::default(),
             calls: Cell::new(0),
             stopping,
--- a/crates/daemon/src/router/control.rs
+++ b/crates/daemon/src/router/control.rs
@@ -4,15 +4,14 @@
 
 use self::context::{ContextInputs, ControlContext, ControlEvent};
 use super::{constants, crash_updates, follow, peers, sharing};
-use crate::{clock, options::site::RouterFile};
+use crate::{clock, duty::supervisor::DutySupervisor, options::site::RouterFile};
 use plantain_core::{crashes::CrashReport, direct::directory::PeerView, ids::BootId};
 use plantain_platform::objects::FollowedKind;
 use slog::Logger;
-use std::{rc::Rc, sync::Arc};
+use std::{future::pending, rc::Rc, sync::Arc};
 use tokio::{
     net::TcpListener,
     sync::{mpsc, watch},
-    task::spawn_local,
 };
 
 /// Inputs of the control thread.
@@ -31,6 +30,8 @@
     pub(crate) listener: std::net::TcpListener,
     /// Logger of this thread.
     pub(crate) logger: Logger,
+    /// Watches over the process's duties.
+    pub(crate) supervisor: DutySupervisor,
 }
 
 /// Adds this router's own crash report to the state that peers can read while the store is unreachable.
@@ -49,17 +50,27 @@
 
 /// Runs the control thread's tasks until the process ends.
 pub(crate) async fn run(inputs: ControlInputs) {
-    let ControlInputs { settings, peers, boot, crashes, events, listener, logger } = inputs;
+    let ControlInputs { settings, peers, boot, crashes, events, listener, logger, supervisor } =
+        inputs;
     let context =
         Rc::new(ControlContext::new(ContextInputs { settings, peers, boot, events, logger }));
     for kind in FollowedKind::ALL {
-        spawn_local(follow::run(kind, Rc::clone(&context)));
+        let own = Rc::clone(&context);
+        supervisor.spawn(kind.name(), move || follow::run(kind, Rc::clone(&own)));
     }
-    spawn_local(sharing::run(Rc::clone(&context)));
-    spawn_local(include_own_crashes(Rc::clone(&context), crashes.clone()));
-    spawn_local(crash_updates::publish(Rc::clone(&context), crashes));
-    spawn_local(crash_updates::clean(Rc::clone(&context)));
-    let listener = TcpListener::from_std(listener).expect("a bound, non-blocking listener");
-    spawn_local(peers::serve(listener, Rc::clone(&context)));
-    peers::fetch_snapshots(context).await;
+    let own = Rc::clone(&context);
+    supervisor.spawn("sharing", move || sharing::run(Rc::clone(&own)));
+    let (own, reports) = (Rc::clone(&context), crashes.clone());
+    supervisor.spawn("own crashes", move || include_own_crashes(Rc::clone(&own), reports.clone()));
+    let own = Rc::clone(&context);
+    supervisor
+        .spawn("crash report", move || crash_updates::publish(Rc::clone(&own), crashes.clone()));
+    let own = Rc::clone(&context);
+    supervisor.spawn("old crashes", move || crash_updates::clean(Rc::clone(&own)));
+    let own = Rc::clone(&context);
+    let listener =
+        Rc::new(TcpListener::from_std(listener).expect("a bound, non-blocking listener"));
+    supervisor.spawn("peers", move || peers::serve(Rc::clone(&listener), Rc::clone(&own)));
+    supervisor.spawn("snapshots", move || peers::fetch_snapshots(Rc::clone(&context)));
+    pending::<()>().await;
 }
--- a/crates/daemon/src/router/control/context.rs
+++ b/crates/daemon/src/router/control/context.rs
@@ -82,6 +82,8 @@
     /// Whether the next watch must return immediately: a call to the store failed, for this kind or another, so the
     /// store may be about to drop its history.
     pub(in crate::router) must_probe: Cell<bool>,
+    /// Whether a follower was started.
+    pub(in crate::router) has_follower: Cell<bool>,
 }
 
 /// Settings, followed state and progress, shared by the control thread's tasks.
--- a/crates/daemon/src/router/follow.rs
+++ b/crates/daemon/src/router/follow.rs
@@ -70,6 +70,11 @@
         lost_position: None,
         context,
     };
+    if follower.progress().has_follower.replace(true) {
+        // The last follower ended while it applied an answer, so that part of it may be missing.
+        follower.progress().position.set(None);
+        follower.note_failure(&eyre!("the follower ended")).await;
+    }
     loop {
         follower.step().await;
     }
--- a/crates/daemon/src/router/links.rs
+++ b/crates/daemon/src/router/links.rs
@@ -31,7 +31,7 @@
 const MIN_SLOT_PAUSE: Duration = Duration::from_millis(1);
 
 /// Exchanges datagrams with the loaders until the process ends.
-pub(crate) async fn run(socket: UdpSocket, context: Rc<RouterContext>) {
+pub(crate) async fn run(socket: Rc<UdpSocket>, context: Rc<RouterContext>) {
     let schedule = NoticeSchedule::new(context.boot);
     let next_presence = clock::now();
     let mut link = LoaderLink { context, socket, schedule, presences: 0, next_presence };
@@ -68,7 +68,7 @@
 
 struct LoaderLink {
     context: Rc<RouterContext>,
-    socket: UdpSocket,
+    socket: Rc<UdpSocket>,
     schedule: NoticeSchedule,
     /// Number of presences sent to the registry.
     presences: usize,
--- a/crates/daemon/src/router/peers.rs
+++ b/crates/daemon/src/router/peers.rs
@@ -178,7 +178,7 @@
 }
 
 /// Answers queries of peers until the process ends.
-pub(super) async fn serve(listener: TcpListener, context: Rc<ControlContext>) {
+pub(super) async fn serve(listener: Rc<TcpListener>, context: Rc<ControlContext>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/daemon/src/router/readiness.rs
+++ b/crates/daemon/src/router/readiness.rs
@@ -21,12 +21,16 @@
 /// Longest time for which a connection of the load balancer is kept open.
 const CONNECTION_LIMIT: Duration = Duration::from_secs(30);
 
-/// Updates readiness: a router is ready once it has a configuration and targets, until the stop signal. An outage of
+/// Updates readiness: a router is ready once it has a configuration and targets, until the stop signal, while its duties
+/// run. An outage of
 /// the store does not make it unready, since it can serve with the last known state.
 pub(super) fn update(context: &RouterContext) {
     let is_ready = {
         let pool = context.pool.borrow();
-        !context.is_stopping() && pool.config().number > 0 && pool.entries().next().is_some()
+        !context.is_stopping()
+            && context.supervisor.is_sound()
+            && pool.config().number > 0
+            && pool.entries().next().is_some()
     };
     if context.set_ready(is_ready) {
         info!(context.logger, "readiness changed"; "step" => "ready", "ready" => is_ready);
@@ -34,7 +38,7 @@
 }
 
 /// Answers readiness checks until the process ends.
-pub(super) async fn serve(listener: TcpListener, context: Rc<RouterContext>) {
+pub(super) async fn serve(listener: Rc<TcpListener>, context: Rc<RouterContext>) {
     loop {
         match listener.accept().await {
             Ok((stream, _)) => {
--- a/crates/daemon/src/telemetry.rs
+++ b/crates/daemon/src/telemetry.rs
@@ -2,7 +2,7 @@
 
 pub mod names;
 
-use crate::duty;
+use crate::duty::supervisor::DutySupervisor;
 use eyre::{Result, WrapErr};
 use hyper::{Method, Request, StatusCode, body::Incoming};
 use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
@@ -10,7 +10,6 @@
     self, HttpHandler, HttpReply, ServerOptions, json_reply, serve, text_reply, typed_reply,
 };
 use serde_json::{Value, json};
-use slog::{Logger, warn};
 use std::{
     future::Future,
     net::SocketAddr,
@@ -71,18 +70,15 @@
     address: SocketAddr,
     metrics: PrometheusHandle,
     is_ready: Arc<AtomicBool>,
-    logger: &Logger,
+    supervisor: &DutySupervisor,
 ) -> Result<()> {
     let listener = server::bind(address, "metrics address").await?;
     let listener = listener.into_std().wrap_err("hand over metrics address")?;
-    let logger = logger.clone();
-    duty::start("telemetry", move || async move {
+    supervisor.start_thread("telemetry", move || async move {
         // The sender is kept and never used, so this duty runs until the process ends.
         let (_keep, stopping) = watch::channel(false);
-        match TcpListener::from_std(listener) {
-            Ok(listener) => run(listener, metrics, SiteStatus(is_ready), stopping).await,
-            Err(error) => warn!(logger, "no metrics"; "step" => "telemetry", "error" => %error),
-        }
+        let listener = TcpListener::from_std(listener).expect("a bound, non-blocking listener");
+        run(listener, metrics, SiteStatus(is_ready), stopping).await;
     })?;
     Ok(())
 }
--- a/crates/standin/src/cluster/process.rs
+++ b/crates/standin/src/cluster/process.rs
@@ -63,6 +63,17 @@
         name: &str,
         program: &str,
         arguments: &[String],
+    ) -> Result<Self> {
+        Self::start_with(directory, name, program, arguments, &[])
+    }
+
+    /// As [`Self::start`], with further environment variables.
+    pub fn start_with(
+        directory: &ClusterDirectory,
+        name: &str,
+        program: &str,
+        arguments: &[String],
+        environment: &[(&str, &str)],
     ) -> Result<Self> {
         let log = directory.path().join(format!("{name}.log"));
         let output = File::options().create(true).append(true).open(&log);
@@ -71,6 +82,7 @@
         let child = Command::new(binary(program)?)
             .args(arguments)
             .env("PLANTAIN_PEER_KEY", TEST_KEY)
+            .envs(environment.iter().copied())
             .stdin(Stdio::null())
             .stdout(output)
             .stderr(errors)
