A connection whose call was abandoned is reset

Cause, the first of two: when a caller leaves, the router drops its connection to the target, which the kernel closes in order: what it has buffered of the request is still delivered, for as long as the target takes to read it.

Change: the socket of a connection to a target resets it when it is dropped within an exchange. What has not reached the target is discarded by the router's kernel. After a complete answer connections close as before.

--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -8,17 +8,27 @@
 use hyper::{
     Request, Response,
     body::Incoming,
-    client::conn::http1::{self, SendRequest},
+    client::conn::{
+        TrySendError,
+        http1::{self, SendRequest},
+    },
 };
 use hyper_util::rt::TokioIo;
 use metrics::counter;
 use plantain_core::{direct::membership::TargetIncarnation, ids::Timestamp};
+use plantain_net::exchange::{ExchangeMeter, ExchangeSocket};
 use plantain_platform::engine;
 use socket2::SockRef;
-use std::{cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, time::Duration};
+use std::{
+    cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
+};
 use tokio::{net::TcpStream, task::spawn_local, time::timeout};
 
-type CallSender = SendRequest<Full<Bytes>>;
+/// An open connection to a target.
+struct CallSender {
+    requests: SendRequest<Full<Bytes>>,
+    meter: Arc<ExchangeMeter>,
+}
 
 /// A connection in use by one call.
 pub(crate) struct TargetConnection {
@@ -77,6 +87,18 @@
     idle: Rc<RefCell<HashMap<TargetIncarnation, Vec<IdleConnection>>>>,
 }
 
+impl CallSender {
+    /// Sends a request and returns the head of its answer. The connection is reset if it is dropped before
+    /// [`ConnectionPool::put_back`].
+    async fn send(
+        &mut self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
+        self.meter.begin();
+        self.requests.try_send_request(request).await
+    }
+}
+
 impl ConnectionPool {
     /// Sends a request on an idle connection of the pool, or on a new one. `progress` shows that the call may be running
     /// once a byte of the request may have reached the target.
@@ -98,7 +120,7 @@
                 break;
             }
             progress.set_running(true);
-            match sender.try_send_request(request).await {
+            match sender.send(request).await {
                 Ok(answer) => return answered(answer, sender, incarnation, is_identified),
                 // The connection closed before the request was written, and returns the request.
                 Err(mut error) => match error.take_message() {
@@ -142,7 +164,7 @@
         }
         let is_identified = identity == TargetIdentity::Expected;
         progress.set_running(true);
-        match sender.try_send_request(request).await {
+        match sender.send(request).await {
             Ok(answer) => answered(answer, sender, incarnation, is_identified),
             Err(mut error) => {
                 let is_unsent = error.take_message().is_some();
@@ -160,13 +182,14 @@
             Some(advertised) => advertised.mul_f64(constants::KEEP_ALIVE_SHARE),
             None => constants::DEFAULT_KEEP_ALIVE,
         };
-        if keep.is_zero() || connection.sender.is_closed() {
+        connection.sender.meter.end();
+        if keep.is_zero() || connection.sender.requests.is_closed() {
             return;
         }
         let pool = self.clone();
         spawn_local(async move {
             let TargetConnection { mut sender, incarnation } = connection;
-            if let Ok(Ok(())) = timeout(constants::SETTLE_LIMIT, sender.ready()).await {
+            if let Ok(Ok(())) = timeout(constants::SETTLE_LIMIT, sender.requests.ready()).await {
                 let until = clock::now() + keep;
                 let mut idle = pool.idle.borrow_mut();
                 let kept = idle.entry(incarnation).or_default();
@@ -180,7 +203,7 @@
     /// Closes connections that were idle for too long.
     pub(crate) fn expire(&self, now: Timestamp) {
         self.idle.borrow_mut().retain(|_, kept| {
-            kept.retain(|idle| now < idle.until && !idle.sender.is_closed());
+            kept.retain(|idle| now < idle.until && !idle.sender.requests.is_closed());
             !kept.is_empty()
         });
     }
@@ -196,7 +219,7 @@
         let mut idle = self.idle.borrow_mut();
         let kept = idle.get_mut(incarnation)?;
         while let Some(connection) = kept.pop() {
-            if now < connection.until && connection.sender.is_ready() {
+            if now < connection.until && connection.sender.requests.is_ready() {
                 return Some(connection.sender);
             }
         }
@@ -238,12 +261,12 @@
 /// The start that the target behind a connection reports; the connection is ready for another request then.
 async fn named_start(sender: &mut CallSender) -> Result<Option<u64>> {
     let request = engine::report_request().map(|body| Full::new(body.into()));
-    let answer = sender.send_request(request).await.wrap_err("request report")?;
+    let answer = sender.requests.send_request(request).await.wrap_err("request report")?;
     ensure!(answer.status().is_success(), "report: {}", answer.status());
     let body = Limited::new(answer.into_body(), constants::IDENTITY_BYTES).collect().await;
     let body = body.map_err(|error| eyre!("read report: {error}"))?.to_bytes();
     let report = engine::decode_report(&body)?;
-    sender.ready().await.wrap_err("wait for connection")?;
+    sender.requests.ready().await.wrap_err("wait for connection")?;
     Ok(report.started)
 }
 
@@ -254,15 +277,17 @@
         .wrap_err_with(|| format!("connect to {address}: no answer"))?
         .wrap_err_with(|| format!("connect to {address}"))?;
     configure_socket(&stream).wrap_err_with(|| format!("prepare connection to {address}"))?;
-    let (sender, connection) = http1::Builder::new()
-        .handshake(TokioIo::new(stream))
+    let meter = Arc::<ExchangeMeter>::default();
+    let socket = ExchangeSocket::new(stream, Arc::clone(&meter));
+    let (requests, connection) = http1::Builder::new()
+        .handshake(TokioIo::new(socket))
         .await
         .wrap_err_with(|| format!("start HTTP with {address}"))?;
     spawn_local(async move {
         // The call that waits for an answer gets the error; an error of an idle connection is ignored.
         let _ = connection.await;
     });
-    Ok(sender)
+    Ok(CallSender { requests, meter })
 }
 
 /// Disables write coalescing, and lets the kernel close connections whose peer stopped acknowledging.
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,5 +7,6 @@
 pub mod client;
 pub mod config_store;
 pub mod count;
+pub mod exchange;
 pub mod platform;
 pub mod server;
