An aborted answer never looks complete

Found by the test of endless bytes: a caller who had 32 chunks before it was told nothing.

Cause: the error that aborts a streamed body went through the same bounded channel as the chunks. If that stayed full for 200 ms, the relay gave up and dropped the sender; the receiver then read the chunks to their end, which is the end of the body.

Change: the error is set beside the channel and counts before buffered chunks. It needs no room, so it cannot be lost.

an_aborted_body_never_looks_complete failed before with 32 chunks buffered (a complete body), and passes.

--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -1,5 +1,6 @@
 //! Tests of the daemon without other processes.
 
+mod bodies;
 mod frames;
 mod replays;
 mod settings;
--- a/crates/net/src/body.rs
+++ b/crates/net/src/body.rs
@@ -9,6 +9,7 @@
 use std::{
     fmt,
     pin::Pin,
+    sync::{Arc, OnceLock},
     task::{Context, Poll},
 };
 use tokio::sync::mpsc;
@@ -35,8 +36,56 @@
 
 impl std::error::Error for BodyAbort {}
 
+/// Error of [`BodySender::send`]: the receiver was dropped.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct BodyClosed;
+
 /// Sends the chunks of a streamed body, or an error that aborts it.
-pub type BodySender = mpsc::Sender<Result<Bytes, BodyAbort>>;
+#[derive(Debug)]
+pub struct BodySender {
+    chunks: mpsc::Sender<Bytes>,
+    abort: Arc<OnceLock<BodyAbort>>,
+}
+
+impl BodySender {
+    /// Sends a chunk, once there is room for it. An error takes effect at once, before the chunks that are buffered: a
+    /// receiver that reads slowly must not take the end of the chunks for the end of the body.
+    pub async fn send(&self, chunk: Result<Bytes, BodyAbort>) -> Result<(), BodyClosed> {
+        match chunk {
+            Ok(chunk) => self.chunks.send(chunk).await.map_err(|_| BodyClosed),
+            Err(abort) => {
+                // The first reason counts.
+                let _ = self.abort.set(abort);
+                // Wakes a receiver that waits for a chunk; one with chunks to read sees the reason first.
+                let _ = self.chunks.try_send(Bytes::new());
+                if self.chunks.is_closed() { Err(BodyClosed) } else { Ok(()) }
+            }
+        }
+    }
+
+    /// Waits until the receiver is dropped.
+    pub async fn closed(&self) {
+        self.chunks.closed().await;
+    }
+}
+
+/// Receives the chunks of a streamed body.
+#[derive(Debug)]
+pub struct BodyReceiver {
+    chunks: mpsc::Receiver<Bytes>,
+    abort: Arc<OnceLock<BodyAbort>>,
+}
+
+impl BodyReceiver {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, BodyAbort>>> {
+        let chunk = self.chunks.poll_recv(context);
+        // Checked after the poll, whose waker an abort from here on uses.
+        match self.abort.get() {
+            Some(abort) => Poll::Ready(Some(Err(abort.clone()))),
+            None => chunk.map(|chunk| chunk.map(Ok)),
+        }
+    }
+}
 
 /// The body of an answer.
 #[derive(Debug)]
@@ -44,7 +93,7 @@
     /// The body in memory; `None` once it has been sent.
     Whole(Option<Bytes>),
     /// Chunks, as the producer sends them.
-    Streamed(mpsc::Receiver<Result<Bytes, BodyAbort>>),
+    Streamed(BodyReceiver),
 }
 
 impl ReplyBody {
@@ -56,7 +105,9 @@
     /// Creates a streamed body and its sender.
     pub fn channel() -> (BodySender, Self) {
         let (sender, receiver) = mpsc::channel(STREAM_DEPTH);
-        (sender, Self::Streamed(receiver))
+        let abort = Arc::default();
+        let sender = BodySender { chunks: sender, abort: Arc::clone(&abort) };
+        (sender, Self::Streamed(BodyReceiver { chunks: receiver, abort }))
     }
 }
 
@@ -71,7 +122,7 @@
         match &mut *self {
             Self::Whole(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
             Self::Streamed(receiver) => {
-                receiver.poll_recv(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
+                receiver.poll(context).map(|chunk| chunk.map(|chunk| chunk.map(Frame::data)))
             }
         }
     }
