Bytes that are no answer are bounded, in heads and bodies

What callers saw: a target that sends interim answers without end, at full speed, stopped the whole router: no readiness check was answered, and no call, until the target closed.

Cause: the HTTP library skips interim answers, empty lines and parts of the chunked coding inside its parser for as long as bytes are there, and the calls' timeouts run on the same thread. Events without an end and plain answers took memory up to their size.

Change: the client's socket counts the bytes that came since the exchange last got further and fails beyond a bound (256 KiB at targets, the largest answer at HttpClient's peers); heads, and with them single reads, are at most 64 KiB. All buffered answers share 48 MB, an incomplete event is held back up to 256 KiB, a stream ends after 16 MB. Loaders read at most 1 MB from an engine.

--- a/crates/core/src/direct/streams/events.rs
+++ b/crates/core/src/direct/streams/events.rs
@@ -42,6 +42,11 @@
         Some(events)
     }
 
+    /// Number of bytes of an incomplete event that are held back.
+    pub fn held_back(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Whether the body so far ends with a complete event, or has not begun.
     pub fn is_at_boundary(&self) -> bool {
         self.tail == EVENT_END
--- a/crates/daemon/src/loader/engine.rs
+++ b/crates/daemon/src/loader/engine.rs
@@ -18,6 +18,8 @@
 /// and with them the calls whose adapters they load. An order that takes effect after the timeout can do so only if the
 /// engine has not accepted a later one.
 const ORDER_LIMIT: Duration = Duration::from_millis(50);
+/// Largest answer of the engine, in bytes: its report names some tens of adapters.
+const REPORT_LIMIT: usize = 1 << 20;
 /// Timeout for a health check, which queues with the engine's calls.
 const IDENTIFY_LIMIT: Duration = Duration::from_secs(1);
 
@@ -29,7 +31,7 @@
 impl EngineClient {
     /// Creates a client without a connection.
     pub(crate) fn new() -> Self {
-        Self { client: HttpClient::new() }
+        Self { client: HttpClient::with_answer_limit(REPORT_LIMIT) }
     }
 
     /// Gets the engine's report.
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -2,6 +2,7 @@
 
 mod admission;
 mod advertised_state;
+mod answers;
 mod callers;
 mod connections;
 mod constants;
--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -16,7 +16,7 @@
 use hyper_util::rt::TokioIo;
 use metrics::counter;
 use plantain_core::{direct::membership::TargetIncarnation, ids::Timestamp};
-use plantain_net::exchange::{ExchangeMeter, ExchangeSocket};
+use plantain_net::exchange::{ExchangeMeter, ExchangeSocket, HEAD_LIMIT};
 use plantain_platform::engine;
 use socket2::SockRef;
 use std::{
@@ -95,7 +95,16 @@
         request: Request<Full<Bytes>>,
     ) -> Result<Response<Incoming>, TrySendError<Request<Full<Bytes>>>> {
         self.meter.begin();
-        self.requests.try_send_request(request).await
+        let answer = self.requests.try_send_request(request).await?;
+        self.meter.note_progress();
+        Ok(answer)
+    }
+}
+
+impl TargetConnection {
+    /// Notes that a part of the answer's body has arrived.
+    pub(crate) fn note_progress(&self) {
+        self.sender.meter.note_progress();
     }
 }
 
@@ -277,9 +286,10 @@
         .wrap_err_with(|| format!("connect to {address}: no answer"))?
         .wrap_err_with(|| format!("connect to {address}"))?;
     configure_socket(&stream).wrap_err_with(|| format!("prepare connection to {address}"))?;
-    let meter = Arc::<ExchangeMeter>::default();
+    let meter = ExchangeMeter::new(constants::UNANSWERED_LIMIT);
     let socket = ExchangeSocket::new(stream, Arc::clone(&meter));
     let (requests, connection) = http1::Builder::new()
+        .max_buf_size(HEAD_LIMIT)
         .handshake(TokioIo::new(socket))
         .await
         .wrap_err_with(|| format!("start HTTP with {address}"))?;
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -26,6 +26,9 @@
 /// Idle time after which a connection is not used again if the target does not advertise a keep-alive timeout: the
 /// target must not close it while a call that is not retryable is being sent.
 pub(crate) const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(700);
+/// Bytes that a target may send in a row that are neither the head of an answer nor a part of its body: interim answers,
+/// and the chunked coding. The HTTP library would skip them for as long as they arrive.
+pub(crate) const UNANSWERED_LIMIT: usize = 256 << 10;
 /// Share of the advertised keep-alive timeout for which an idle connection is used.
 pub(crate) const KEEP_ALIVE_SHARE: f64 = 0.7;
 /// Idle connections kept per target; more are closed.
@@ -36,8 +39,14 @@
 /// Largest body of a target's failure answer that is relayed to the caller, in bytes. If the body is larger, the caller
 /// gets the router's own error answer.
 pub(crate) const FAILURE_LIMIT: usize = 256 << 10;
-/// Largest body of a plain answer that is buffered and relayed, in bytes.
+/// Largest body of an answer, in bytes: a plain one is buffered, a stream is relayed as it arrives.
 pub(crate) const ANSWER_LIMIT: usize = 16 << 20;
+/// Largest size of all buffered answers together, in bytes; beyond it, answers larger than [`SMALL_ANSWER`] are broken off.
+pub(crate) const ANSWER_MEMORY: usize = 48 << 20;
+/// Size up to which an answer is read in any case, in bytes.
+pub(crate) const SMALL_ANSWER: usize = 1 << 20;
+/// Largest incomplete event of a resumable stream that is held back, in bytes.
+pub(crate) const EVENT_LIMIT: usize = 256 << 10;
 /// Time before its deadline at which a waiting call is given up: a target needs at least this long to process a prompt
 /// and answer.
 pub(crate) const SERVE_TIME: Duration = Duration::from_millis(150);
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -3,7 +3,7 @@
 pub(crate) mod guards;
 
 use super::{
-    connections::ConnectionPool, constants, crashes::tracker::CrashTracker,
+    answers::AnswerMemory, connections::ConnectionPool, constants, crashes::tracker::CrashTracker,
     journal::RequestJournal, limits::LimitTracker, slots::SlotTracker, streams::StreamTracker,
 };
 use crate::{clock, duty::supervisor::DutySupervisor, options::site::RouterFile};
@@ -59,6 +59,8 @@
     pub(crate) streams: StreamTracker,
     /// Whether the known configuration may be outdated, because it cannot be followed now.
     pub(crate) may_be_outdated: Cell<bool>,
+    /// Memory of buffered answers.
+    pub(crate) answers: AnswerMemory,
     /// Idle connections to targets.
     pub(crate) connections: ConnectionPool,
     /// Wakes calls that wait for a report from a target's loader.
@@ -120,6 +122,7 @@
             may_be_outdated: Cell::new(false),
             settings: RefCell::new(settings),
             pool: RefCell::new(TargetPool::new()),
+            answers: AnswerMemory::default(),
             connections: ConnectionPool::default(),
             waiters: RefCell::default(),
             pending_notices: RefCell::default(),
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -12,7 +12,7 @@
 };
 use crate::clock;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::{Request, Response, body::Incoming};
 use metrics::counter;
 use plantain_core::{
@@ -298,7 +298,8 @@
             self.context.notify_loader(&incarnation);
         }
         let is_unknown = proof == RunProof::Unknown;
-        let failure_body = if is_unknown { None } else { self.read_failure(body).await };
+        let failure_body =
+            if is_unknown { None } else { self.read_failure(body, &connection).await };
         if failure_body.is_some() && is_delimited(&parts.headers) {
             self.context
                 .connections
@@ -312,9 +313,9 @@
         Err(SendFailure { proof, reply })
     }
 
-    async fn read_failure(&self, body: Incoming) -> Option<Bytes> {
-        let failure_body = Limited::new(body, constants::FAILURE_LIMIT).collect();
+    async fn read_failure(&self, body: Incoming, connection: &TargetConnection) -> Option<Bytes> {
+        let failure_body = self.context.answers.read(body, connection, constants::FAILURE_LIMIT);
         let read = timeout(self.time_left().min(self.route.objective), failure_body).await;
-        read.ok()?.ok().map(http_body_util::Collected::to_bytes)
+        read.ok()?.ok()
     }
 }
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -8,7 +8,7 @@
 };
 use crate::clock;
 use bytes::Bytes;
-use http_body_util::{BodyExt, Limited};
+use http_body_util::BodyExt;
 use hyper::{Response, StatusCode, body::Incoming};
 use metrics::counter;
 use plantain_core::direct::{
@@ -18,7 +18,6 @@
 };
 use plantain_net::body::{BodyAbort, BodySender, ReplyBody};
 use plantain_platform::calls;
-use std::time::Duration;
 use tokio::{
     task::spawn_local,
     time::{sleep, timeout},
@@ -38,9 +37,9 @@
     let PendingAnswer { head, body, is_delimited, connection, mut guard } = answer;
     guard.set_answered();
     exchange.record.first_byte.get_or_insert(exchange.age());
-    let collected = Limited::new(body, constants::ANSWER_LIMIT).collect();
+    let reading = exchange.context.answers.read(body, &connection, constants::ANSWER_LIMIT);
     let incarnation = guard.target().clone();
-    let read = timeout(exchange.time_left(), collected).await;
+    let read = timeout(exchange.time_left(), reading).await;
     let (outcome, result) = match read {
         Ok(Ok(_))
             if !is_delimited
@@ -50,11 +49,10 @@
             guard.set_end(RunEnd::Broken);
             (CallOutcome::Failed, PlainRead::Broken(GiveUpReason::Unknown))
         }
-        Ok(Ok(collected)) => {
+        Ok(Ok(bytes)) => {
             let keep = calls::keep_alive_timeout(head.headers());
             exchange.context.connections.put_back(connection, keep);
             guard.set_survived();
-            let bytes = collected.to_bytes();
             (CallOutcome::Answered, PlainRead::Complete(head.map(|()| ReplyBody::new(bytes))))
         }
         Ok(Err(error)) => {
@@ -77,7 +75,7 @@
     let status = answer.head.status();
     let reply = answer.head.clone().map(|()| body);
     let splitter = EventSplitter::new(exchange.route.kind.is_resumable());
-    let relay = StreamRelay { exchange, sender, splitter, status };
+    let relay = StreamRelay { exchange, sender, splitter, status, received: 0 };
     spawn_local(relay.run(answer));
     reply
 }
@@ -95,6 +93,8 @@
     sender: BodySender,
     splitter: EventSplitter,
     status: StatusCode,
+    /// Bytes of the bodies of all targets so far.
+    received: usize,
 }
 
 impl StreamRelay {
@@ -162,12 +162,23 @@
                 None if self.splitter.is_at_boundary() => return StreamEnd::Complete,
                 None => return StreamEnd::Broken("ended inside an event".into()),
             };
+            answer.connection.note_progress();
+            self.received += data.len();
+            if self.received > constants::ANSWER_LIMIT {
+                return StreamEnd::Broken(format!("more than {} bytes", constants::ANSWER_LIMIT));
+            }
             answer.guard.set_answered();
             self.exchange.record.first_byte.get_or_insert(self.exchange.age());
             let events_before = self.splitter.events();
             let events = self.splitter.push(data);
             self.exchange.record.events += self.splitter.events() - events_before;
             answer.guard.set_events(self.splitter.events());
+            if self.splitter.held_back() > constants::EVENT_LIMIT {
+                return StreamEnd::Broken(format!(
+                    "an event of more than {} bytes",
+                    constants::EVENT_LIMIT
+                ));
+            }
             let Some(events) = events else { continue };
             self.exchange.hold_software();
             tokio::select! {
@@ -220,8 +231,7 @@
     /// Aborts the caller's stream, so that it does not look complete.
     async fn abort(mut self, reason: &str) {
         self.exchange.note(&format!("cut: {reason}"));
-        let cut = self.sender.send(Err(BodyAbort(reason.to_owned())));
-        let _ = timeout(Duration::from_millis(200), cut).await;
+        let _ = self.sender.send(Err(BodyAbort(reason.to_owned()))).await;
         self.exchange.finish(CallEnd::BrokenOff, self.status);
     }
 }
--- a/crates/net/src/client.rs
+++ b/crates/net/src/client.rs
@@ -1,5 +1,6 @@
 //! An HTTP client with time limits, whose errors name the request and the peer.
 
+use crate::exchange::{ExchangeConnector, HEAD_LIMIT};
 use bytes::Bytes;
 use eyre::{Result, WrapErr, ensure, eyre};
 use http_body_util::{BodyExt, Full, Limited};
@@ -27,7 +28,9 @@
 /// An HTTP/1 client with a connection pool.
 #[derive(Clone, Debug)]
 pub struct HttpClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    client: Client<ExchangeConnector, Full<Bytes>>,
+    /// Largest body that is read into memory, in bytes.
+    answer_limit: usize,
 }
 
 /// An answer whose body was read into memory.
@@ -62,7 +65,12 @@
 impl HttpClient {
     /// Creates a client with an empty pool. It must be used on one Tokio runtime only.
     pub fn new() -> Self {
-        Self::with_connector(HttpConnector::new())
+        Self::with_connector(HttpConnector::new(), ANSWER_LIMIT)
+    }
+
+    /// Creates a client that reads bodies of at most `answer_limit` bytes, and closes a connection on which more arrives.
+    pub fn with_answer_limit(answer_limit: usize) -> Self {
+        Self::with_connector(HttpConnector::new(), answer_limit)
     }
 
     /// Creates a client for long polls. TCP keepalive probes detect a dead connection within seconds, although
@@ -72,10 +80,10 @@
         connector.set_keepalive(Some(PROBE_PAUSE));
         connector.set_keepalive_interval(Some(PROBE_PAUSE));
         connector.set_keepalive_retries(Some(PROBE_COUNT));
-        Self::with_connector(connector)
+        Self::with_connector(connector, ANSWER_LIMIT)
     }
 
-    fn with_connector(mut connector: HttpConnector) -> Self {
+    fn with_connector(mut connector: HttpConnector, answer_limit: usize) -> Self {
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         let client = Client::builder(TokioExecutor::new())
@@ -84,8 +92,9 @@
             // The peer may have read a request whose connection was closed; whether to retry it is the
             // caller's decision, never the pool's.
             .retry_canceled_requests(false)
-            .build(connector);
-        Self { client }
+            .http1_max_buf_size(HEAD_LIMIT)
+            .build(ExchangeConnector::new(connector, HEAD_LIMIT + answer_limit));
+        Self { client, answer_limit }
     }
 
     /// Sends a request and returns once the headers of the answer have arrived. It has no time limit.
@@ -106,7 +115,7 @@
         let step = format!("{} {}", request.method(), request.uri());
         let exchange = async {
             let (parts, body) = self.send(request).await?.into_parts();
-            let body = Limited::new(body, ANSWER_LIMIT).collect().await;
+            let body = Limited::new(body, self.answer_limit).collect().await;
             let body = body.map_err(|error| eyre!("{step}: read answer: {error}"))?.to_bytes();
             Ok(HttpAnswer { status: parts.status, headers: parts.headers, body })
         };
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -1,32 +1,60 @@
-//! Sockets of clients, which reset a connection whose exchange was abandoned.
+//! Sockets of clients, which bound what a server can send without answering, and reset a connection whose exchange was
+//! abandoned.
+//!
+//! The HTTP library skips interim answers, empty lines and parts of the chunked coding, for as long as they arrive. A
+//! server that sends these without end keeps the library in its parser, and no timeout of the exchange gets a turn.
 
+use hyper::Uri;
+use hyper_util::{
+    client::legacy::connect::{Connected, Connection, HttpConnector},
+    rt::TokioIo,
+};
 use socket2::SockRef;
 use std::{
+    future::Future,
     io,
     pin::Pin,
     sync::{
         Arc,
-        atomic::{AtomicBool, Ordering},
+        atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
     time::Duration,
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
     net::TcpStream,
 };
+use tower_service::Service;
+
+/// Largest head of an answer, in bytes. It bounds single reads too, so that a server which sends at full speed leaves other
+/// tasks their turns.
+pub const HEAD_LIMIT: usize = 64 << 10;
 
-/// Whether an exchange is under way on a connection; shared by the connection's socket and its user.
-#[derive(Debug, Default)]
+/// Bytes that a connection has received since its exchange last got further, and whether an exchange is under way. Shared
+/// by the connection's socket and its user.
+#[derive(Debug)]
 pub struct ExchangeMeter {
+    unanswered: AtomicUsize,
+    limit: usize,
     is_under_way: AtomicBool,
 }
 
 impl ExchangeMeter {
+    /// A meter whose socket fails once more than `limit` bytes have arrived without progress.
+    pub fn new(limit: usize) -> Arc<Self> {
+        Arc::new(Self {
+            unanswered: AtomicUsize::new(0),
+            limit,
+            is_under_way: AtomicBool::new(false),
+        })
+    }
+
     /// Notes that an exchange begins. If the connection is dropped before [`Self::end`], it is reset, so that what the
     /// server has not received yet of an abandoned request never reaches it.
     pub fn begin(&self) {
         self.is_under_way.store(true, Ordering::Relaxed);
+        self.note_progress();
     }
 
     /// Notes that the answer was read completely.
@@ -34,12 +62,26 @@
         self.is_under_way.store(false, Ordering::Relaxed);
     }
 
+    /// Notes that the head of the answer or a part of its body has arrived.
+    pub fn note_progress(&self) {
+        self.unanswered.store(0, Ordering::Relaxed);
+    }
+
     fn is_under_way(&self) -> bool {
         self.is_under_way.load(Ordering::Relaxed)
     }
+
+    fn count(&self, bytes: usize) -> io::Result<()> {
+        let unanswered = self.unanswered.fetch_add(bytes, Ordering::Relaxed) + bytes;
+        if unanswered <= self.limit {
+            return Ok(());
+        }
+        let text = format!("{unanswered} bytes that are no answer");
+        Err(io::Error::new(io::ErrorKind::InvalidData, text))
+    }
 }
 
-/// A client's TCP connection that is reset if it is dropped within an exchange.
+/// A client's TCP connection with a meter. Each write counts as progress.
 #[derive(Debug)]
 pub struct ExchangeSocket {
     stream: TcpStream,
@@ -68,7 +110,9 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_read(context, buffer)
+        let before = buffer.filled().len();
+        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
+        Poll::Ready(self.meter.count(buffer.filled().len() - before))
     }
 }
 
@@ -78,6 +122,7 @@
         context: &mut Context<'_>,
         bytes: &[u8],
     ) -> Poll<io::Result<usize>> {
+        self.meter.note_progress();
         Pin::new(&mut self.stream).poll_write(context, bytes)
     }
 
@@ -86,6 +131,7 @@
         context: &mut Context<'_>,
         slices: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
+        self.meter.note_progress();
         Pin::new(&mut self.stream).poll_write_vectored(context, slices)
     }
 
@@ -105,3 +151,42 @@
         Pin::new(&mut self.stream).poll_shutdown(context)
     }
 }
+
+impl Connection for ExchangeSocket {
+    fn connected(&self) -> Connected {
+        self.stream.connected()
+    }
+}
+
+/// Connects to servers with a meter for each connection.
+#[derive(Clone, Debug)]
+pub struct ExchangeConnector {
+    connector: HttpConnector,
+    limit: usize,
+}
+
+impl ExchangeConnector {
+    /// A connector whose sockets fail after `limit` bytes without a write.
+    pub fn new(connector: HttpConnector, limit: usize) -> Self {
+        Self { connector, limit }
+    }
+}
+
+impl Service<Uri> for ExchangeConnector {
+    type Response = TokioIo<ExchangeSocket>;
+    type Error = <HttpConnector as Service<Uri>>::Error;
+    type Future = Pin<Box<dyn Future<Output = Result<Self::Response, Self::Error>> + Send>>;
+
+    fn poll_ready(&mut self, context: &mut Context<'_>) -> Poll<Result<(), Self::Error>> {
+        self.connector.poll_ready(context)
+    }
+
+    fn call(&mut self, uri: Uri) -> Self::Future {
+        let meter = ExchangeMeter::new(self.limit);
+        let connecting = self.connector.call(uri);
+        Box::pin(async move {
+            let stream = connecting.await?.into_inner();
+            Ok(TokioIo::new(ExchangeSocket::new(stream, meter)))
+        })
+    }
+}
