Engines on hosts that stand still get no further calls

Cause, the second of two: a silent loader was taken for one that has ended beside an engine that runs. Calls that need no report (no adapter, or one in use) noticed nothing at all.

Change: a host is silent if neither its loader nor its engine has been heard from since a report was requested; it gets no call while another target can take it, and its engine is asked for a sign of life twice a second, so that one whose loader alone has ended gets calls as before. A call without a first byte for 200 ms requests the report if nothing was heard lately.

--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -140,8 +140,8 @@
     expected.unwrap_or(0.0)
 }
 
-/// Targets that can take a call. Those of a new version are left out for a call that begins a stream, if there are
-/// others.
+/// Targets that can take a call. If there are others, those on silent hosts are left out, and for a call that begins a
+/// stream those of a new version.
 fn usable_targets<'p>(
     pool: &'p TargetPool,
     need: &CallNeed<'_>,
@@ -149,6 +149,9 @@
 ) -> Vec<&'p TargetState> {
     let usable = pool.service_targets(need.service).filter(|target| is_usable(target, need, now));
     let mut usable: Vec<&TargetState> = usable.collect();
+    if usable.iter().any(|target| target.host_silence(now).is_none()) {
+        usable.retain(|target| target.host_silence(now).is_none());
+    }
     if need.software == SoftwareNeed::Settled
         && pool.has_unsettled_software(need.service, now)
         && usable.iter().any(|target| pool.has_settled_software(target, now))
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -96,6 +96,12 @@
     pub(super) samples: CallSamples,
     /// When the pending report of its loader was requested.
     pub(super) report_requested: Option<Timestamp>,
+    /// Time of the first report request since the target or its loader was last heard from.
+    pub(super) unheard_since: Option<Timestamp>,
+    /// When bytes of the target or its loader last arrived.
+    pub(super) heard: Timestamp,
+    /// When the target was last probed directly.
+    pub(super) probed: Timestamp,
     /// Time of the last report request that was noted as unanswered.
     pub(super) noted_silence: Option<Timestamp>,
     /// Whether another incarnation answered at its address, so that this one has ended.
@@ -122,6 +128,9 @@
             capacity: KnownCapacity::default(),
             samples: CallSamples::default(),
             report_requested: None,
+            unheard_since: None,
+            heard: Duration::ZERO,
+            probed: Duration::ZERO,
             noted_silence: None,
             is_displaced: false,
             is_superseded: false,
@@ -153,6 +162,7 @@
     /// Stores its loader's report, and ends the pending request.
     pub(super) fn take_report(&mut self, report: LoaderReport, now: Timestamp) {
         self.report_requested = None;
+        self.note_heard(now);
         self.capacity = KnownCapacity::new(&report, now);
         self.loader = Some(LoaderView { report, received: now });
     }
@@ -163,10 +173,30 @@
             self.report_requested.is_none_or(|at| now.saturating_sub(at) >= REPORT_RETRY_PAUSE);
         if is_new {
             self.report_requested = Some(now);
+            self.unheard_since.get_or_insert(now);
         }
         is_new
     }
 
+    /// Notes that bytes of the target itself arrived, so that its host runs.
+    pub(super) fn note_heard(&mut self, now: Timestamp) {
+        self.unheard_since = None;
+        self.heard = now;
+    }
+
+    /// Time since bytes of the target or its loader last arrived.
+    pub(super) fn unheard_time(&self, now: Timestamp) -> Duration {
+        now.saturating_sub(self.heard)
+    }
+
+    /// Time for which neither the target nor its loader has been heard from although its loader was requested to report;
+    /// `None` if one of them has, or may still answer in time. A host that stands still shows so, unlike one whose
+    /// loader alone has ended.
+    pub fn host_silence(&self, now: Timestamp) -> Option<Duration> {
+        let silence = now.saturating_sub(self.unheard_since?);
+        (silence >= REPORT_TIMEOUT).then_some(silence)
+    }
+
     /// Estimate of the prompt tokens of all routers' calls that it has not prefilled yet: those that its loader
     /// reported, less those processed since, but at least this router's own.
     pub fn fleet_prefill_tokens(&self, now: Timestamp) -> f64 {
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -29,6 +29,9 @@
     time::Duration,
 };
 
+/// Pause between direct probes of a target whose host is silent.
+const PROBE_PAUSE: Duration = Duration::from_millis(500);
+
 /// All targets of all services.
 #[derive(Debug)]
 pub struct TargetPool {
@@ -205,6 +208,41 @@
         self.target_mut(incarnation).is_some_and(|target| target.note_silence(now))
     }
 
+    /// Notes that bytes of a target arrived, of an answer or otherwise.
+    pub fn note_heard(&mut self, incarnation: &TargetIncarnation, now: Timestamp) {
+        if let Some(target) = self.target_mut(incarnation) {
+            target.note_heard(now);
+        }
+    }
+
+    /// Requests a report of an engine's loader if neither has been heard from for `limit`; returns whether it is to be
+    /// sent.
+    pub fn request_sign(
+        &mut self,
+        incarnation: &TargetIncarnation,
+        limit: Duration,
+        now: Timestamp,
+    ) -> bool {
+        let is_due = self.target(incarnation).is_some_and(|target| {
+            self.engine_of(target).is_some() && target.unheard_time(now) >= limit
+        });
+        is_due && self.request_report(incarnation, now)
+    }
+
+    /// Targets whose hosts are silent and that are due a direct probe, with their addresses; they count as probed.
+    pub fn take_due_probes(&mut self, now: Timestamp) -> Vec<(TargetIncarnation, SocketAddr)> {
+        let due = self.targets.values_mut().filter(|target| {
+            target.host_silence(now).is_some()
+                && !target.has_ended()
+                && now.saturating_sub(target.probed) >= PROBE_PAUSE
+        });
+        let probes = due.map(|target| {
+            target.probed = now;
+            (target.entry.incarnation.clone(), target.entry.address)
+        });
+        probes.collect()
+    }
+
     /// Mean wait times of the fleet, used for engines without a report.
     pub fn wait_estimates(&self) -> &WaitEstimates {
         &self.wait_estimates
--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -69,6 +69,53 @@
     assert_eq!(sent_to(&choose(&pool, DESK, None, 20_000)), Some("d1"));
 }
 
+/// Guards against calls that go on to an engine on a host that stands still: its loader does not answer, and no byte comes
+/// from the engine. One whose loader alone has ended still gets calls.
+#[test]
+fn an_engine_on_a_silent_host_is_avoided() {
+    let mut pool = pool();
+    for (id, adapters) in [("e1", &[][..]), ("e2", &[]), ("e3", &[("h7", 1)])] {
+        take_report(&mut pool, report(id, 1, adapters), ms(0));
+    }
+    let call = model_call(Some("h7"));
+    let goes_to = |pool: &TargetPool, at| match choose(pool, ENGINES, Some(&call), at) {
+        TargetChoice::Send(id, _) | TargetChoice::Load(id, _, _) => id.id,
+        other => panic!("{other:?}"),
+    };
+    let e3: TargetIncarnation = "e3".into();
+    assert!(pool.request_report(&e3, ms(1_000)));
+    assert_eq!(&*goes_to(&pool, 1_100), "e3", "its loader may still answer");
+    for at in [1_150, 1_400, 3_100, 9_000] {
+        assert_ne!(&*goes_to(&pool, at), "e3", "at {at} ms");
+    }
+    assert_eq!(pool.take_due_probes(ms(1_200)).len(), 1, "its engine is probed");
+    assert!(pool.take_due_probes(ms(1_300)).is_empty(), "not twice in a row");
+    assert_eq!(pool.take_due_probes(ms(1_700)).len(), 1, "once more");
+    pool.note_heard(&e3, ms(1_740));
+    assert_eq!(&*goes_to(&pool, 1_750), "e3", "its engine answers without its loader");
+    assert!(pool.take_due_probes(ms(9_000)).is_empty());
+    assert!(pool.request_report(&e3, ms(10_000)));
+    assert_ne!(&*goes_to(&pool, 10_200), "e3");
+    take_report(&mut pool, report("e3", 2, &[("h7", 1)]), ms(10_300));
+    assert_eq!(&*goes_to(&pool, 10_310), "e3", "its loader answers again");
+    let sign = |pool: &mut TargetPool, id: &str, at| pool.request_sign(&id.into(), ms(200), ms(at));
+    assert!(!sign(&mut pool, "e3", 10_400), "heard 100 ms ago");
+    assert!(sign(&mut pool, "e3", 10_500));
+    assert!(!sign(&mut pool, "d1", 10_500), "a plain service has no loader");
+}
+
+/// Guards against a fleet without a target because the hosts of all of them are silent: a call still goes to one.
+#[test]
+fn silent_hosts_are_used_if_there_is_no_other() {
+    let mut pool = pool();
+    for id in ["e1", "e2", "e3"] {
+        take_report(&mut pool, report(id, 1, &[("h7", 1)]), ms(0));
+        assert!(pool.request_report(&id.into(), ms(100)));
+    }
+    let call = model_call(Some("h7"));
+    assert!(sent_to(&choose(&pool, ENGINES, Some(&call), 400)).is_some());
+}
+
 #[test]
 fn a_resident_adapter_is_used_wherever_it_is() {
     let mut pool = pool();
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -349,6 +349,7 @@
         context.connections.expire(now);
         context.streams.refresh(&context, now);
         context.prefetch(now);
+        context.probe_silent_hosts(now);
         links::follow_meters(&context, now);
         slots::follow_slots(&context);
         readiness::update(&context);
--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -209,6 +209,15 @@
         });
     }
 
+    /// Whether an engine answers a request for its report on a new connection.
+    pub(crate) async fn is_answering(&self, address: SocketAddr) -> bool {
+        let probe = async {
+            let mut sender = connect(address).await?;
+            named_start(&mut sender).await
+        };
+        matches!(timeout(constants::IDENTITY_LIMIT, probe).await, Ok(Ok(_)))
+    }
+
     /// Closes connections that were idle for too long.
     pub(crate) fn expire(&self, now: Timestamp) {
         self.idle.borrow_mut().retain(|_, kept| {
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -47,6 +47,9 @@
 pub(crate) const SMALL_ANSWER: usize = 1 << 20;
 /// Largest incomplete event of a resumable stream that is held back, in bytes.
 pub(crate) const EVENT_LIMIT: usize = 256 << 10;
+/// Time without a first byte after which a call requests a report of its target's loader: calls that need none would not
+/// notice that the host stands still.
+pub(crate) const SILENCE_CHECK: Duration = Duration::from_millis(200);
 /// Time before its deadline at which a waiting call is given up: a target needs at least this long to process a prompt
 /// and answer.
 pub(crate) const SERVE_TIME: Duration = Duration::from_millis(150);
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -23,7 +23,7 @@
     },
     ids::{AdapterVersion, BootId, ServiceName, Timestamp, ZoneName},
 };
-use slog::{Logger, warn};
+use slog::{Logger, info, warn};
 use std::{
     cell::{Cell, RefCell, RefMut},
     collections::{HashMap, HashSet},
@@ -36,6 +36,7 @@
 };
 use tokio::{
     sync::{Notify, watch},
+    task::spawn_local,
     time::{sleep, timeout},
 };
 
@@ -273,6 +274,32 @@
         is_new
     }
 
+    /// Requests a report from an engine's loader, without waiting for it, if nothing has been heard from the host lately.
+    pub(crate) fn request_sign(&self, incarnation: &TargetIncarnation) {
+        let limit = constants::SILENCE_CHECK;
+        if self.pool.borrow_mut().request_sign(incarnation, limit, clock::now()) {
+            counter!("plantain_questions_total").increment(1);
+            self.notify_loader(incarnation);
+        }
+    }
+
+    /// Probes targets whose hosts are silent: an engine that answers runs, and only its loader does not.
+    pub(crate) fn probe_silent_hosts(self: &Rc<Self>, now: Timestamp) {
+        for (incarnation, address) in self.pool.borrow_mut().take_due_probes(now) {
+            counter!("plantain_host_probes_total").increment(1);
+            warn!(self.logger, "host silent"; "step" => "link", "target" => &*incarnation.id,
+                "started" => incarnation.started);
+            let context = Rc::clone(self);
+            spawn_local(async move {
+                if context.connections.is_answering(address).await {
+                    context.pool.borrow_mut().note_heard(&incarnation, clock::now());
+                    info!(context.logger, "host answers without its loader"; "step" => "link",
+                        "target" => &*incarnation.id, "started" => incarnation.started);
+                }
+            });
+        }
+    }
+
     fn waiter(&self, incarnation: &TargetIncarnation) -> Rc<Notify> {
         Rc::clone(self.waiters.borrow_mut().entry(incarnation.clone()).or_default())
     }
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -217,9 +217,14 @@
         let progress = Rc::clone(&self.progress);
         let sending = connections.send(incarnation, address, request, &progress, check);
         tokio::pin!(sending);
+        let question = constants::SILENCE_CHECK.min(overdue);
         tokio::select! {
             end = &mut sending => return Some(end),
-            () = sleep(overdue) => guard.set_overdue(true),
+            () = sleep(question) => self.context.request_sign(incarnation),
+        }
+        tokio::select! {
+            end = &mut sending => return Some(end),
+            () = sleep(overdue - question) => guard.set_overdue(true),
         }
         if let Ok(end) = timeout(limit.saturating_sub(overdue), &mut sending).await {
             return Some(end);
@@ -254,6 +259,7 @@
         latency: Duration,
     ) -> Result<PendingAnswer, SendFailure> {
         let incarnation = guard.target().clone();
+        self.context.pool.borrow_mut().note_heard(&incarnation, clock::now());
         let (parts, body) = answer.into_parts();
         let head = calls::decode_answer(parts.status, &parts.headers);
         let proof = classify_answer(self.head.id.as_deref().unwrap_or_default(), &head);
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -168,6 +168,7 @@
                 return StreamEnd::Broken(format!("more than {} bytes", constants::ANSWER_LIMIT));
             }
             answer.guard.set_answered();
+            self.exchange.context.pool.borrow_mut().note_heard(answer.guard.target(), clock::now());
             self.exchange.record.first_byte.get_or_insert(self.exchange.age());
             let events_before = self.splitter.events();
             let events = self.splitter.push(data);
