A call whose caller has left is not sent again

Cause: a call that may have run goes on without its caller, and whether there is a caller was looked at only when it left, not when the refusal had proved that it did not run.

Change: the caller is checked before each choice, in each round of a wait, and before a connection is used.

--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -72,6 +72,8 @@
     },
     /// No byte of the request can have reached the target.
     Unsent(String),
+    /// The caller has left since an earlier send; the request was not sent.
+    CallerLeft,
     /// Another incarnation of the target answers at the address; the request was not sent.
     OtherIncarnation,
     /// The target did not name its incarnation, which was required; the request was not sent.
@@ -128,6 +130,9 @@
                 // The target may have closed the connection; each further one could take as long to find out.
                 break;
             }
+            if progress.caller_left().is_some() {
+                return SendEnd::CallerLeft;
+            }
             progress.set_running(true);
             match sender.send(request).await {
                 Ok(answer) => return answered(answer, sender, incarnation, is_identified),
@@ -172,6 +177,9 @@
             _ => {}
         }
         let is_identified = identity == TargetIdentity::Expected;
+        if progress.caller_left().is_some() {
+            return SendEnd::CallerLeft;
+        }
         progress.set_running(true);
         match sender.send(request).await {
             Ok(answer) => answered(answer, sender, incarnation, is_identified),
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -280,6 +280,9 @@
         }
         let mut last: Option<SendFailure> = None;
         loop {
+            if self.has_lost_caller() {
+                return self.give_up(last, GiveUpReason::NotRun(constants::RETURN_PAUSE));
+            }
             let choice = match self.choose().await {
                 Ok(choice) => choice,
                 Err(_) if self.is_software_gone() => {
@@ -316,6 +319,16 @@
         }
     }
 
+    /// Whether the caller has left a call that was already sent. A call that may have run goes on without its caller, but
+    /// is not sent again.
+    fn has_lost_caller(&mut self) -> bool {
+        let has_left = self.progress.caller_left().is_some();
+        if has_left {
+            self.note("not sent again: its caller has left");
+        }
+        has_left
+    }
+
     /// Refunds the unit of a target's limit for a request that did not reach the target.
     fn refund_permit(&self, permit: Option<UsageCharge>) {
         if let Some(permit) = permit {
@@ -394,6 +407,9 @@
                 self.note("given up: no time left to be served");
                 return Err(constants::RETURN_PAUSE);
             }
+            if self.has_lost_caller() {
+                return Err(constants::RETURN_PAUSE);
+            }
             if let Some(pause) = self.refuse_early(waiting.as_ref().map(WaitGuard::target)) {
                 return Err(pause);
             }
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -91,6 +91,7 @@
                 self.context.notify_loader(incarnation);
                 return Err(self.not_sent(permit, &mut guard));
             }
+            Some(SendEnd::CallerLeft) => return Err(self.not_sent(permit, &mut guard)),
             Some(SendEnd::Unidentified) => {
                 self.note(&format!("{incarnation} does not name its incarnation"));
                 return Err(self.not_sent(permit, &mut guard));
@@ -224,7 +225,7 @@
         }
         tokio::select! {
             end = &mut sending => return Some(end),
-            () = sleep(overdue - question) => guard.set_overdue(true),
+            () = sleep(overdue.saturating_sub(question)) => guard.set_overdue(true),
         }
         if let Ok(end) = timeout(limit.saturating_sub(overdue), &mut sending).await {
             return Some(end);
