A connection yields after 16 KiB of a turn

Cause: the bound on bytes that are no answer ended the flood, but the HTTP library still parsed all of it in one turn: up to 1 MB at HttpClient (some 23,000 interim answers), 256 KiB for each of 16 connections of a router.

Change: the socket gives other tasks a turn after each 16 KiB, as long as more can be read at once.

site::endless without the two relayed forms: 3 of 3 pass, beside site::duties.

--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -18,7 +18,7 @@
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    task::{Context, Poll, ready},
+    task::{Context, Poll},
     time::Duration,
 };
 use tokio::{
@@ -27,9 +27,10 @@
 };
 use tower_service::Service;
 
-/// Largest head of an answer, in bytes. It bounds single reads too, so that a server which sends at full speed leaves other
-/// tasks their turns.
+/// Largest head of an answer, in bytes. It bounds single reads too.
 pub const HEAD_LIMIT: usize = 64 << 10;
+/// Bytes after which a connection yields to other tasks. The HTTP library parses all that it can read in one turn.
+const YIELD_BYTES: usize = 16 << 10;
 
 /// Bytes that a connection has received since its exchange last got further, and whether an exchange is under way. Shared
 /// by the connection's socket and its user.
@@ -86,12 +87,14 @@
 pub struct ExchangeSocket {
     stream: TcpStream,
     meter: Arc<ExchangeMeter>,
+    /// Bytes read since the last yield.
+    unyielded: usize,
 }
 
 impl ExchangeSocket {
     /// Wraps an open connection.
     pub fn new(stream: TcpStream, meter: Arc<ExchangeMeter>) -> Self {
-        Self { stream, meter }
+        Self { stream, meter, unyielded: 0 }
     }
 }
 
@@ -110,9 +113,20 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
+        if self.unyielded >= YIELD_BYTES {
+            self.unyielded = 0;
+            context.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         let before = buffer.filled().len();
-        ready!(Pin::new(&mut self.stream).poll_read(context, buffer))?;
-        Poll::Ready(self.meter.count(buffer.filled().len() - before))
+        let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(context, buffer) else {
+            self.unyielded = 0;
+            return Poll::Pending;
+        };
+        read?;
+        let count = buffer.filled().len() - before;
+        self.unyielded += count;
+        Poll::Ready(self.meter.count(count))
     }
 }
 
