An answer that is cut resets its caller's connection

What callers saw (site::endless, the relayed forms): a caller of a stream that the router cut at its deadline heard of it up to 1.5 s later, once it had read what the kernels' buffers held.

Cause: the connection was closed in order, behind all that had been written to it.

Change: if the body was aborted, the connection is reset. Tokio's own call for this replaces socket2 in plantain-net.

--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -33,7 +33,7 @@
 };
 use plantain_net::{
     body::{BodyAbort, ReplyBody},
-    caller::watched,
+    caller::{CallerWatch, watched},
     server::json_reply,
 };
 use plantain_platform::calls;
@@ -186,7 +186,10 @@
     let mut idle_checks = interval(constants::IDLE_CHECK_PAUSE);
     loop {
         tokio::select! {
-            _ = watch.serve(connection.as_mut()) => return,
+            end = watch.serve(connection.as_mut()) => {
+                reset_if_cut(&watch, &end);
+                return;
+            }
             () = &mut lingered => break,
             _ = idle_checks.tick() => {
                 let limit = context.pool.borrow().config().limits.idle_timeout;
@@ -198,7 +201,16 @@
         }
     }
     connection.as_mut().graceful_shutdown();
-    let _ = watch.serve(connection).await;
+    let end = watch.serve(connection.as_mut()).await;
+    reset_if_cut(&watch, &end);
+}
+
+/// Resets a connection whose answer was cut: its caller would otherwise hear of it only after it has read all that was
+/// sent before.
+fn reset_if_cut(watch: &CallerWatch, end: &Option<hyper::Result<()>>) {
+    if matches!(end, Some(Err(error)) if error.is_user()) {
+        watch.reset_on_close();
+    }
 }
 
 async fn serve_request(
--- a/crates/net/src/caller.rs
+++ b/crates/net/src/caller.rs
@@ -140,6 +140,12 @@
         .await
     }
 
+    /// Makes the close of the connection a reset, which discards what the caller has not received yet.
+    pub fn reset_on_close(&self) {
+        // If this fails, the connection is closed in order.
+        let _ = lock(&self.inbound).half.as_ref().set_zero_linger();
+    }
+
     fn poll_event(&mut self, context: &mut Context<'_>) -> Poll<CallerEvent> {
         let mut reader = lock(&self.inbound);
         if reader.is_end_delivered {
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -9,7 +9,6 @@
     client::legacy::connect::{Connected, Connection, HttpConnector},
     rt::TokioIo,
 };
-use socket2::SockRef;
 use std::{
     future::Future,
     io,
@@ -19,7 +18,6 @@
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
     task::{Context, Poll},
-    time::Duration,
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -101,8 +99,8 @@
 impl Drop for ExchangeSocket {
     fn drop(&mut self) {
         if self.meter.is_under_way() {
-            // A linger time of 0 makes the close a reset. If it fails, the connection is closed all the same.
-            let _ = SockRef::from(&self.stream).set_linger(Some(Duration::ZERO));
+            // If this fails, the connection is closed in order.
+            let _ = self.stream.set_zero_linger();
         }
     }
 }
