A connection that probably carries no answer reads 2 KiB a turn

Beside 12 busy loops one of three runs of site::endless still failed (a sound call after 1.005 s, 1 s allowed).

Cause: a turn takes what one read returned, up to 64 KiB, and the library parses all of that; sixteen connections take their turns between two steps of a sound call. The bound of 256 KiB a connection was four times the largest head.

Change: beyond an eighth of its bound without progress, a connection reads 2 KiB a turn. A router's bound is twice the largest read, 128 KiB. Connections that get further read as before.

--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -1,5 +1,6 @@
 //! Limits, timeouts and intervals of the router, with the reasons for their values.
 
+use plantain_net::exchange::HEAD_LIMIT;
 use std::time::Duration;
 
 /// Timeout for a connection to a target: round trips take at most a few ms and the handshake 1 ms. A connection that
@@ -27,8 +28,9 @@
 /// target must not close it while a call that is not retryable is being sent.
 pub(crate) const DEFAULT_KEEP_ALIVE: Duration = Duration::from_millis(700);
 /// Bytes that a target may send in a row that are neither the head of an answer nor a part of its body: interim answers,
-/// and the chunked coding. The HTTP library would skip them for as long as they arrive.
-pub(crate) const UNANSWERED_LIMIT: usize = 256 << 10;
+/// and the chunked coding. The HTTP library would skip them for as long as they arrive. Twice the largest read, since a
+/// part of the body is delivered at the latest after the read that completes it.
+pub(crate) const UNANSWERED_LIMIT: usize = 2 * HEAD_LIMIT;
 /// Share of the advertised keep-alive timeout for which an idle connection is used.
 pub(crate) const KEEP_ALIVE_SHARE: f64 = 0.7;
 /// Idle connections kept per target; more are closed.
--- a/crates/net/src/exchange.rs
+++ b/crates/net/src/exchange.rs
@@ -17,7 +17,7 @@
         Arc,
         atomic::{AtomicBool, AtomicUsize, Ordering},
     },
-    task::{Context, Poll},
+    task::{Context, Poll, ready},
 };
 use tokio::{
     io::{AsyncRead, AsyncWrite, ReadBuf},
@@ -29,6 +29,11 @@
 pub const HEAD_LIMIT: usize = 64 << 10;
 /// Bytes after which a connection yields to other tasks. The HTTP library parses all that it can read in one turn.
 const YIELD_BYTES: usize = 16 << 10;
+/// Share of a meter's limit from which on a connection reads [`SUSPECT_READ`] bytes a turn: what has come so far is
+/// probably no answer.
+const SUSPECT_SHARE: usize = 8;
+/// Bytes that such a connection reads in one turn.
+const SUSPECT_READ: usize = 2 << 10;
 
 /// Bytes that a connection has received since its exchange last got further, and whether an exchange is under way. Shared
 /// by the connection's socket and its user.
@@ -70,6 +75,10 @@
         self.is_under_way.load(Ordering::Relaxed)
     }
 
+    fn is_suspect(&self) -> bool {
+        self.unanswered.load(Ordering::Relaxed) > self.limit / SUSPECT_SHARE
+    }
+
     fn count(&self, bytes: usize) -> io::Result<()> {
         let unanswered = self.unanswered.fetch_add(bytes, Ordering::Relaxed) + bytes;
         if unanswered <= self.limit {
@@ -111,18 +120,30 @@
         context: &mut Context<'_>,
         buffer: &mut ReadBuf<'_>,
     ) -> Poll<io::Result<()>> {
-        if self.unyielded >= YIELD_BYTES {
+        let is_suspect = self.meter.is_suspect();
+        let turn = if is_suspect { SUSPECT_READ } else { YIELD_BYTES };
+        if self.unyielded >= turn {
             self.unyielded = 0;
             context.waker().wake_by_ref();
             return Poll::Pending;
         }
-        let before = buffer.filled().len();
-        let Poll::Ready(read) = Pin::new(&mut self.stream).poll_read(context, buffer) else {
-            self.unyielded = 0;
-            return Poll::Pending;
+        let stream = Pin::new(&mut self.stream);
+        let (read, count) = if is_suspect {
+            let length = buffer.remaining().min(SUSPECT_READ);
+            let mut part = ReadBuf::new(buffer.initialize_unfilled_to(length));
+            let read = stream.poll_read(context, &mut part);
+            let count = part.filled().len();
+            buffer.advance(count);
+            (read, count)
+        } else {
+            let before = buffer.filled().len();
+            let read = stream.poll_read(context, buffer);
+            (read, buffer.filled().len() - before)
         };
-        read?;
-        let count = buffer.filled().len() - before;
+        if read.is_pending() {
+            self.unyielded = 0;
+        }
+        ready!(read)?;
         self.unyielded += count;
         Poll::Ready(self.meter.count(count))
     }
