Sums of token counts saturate

Sums of two overflow: a panic of the serving task in debug builds, a small number in place of a large one in release builds, and so a wrong choice.

--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -226,7 +226,8 @@
         for (adapter, count) in started.collect::<Vec<_>>() {
             self.record_demand(adapter, count, now);
         }
-        self.backlog.add(notice.uses.iter().map(|used| used.started_tokens).sum(), now);
+        let tokens = notice.uses.iter().map(|used| used.started_tokens);
+        self.backlog.add(tokens.fold(0, u32::saturating_add), now);
         if !notice.bases.is_empty() {
             let (bases, memory_mb) = (notice.bases.clone(), notice.memory_mb);
             self.offer = Some(EngineOffer { bases, memory_mb });
--- a/crates/core/src/direct/selection/costs.rs
+++ b/crates/core/src/direct/selection/costs.rs
@@ -87,7 +87,7 @@
     let queued = report.map_or(0, |report| u32::from(report.queued));
     let Some(spec) = pool.engine_of(target) else { return f64::from(active) * active_ms };
     let used = report.map_or(0, |report| u64::from(report.kv_used));
-    let wanted = u64::from(call.tokens_in + call.tokens_out);
+    let wanted = u64::from(call.tokens_in) + u64::from(call.tokens_out);
     let exceeds_capacity = active >= spec.batch || used + wanted > spec.kv_tokens;
     // Queued calls start first, one for each run that ends.
     let runs_before = queued + u32::from(exceeds_capacity);
