--- a/crates/daemon/src/duty/supervisor.rs
+++ b/crates/daemon/src/duty/supervisor.rs
@@ -101,24 +101,22 @@
     {
         let supervisor = self.clone();
         spawn_local(async move {
+            let mut end = spawn_local(with_fault(name, start())).await;
+            supervisor.note_failed();
             let mut pause = FIRST_PAUSE;
-            let mut duty = spawn_local(with_fault(name, start()));
             loop {
-                let end = (&mut duty).await;
-                supervisor.note_failed();
-                let mut cause = cause_of(end);
-                loop {
-                    supervisor.note_end(name, &cause);
-                    sleep(pause).await;
+                supervisor.note_end(name, &cause_of(end));
+                sleep(pause).await;
+                let mut duty = spawn_local(start());
+                if let Ok(early_end) = timeout(PROOF_TIME, &mut duty).await {
+                    end = early_end;
                     pause = (pause * 2).min(LONGEST_PAUSE);
-                    duty = spawn_local(start());
-                    match timeout(PROOF_TIME, &mut duty).await {
-                        Ok(end) => cause = cause_of(end),
-                        Err(_) => break,
-                    }
+                    continue;
                 }
-                pause = FIRST_PAUSE;
                 supervisor.note_recovery(name);
+                end = duty.await;
+                supervisor.note_failed();
+                pause = FIRST_PAUSE;
             }
         });
     }
