--- a/crates/core/src/direct/selection.rs
+++ b/crates/core/src/direct/selection.rs
@@ -149,8 +149,8 @@
 ) -> Vec<&'p TargetState> {
     let usable = pool.service_targets(need.service).filter(|target| is_usable(target, need, now));
     let mut usable: Vec<&TargetState> = usable.collect();
-    if usable.iter().any(|target| target.host_silence(now).is_none()) {
-        usable.retain(|target| target.host_silence(now).is_none());
+    if usable.iter().any(|target| !target.is_host_silent(now)) {
+        usable.retain(|target| !target.is_host_silent(now));
     }
     if need.software == SoftwareNeed::Settled
         && pool.has_unsettled_software(need.service, now)
--- a/crates/core/src/direct/target.rs
+++ b/crates/core/src/direct/target.rs
@@ -189,12 +189,10 @@
         now.saturating_sub(self.heard)
     }
 
-    /// Time for which neither the target nor its loader has been heard from although its loader was requested to report;
-    /// `None` if one of them has, or may still answer in time. A host that stands still shows so, unlike one whose
-    /// loader alone has ended.
-    pub fn host_silence(&self, now: Timestamp) -> Option<Duration> {
-        let silence = now.saturating_sub(self.unheard_since?);
-        (silence >= REPORT_TIMEOUT).then_some(silence)
+    /// Whether neither the target nor its loader has been heard from although its loader was requested to report. A host
+    /// that stands still shows so, unlike one whose loader alone has ended.
+    pub fn is_host_silent(&self, now: Timestamp) -> bool {
+        self.unheard_since.is_some_and(|since| now.saturating_sub(since) >= REPORT_TIMEOUT)
     }
 
     /// Estimate of the prompt tokens of all routers' calls that it has not prefilled yet: those that its loader
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -4,6 +4,7 @@
 mod capacity;
 mod departed;
 mod limits;
+mod silence;
 pub mod software;
 
 use self::departed::DepartedTarget;
@@ -29,9 +30,6 @@
     time::Duration,
 };
 
-/// Pause between direct probes of a target whose host is silent.
-const PROBE_PAUSE: Duration = Duration::from_millis(500);
-
 /// All targets of all services.
 #[derive(Debug)]
 pub struct TargetPool {
@@ -203,56 +201,11 @@
         self.targets.values().filter(|target| self.engine_of(target).is_some())
     }
 
-    /// Whether a target's loader has become silent; true only once for each pending report.
-    pub fn note_silence(&mut self, incarnation: &TargetIncarnation, now: Timestamp) -> bool {
-        self.target_mut(incarnation).is_some_and(|target| target.note_silence(now))
-    }
-
-    /// Notes that bytes of a target arrived, of an answer or otherwise.
-    pub fn note_heard(&mut self, incarnation: &TargetIncarnation, now: Timestamp) {
-        if let Some(target) = self.target_mut(incarnation) {
-            target.note_heard(now);
-        }
-    }
-
-    /// Requests a report of an engine's loader if neither has been heard from for `limit`; returns whether it is to be
-    /// sent.
-    pub fn request_sign(
-        &mut self,
-        incarnation: &TargetIncarnation,
-        limit: Duration,
-        now: Timestamp,
-    ) -> bool {
-        let is_due = self.target(incarnation).is_some_and(|target| {
-            self.engine_of(target).is_some() && target.unheard_time(now) >= limit
-        });
-        is_due && self.request_report(incarnation, now)
-    }
-
-    /// Targets whose hosts are silent and that are due a direct probe, with their addresses; they count as probed.
-    pub fn take_due_probes(&mut self, now: Timestamp) -> Vec<(TargetIncarnation, SocketAddr)> {
-        let due = self.targets.values_mut().filter(|target| {
-            target.host_silence(now).is_some()
-                && !target.has_ended()
-                && now.saturating_sub(target.probed) >= PROBE_PAUSE
-        });
-        let probes = due.map(|target| {
-            target.probed = now;
-            (target.entry.incarnation.clone(), target.entry.address)
-        });
-        probes.collect()
-    }
-
     /// Mean wait times of the fleet, used for engines without a report.
     pub fn wait_estimates(&self) -> &WaitEstimates {
         &self.wait_estimates
     }
 
-    /// Requests a report of a target's loader; returns whether no request was pending.
-    pub fn request_report(&mut self, incarnation: &TargetIncarnation, now: Timestamp) -> bool {
-        self.target_mut(incarnation).is_some_and(|target| target.request_report(now))
-    }
-
     /// Specification of the engines of a target's service, if the target is an engine.
     pub fn engine_of(&self, target: &TargetState) -> Option<&EngineSpec> {
         self.config.services.get(&target.entry.service)?.engine.as_ref()
@@ -351,12 +304,12 @@
     ) -> bool {
         let Some(target) = self.target_mut(incarnation) else { return false };
         target.in_flight += 1;
-        target.prefill_tokens += tokens;
+        target.prefill_tokens = target.prefill_tokens.saturating_add(tokens);
         let Some(adapter) = adapter else { return false };
         let counts = target.uses.entry(adapter.clone()).or_default();
         counts.running += 1;
         counts.started += 1;
-        counts.started_tokens += tokens;
+        counts.started_tokens = counts.started_tokens.saturating_add(tokens);
         counts.running == 1
     }
 
--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -98,10 +98,28 @@
     assert_ne!(&*goes_to(&pool, 10_200), "e3");
     take_report(&mut pool, report("e3", 2, &[("h7", 1)]), ms(10_300));
     assert_eq!(&*goes_to(&pool, 10_310), "e3", "its loader answers again");
-    let sign = |pool: &mut TargetPool, id: &str, at| pool.request_sign(&id.into(), ms(200), ms(at));
-    assert!(!sign(&mut pool, "e3", 10_400), "heard 100 ms ago");
-    assert!(sign(&mut pool, "e3", 10_500));
-    assert!(!sign(&mut pool, "d1", 10_500), "a plain service has no loader");
+    let request = |pool: &mut TargetPool, id: &str, at| {
+        pool.request_report_if_unheard(&id.into(), ms(200), ms(at))
+    };
+    assert!(!request(&mut pool, "e3", 10_400), "heard 100 ms ago");
+    assert!(request(&mut pool, "e3", 10_500));
+    assert!(!request(&mut pool, "d1", 10_500), "a plain service has no loader");
+}
+
+/// Guards against sums of tokens that overflow: callers may state any number.
+#[test]
+fn excessive_token_counts_do_not_overflow() {
+    let mut pool = pool();
+    take_report(&mut pool, report("e1", 1, &[("h7", 1)]), ms(0));
+    let call = ModelCall { tokens_in: u32::MAX, tokens_out: u32::MAX, ..model_call(Some("h7")) };
+    let e1: TargetIncarnation = "e1".into();
+    for _ in 0..2 {
+        pool.call_started(&e1, Some(&adapter("h7")), u32::MAX);
+    }
+    choose(&pool, ENGINES, Some(&call), 10);
+    let target = pool.target_mut(&e1).expect("a target");
+    assert_eq!(target.prefill_tokens, u32::MAX);
+    assert_eq!(target.take_uses()[0].started_tokens, u32::MAX);
 }
 
 /// Guards against a fleet without a target because the hosts of all of them are silent: a call still goes to one.
--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -187,7 +187,7 @@
     loop {
         tokio::select! {
             end = watch.serve(connection.as_mut()) => {
-                reset_if_cut(&watch, &end);
+                reset_if_cut(&watch, end);
                 return;
             }
             () = &mut lingered => break,
@@ -202,13 +202,15 @@
     }
     connection.as_mut().graceful_shutdown();
     let end = watch.serve(connection.as_mut()).await;
-    reset_if_cut(&watch, &end);
+    reset_if_cut(&watch, end);
 }
 
 /// Resets a connection whose answer was cut: its caller would otherwise hear of it only after it has read all that was
 /// sent before.
-fn reset_if_cut(watch: &CallerWatch, end: &Option<hyper::Result<()>>) {
-    if matches!(end, Some(Err(error)) if error.is_user()) {
+fn reset_if_cut(watch: &CallerWatch, end: Option<hyper::Result<()>>) {
+    let error = end.and_then(Result::err);
+    // An error of the body, not of the connection or the request.
+    if error.is_some_and(|error| error.is_user()) {
         watch.reset_on_close();
     }
 }
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -275,9 +275,9 @@
     }
 
     /// Requests a report from an engine's loader, without waiting for it, if nothing has been heard from the host lately.
-    pub(crate) fn request_sign(&self, incarnation: &TargetIncarnation) {
+    pub(crate) fn request_report_if_unheard(&self, incarnation: &TargetIncarnation) {
         let limit = constants::SILENCE_CHECK;
-        if self.pool.borrow_mut().request_sign(incarnation, limit, clock::now()) {
+        if self.pool.borrow_mut().request_report_if_unheard(incarnation, limit, clock::now()) {
             counter!("plantain_questions_total").increment(1);
             self.notify_loader(incarnation);
         }
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -3,6 +3,7 @@
 mod priority;
 mod resumption;
 mod sending;
+mod shedding;
 mod slots;
 mod verdicts;
 
@@ -31,10 +32,9 @@
         call::{AdapterId, CallHead},
         config::RouteRule,
         customers::{CallerIdentity, CustomerRule},
-        load_shedding::shed_share,
         membership::TargetIncarnation,
         proof::{FinalOutcome, RunProof, final_outcome, may_send_again},
-        selection::{CallNeed, TargetChoice, adapter_of, choose_target, queued_plain_ms},
+        selection::{CallNeed, TargetChoice, adapter_of, choose_target},
     },
     fingerprint::call_fingerprint,
     ids::{AdapterVersion, ServiceName, SoftwareVersion, Timestamp, ZoneName},
@@ -48,11 +48,6 @@
     clock::now().saturating_sub(began) < constants::BASE_WAIT
 }
 
-/// Retry delay for the caller of a call that an overloaded plain service cannot serve.
-fn shed_pause() -> Duration {
-    constants::SHED_PAUSE.mul_f64(0.25 + 0.75 * rand::random::<f64>())
-}
-
 /// Why no target's answer can be relayed for a call.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum GiveUpReason {
@@ -336,34 +331,6 @@
         }
     }
 
-    /// Sheds the call with a probability that grows with the overload of its plain service. Returns the caller's retry
-    /// delay if the call is shed.
-    fn shed(&mut self) -> Option<Duration> {
-        let expected = self.queued_plain_ms()?;
-        if rand::random::<f64>() >= shed_share(expected, self.route.objective) {
-            return None;
-        }
-        self.note(&format!("turned away: an answer is expected to take {expected:.0} ms"));
-        Some(shed_pause())
-    }
-
-    /// Expected time to an answer of a plain service with queued calls, in milliseconds; `None` for engines.
-    fn queued_plain_ms(&self) -> Option<f64> {
-        if self.head.model.is_some() {
-            return None;
-        }
-        let settings = self.context.settings.borrow();
-        let need = self.need(&settings.zone, None);
-        Some(queued_plain_ms(&self.context.pool.borrow(), &need, clock::now()))
-    }
-
-    /// Whether a plain service is close to overload. Retries of failed runs, most of which fail again, would then
-    /// take slots from calls that have not run at all.
-    fn is_overloaded(&self) -> bool {
-        let expected = self.queued_plain_ms();
-        expected.is_some_and(|expected| shed_share(expected, self.route.objective) > 0.0)
-    }
-
     fn need<'a>(
         &'a self,
         zone: &'a ZoneName,
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -221,7 +221,7 @@
         let question = constants::SILENCE_CHECK.min(overdue);
         tokio::select! {
             end = &mut sending => return Some(end),
-            () = sleep(question) => self.context.request_sign(incarnation),
+            () = sleep(question) => self.context.request_report_if_unheard(incarnation),
         }
         tokio::select! {
             end = &mut sending => return Some(end),
--- a/crates/daemon/src/router/exchange/slots.rs
+++ b/crates/daemon/src/router/exchange/slots.rs
@@ -2,7 +2,8 @@
 
 use super::{
     super::{constants, slots::SlotGuard},
-    CallExchange, shed_pause,
+    CallExchange,
+    shedding::shed_pause,
 };
 use crate::clock;
 use metrics::counter;
