--- /dev/null
+++ b/review/standin-2/src/cases/mod.rs
@@ -0,0 +1,7 @@
+//! The cases.
+
+pub mod adapters;
+pub mod gone;
+pub mod slow_reader;
+pub mod stop;
+pub mod uploads;
