--- a/review/standin-2/src/main.rs
+++ b/review/standin-2/src/main.rs
@@ -31,6 +31,7 @@
         "slow-reader" => cases::slow_reader::run(&record, has_trouble),
         "uploads" => cases::uploads::run(&record, has_trouble),
         "adapters" => cases::adapters::run(&record, has_trouble),
+        "crlf" => cases::crlf::run(&record, has_trouble),
         "gone" => cases::gone::run(&record, has_trouble),
         _ => {
             eprintln!("no case {name}");
--- a/review/standin-2/src/replica.rs
+++ b/review/standin-2/src/replica.rs
@@ -24,6 +24,8 @@
     Chunked,
     /// By the end of the channel.
     Unframed,
+    /// By chunks; the lines of its events end with CR and LF, as the format of event streams allows.
+    ChunkedCrlf,
 }
 
 /// What a replica does with a request.
@@ -278,7 +280,7 @@
     crashed: &AtomicBool,
 ) -> io::Result<()> {
     let form = match framing {
-        Framing::Chunked => "Transfer-Encoding: chunked\r\n",
+        Framing::Chunked | Framing::ChunkedCrlf => "Transfer-Encoding: chunked\r\n",
         Framing::Unframed => "Connection: close\r\n",
     };
     let head = format!("HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n{form}{headers}\r\n");
@@ -288,16 +290,19 @@
         if crashed.load(Ordering::Relaxed) {
             return Err(io::Error::other("the replica has crashed"));
         }
-        let event = event(attempt, number);
+        let event = match framing {
+            Framing::ChunkedCrlf => event(attempt, number).replace('\n', "\r\n"),
+            _ => event(attempt, number),
+        };
         match framing {
-            Framing::Chunked => {
+            Framing::Chunked | Framing::ChunkedCrlf => {
                 channel.send(format!("{:x}\r\n{event}\r\n", event.len()).as_bytes())?;
             }
             Framing::Unframed => channel.send(event.as_bytes())?,
         }
     }
     match framing {
-        Framing::Chunked => channel.send(b"0\r\n\r\n"),
+        Framing::Chunked | Framing::ChunkedCrlf => channel.send(b"0\r\n\r\n"),
         Framing::Unframed => Ok(()),
     }
 }
