Metrics: bytes of requests' bodies and of buffered answers that a router holds

Its logs and metrics did not tell whether bodies of requests, copies of them, or answers take the room. The bodies are counted from their last byte to the end of the call, the answers as before; both are gauges now. Behaviour is unchanged.

--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -39,6 +39,7 @@
     context::{ControlEvent, listed_targets},
 };
 use eyre::{Result, WrapErr};
+use metrics::gauge;
 use plantain_core::{
     direct::{
         directory::PeerView,
@@ -353,6 +354,8 @@
         links::follow_meters(&context, now);
         slots::follow_slots(&context);
         readiness::update(&context);
+        gauge!("plantain_body_bytes").set(context.bodies.held() as f64);
+        gauge!("plantain_answer_bytes").set(context.answers.used() as f64);
     }
 }
 
--- a/crates/daemon/src/router/answers.rs
+++ b/crates/daemon/src/router/answers.rs
@@ -26,7 +26,7 @@
     fn push(&mut self, data: &[u8], limit: usize) -> Result<()> {
         let size = self.bytes.len() + data.len();
         ensure!(size <= limit, "its answer is larger than {limit} bytes");
-        let used = self.memory.used.load(Ordering::Relaxed) + data.len();
+        let used = self.memory.used() + data.len();
         ensure!(
             used <= constants::ANSWER_MEMORY || size <= constants::SMALL_ANSWER,
             "its answer has {size} bytes, and all buffered answers {used}"
@@ -50,6 +50,11 @@
 }
 
 impl AnswerMemory {
+    /// Bytes of all buffered answers.
+    pub(crate) fn used(&self) -> usize {
+        self.used.load(Ordering::Relaxed)
+    }
+
     /// Reads a body of at most `limit` bytes to its end. The bytes count as used until the result is dropped.
     pub(crate) async fn read(
         &self,
--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -12,7 +12,6 @@
 };
 use crate::clock;
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     Request, Response, StatusCode,
     body::{Body, Frame, Incoming, SizeHint},
@@ -34,6 +33,7 @@
 use plantain_net::{
     body::{BodyAbort, ReplyBody},
     caller::{CallerWatch, watched},
+    request_body::BodyError,
     server::json_reply,
 };
 use plantain_platform::calls;
@@ -267,20 +267,24 @@
     if route.kind.is_stream() && event == Some(None) {
         return Err(CallRejection::BadEvent);
     }
-    let body = read_body(body, config.limits.body_bytes).await?;
+    let body = read_body(context, body, config.limits.body_bytes).await?;
     // Only a call whose body arrived completely is charged.
     let charge = admission::charge(context, &caller, head).await?;
     let (method, headers) = (parts.method.clone(), parts.headers.clone());
     Ok(AdmittedCall { method, headers, body, route, service, caller, charge })
 }
 
-async fn read_body(body: Incoming, limit: usize) -> Result<Bytes, CallRejection> {
-    match timeout(constants::BODY_LIMIT, Limited::new(body, limit).collect()).await {
-        Ok(Ok(body)) => Ok(body.to_bytes()),
-        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(CallRejection::BodyTooLarge),
-        Ok(Err(_)) => Err(CallRejection::BodyBroken),
-        Err(_) => Err(CallRejection::BodySlow),
-    }
+async fn read_body(
+    context: &RouterContext,
+    body: Incoming,
+    limit: usize,
+) -> Result<Bytes, CallRejection> {
+    let read = context.bodies.read(body, limit, constants::BODY_LIMIT).await;
+    read.map_err(|error| match error {
+        BodyError::TooLarge => CallRejection::BodyTooLarge,
+        BodyError::Broken(_) => CallRejection::BodyBroken,
+        BodyError::Slow => CallRejection::BodySlow,
+    })
 }
 
 /// Runs a call. If its caller disconnects, the call is cancelled, except one that is not idempotent and may be running:
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -23,6 +23,7 @@
     },
     ids::{AdapterVersion, BootId, ServiceName, Timestamp, ZoneName},
 };
+use plantain_net::request_body::BodyMemory;
 use slog::{Logger, info, warn};
 use std::{
     cell::{Cell, RefCell, RefMut},
@@ -60,6 +61,8 @@
     pub(crate) streams: StreamTracker,
     /// Whether the known configuration may be outdated, because it cannot be followed now.
     pub(crate) may_be_outdated: Cell<bool>,
+    /// Memory of the bodies of callers' requests.
+    pub(crate) bodies: BodyMemory,
     /// Memory of buffered answers.
     pub(crate) answers: AnswerMemory,
     /// Idle connections to targets.
@@ -123,6 +126,7 @@
             may_be_outdated: Cell::new(false),
             settings: RefCell::new(settings),
             pool: RefCell::new(TargetPool::new()),
+            bodies: BodyMemory::default(),
             answers: AnswerMemory::default(),
             connections: ConnectionPool::default(),
             waiters: RefCell::default(),
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -9,4 +9,5 @@
 pub mod count;
 pub mod exchange;
 pub mod platform;
+pub mod request_body;
 pub mod server;
