--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod fingerprint;
 pub mod idempotency;
 pub mod ids;
+pub mod memory;
 pub mod outcome;
 pub mod permits;
 pub mod policy;
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -8,4 +8,5 @@
 mod entry;
 mod events;
 mod fingerprint;
+mod memory;
 mod permits;
--- a/crates/daemon/src/options/site.rs
+++ b/crates/daemon/src/options/site.rs
@@ -21,6 +21,11 @@
 /// times up to this one cannot overflow.
 const LONGEST_TIME_S: f64 = 86_400.0;
 
+/// Memory of a router whose settings name none, in MB: that of the smallest hosts.
+const DEFAULT_MEMORY_MB: f64 = 120.0;
+/// Least and largest memory that can be set, in MB. The program alone takes up to about half of the least.
+const MEMORY_RANGE_MB: (f64, f64) = (32.0, 1e6);
+
 /// Limits set by the site's operators: drain and stop times, retries, and how closely customers' limits
 /// are enforced.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
@@ -138,10 +143,24 @@
     pub link_port: u16,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Memory that the process may take, in MB. Read at the start only.
+    #[serde(default = "default_memory")]
+    pub memory_mb: f64,
     /// Limits set by the operators.
     pub bounds: SiteBounds,
 }
 
+fn default_memory() -> f64 {
+    DEFAULT_MEMORY_MB
+}
+
+impl RouterFile {
+    /// Memory that the process may take, in bytes.
+    pub fn memory(&self) -> usize {
+        (self.memory_mb * 1e6) as usize
+    }
+}
+
 /// Settings of a loader.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct LoaderFile {
@@ -177,6 +196,12 @@
 impl SiteFile for RouterFile {
     fn check(&self) -> Result<()> {
         ensure!(self.listen != self.ready, "listen and ready are both {}", self.listen);
+        let (least, most) = MEMORY_RANGE_MB;
+        ensure!(
+            (least..=most).contains(&self.memory_mb),
+            "memory_mb must be from {least} to {most}, not {}",
+            self.memory_mb
+        );
         self.bounds.check()
     }
 }
--- a/crates/daemon/src/router/admission.rs
+++ b/crates/daemon/src/router/admission.rs
@@ -36,6 +36,8 @@
     /// Its cost alone exceeds its customer's limit.
     LargerThanLimit,
     BodyTooLarge,
+    /// Bodies of other requests have taken the memory.
+    NoBodyRoom,
     BodyBroken,
     BodySlow,
 }
@@ -59,6 +61,7 @@
                 "the request exceeds the customer's limit by itself; sent again, it will too",
             ),
             Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
+            Self::NoBodyRoom => (StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now"),
             Self::BodyBroken => (StatusCode::BAD_REQUEST, "the body broke off"),
             Self::BodySlow => (StatusCode::REQUEST_TIMEOUT, "the body took too long"),
         }
@@ -68,6 +71,7 @@
     pub(super) fn pause(self) -> Option<Duration> {
         match self {
             Self::NoConfig | Self::MayBeNewKey => Some(constants::RETURN_PAUSE),
+            Self::NoBodyRoom => Some(spread(constants::RETURN_PAUSE)),
             Self::OverLimit(retry_after) => Some(spread(retry_after)),
             _ => None,
         }
@@ -159,6 +163,9 @@
                 let _ = write!(text, "; {fault}");
             }
         }
+        CallRejection::NoBodyRoom => {
+            let _ = write!(text, "; bodies hold {} bytes", context.bodies.held());
+        }
         CallRejection::UnknownKey | CallRejection::MayBeNewKey => {
             if let PresentedKey::Digest(digest) = head.key {
                 let _ = write!(text, "; key {}", digest.mark(context.boot));
--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -33,7 +33,7 @@
 use plantain_net::{
     body::{BodyAbort, ReplyBody},
     caller::{CallerWatch, watched},
-    request_body::BodyError,
+    request_body::{BodyError, BodyLimits, discard},
     server::json_reply,
 };
 use plantain_platform::calls;
@@ -220,18 +220,22 @@
     context: &Rc<RouterContext>,
 ) -> Response<ReplyBody> {
     let started = clock::now();
-    let (parts, body) = request.into_parts();
+    let (parts, mut body) = request.into_parts();
     let head = calls::decode_call(&parts);
     let start_wait = head.time_left.unwrap_or(constants::START_WAIT);
     context.wait_for_first_config(started + start_wait.saturating_sub(constants::SERVE_TIME)).await;
     let config = Arc::clone(context.pool.borrow().config());
     let mut identity = None;
-    match admit(&parts, &head, body, &config, context, &mut identity).await {
+    match admit(&parts, &head, &mut body, &config, context, &mut identity).await {
         Ok(call) => {
             context.record_call(&call.service, head.model.as_ref());
             run_call(CallExchange::new(context, head, call, started)).await
         }
         Err(rejection) => {
+            if !body.is_end_stream() {
+                let size = config.limits.body_bytes;
+                spawn_local(discard(body, size, constants::BODY_LIMIT));
+            }
             let caller = identity.as_ref();
             let detail = admission::rejection_detail(context, rejection, &head, caller);
             let record = CallRecord {
@@ -252,7 +256,7 @@
 async fn admit(
     parts: &Parts,
     head: &CallHead,
-    body: Incoming,
+    body: &mut Incoming,
     config: &RouteConfig,
     context: &RouterContext,
     identity: &mut Option<CallerIdentity>,
@@ -276,11 +280,13 @@
 
 async fn read_body(
     context: &RouterContext,
-    body: Incoming,
-    limit: usize,
+    body: &mut Incoming,
+    size: usize,
 ) -> Result<Bytes, CallRejection> {
-    let read = context.bodies.read(body, limit, constants::BODY_LIMIT).await;
+    let (time, wait) = (constants::BODY_LIMIT, constants::ROOM_WAIT);
+    let read = context.bodies.read(body, &BodyLimits { size, time, wait }).await;
     read.map_err(|error| match error {
+        BodyError::NoRoom => CallRejection::NoBodyRoom,
         BodyError::TooLarge => CallRejection::BodyTooLarge,
         BodyError::Broken(_) => CallRejection::BodyBroken,
         BodyError::Slow => CallRejection::BodySlow,
@@ -303,7 +309,9 @@
         return refuse(&exchange, reason);
     }
     loop {
-        match exchange.dispatch().await {
+        let result = exchange.dispatch().await;
+        exchange.release_body();
+        match result {
             DispatchResult::Success(answer) if exchange.route.kind.is_stream() => {
                 return relay_stream(exchange, answer);
             }
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -132,3 +132,5 @@
 pub(crate) const TARGET_LINES: usize = 16;
 /// Timeout for receiving a request's body, counted from its head.
 pub(crate) const BODY_LIMIT: Duration = Duration::from_secs(5);
+/// Longest wait of a request for memory for its body: a body of usual size arrives and is sent on in less.
+pub(crate) const ROOM_WAIT: Duration = Duration::from_millis(250);
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -22,6 +22,7 @@
         urgency::CustomerUseTable,
     },
     ids::{AdapterVersion, BootId, ServiceName, Timestamp, ZoneName},
+    memory::MemoryShares,
 };
 use plantain_net::request_body::BodyMemory;
 use slog::{Logger, info, warn};
@@ -116,6 +117,7 @@
         logger: Logger,
     ) -> Rc<Self> {
         let RouterProcess { boot, is_ready, stopping, supervisor } = process;
+        let shares = MemoryShares::new(settings.memory());
         Rc::new(Self {
             boot,
             crashes: CrashTracker::new(&settings.name, boot),
@@ -126,7 +128,7 @@
             may_be_outdated: Cell::new(false),
             settings: RefCell::new(settings),
             pool: RefCell::new(TargetPool::new()),
-            bodies: BodyMemory::default(),
+            bodies: BodyMemory::new(&shares),
             answers: AnswerMemory::default(),
             connections: ConnectionPool::default(),
             waiters: RefCell::default(),
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -258,6 +258,14 @@
             && may_send_again(RunProof::Unknown, self.route.kind, runs, self.route.max_targets)
     }
 
+    /// Drops the request's body if no further send is allowed, so that it does not take memory until the end of the answer.
+    pub(crate) fn release_body(&mut self) {
+        let runs = self.record.runs;
+        if !may_send_again(RunProof::Unknown, self.route.kind, runs, self.route.max_targets) {
+            self.body = Bytes::new();
+        }
+    }
+
     /// Excludes the last target from further sends.
     pub(crate) fn exclude_last(&mut self) {
         self.excluded.extend(self.record.target.clone());
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -225,6 +225,7 @@
             () = self.sender.closed() => return None,
         };
         let DispatchResult::Success(answer) = result else { return None };
+        exchange.release_body();
         counter!("plantain_streams_resumed_total").increment(1);
         Some(answer)
     }
--- a/crates/daemon/tests/daemon/main.rs
+++ b/crates/daemon/tests/daemon/main.rs
@@ -3,4 +3,5 @@
 mod bodies;
 mod frames;
 mod replays;
+mod request_bodies;
 mod settings;
