--- a/crates/core/src/direct.rs
+++ b/crates/core/src/direct.rs
@@ -27,6 +27,7 @@
 pub mod sharing;
 pub mod snapshot;
 pub mod software;
+pub mod stopping;
 pub mod streams;
 pub mod target;
 pub mod target_limit;
--- a/crates/core/tests/core/direct.rs
+++ b/crates/core/tests/core/direct.rs
@@ -24,6 +24,7 @@
 mod selection;
 mod sharing;
 mod software;
+mod stopping;
 mod streams;
 mod support;
 mod target_limit;
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -24,6 +24,7 @@
 mod relay;
 mod sharing;
 mod slots;
+mod stopping;
 mod streams;
 
 use crate::{
--- a/crates/daemon/src/router/admission.rs
+++ b/crates/daemon/src/router/admission.rs
@@ -35,6 +35,8 @@
     OverLimit(Duration),
     /// Its cost alone exceeds its customer's limit.
     LargerThanLimit,
+    /// The router stops, and may not be able to finish the call.
+    Stopping,
     BodyTooLarge,
     /// Bodies of other requests have taken the memory.
     NoBodyRoom,
@@ -60,6 +62,7 @@
                 StatusCode::TOO_MANY_REQUESTS,
                 "the request exceeds the customer's limit by itself; sent again, it will too",
             ),
+            Self::Stopping => (StatusCode::SERVICE_UNAVAILABLE, "the router is stopping"),
             Self::BodyTooLarge => (StatusCode::PAYLOAD_TOO_LARGE, "the body is too large"),
             Self::NoBodyRoom => (StatusCode::SERVICE_UNAVAILABLE, "no memory for the body now"),
             Self::BodyBroken => (StatusCode::BAD_REQUEST, "the body broke off"),
@@ -71,6 +74,7 @@
     pub(super) fn pause(self) -> Option<Duration> {
         match self {
             Self::NoConfig | Self::MayBeNewKey => Some(constants::RETURN_PAUSE),
+            Self::Stopping => Some(constants::BUSY_PAUSE),
             Self::NoBodyRoom => Some(spread(constants::RETURN_PAUSE)),
             Self::OverLimit(retry_after) => Some(spread(retry_after)),
             _ => None,
--- a/crates/daemon/src/router/callers.rs
+++ b/crates/daemon/src/router/callers.rs
@@ -50,7 +50,7 @@
 use tokio::{
     net::{TcpListener, TcpStream},
     task::spawn_local,
-    time::{interval, sleep, timeout},
+    time::{interval, sleep},
 };
 
 /// Smallest buffer size that the HTTP library accepts.
@@ -58,20 +58,16 @@
 /// Pause after `accept` failed, for example because no file descriptor is left.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Accepts callers' connections until [`constants::STOP_LINGER`] after the stop signal, then waits for the calls in
-/// flight, at most until [`constants::STOP_RESERVE`] before the kill.
+/// Accepts callers' connections until some time after the stop signal, then waits for the calls in flight, at most until
+/// the process is to exit.
 pub(crate) async fn run(listener: TcpListener, context: Rc<RouterContext>) {
-    let mut stopping = context.stopping.clone();
-    let linger = async {
-        let _ = stopping.wait_for(|stop| *stop).await;
-        sleep(constants::STOP_LINGER).await;
-    };
-    tokio::pin!(linger);
+    let intake_ended = context.intake_ended();
+    tokio::pin!(intake_ended);
     let open = Rc::new(Cell::new(0_usize));
     loop {
         let accepted = tokio::select! {
             accepted = listener.accept() => accepted,
-            () = &mut linger => break,
+            () = &mut intake_ended => break,
         };
         match accepted {
             Ok((stream, _)) if !context.takes_connection() => drop(stream),
@@ -87,14 +83,15 @@
         }
     }
     drop(listener);
-    let stop_time = context.settings.borrow().bounds.stop_time();
-    let drain_time = stop_time.saturating_sub(constants::STOP_LINGER + constants::STOP_RESERVE);
     let drained = async {
         while open.get() > 0 {
             sleep(Duration::from_millis(10)).await;
         }
     };
-    let _ = timeout(drain_time, drained).await;
+    tokio::select! {
+        () = drained => {}
+        () = context.exit_due() => {}
+    }
 }
 
 /// Requests in flight on a caller's connection, and when the last one ended.
@@ -177,12 +174,8 @@
         .max_buf_size(header_bytes.max(BUFFER_FLOOR))
         .serve_connection(TokioIo::new(socket), service);
     tokio::pin!(connection);
-    let mut stopping = context.stopping.clone();
-    let lingered = async {
-        let _ = stopping.wait_for(|stop| *stop).await;
-        sleep(constants::STOP_LINGER).await;
-    };
-    tokio::pin!(lingered);
+    let intake_ended = context.intake_ended();
+    tokio::pin!(intake_ended);
     let mut idle_checks = interval(constants::IDLE_CHECK_PAUSE);
     loop {
         tokio::select! {
@@ -190,7 +183,7 @@
                 reset_if_cut(&watch, end);
                 return;
             }
-            () = &mut lingered => break,
+            () = &mut intake_ended => break,
             _ = idle_checks.tick() => {
                 let limit = context.pool.borrow().config().limits.idle_timeout;
                 let unused = clock::now().saturating_sub(state.last_end.get());
@@ -261,6 +254,9 @@
     context: &RouterContext,
     identity: &mut Option<CallerIdentity>,
 ) -> Result<AdmittedCall, CallRejection> {
+    if context.has_intake_ended() {
+        return Err(CallRejection::Stopping);
+    }
     let (route, service) = admission::find_route(config, head)?;
     let caller = admission::identify(context, config, &route, head)?;
     *identity = Some(caller.clone());
@@ -284,7 +280,11 @@
     size: usize,
 ) -> Result<Bytes, CallRejection> {
     let (time, wait) = (constants::BODY_LIMIT, constants::ROOM_WAIT);
-    let read = context.bodies.read(body, &BodyLimits { size, time, wait }).await;
+    let limits = BodyLimits { size, time, wait };
+    let read = tokio::select! {
+        read = context.bodies.read(body, &limits) => read,
+        () = context.intake_ended() => return Err(CallRejection::Stopping),
+    };
     read.map_err(|error| match error {
         BodyError::NoRoom => CallRejection::NoBodyRoom,
         BodyError::TooLarge => CallRejection::BodyTooLarge,
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -111,11 +111,6 @@
 pub(crate) const BUSY_PAUSE: Duration = Duration::from_millis(150);
 /// Time over which callers' retries are spread if they were refused because all targets had asked for a backoff.
 pub(crate) const BACKOFF_SPREAD: Duration = Duration::from_secs(1);
-/// Time for which a stopping router still accepts connections: the load balancer checks readiness once a second and
-/// sends new connections until the second failed check.
-pub(crate) const STOP_LINGER: Duration = Duration::from_millis(2_600);
-/// Time before the kill at which a stopping router exits even with calls in flight.
-pub(crate) const STOP_RESERVE: Duration = Duration::from_millis(500);
 /// Interval at which callers' connections are checked for the idle timeout.
 pub(crate) const IDLE_CHECK_PAUSE: Duration = Duration::from_millis(500);
 /// Gap between two ticks from which the process counts as having been suspended.
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -18,6 +18,7 @@
         overload::ConnectionGate,
         placement::place_adapter,
         selection::{CallNeed, SoftwareNeed, adapter_of},
+        stopping::StopSchedule,
         targets::TargetPool,
         urgency::CustomerUseTable,
     },
@@ -88,6 +89,8 @@
     pub(crate) calls: Cell<usize>,
     /// Becomes true on the stop signal.
     pub(crate) stopping: watch::Receiver<bool>,
+    /// Schedule of the stop, once it has begun.
+    pub(super) stop: Cell<Option<StopSchedule>>,
     started: Timestamp,
     budgets: RefCell<HashMap<ServiceName, FleetRetryBudget>>,
     routers: RefCell<RouterTable>,
@@ -141,6 +144,7 @@
             gate: RefCell::default(),
             calls: Cell::new(0),
             stopping,
+            stop: Cell::new(None),
             started: clock::now(),
             budgets: RefCell::default(),
             routers: RefCell::default(),
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -216,9 +216,25 @@
         clock::now().saturating_sub(self.started)
     }
 
-    /// Time until the deadline.
+    /// When the call must have ended: at its deadline, or earlier if the router stops before.
+    pub(super) fn end(&self) -> Timestamp {
+        self.context.limit_to_stop(self.deadline)
+    }
+
+    /// Time until the call must have ended.
     pub(crate) fn time_left(&self) -> Duration {
-        self.deadline.saturating_sub(clock::now())
+        self.end().saturating_sub(clock::now())
+    }
+
+    /// Waits until the call must have ended, also if the router begins to stop meanwhile.
+    pub(crate) fn ended(&self) -> impl Future<Output = ()> + use<> {
+        let (context, deadline) = (Rc::clone(&self.context), self.deadline);
+        async move {
+            tokio::select! {
+                () = sleep(deadline.saturating_sub(clock::now())) => {}
+                () = context.calls_ended() => {}
+            }
+        }
     }
 
     /// Priority of the call: its customer's, or else its route's; 0 is the highest.
--- a/crates/daemon/src/router/exchange/resumption.rs
+++ b/crates/daemon/src/router/exchange/resumption.rs
@@ -122,7 +122,7 @@
     ) -> Result<(ServiceName, SoftwareVersion), Unresumable> {
         let began = clock::now();
         let streams = &self.context.streams;
-        let result = streams.find_origin(&self.context, stream_key(id), self.deadline).await;
+        let result = streams.find_origin(&self.context, stream_key(id), self.end()).await;
         let took = clock::now().saturating_sub(began).as_millis();
         match result {
             QueryResult::Unknown => {
@@ -157,7 +157,7 @@
         let has_several =
             || self.context.pool.borrow().has_several_versions(&self.route, clock::now());
         let is_decided = || only().is_some() || has_several();
-        self.context.poll_while_starting(self.deadline, is_decided).await;
+        self.context.poll_while_starting(self.end(), is_decided).await;
         only()
     }
 
@@ -167,7 +167,7 @@
         tag: SoftwareTag,
     ) -> Result<(ServiceName, SoftwareVersion), Unresumable> {
         let find = || self.context.pool.borrow().software_of(&self.route, tag);
-        self.context.poll_while_starting(self.deadline, || find().is_some()).await;
+        self.context.poll_while_starting(self.end(), || find().is_some()).await;
         let is_current = self.context.pool.borrow().is_list_current();
         let missing = if is_current { Unresumable::Gone } else { Unresumable::Unlisted };
         let (service, software) = find().ok_or(missing)?;
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -78,7 +78,11 @@
         self.record.last_send = Some(self.age());
         self.record.sends += 1;
         self.record.runs += 1;
-        let end = self.await_answer(incarnation, address, request, check, &mut guard).await;
+        let ended = self.ended();
+        let end = tokio::select! {
+            end = self.await_answer(incarnation, address, request, check, &mut guard) => end,
+            () = ended => None,
+        };
         let (proof, outcome) = match end {
             Some(SendEnd::Answered { answer, connection, is_identified }) => {
                 self.answering_software = self.certain_software(incarnation, is_identified, sent);
--- a/crates/daemon/src/router/exchange/slots.rs
+++ b/crates/daemon/src/router/exchange/slots.rs
@@ -42,7 +42,7 @@
             priority: self.priority(),
             began: self.started,
             objective: self.slot_objective(),
-            deadline: self.deadline.saturating_sub(constants::SERVE_TIME),
+            deadline: self.end().saturating_sub(constants::SERVE_TIME),
         };
         let (decision, slot) = self.context.slots.acquire(&self.service, call).await;
         let waited = clock::now().saturating_sub(began);
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -18,10 +18,7 @@
 };
 use plantain_net::body::{BodyAbort, BodySender, ReplyBody};
 use plantain_platform::calls;
-use tokio::{
-    task::spawn_local,
-    time::{sleep, timeout},
-};
+use tokio::task::spawn_local;
 
 /// Result of reading a plain answer's body.
 pub(crate) enum PlainRead {
@@ -39,9 +36,12 @@
     exchange.record.first_byte.get_or_insert(exchange.age());
     let reading = exchange.context.answers.read(body, &connection, constants::ANSWER_LIMIT);
     let incarnation = guard.target().clone();
-    let read = timeout(exchange.time_left(), reading).await;
+    let read = tokio::select! {
+        read = reading => Some(read),
+        () = exchange.ended() => None,
+    };
     let (outcome, result) = match read {
-        Ok(Ok(_))
+        Some(Ok(_))
             if !is_delimited
                 && exchange.context.has_ended(&incarnation, constants::PLAIN_PATIENCE).await =>
         {
@@ -49,18 +49,18 @@
             guard.set_end(RunEnd::Broken);
             (CallOutcome::Failed, PlainRead::Broken(GiveUpReason::Unknown))
         }
-        Ok(Ok(bytes)) => {
+        Some(Ok(bytes)) => {
             let keep = calls::keep_alive_timeout(head.headers());
             exchange.context.connections.put_back(connection, keep);
             guard.set_survived();
             (CallOutcome::Answered, PlainRead::Complete(head.map(|()| ReplyBody::new(bytes))))
         }
-        Ok(Err(error)) => {
+        Some(Err(error)) => {
             exchange.note(&format!("{incarnation} broke off its answer: {error}"));
             guard.set_end(RunEnd::Broken);
             (CallOutcome::Failed, PlainRead::Broken(GiveUpReason::Unknown))
         }
-        Err(_) => {
+        None => {
             exchange.note(&format!("{incarnation} did not end its answer in time"));
             (CallOutcome::Silent, PlainRead::Broken(GiveUpReason::TimedOut))
         }
@@ -148,7 +148,7 @@
 
     /// Forwards a target's events until its stream ends.
     async fn forward_events(&mut self, answer: &mut PendingAnswer) -> StreamEnd {
-        let deadline = sleep(self.exchange.time_left());
+        let deadline = self.exchange.ended();
         tokio::pin!(deadline);
         loop {
             let frame = tokio::select! {
