Entry: bodies of requests share a bound of memory

It uses the router's BodyMemory now (--memory-mb, 256 by default); a refused request is answered before the rest of its body is read. Small bodies have a share of their own there too.

Found by the new test: an entry whose thread stood still took the bodies for stalled (408, "it took too long", in a debug build that parses bodies of 7 MiB). Time counts by checks now, so that a pause of the own thread is none of a body's; the router has the same code.

Before: requests::uploads_at_once_fit_into_an_entrys_memory failed: 265,392 KiB of 250,000 (280 uploads of 1 MiB). After: passes, 2 of 2. Seen on the way with bodies of 7 MiB in a debug build, not traced: "write frame: sending stopped by peer" (502).

--- a/crates/daemon/src/entry/callers.rs
+++ b/crates/daemon/src/entry/callers.rs
@@ -17,7 +17,6 @@
     telemetry::{StatusSource, names},
 };
 use bytes::Bytes;
-use http_body_util::{BodyExt, LengthLimitError, Limited};
 use hyper::{
     HeaderMap, Request, StatusCode,
     body::{Body, Incoming},
@@ -30,11 +29,15 @@
     config::ConfigSnapshot,
     idempotency::{RecordChange, RecordKey, RecordVerdict},
     ids::{CallerName, RequestId},
+    memory::MemoryShares,
     outcome::RunOutcome,
     priority::Priority,
     protocol::WorkItem,
 };
-use plantain_net::server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply};
+use plantain_net::{
+    request_body::{BodyError, BodyLimits, BodyMemory, discard},
+    server::{self, HttpHandler, HttpReply, ServerOptions, json_reply, text_reply},
+};
 use serde_json::json;
 use slog::{Logger, info, o};
 use std::{
@@ -89,6 +92,7 @@
     replays: ReplayTable,
     status: EntryStatus,
     slots: Arc<Semaphore>,
+    bodies: BodyMemory,
     next_id: Arc<AtomicU64>,
 }
 
@@ -104,6 +108,7 @@
     ) -> Self {
         let CallerChannels { decisions, offers, records } = channels;
         let slots = Arc::new(Semaphore::new(settings.requests));
+        let bodies = BodyMemory::new(&MemoryShares::new(settings.memory));
         // Ids start at a random number, so that a restarted entry does not reuse its earlier ones.
         let next_id = Arc::new(AtomicU64::new(rand::random::<u64>() >> 1));
         let replays = ReplayTable::default();
@@ -118,6 +123,7 @@
             replays,
             status,
             slots,
+            bodies,
             next_id,
         }
     }
@@ -261,23 +267,24 @@
         let _ = timeout(CATCH_UP_TIMEOUT, newer).await;
     }
 
-    async fn read_body(&self, body: Incoming) -> Result<Bytes, RequestError> {
-        let limit = self.settings.body_limit;
-        let mut body = body;
-        if body.size_hint().lower() > limit as u64 {
-            discard(body).await;
-            return Err(RequestError::body_too_large(limit));
-        }
-        let collected = timeout(constants::BODY_TIMEOUT, Limited::new(&mut body, limit).collect());
-        match collected.await {
-            Ok(Ok(body)) => Ok(body.to_bytes()),
-            Ok(Err(error)) if error.is::<LengthLimitError>() => {
-                discard(body).await;
-                Err(RequestError::body_too_large(limit))
-            }
-            Ok(Err(error)) => Err(RequestError::body_incomplete(&error.to_string())),
-            Err(_) => Err(RequestError::body_incomplete("it took too long")),
+    async fn read_body(&self, mut body: Incoming) -> Result<Bytes, RequestError> {
+        let size = self.settings.body_limit;
+        let limits = BodyLimits { size, time: constants::BODY_TIMEOUT, wait: constants::ROOM_WAIT };
+        let read = self.bodies.read(&mut body, &limits).await;
+        gauge!(names::BODY_BYTES).set(self.bodies.held() as f64);
+        let error = match read {
+            Ok(body) => return Ok(body),
+            Err(error) => error,
+        };
+        if !body.is_end_stream() {
+            tokio::spawn(discard(body, constants::DISCARD_LIMIT, constants::DISCARD_TIMEOUT));
         }
+        Err(match error {
+            BodyError::TooLarge => RequestError::body_too_large(size),
+            BodyError::NoRoom => RequestError::entry_busy(BUSY_RETRY_AFTER),
+            BodyError::Broken(reason) => RequestError::body_incomplete(&reason),
+            BodyError::Slow => RequestError::body_incomplete("it took too long"),
+        })
     }
 
     fn models(&self, parts: &Parts) -> Result<HttpReply, RequestError> {
@@ -335,14 +342,6 @@
     ExchangeEnd::Error(error)
 }
 
-/// Reads and drops the rest of a body that is too large, up to a limit of bytes and time; otherwise
-/// a caller that is still sending would see a broken connection instead of the error.
-async fn discard(body: Incoming) {
-    let mut rest = Limited::new(body, constants::DISCARD_LIMIT);
-    let discarded = async { while let Some(Ok(_)) = rest.frame().await {} };
-    let _ = timeout(constants::DISCARD_TIMEOUT, discarded).await;
-}
-
 /// Counts a request as in flight, and logs and counts it if its caller disconnects before the
 /// answer.
 struct RequestGuard<'a> {
--- a/crates/daemon/src/options/arguments.rs
+++ b/crates/daemon/src/options/arguments.rs
@@ -124,6 +124,9 @@
     /// Largest number of concurrent requests (default: 2048)
     #[bpaf(long, argument("COUNT"), env("PLANTAIN_REQUESTS"))]
     pub requests: Option<usize>,
+    /// Memory that the process may take, in MB (default: 256)
+    #[bpaf(long("memory-mb"), argument("MB"), env("PLANTAIN_MEMORY_MB"))]
+    pub memory_mb: Option<usize>,
 }
 
 /// Arguments of an agent.
--- a/crates/daemon/src/options/constants.rs
+++ b/crates/daemon/src/options/constants.rs
@@ -12,6 +12,12 @@
 pub const CONNECTIONS: usize = 4_096;
 /// Default limit of concurrent requests at an entry.
 pub const REQUESTS: usize = 2_048;
+/// Default memory of an entry, in MB.
+pub const MEMORY_MB: usize = 256;
+/// Least and largest memory of an entry that can be set, in MB.
+pub const MEMORY_RANGE_MB: (usize, usize) = (32, 1_000_000);
+/// Longest wait of a request for memory for its body.
+pub const ROOM_WAIT: Duration = Duration::from_millis(250);
 /// Longest wait for the body of a request.
 pub const BODY_TIMEOUT: Duration = Duration::from_secs(20);
 /// Bytes of a too large body that are read and discarded, so that the caller can read the error answer.
--- a/crates/daemon/src/options/settings.rs
+++ b/crates/daemon/src/options/settings.rs
@@ -70,6 +70,8 @@
     pub connections: usize,
     /// Largest number of concurrent requests.
     pub requests: usize,
+    /// Memory that the process may take, in bytes.
+    pub memory: usize,
 }
 
 /// Settings of an agent.
@@ -160,6 +162,11 @@
         if !(floor..=ceiling).contains(&body_limit) {
             return Err(format!("--body-limit: expected from {floor} to {ceiling} bytes"));
         }
+        let memory_mb = arguments.memory_mb.unwrap_or(constants::MEMORY_MB);
+        let (least, most) = constants::MEMORY_RANGE_MB;
+        if !(least..=most).contains(&memory_mb) {
+            return Err(format!("--memory-mb: expected from {least} to {most} MB"));
+        }
         let store_rate = arguments.store_rate.unwrap_or(constants::STORE_RATE);
         if !(store_rate > 0.0 && store_rate.is_finite()) {
             return Err("--store-rate: expected a number above 0".into());
@@ -181,6 +188,7 @@
             body_limit,
             connections: positive("--connections", arguments.connections, constants::CONNECTIONS)?,
             requests: positive("--requests", arguments.requests, constants::REQUESTS)?,
+            memory: memory_mb * 1_000_000,
         })
     }
 
@@ -191,6 +199,7 @@
             "store_loads": self.permits.active, "load_order": self.permits.order.name(),
             "policy": self.policy.name(), "body_limit": self.body_limit,
             "connections": self.connections, "requests": self.requests,
+            "memory_mb": self.memory / 1_000_000,
         })
     }
 }
--- a/crates/daemon/src/router.rs
+++ b/crates/daemon/src/router.rs
@@ -355,7 +355,7 @@
         links::follow_meters(&context, now);
         slots::follow_slots(&context);
         readiness::update(&context);
-        gauge!("plantain_body_bytes").set(context.bodies.held() as f64);
+        gauge!(telemetry::names::BODY_BYTES).set(context.bodies.held() as f64);
         gauge!("plantain_answer_bytes").set(context.answers.used() as f64);
     }
 }
--- a/crates/daemon/src/telemetry/names.rs
+++ b/crates/daemon/src/telemetry/names.rs
@@ -8,6 +8,8 @@
 pub const FIRST_BYTE_SECONDS: &str = "plantain_first_byte_seconds";
 /// Time that requests waited for their adapter.
 pub const LOAD_STALL_SECONDS: &str = "plantain_load_stall_seconds";
+/// Room that bodies of callers' requests have taken, in bytes.
+pub const BODY_BYTES: &str = "plantain_body_bytes";
 /// Requests in flight at an entry.
 pub const IN_FLIGHT: &str = "plantain_in_flight";
 /// Refused requests, by reason.
--- a/crates/net/src/request_body.rs
+++ b/crates/net/src/request_body.rs
@@ -8,7 +8,7 @@
 use tokio::{
     sync::{OwnedSemaphorePermit, Semaphore},
     task::coop::consume_budget,
-    time::{Instant, interval, timeout},
+    time::{Instant, MissedTickBehavior, interval, timeout},
 };
 
 /// Unit in which room is counted, in bytes.
@@ -134,11 +134,10 @@
     }
 
     /// Whether the body must give its room back.
-    fn is_too_slow(&self, began: Instant, last: Instant, limits: &BodyLimits) -> bool {
+    fn is_too_slow(&self, age: Duration, pause: Duration, limit: Duration) -> bool {
         let Some(room) = self.room.as_ref().filter(|room| room.is_scarce()) else { return false };
-        let (received, age, pause) = (self.bytes.len(), began.elapsed(), last.elapsed());
-        let room = room.size().min(self.bytes.capacity());
-        BodyArrival { received, room, age, pause }.is_too_slow(limits.time)
+        let (received, room) = (self.bytes.len(), room.size().min(self.bytes.capacity()));
+        BodyArrival { received, room, age, pause }.is_too_slow(limit)
     }
 }
 
@@ -173,16 +172,19 @@
             buffer.room = Some(room.ok().flatten().ok_or(BodyError::NoRoom)?);
             buffer.bytes.reserve_exact(length as usize);
         }
-        let began = Instant::now();
-        let mut last = began;
+        // Time counts by checks: while this thread stands still, no body can arrive.
+        let (mut age, mut pause) = (Duration::ZERO, Duration::ZERO);
         let mut checks = interval(CHECK_PAUSE);
+        checks.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
             let frame = tokio::select! {
                 biased;
                 now = checks.tick() => {
-                    if now >= deadline || buffer.is_too_slow(began, last, limits) {
+                    if now >= deadline || buffer.is_too_slow(age, pause, limits.time) {
                         return Err(BodyError::Slow);
                     }
+                    age += CHECK_PAUSE;
+                    pause += CHECK_PAUSE;
                     continue;
                 }
                 frame = body.frame() => frame,
@@ -193,7 +195,7 @@
                 Some(Ok(frame)) => {
                     if let Some(data) = frame.data_ref() {
                         buffer.push(data, limits.size, self)?;
-                        last = Instant::now();
+                        pause = Duration::ZERO;
                     }
                 }
                 Some(Err(error)) => return Err(BodyError::Broken(error.to_string())),
--- a/crates/standin/tests/integration/requests.rs
+++ b/crates/standin/tests/integration/requests.rs
@@ -2,7 +2,8 @@
 
 use crate::support::{finish, send_and_check, start};
 use bytes::Bytes;
-use eyre::{Result, ensure};
+use eyre::{Result, ensure, eyre};
+use futures_util::future::join_all;
 use http_body_util::Full;
 use hyper::{Method, Request};
 use plantain_net::client::url;
@@ -11,7 +12,7 @@
     cluster::{Cluster, plan::ClusterPlan},
 };
 use serde_json::Value;
-use std::time::Duration;
+use std::{fs, time::Duration};
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
     net::TcpStream,
@@ -132,6 +133,38 @@
     finish(cluster).await
 }
 
+/// Guards against an entry that grows beyond its memory when many callers send large bodies at once: those that find no room
+/// must hear it, as not run.
+#[tokio::test]
+async fn uploads_at_once_fit_into_an_entrys_memory() -> Result<()> {
+    const UPLOADS: usize = 280;
+    let cluster = start(ClusterPlan::new(1, 1, &["kandy"])).await?;
+    // Invalid, so that the answer needs no target.
+    let body = Bytes::from("x".repeat(1 << 20));
+    let uri = url(cluster.entry(0), "/v1/chat/completions");
+    let calls = (0..UPLOADS).map(|_| async {
+        let request = Request::post(uri.clone()).body(Full::new(body.clone()))?;
+        cluster.http().fetch(request, Duration::from_secs(50)).await
+    });
+    let answers = timeout(Duration::from_mins(1), join_all(calls)).await?;
+    let process = cluster.process_id("entry-0").expect("an entry");
+    let status = fs::read_to_string(format!("/proc/{process}/status"))?;
+    let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
+    let peak = peak.and_then(|line| line.trim().strip_suffix(" kB")?.trim().parse().ok());
+    let peak: u64 = peak.ok_or_else(|| eyre!("no peak size"))?;
+    ensure!(peak < 256_000_000 / 1_024, "the entry took {peak} KiB");
+    let mut refused = 0;
+    for answer in answers {
+        let answer = answer?;
+        let error: Value = answer.json()?;
+        ensure!(matches!(answer.status.as_u16(), 400 | 503), "{}: {error}", answer.status);
+        ensure!(error["error"]["outcome"] == "not_run", "{}: {error}", answer.status);
+        refused += usize::from(answer.status == 503);
+    }
+    ensure!(refused > 0, "all found room: no bound was reached");
+    finish(cluster).await
+}
+
 /// Guards against connections that are held forever by callers that never complete a request head.
 /// The entry must close such a connection after its head timeout.
 #[tokio::test]
