--- a/crates/daemon/src/router/answers.rs
+++ b/crates/daemon/src/router/answers.rs
@@ -11,8 +11,10 @@
 };
 
 /// Bytes that all buffered answers hold.
-#[derive(Clone, Debug, Default)]
+#[derive(Clone, Debug)]
 pub(crate) struct AnswerMemory {
+    /// Largest number of bytes; beyond it, answers larger than [`constants::SMALL_ANSWER`] are broken off.
+    limit: usize,
     used: Arc<AtomicUsize>,
 }
 
@@ -28,7 +30,7 @@
         ensure!(size <= limit, "its answer is larger than {limit} bytes");
         let used = self.memory.used() + data.len();
         ensure!(
-            used <= constants::ANSWER_MEMORY || size <= constants::SMALL_ANSWER,
+            used <= self.memory.limit || size <= constants::SMALL_ANSWER,
             "its answer has {size} bytes, and all buffered answers {used}"
         );
         self.memory.used.fetch_add(data.len(), Ordering::Relaxed);
@@ -50,6 +52,11 @@
 }
 
 impl AnswerMemory {
+    /// Memory of `limit` bytes.
+    pub(crate) fn new(limit: usize) -> Self {
+        Self { limit, used: Arc::default() }
+    }
+
     /// Bytes of all buffered answers.
     pub(crate) fn used(&self) -> usize {
         self.used.load(Ordering::Relaxed)
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -43,8 +43,6 @@
 pub(crate) const FAILURE_LIMIT: usize = 256 << 10;
 /// Largest body of an answer, in bytes: a plain one is buffered, a stream is relayed as it arrives.
 pub(crate) const ANSWER_LIMIT: usize = 16 << 20;
-/// Largest size of all buffered answers together, in bytes; beyond it, answers larger than [`SMALL_ANSWER`] are broken off.
-pub(crate) const ANSWER_MEMORY: usize = 48 << 20;
 /// Size up to which an answer is read in any case, in bytes.
 pub(crate) const SMALL_ANSWER: usize = 1 << 20;
 /// Largest incomplete event of a resumable stream that is held back, in bytes.
--- a/crates/daemon/src/router/context.rs
+++ b/crates/daemon/src/router/context.rs
@@ -132,7 +132,7 @@
             settings: RefCell::new(settings),
             pool: RefCell::new(TargetPool::new()),
             bodies: BodyMemory::new(&shares),
-            answers: AnswerMemory::default(),
+            answers: AnswerMemory::new(shares.answers),
             connections: ConnectionPool::default(),
             waiters: RefCell::default(),
             pending_notices: RefCell::default(),
