--- a/crates/daemon/tests/daemon/settings.rs
+++ b/crates/daemon/tests/daemon/settings.rs
@@ -66,6 +66,7 @@
         BadSetting { base: &ENTRY[..13], added: &["--listen", "127.0.0.1:2"], expected: "--admin" },
         BadSetting { base: &ENTRY, added: &["--policy", "best"], expected: "--policy" },
         BadSetting { base: &ENTRY, added: &["--body-limit", "5"], expected: "--body-limit" },
+        BadSetting { base: &ENTRY, added: &["--memory-mb", "5"], expected: "--memory-mb" },
         BadSetting { base: &ENTRY, added: &["--requests", "0"], expected: "--requests" },
         BadSetting { base: &ENTRY, added: &["--peer-key", "abc"], expected: "--peer-key" },
         BadSetting { base: &ENTRY, added: &["--log-level", "loud"], expected: "--log-level" },
@@ -104,14 +105,16 @@
 }
 
 /// Guards against a router that panics on a time in its settings file that no duration can hold, or whose sums
-/// overflow.
+/// overflow, and against memory in which it cannot run.
 #[test]
-fn a_settings_file_with_an_excessive_time_is_rejected() {
+fn a_settings_file_with_a_value_out_of_range_is_rejected() {
     let cases = [
         BadBound { from: "\"stop_s\":8", to: "\"stop_s\":1e300", expected: "bounds.stop_s" },
         BadBound { from: "\"stop_s\":8", to: "\"stop_s\":1e19", expected: "bounds.stop_s" },
         BadBound { from: "dow_s\":10,\"re", to: "dow_s\":1e25,\"re", expected: "repeat_window_s" },
         BadBound { from: "dow_s\":10,\"ov", to: "dow_s\":1e25,\"ov", expected: "limits.window_s" },
+        BadBound { from: "\"bounds\"", to: "\"memory_mb\":1,\"bounds\"", expected: "memory_mb" },
+        BadBound { from: "\"bounds\"", to: "\"memory_mb\":1e30,\"bounds\"", expected: "memory_mb" },
         BadBound { from: "2000", to: "18446744073709551615", expected: "bounds.drain_ms" },
     ];
     let path = env::temp_dir().join(format!("plantain-settings-{}.json", id()));
