--- a/crates/core/src/lib.rs
+++ b/crates/core/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decision logic of plantainroute as state machines without I/O: time and randomness are arguments.
 
 pub mod agent;
+pub mod answer_end;
 pub mod burn;
 pub mod config;
 pub mod cost;
--- a/crates/core/tests/core/main.rs
+++ b/crates/core/tests/core/main.rs
@@ -1,6 +1,7 @@
 //! Tests of the decision logic, without processes.
 
 mod agent;
+mod answer_end;
 mod burn;
 mod config;
 mod crashes;
--- a/crates/daemon/src/agent/crashes.rs
+++ b/crates/daemon/src/agent/crashes.rs
@@ -5,12 +5,16 @@
 
 use crate::watch::{note_failure, platform_backoff};
 use plantain_core::{
+    answer_end::EndVerdict,
     crashes::{CrashLedger, CrashReport, UnresolvedRun, UnresolvedRuns},
     direct::membership::TargetIncarnation,
     fingerprint::{CallFingerprint, SuspectId},
     ids::Timestamp,
 };
-use plantain_net::platform::{PlatformClient, PlatformError, PlatformResult, records::CRASH_KIND};
+use plantain_net::{
+    end_witness::EndWitness,
+    platform::{PlatformClient, PlatformError, PlatformResult, records::CRASH_KIND},
+};
 use slog::{Logger, info, warn};
 use std::{
     cell::{Cell, RefCell},
@@ -30,9 +34,8 @@
 
 /// Pause before each connection attempt that probes the target after a run broke off.
 const PROBE_PAUSE: Duration = Duration::from_millis(50);
-/// Pause before a target whose answer ended with its connection is asked whether it lives: an ending process closes its
-/// connections and its listener within a few ms.
-const END_PAUSE: Duration = Duration::from_millis(20);
+/// Time in which what accepts connections for a target that has ended closes them.
+const END_PATIENCE: Duration = Duration::from_millis(15);
 /// Connection attempts per probe: a target may end some time after a run broke off or was cancelled.
 const PROBE_COUNT: u32 = 10;
 /// Longest wait for a connection to the target, which runs on the same host.
@@ -108,9 +111,14 @@
 
     /// Whether the target has ended, asked when an answer ended with its connection: the end of the target's process
     /// ends all its connections in the same way.
-    pub(super) async fn has_target_ended(&self) -> bool {
-        sleep(END_PAUSE).await;
-        refuses_connection(self.target).await
+    pub(super) async fn has_target_ended(&self, witness: EndWitness) -> bool {
+        let evidence = witness.examine(END_PATIENCE).await;
+        let has_ended = evidence.judge(false) != EndVerdict::Whole;
+        if has_ended {
+            info!(self.logger, "an answer ended with its target"; "step" => "answer end",
+                "peer" => %self.target, "evidence" => %evidence);
+        }
+        has_ended
     }
 
     /// Drops crashes that are too old, until the process ends.
--- a/crates/daemon/src/agent/targets.rs
+++ b/crates/daemon/src/agent/targets.rs
@@ -26,6 +26,7 @@
 use plantain_net::{
     body::is_delimited,
     client::{HttpClient, url},
+    end_witness::EndWitness,
     platform::{EraTracker, PlatformClient},
 };
 use slog::{Logger, warn};
@@ -261,15 +262,16 @@
         ran_on: Option<&AdapterKey>,
     ) -> Result<()> {
         self.send_head(&reply, ran_on).await?;
-        let is_delimited = is_delimited(reply.headers());
+        let witness =
+            (!is_delimited(reply.headers())).then(|| EndWitness::new(self.context.settings.target));
         let mut body = reply.into_body();
         while let Some(data) = next_chunk(&mut body).await? {
             self.send_chunk(data).await?;
         }
-        ensure!(
-            is_delimited || !self.context.crashes.has_target_ended().await,
-            "the target ended, and its answer with it"
-        );
+        if let Some(witness) = witness {
+            let has_ended = self.context.crashes.has_target_ended(witness).await;
+            ensure!(!has_ended, "the target ended, and its answer with it");
+        }
         Ok(())
     }
 
--- a/crates/daemon/src/router/connections.rs
+++ b/crates/daemon/src/router/connections.rs
@@ -22,7 +22,11 @@
 use std::{
     cell::RefCell, collections::HashMap, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
 };
-use tokio::{net::TcpStream, task::spawn_local, time::timeout};
+use tokio::{
+    net::TcpStream,
+    task::spawn_local,
+    time::{sleep, timeout},
+};
 
 /// An open connection to a target.
 struct CallSender {
@@ -226,6 +230,27 @@
         matches!(timeout(constants::IDENTITY_LIMIT, probe).await, Ok(Ok(_)))
     }
 
+    /// Whether a target names this incarnation on a new connection, within a time limit.
+    pub(crate) async fn is_identified(
+        &self,
+        incarnation: &TargetIncarnation,
+        address: SocketAddr,
+        limit: Duration,
+    ) -> bool {
+        let asking = async {
+            loop {
+                let named = async { named_start(&mut connect(address).await?).await };
+                match named.await {
+                    Ok(started) => return started.is_some() && started == incarnation.started,
+                    // Connections may be lost, and a busy target may reset them.
+                    Err(_) => sleep(constants::PROBE_PAUSE).await,
+                }
+            }
+        };
+        counter!("plantain_identity_checks_total").increment(1);
+        timeout(limit, asking).await.unwrap_or(false)
+    }
+
     /// Closes connections that were idle for too long.
     pub(crate) fn expire(&self, now: Timestamp) {
         self.idle.borrow_mut().retain(|_, kept| {
--- a/crates/daemon/src/router/constants.rs
+++ b/crates/daemon/src/router/constants.rs
@@ -15,13 +15,13 @@
 pub(crate) const UNACKED_LIMIT: Duration = Duration::from_millis(1_500);
 /// Pause before each probe of whether a target that broke off a call still listens.
 pub(crate) const PROBE_PAUSE: Duration = Duration::from_millis(50);
-/// Pause before a target whose answer ended with its connection is asked whether it lives: an ending process closes its
-/// connections and its listener within a few ms.
-pub(crate) const END_PAUSE: Duration = Duration::from_millis(15);
 /// Patience with the target of a plain answer, which waits for it.
 pub(crate) const PLAIN_PATIENCE: Duration = Duration::from_millis(15);
 /// Patience with the target of a stream, whose events have all been relayed: only the end waits.
 pub(crate) const STREAM_PATIENCE: Duration = Duration::from_millis(150);
+/// Longest wait for a target to name its incarnation after an answer that ended with its connection; a busy engine answers late,
+/// and one connection may be lost.
+pub(crate) const END_LIMIT: Duration = Duration::from_secs(1);
 /// Number of probes: a lost opening packet is not retransmitted within [`CONNECT_LIMIT`].
 pub(crate) const PROBE_TRIES: u32 = 3;
 /// Idle time after which a connection is not used again if the target does not advertise a keep-alive timeout: the
--- a/crates/daemon/src/router/crashes.rs
+++ b/crates/daemon/src/router/crashes.rs
@@ -12,9 +12,7 @@
     ids::Timestamp,
 };
 use slog::{info, warn};
-use std::{
-    collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, sync::Arc, time::Duration,
-};
+use std::{collections::HashSet, io::ErrorKind, net::SocketAddr, rc::Rc, sync::Arc};
 use tokio::{
     net::TcpStream,
     task::spawn_local,
@@ -74,27 +72,6 @@
         });
     }
 
-    /// Whether a target has ended, asked when an answer ended with its connection: the end of its process ends all its
-    /// connections in the same way. `patience` is the time in which what has accepted a connection for an ended target
-    /// closes it.
-    pub(crate) async fn has_ended(&self, target: &TargetIncarnation, patience: Duration) -> bool {
-        sleep(constants::END_PAUSE).await;
-        let address = {
-            let pool = self.pool.borrow();
-            let listed = pool.target(target).filter(|target| !target.has_ended());
-            listed.map(|target| target.entry.address)
-        };
-        counter!("plantain_end_checks_total").increment(1);
-        let has_ended = match address {
-            Some(address) => refuses_or_closes(address, patience).await,
-            None => true,
-        };
-        if has_ended {
-            counter!("plantain_ends_mistaken_total").increment(1);
-        }
-        has_ended
-    }
-
     /// Checks whether targets with unresolved runs have ended, expires old crash records, and publishes this router's
     /// report if it changed or is due for renewal.
     pub(crate) fn detect_crashes(&self, now: Timestamp) {
@@ -197,18 +174,6 @@
     false
 }
 
-/// Whether an address refuses a connection, or accepts and closes it at once, as something before an ended target does.
-async fn refuses_or_closes(address: SocketAddr, patience: Duration) -> bool {
-    match timeout(constants::CONNECT_LIMIT, TcpStream::connect(address)).await {
-        Ok(Ok(stream)) => {
-            let closed = timeout(patience, stream.peek(&mut [0])).await;
-            matches!(closed, Ok(Ok(0) | Err(_)))
-        }
-        Ok(Err(error)) => error.kind() == ErrorKind::ConnectionRefused,
-        Err(_) => false,
-    }
-}
-
 /// Whether an address refuses a connection; `None` without an answer, perhaps because a packet was lost.
 async fn refuses_connection(address: SocketAddr) -> Option<bool> {
     match timeout(constants::CONNECT_LIMIT, TcpStream::connect(address)).await {
--- a/crates/daemon/src/router/exchange.rs
+++ b/crates/daemon/src/router/exchange.rs
@@ -1,5 +1,6 @@
 //! One call: chooses a target, waits for the adapter there, sends, and retries after a failed send.
 
+mod ending;
 mod priority;
 mod resumption;
 mod sending;
@@ -39,7 +40,7 @@
     fingerprint::call_fingerprint,
     ids::{AdapterVersion, ServiceName, SoftwareVersion, Timestamp, ZoneName},
 };
-use plantain_net::body::ReplyBody;
+use plantain_net::{body::ReplyBody, end_witness::EndWitness};
 use std::{cell::Cell, rc::Rc, sync::Arc, time::Duration};
 use tokio::time::sleep;
 
@@ -71,8 +72,8 @@
     pub(crate) head: Response<()>,
     /// Unread body.
     pub(crate) body: Incoming,
-    /// Whether the body's end shows by itself; otherwise it ends with the connection.
-    pub(crate) is_delimited: bool,
+    /// Tells whether the target outlived the answer, if the body ends with its connection and not by itself.
+    pub(crate) witness: Option<Box<EndWitness>>,
     /// Connection that carries the body.
     pub(crate) connection: TargetConnection,
     /// Counts the call at its target until dropped.
--- a/crates/daemon/src/router/exchange/sending.rs
+++ b/crates/daemon/src/router/exchange/sending.rs
@@ -29,9 +29,12 @@
     },
     ids::{AdapterVersion, SoftwareVersion, Timestamp},
 };
-use plantain_net::body::{ReplyBody, is_delimited};
+use plantain_net::{
+    body::{ReplyBody, is_delimited},
+    end_witness::EndWitness,
+};
 use plantain_platform::calls;
-use std::{rc::Rc, sync::Arc, time::Duration};
+use std::{net::SocketAddr, rc::Rc, sync::Arc, time::Duration};
 use tokio::time::{sleep, timeout};
 
 /// Share of the objective after which the first byte of an answer is overdue.
@@ -87,7 +90,7 @@
             Some(SendEnd::Answered { answer, connection, is_identified }) => {
                 self.answering_software = self.certain_software(incarnation, is_identified, sent);
                 let latency = clock::now().saturating_sub(sent);
-                return self.handle_answer(answer, connection, guard, latency).await;
+                return self.handle_answer(answer, address, connection, guard, latency).await;
             }
             Some(SendEnd::OtherIncarnation) => {
                 self.note(&format!("{incarnation} has started again"));
@@ -211,7 +214,7 @@
     async fn await_answer(
         &mut self,
         incarnation: &TargetIncarnation,
-        address: std::net::SocketAddr,
+        address: SocketAddr,
         request: Request<Full<Bytes>>,
         check: IdentityCheck,
         guard: &mut CallGuard,
@@ -259,6 +262,7 @@
     async fn handle_answer(
         &mut self,
         answer: Response<Incoming>,
+        address: SocketAddr,
         connection: TargetConnection,
         mut guard: CallGuard,
         latency: Duration,
@@ -286,8 +290,9 @@
         if proof == RunProof::Succeeded {
             self.record.phase = CallPhase::Answering;
             let head = calls::relay_answer(parts.status, &parts.headers, ());
-            let is_delimited = is_delimited(&parts.headers);
-            return Ok(PendingAnswer { head, body, is_delimited, connection, guard });
+            let witness =
+                (!is_delimited(&parts.headers)).then(|| Box::new(EndWitness::new(address)));
+            return Ok(PendingAnswer { head, body, witness, connection, guard });
         }
         match proof {
             RunProof::Failed => guard.set_failed(),
--- a/crates/daemon/src/router/relay.rs
+++ b/crates/daemon/src/router/relay.rs
@@ -8,15 +8,20 @@
 };
 use crate::clock;
 use bytes::Bytes;
+use eyre::Report;
 use http_body_util::BodyExt;
 use hyper::{Response, StatusCode, body::Incoming};
 use metrics::counter;
 use plantain_core::direct::{
     health::CallOutcome,
+    membership::TargetIncarnation,
     proof::{RunProof, may_send_again},
     streams::events::EventSplitter,
 };
-use plantain_net::body::{BodyAbort, BodySender, ReplyBody};
+use plantain_net::{
+    body::{BodyAbort, BodySender, ReplyBody},
+    end_witness::EndWitness,
+};
 use plantain_platform::calls;
 use tokio::task::spawn_local;
 
@@ -31,24 +36,23 @@
 /// Reads a plain answer completely before relaying any of it, so that the call can still be retried if the body
 /// breaks off.
 pub(crate) async fn read_plain(exchange: &mut CallExchange, answer: PendingAnswer) -> PlainRead {
-    let PendingAnswer { head, body, is_delimited, connection, mut guard } = answer;
+    let PendingAnswer { head, body, witness, connection, mut guard } = answer;
     guard.set_answered();
     exchange.record.first_byte.get_or_insert(exchange.age());
     let reading = exchange.context.answers.read(body, &connection, constants::ANSWER_LIMIT);
     let incarnation = guard.target().clone();
+    let reading = async {
+        let bytes = reading.await?;
+        if let Some(witness) = witness {
+            exchange.confirm_end(*witness, &incarnation, constants::PLAIN_PATIENCE).await?;
+        }
+        Ok::<_, Report>(bytes)
+    };
     let read = tokio::select! {
         read = reading => Some(read),
         () = exchange.ended() => None,
     };
     let (outcome, result) = match read {
-        Some(Ok(_))
-            if !is_delimited
-                && exchange.context.has_ended(&incarnation, constants::PLAIN_PATIENCE).await =>
-        {
-            exchange.note(&format!("{incarnation} ended, and its answer with it"));
-            guard.set_end(RunEnd::Broken);
-            (CallOutcome::Failed, PlainRead::Broken(GiveUpReason::Unknown))
-        }
         Some(Ok(bytes)) => {
             let keep = calls::keep_alive_timeout(head.headers());
             exchange.context.connections.put_back(connection, keep);
@@ -101,10 +105,10 @@
     async fn run(mut self, mut answer: PendingAnswer) {
         loop {
             let mut end = self.forward_events(&mut answer).await;
-            if matches!(end, StreamEnd::Complete) && !answer.is_delimited {
-                end = self.confirm_end(&answer).await;
-            }
             let incarnation = answer.guard.target().clone();
+            if let (StreamEnd::Complete, Some(witness)) = (&end, answer.witness.take()) {
+                end = self.confirm_end(*witness, &incarnation).await;
+            }
             let outcome = match &end {
                 StreamEnd::Complete | StreamEnd::CallerLeft => CallOutcome::Answered,
                 StreamEnd::TimedOut => CallOutcome::Silent,
@@ -194,15 +198,19 @@
     }
 
     /// Decides whether a stream is complete that ended with its connection, after a complete event.
-    async fn confirm_end(&self, answer: &PendingAnswer) -> StreamEnd {
+    async fn confirm_end(&self, witness: EndWitness, incarnation: &TargetIncarnation) -> StreamEnd {
         if self.exchange.record.events == 0 && self.exchange.resume_after.is_none() {
             return StreamEnd::Broken("ended before its first event".into());
         }
-        let target = answer.guard.target();
-        if self.exchange.context.has_ended(target, constants::STREAM_PATIENCE).await {
-            return StreamEnd::Broken("ended with its target".into());
+        let confirming =
+            self.exchange.confirm_end(witness, incarnation, constants::STREAM_PATIENCE);
+        tokio::select! {
+            result = confirming => match result {
+                Ok(()) => StreamEnd::Complete,
+                Err(error) => StreamEnd::Broken(error.to_string()),
+            },
+            () = self.exchange.ended() => StreamEnd::TimedOut,
         }
-        StreamEnd::Complete
     }
 
     /// Resumes the stream at another target after the last complete event; `None` if the route does not allow it, no
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod client;
 pub mod config_store;
 pub mod count;
+pub mod end_witness;
 pub mod exchange;
 pub mod platform;
 pub mod request_body;
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod plot;
 pub mod scale;
 pub mod service;
+pub mod silent_address;
 pub mod weights;
 
 use eyre::{Result, WrapErr};
--- a/crates/standin/tests/integration/main.rs
+++ b/crates/standin/tests/integration/main.rs
@@ -2,6 +2,7 @@
 
 mod answers;
 mod crashes;
+mod end_witness;
 mod idempotency;
 mod import;
 mod loads;
