--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -235,6 +235,8 @@
         self.wait_estimates.record(&report);
         self.demand.take_report(&report, now);
         let Some(target) = self.target_mut(&report.incarnation) else { return false };
+        // A late report, or a late answer, of another incarnation may have displaced this one.
+        let was_displaced = std::mem::take(&mut target.is_displaced);
         target.take_report(report, now);
         let satisfied: HashSet<AdapterId> = target
             .load_requests
@@ -248,6 +250,9 @@
             .load_requests
             .retain(|adapter, request| request.is_awaited() || !satisfied.contains(adapter));
         let service = Arc::clone(&target.entry.service);
+        if was_displaced {
+            self.mark_superseded();
+        }
         self.update_capacity(&service, now);
         true
     }
--- a/crates/core/tests/core/direct/selection.rs
+++ b/crates/core/tests/core/direct/selection.rs
@@ -368,6 +368,18 @@
     assert_eq!(sent_to(&choose(&pool, DESK, None, 0)), Some("d2"));
 }
 
+/// Guards against an engine that gets no calls for good because a report of its earlier incarnation came after its own.
+#[test]
+fn a_late_report_of_an_earlier_incarnation_excludes_no_engine_for_good() {
+    let mut pool = pool();
+    let e1: TargetIncarnation = "e1".into();
+    take_report(&mut pool, report("e1", 1, &[]), ms(0));
+    let host = pool.target(&e1).expect("a target").entry.address.ip();
+    pool.take_report(host, report("earlier", 9, &[]), ms(10));
+    take_report(&mut pool, report("e1", 2, &[]), ms(200));
+    assert!(!pool.target(&e1).expect("a target").has_ended(), "its loader reports it");
+}
+
 struct UnusableCase {
     name: &'static str,
     make_unusable: fn(&mut TargetPool),
