Loader's tests: one engine for both properties

The property of memory had a copy of the engine and of the steps of the property of slots. One FakeEngine plays both; adapters without a size take no memory. Draws, checks and bounds are as before.

--- a/crates/core/tests/core/direct/loader.rs
+++ b/crates/core/tests/core/direct/loader.rs
@@ -1,10 +1,12 @@
 //! The loader's orders, against an engine whose answers get lost and that carries orders out late.
 
+mod fake_engine;
 mod incarnations;
 mod memory;
 mod order;
 mod priority;
 
+use self::fake_engine::FakeEngine;
 use super::support::{BASE, adapter, holding, ms};
 use plantain_core::direct::{
     call::AdapterId,
@@ -13,7 +15,7 @@
     orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
 };
 use quickcheck::{Gen, QuickCheck};
-use std::{collections::BTreeMap, net::SocketAddr, time::Duration};
+use std::{net::SocketAddr, time::Duration};
 
 const SLOTS: u16 = 4;
 
@@ -318,74 +320,6 @@
 
 /// A simulated engine: it accepts an order only on its order count; some answers are lost, and some orders
 /// are carried out late.
-struct FakeEngine {
-    order_count: u64,
-    held: BTreeMap<AdapterId, u32>,
-    loading: Vec<(AdapterId, u32)>,
-    late: Vec<EngineOrder>,
-    overfilled: bool,
-    /// Start of its incarnation; `None` if it does not report it.
-    started: Option<u64>,
-}
-
-impl FakeEngine {
-    fn new(started: Option<u64>) -> Self {
-        Self {
-            order_count: 0,
-            held: BTreeMap::new(),
-            loading: Vec::new(),
-            late: Vec::new(),
-            overfilled: false,
-            started,
-        }
-    }
-
-    /// Crashes and restarts under the same id; orders in transit still arrive.
-    fn restart(&mut self) {
-        self.order_count = 0;
-        self.held.clear();
-        self.loading.clear();
-        self.started = self.started.map(|started| started + 1);
-    }
-
-    fn occupied(&self) -> usize {
-        let new = self.loading.iter().filter(|(id, _)| !self.held.contains_key(id)).count();
-        self.held.len() + new
-    }
-
-    fn carry_out(&mut self, order: &EngineOrder) -> OrderAnswer {
-        if order.order_count != self.order_count {
-            return OrderAnswer::Conflict;
-        }
-        self.order_count += 1;
-        match &order.verb {
-            OrderVerb::LoadBase(_) => {}
-            OrderVerb::LoadAdapter(id, version) => {
-                self.loading.push((id.clone(), *version));
-                self.overfilled |= self.occupied() > usize::from(SLOTS);
-            }
-            OrderVerb::UnloadAdapter(id) => {
-                self.held.remove(id);
-                return OrderAnswer::Done;
-            }
-        }
-        OrderAnswer::Accepted
-    }
-
-    fn report(&self) -> EngineReport {
-        let adapters = self.held.iter().map(|(id, version)| (id.name.clone(), *version));
-        let mut holding = holding(&[]);
-        holding.adapters = adapters.collect();
-        EngineReport {
-            holdings: vec![holding],
-            loading: self.loading.clone(),
-            order_count: self.order_count,
-            started: self.started,
-            ..EngineReport::default()
-        }
-    }
-}
-
 /// An engine that is ordered to hold more adapters than it has slots crashes and ends all its streams. This
 /// must not happen, whichever answers are lost or orders carried out late, even in a later incarnation under
 /// the same id.
@@ -406,36 +340,7 @@
                     now,
                 );
             }
-            if kind % 7 == 0 && !engine.late.is_empty() {
-                let order = engine.late.remove(0);
-                engine.carry_out(&order);
-            }
-            if kind % 32 == 11 {
-                engine.restart();
-            }
-            if kind % 3 == 0 && !engine.loading.is_empty() {
-                let (id, version) = engine.loading.remove(0);
-                engine.held.insert(id, version);
-            }
-            match machine.next_step(now) {
-                LoaderStep::Identify => machine.take_instance("e1".into()),
-                LoaderStep::Poll => machine.take_report(engine.report(), now),
-                LoaderStep::Wait(_) => {}
-                LoaderStep::Order(order) => {
-                    let answer = match kind % 4 {
-                        0 => {
-                            engine.late.push(order.clone());
-                            OrderAnswer::Silent
-                        }
-                        1 => {
-                            engine.carry_out(&order);
-                            OrderAnswer::Silent
-                        }
-                        _ => engine.carry_out(&order),
-                    };
-                    machine.take_answer(&order, answer, now);
-                }
-            }
+            engine.play(&mut machine, kind, true, now);
             if engine.overfilled {
                 return false;
             }
--- a/crates/core/tests/core/direct/loader/memory.rs
+++ b/crates/core/tests/core/direct/loader/memory.rs
@@ -1,17 +1,19 @@
 //! The account of an engine's memory and slots.
 
-use super::{SLOTS, adapter, machine, ms, notice, order_of, report, request, router, running};
-use crate::direct::support::{BASE, holding};
+use super::{
+    adapter,
+    fake_engine::{FakeBase, FakeEngine, OTHER_BASE},
+    machine, ms, notice, order_of, report, request, router, running,
+};
+use crate::direct::support::BASE;
 use plantain_core::direct::{
-    call::AdapterId,
-    loader::{LoaderMachine, LoaderStep},
+    loader::LoaderMachine,
     messages::{BaseOffer, LoadRequest, RouterNotice},
-    orders::{EngineOrder, EngineReport, OrderAnswer, OrderVerb},
+    orders::{OrderAnswer, OrderVerb},
 };
 use quickcheck::{Gen, QuickCheck};
-use std::{collections::BTreeMap, time::Duration};
+use std::time::Duration;
 
-const OTHER_BASE: &str = "other-base";
 const WEIGHTS: f32 = 70_000.0;
 
 fn offer(base: &str, weights_mb: f32, adapter_mb: f32) -> BaseOffer {
@@ -186,106 +188,15 @@
     assert_eq!(machine.make_report(ms(500)).expect("a report").free_slots, -1);
 }
 
-/// An engine of two base models, whose adapters have sizes of their own.
-struct SizedEngine {
-    order_count: u64,
-    held: BTreeMap<AdapterId, u32>,
-    loading: Vec<(AdapterId, u32)>,
-    late: Vec<EngineOrder>,
-    started: u64,
-    /// Sizes of an adapter of each base model.
-    sizes: [f64; 2],
-    memory: f64,
-    overfilled: bool,
-}
-
-impl SizedEngine {
-    fn new(sizes: [f64; 2], memory: f64) -> Self {
-        Self {
-            order_count: 0,
-            held: BTreeMap::new(),
-            loading: Vec::new(),
-            late: Vec::new(),
-            started: 1,
-            sizes,
-            memory,
-            overfilled: false,
-        }
-    }
-
-    fn restart(&mut self) {
-        self.order_count = 0;
-        self.held.clear();
-        self.loading.clear();
-        self.started += 1;
-    }
-
-    fn size(&self, id: &AdapterId) -> f64 {
-        self.sizes[usize::from(&*id.base == OTHER_BASE)]
-    }
-
-    fn carry_out(&mut self, order: &EngineOrder) -> OrderAnswer {
-        if order.order_count != self.order_count {
-            return OrderAnswer::Conflict;
-        }
-        self.order_count += 1;
-        match &order.verb {
-            OrderVerb::LoadBase(_) => {}
-            OrderVerb::LoadAdapter(id, version) => {
-                self.loading.push((id.clone(), *version));
-                let new = self.loading.iter().filter(|(id, _)| !self.held.contains_key(id));
-                let all: Vec<&AdapterId> = self.held.keys().chain(new.map(|(id, _)| id)).collect();
-                let used: f64 = all.iter().map(|id| self.size(id)).sum();
-                self.overfilled |= used > self.memory || all.len() > usize::from(SLOTS);
-            }
-            OrderVerb::UnloadAdapter(id) => {
-                self.held.remove(id);
-                return OrderAnswer::Done;
-            }
-        }
-        OrderAnswer::Accepted
-    }
-
-    fn report(&self) -> EngineReport {
-        let mut holdings = [BASE, OTHER_BASE].map(|base| {
-            let mut holding = holding(&[]);
-            holding.base = base.into();
-            holding
-        });
-        for (id, version) in &self.held {
-            let index = usize::from(&*id.base == OTHER_BASE);
-            holdings[index].adapters.insert(id.name.clone(), *version);
-        }
-        EngineReport {
-            holdings: holdings.to_vec(),
-            loading: self.loading.clone(),
-            order_count: self.order_count,
-            started: Some(self.started),
-            ..EngineReport::default()
-        }
-    }
-
-    /// Sends an order whose fate `kind` decides: carried out late, carried out without an answer, or answered.
-    fn send(&mut self, order: EngineOrder, kind: u8) -> OrderAnswer {
-        match kind % 4 {
-            0 => {
-                self.late.push(order);
-                OrderAnswer::Silent
-            }
-            1 => {
-                self.carry_out(&order);
-                OrderAnswer::Silent
-            }
-            _ => self.carry_out(&order),
-        }
-    }
-}
-
 /// Loads adapters of drawn sizes, at an engine that may restart under its id; returns whether the engine always had room for what it was ordered to load.
 fn always_fits(events: Vec<(u8, u8)>, sizes: (u8, u8), free: u8, has_restarts: bool) -> bool {
     let sizes = [sizes.0, sizes.1].map(|size| f64::from(size % 5) * 100.3);
     let free = f64::from(free % 16) * 100.7;
-    let mut engine = SizedEngine::new(sizes, free);
+    let bases = [
+        FakeBase { name: BASE, adapter_mb: sizes[0] },
+        FakeBase { name: OTHER_BASE, adapter_mb: sizes[1] },
+    ];
+    let mut engine = FakeEngine::new(Some(1)).with_memory(&bases, free);
     let mut machine = LoaderMachine::new(1);
     let mut now = ms(1);
     for (sequence, (kind, detail)) in events.into_iter().enumerate() {
@@ -311,26 +222,7 @@
             let share = if kind % 3 == 0 { 0.5 } else { 1.0 };
             machine.take_notice(router(2), stated(share, vec![requested]), now);
         }
-        if kind % 7 == 0 && !engine.late.is_empty() {
-            let order = engine.late.remove(0);
-            engine.carry_out(&order);
-        }
-        if has_restarts && kind % 32 == 11 {
-            engine.restart();
-        }
-        if kind % 3 == 0 && !engine.loading.is_empty() {
-            let (id, version) = engine.loading.remove(0);
-            engine.held.insert(id, version);
-        }
-        match machine.next_step(now) {
-            LoaderStep::Identify => machine.take_instance("e1".into()),
-            LoaderStep::Poll => machine.take_report(engine.report(), now),
-            LoaderStep::Wait(_) => {}
-            LoaderStep::Order(order) => {
-                let answer = engine.send(order.clone(), kind);
-                machine.take_answer(&order, answer, now);
-            }
-        }
+        engine.play(&mut machine, kind, has_restarts, now);
         if engine.overfilled {
             return false;
         }
