Loader's account: less said twice

A lost order tells itself what it loads; holdings of a report are found in one place; offers of base models are listed by one function of the notices, the one of the pool goes; the account is made only where a load may begin. Behaviour is as before.

--- a/crates/core/src/direct/config.rs
+++ b/crates/core/src/direct/config.rs
@@ -111,7 +111,7 @@
 }
 
 impl BaseSpec {
-    /// The base model as loaders are told of it.
+    /// Name and sizes of the base model for notices to loaders.
     pub fn offer(&self) -> BaseOffer {
         BaseOffer {
             base: Arc::clone(&self.name),
@@ -147,7 +147,7 @@
         has_slot && base.weights_mb + adapter_mb <= self.memory_mb
     }
 
-    /// Memory for weights and adapters in MB, as loaders are told of it: rounded down.
+    /// Memory for weights and adapters in MB, rounded down for notices to loaders.
     pub fn offered_memory(&self) -> f32 {
         -round_up(-self.memory_mb)
     }
--- a/crates/core/src/direct/loader.rs
+++ b/crates/core/src/direct/loader.rs
@@ -341,11 +341,7 @@
         match answer {
             OrderAnswer::Accepted | OrderAnswer::Done => self.apply(order, answer, now),
             OrderAnswer::WrongInstance => self.instance = None,
-            OrderAnswer::Silent => {
-                if let OrderVerb::LoadAdapter(adapter, _) = &order.verb {
-                    self.lost.note(order, &adapter.base, now);
-                }
-            }
+            OrderAnswer::Silent => self.lost.note(order, now),
             OrderAnswer::Conflict => {}
             OrderAnswer::Refused => self.not_before = now + REFUSED_PAUSE,
         }
--- a/crates/core/src/direct/loader/lost_orders.rs
+++ b/crates/core/src/direct/loader/lost_orders.rs
@@ -7,7 +7,10 @@
 
 use super::room::LostRoom;
 use crate::{
-    direct::{membership::InstanceId, orders::EngineOrder},
+    direct::{
+        membership::InstanceId,
+        orders::{EngineOrder, OrderVerb},
+    },
     ids::{BaseName, Timestamp},
 };
 use std::{collections::BTreeMap, sync::Arc, time::Duration};
@@ -34,13 +37,14 @@
 }
 
 impl LostOrders {
-    /// Records an order that got no answer; `base` is the base model of the adapter that it loads.
-    pub(super) fn note(&mut self, order: &EngineOrder, base: &BaseName, now: Timestamp) {
+    /// Records an order that got no answer, if it loads an adapter.
+    pub(super) fn note(&mut self, order: &EngineOrder, now: Timestamp) {
+        let OrderVerb::LoadAdapter(adapter, _) = &order.verb else { return };
         self.orders.push(LostOrder {
             id: Arc::clone(&order.incarnation.id),
             incarnation_number: self.incarnation_number,
             order_count: order.order_count,
-            base: Arc::clone(base),
+            base: Arc::clone(&adapter.base),
             given: now,
         });
     }
--- a/crates/core/src/direct/loader/plan.rs
+++ b/crates/core/src/direct/loader/plan.rs
@@ -35,10 +35,10 @@
         if report.holdings.is_empty() {
             return self.wanted_base().map(OrderVerb::LoadBase);
         }
-        let room = self.room(report)?;
         if report.loading.len() >= MAX_CONCURRENT_LOADS {
             return None;
         }
+        let room = self.room(report)?;
         let load_requests = self.sorted_requests(report, now);
         let store_loads = self.store_loads();
         let (request, since) = load_requests.iter().find(|(request, _)| {
--- a/crates/core/src/direct/loader/room.rs
+++ b/crates/core/src/direct/loader/room.rs
@@ -48,6 +48,14 @@
             self.sizes.insert(Arc::clone(&offer.base), BaseSize::of(offer));
         }
     }
+
+    fn is_empty(&self) -> bool {
+        self.sizes.is_empty()
+    }
+
+    fn get(&self, base: &str) -> Option<BaseSize> {
+        self.sizes.get(base).copied()
+    }
 }
 
 /// Room that loads of earlier incarnations without an answer may still take.
@@ -129,8 +137,7 @@
             let size = |base: &BaseName| self.size_of(base).map_or(0.0, |size| size.adapter);
             self.lost.room(id, report.order_count, size)
         });
-        let is_sized = !self.sizes.sizes.is_empty();
-        let memory = is_sized.then(|| self.memory_use(report, limit.into()));
+        let memory = (!self.sizes.is_empty()).then(|| self.memory_use(report, limit.into()));
         Some(EngineRoom { slots: slots.into(), occupied: report.occupied(), lost, memory })
     }
 
@@ -152,6 +159,6 @@
     fn size_of(&self, base: &BaseName) -> Option<BaseSize> {
         let stated = self.notices.values().flat_map(|state| &state.notice.sizes);
         let stated = stated.filter(|offer| offer.base == *base).map(BaseSize::of);
-        stated.chain(self.sizes.sizes.get(base).copied()).reduce(BaseSize::max)
+        stated.chain(self.sizes.get(base)).reduce(BaseSize::max)
     }
 }
--- a/crates/core/src/direct/notices.rs
+++ b/crates/core/src/direct/notices.rs
@@ -89,7 +89,7 @@
         let is_empty = target.is_empty_engine(now);
         let last = self.sent.get(incarnation).copied();
         let is_offer = is_empty || last.is_none();
-        let bases = if is_offer { TargetPool::base_offers(spec) } else { Vec::new() };
+        let bases = if is_offer { list_offers(spec, |_| true) } else { Vec::new() };
         let requested_recently =
             last.is_some_and(|sent| now.saturating_sub(sent.requested) < WAIT_PAUSE);
         let wants_report = target.is_report_pending(now)
@@ -130,11 +130,11 @@
     if !target.has_load_request() {
         return Vec::new();
     }
-    let stated = spec
-        .bases
-        .iter()
-        .filter(|base| target.holds_base(&base.name, now) || target.requests_base(&base.name));
-    stated.map(BaseSpec::offer).collect()
+    list_offers(spec, |base| target.holds_base(&base.name, now) || target.requests_base(&base.name))
+}
+
+fn list_offers(spec: &EngineSpec, is_listed: impl Fn(&BaseSpec) -> bool) -> Vec<BaseOffer> {
+    spec.bases.iter().filter(|base| is_listed(base)).map(BaseSpec::offer).collect()
 }
 
 /// Pause between notices to a target's loader; `None` if it needs none.
--- a/crates/core/src/direct/orders.rs
+++ b/crates/core/src/direct/orders.rs
@@ -33,8 +33,7 @@
 impl EngineReport {
     /// Version of an adapter that is held.
     pub fn held(&self, adapter: &AdapterId) -> Option<AdapterVersion> {
-        let holding = self.holdings.iter().find(|holding| holding.base == adapter.base)?;
-        holding.adapters.get(&adapter.name).copied()
+        self.holding(&adapter.base)?.adapters.get(&adapter.name).copied()
     }
 
     /// Whether an adapter is being loaded or replaced.
@@ -56,15 +55,18 @@
 
     /// Slots taken by adapters of one base model held or being loaded.
     pub(super) fn occupied_by(&self, base: &str) -> usize {
-        let own = self.holdings.iter().find(|holding| &*holding.base == base);
         let new =
             self.loading.iter().filter(|(id, _)| &*id.base == base && self.held(id).is_none());
-        own.map_or(0, |holding| holding.adapters.len()) + new.count()
+        self.holding(base).map_or(0, |holding| holding.adapters.len()) + new.count()
     }
 
     /// Whether a base model is held.
     pub(super) fn has_base(&self, base: &str) -> bool {
-        self.holdings.iter().any(|holding| &*holding.base == base)
+        self.holding(base).is_some()
+    }
+
+    fn holding(&self, base: &str) -> Option<&BaseHolding> {
+        self.holdings.iter().find(|holding| &*holding.base == base)
     }
 
     /// The holding of a base model, to change its adapters.
--- a/crates/core/src/direct/targets.rs
+++ b/crates/core/src/direct/targets.rs
@@ -11,13 +11,13 @@
 use super::{
     call::{AdapterId, AdapterRelease},
     capacity::ServiceCapacity,
-    config::{BaseSpec, EngineSpec, RouteConfig},
+    config::{EngineSpec, RouteConfig},
     demand::FleetDemand,
     health::CallOutcome,
     limits::LimitTag,
     load_shedding::ConcurrencyGauge,
     membership::{InstanceId, ListChange, TargetEntry, TargetIncarnation, TargetList},
-    messages::{BaseOffer, LoaderReport},
+    messages::LoaderReport,
     streams::{RouteTag, claims::InheritedClaims, history::SoftwareHistory},
     target::{LoadRequestState, TargetState},
     waits::WaitEstimates,
@@ -211,11 +211,6 @@
         self.config.services.get(&target.entry.service)?.engine.as_ref()
     }
 
-    /// Base models that a loader may load into an engine of the service.
-    pub fn base_offers(spec: &EngineSpec) -> Vec<BaseOffer> {
-        spec.bases.iter().map(BaseSpec::offer).collect()
-    }
-
     /// Applies a report of the loader on a host, unless it is older than the last one of the same start. Returns
     /// whether it was applied.
     pub fn take_report(&mut self, host: IpAddr, report: LoaderReport, now: Timestamp) -> bool {
